--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,215 @@
+// The agent beside each proxy: keeps the link to the control plane and feeds its proxy over loopback (design 3.4).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, identifiers, kernel as kernels, type Fault, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
+import { message, type Ask, type Reply, type ServiceFeed, type Target } from '@stallstall/message';
+import { peer, type Handlers } from '@stallstall/peer';
+import { quorum } from '@stallstall/quorum';
+import type { Register } from '@stallstall/register';
+import { node as nodes, type Node, type NodeSettings } from '@stallstall/node';
+import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
+import type { Vote, VoteStore } from '@stallstall/elect';
+import { sheets, type SheetService } from '@stallstall/sheet';
+import { Type } from '@sinclair/typebox';
+
+export type AgentSettings = NodeSettings & Readonly<{ feed: string }>;
+export type Agent = Readonly<{ node: Node; stop: () => Promise<void> }>;
+
+const VoteSchema = Type.Object({ epoch: Type.Integer({ minimum: 0 }), candidate: Type.String(), proposer: Type.String() });
+
+const probeEveryMilliseconds = 250;
+const probeMilliseconds = 700;
+const tellMilliseconds = 500;
+const samplesKept = 40;
+
+/** An edge has no disk: its votes live in the register, durable on a majority before any ACCEPT leaves (design 7.2). */
+function edgeVotes(register: Register, self: string): VoteStore {
+  function keyOf(service: string): string {
+    return `vote/${service}/${self}`;
+  }
+  return {
+    load: async function load(service) {
+      const read = await register.read(keyOf(service), 1_500);
+      if (Either.isLeft(read)) return read;
+      const entry = read.right;
+      return Either.right(Option.isSome(entry) && message.fits(VoteSchema, entry.value.value) ? Option.some(entry.value.value as Vote) : Option.none);
+    },
+    record: async function record(service, vote) {
+      const written = await register.change(keyOf(service), function next(current) {
+        const standing = Option.isSome(current) && message.fits(VoteSchema, current.value.value) ? current.value.value.epoch : 0;
+        return standing >= vote.epoch ? Option.none : Option.some(vote);
+      }, 2_000);
+      if (Either.isLeft(written) || Option.isNone(written.right.entry)) return false;
+      const kept = written.right.entry.value.value as Vote;
+      return kept.epoch === vote.epoch && kept.candidate === vote.candidate && kept.proposer === vote.proposer;
+    },
+  };
+}
+
+type Sample = Readonly<{ at: Instant; position: number }>;
+
+async function start(kernel: Kernel, settings: AgentSettings): Promise<Either.Either<Fault, Agent>> {
+  if (settings.node === '') return Either.left(fault.create({ kind: 'bad-settings', message: 'the agent has no node id', remedy: 'name one with --node' }));
+  const proxyFloors = new Map<string, number>();
+  const caps = new Map<string, number>();
+  let proxyOpen: Readonly<Record<string, number>> = {};
+  let usage: ReadonlyArray<Readonly<{ incarnation: string; window: number; counts: Readonly<Record<string, number>> }>> = [];
+  let layoutSince = kernel.clock.now();
+  let stopped = false;
+
+  const node: Node = nodes.create(kernel, settings, {
+    role: 'edge',
+    votes: (register) => edgeVotes(register, settings.node),
+    own: Option.none,
+    floor: (service) => proxyFloors.get(service) ?? 0,
+    caps: toldCaps,
+    onObeyed: function obeyed(key) {
+      if (key === 'membership' || key === 'configuration') {
+        layoutSince = kernel.clock.now();
+        settleCaps();
+      }
+    },
+    onHello: () => undefined,
+  });
+
+  // -- Connection shares: shrink at once, grow only into what all others have told they left free (design 8.3).
+
+  function toldCaps(): Readonly<Record<string, number>> {
+    const told: Record<string, number> = {};
+    for (const [service, cap] of caps) told[service] = Math.max(cap, proxyOpen[service] ?? 0);
+    for (const [service, open] of Object.entries(proxyOpen)) told[service] = Math.max(open, told[service] ?? 0);
+    return told;
+  }
+
+  function settleCaps(): void {
+    const configuration = node.configuration();
+    if (Option.isNone(configuration)) return;
+    const table = node.membership().value;
+    const edges = quorum.withRole(table, 'edge').length;
+    const listed = quorum.seat(table, settings.node) !== undefined;
+    const now = kernel.clock.now();
+    const mayGrow = now - layoutSince >= termMilliseconds + marginMilliseconds && node.controlUntil() > now;
+    for (const service of configuration.value.value.sheet.services) {
+      const share = listed ? sheets.share(service.connectionLimit, table.seats.length, edges) : 0;
+      const current = caps.get(service.service) ?? 0;
+      if (share <= current) caps.set(service.service, share);
+      else if (mayGrow) {
+        const others = node.capsOfOthers().reduce((sum, told) => sum + (Option.isSome(told) ? (told.value[service.service] ?? 0) : share), 0);
+        caps.set(service.service, Math.max(current, Math.min(share, service.connectionLimit - table.seats.length - others)));
+      }
+    }
+  }
+
+  // -- STATE of every member, at its own moments: what a replica's freshness is reckoned from (design 8.4).
+
+  const samples = new Map<string, readonly Sample[]>();
+
+  async function probeMember(service: SheetService, member: SheetService['members'][number]): Promise<void> {
+    const sentAt = kernel.clock.now();
+    const settled = node.settled(service.service);
+    const state = await node.liveness.probe(member.member, member.address, probeMilliseconds);
+    if (Either.isLeft(state) || Option.isNone(settled) || settled.value.primary !== member.member || state.right.epoch !== settled.value.epoch) return;
+    const key = `${service.service}|${settled.value.epoch}`;
+    const kept = samples.get(key) ?? [];
+    samples.set(key, [...kept, { at: sentAt, position: state.right.received }].slice(-samplesKept));
+    for (const other of samples.keys()) if (other.startsWith(`${service.service}|`) && other !== key) samples.delete(other);
+  }
+
+  function probeAll(): void {
+    const configuration = node.configuration();
+    if (Option.isNone(configuration)) return;
+    for (const service of configuration.value.value.sheet.services) for (const member of service.members) void probeMember(service, member);
+  }
+
+  /** The latest moment at which the primary was known to be at a position that this member has applied. */
+  function freshAt(service: string, epoch: number, applied: number): Option.Option<Instant> {
+    const kept = samples.get(`${service}|${epoch}`) ?? [];
+    const fitting = kept.filter((sample) => sample.position <= applied).at(-1);
+    return Option.map((sample: Sample) => sample.at)(Option.fromNullable(fitting));
+  }
+
+  function targetOf(service: string, epoch: number, member: string): Target {
+    const state = node.liveness.state(member);
+    const applied = Option.isSome(state) ? state.value.applied : 0;
+    const fresh = freshAt(service, epoch, applied);
+    return {
+      member,
+      alive: node.liveness.alive(member),
+      freshAgo: Option.isSome(fresh) ? kernel.clock.now() - fresh.value : -1,
+      applied,
+      follows: Option.isSome(state) ? state.value.epoch : 0,
+    };
+  }
+
+  /** What is left of a term, as JSON can carry it. */
+  function within(left: number): number {
+    return Math.max(0, Math.min(left, termMilliseconds));
+  }
+
+  function serviceFeed(service: SheetService): ServiceFeed {
+    const settled = node.settled(service.service);
+    const epoch = Option.isSome(settled) ? settled.value.epoch : 0;
+    const left = node.fenceUntil(service.service) - kernel.clock.now();
+    return {
+      service: service.service,
+      epoch,
+      primary: Option.isSome(settled) ? settled.value.primary : '',
+      fence: within(left),
+      targets: service.members.map((member) => targetOf(service.service, epoch, member.member)),
+    };
+  }
+
+  function feed(ask: Ask<'feed'>): Reply<'feed'> {
+    for (const [service, floor] of Object.entries(ask.floors)) proxyFloors.set(service, Math.max(floor, proxyFloors.get(service) ?? 0));
+    proxyOpen = ask.open;
+    const windows = new Set(ask.usage.map((told) => told.window));
+    usage = [
+      ...usage.filter((kept) => kept.incarnation !== ask.incarnation || !windows.has(kept.window)),
+      ...ask.usage.map((told) => ({ incarnation: ask.incarnation, window: told.window, counts: told.counts })),
+    ].slice(-20);
+    settleCaps();
+    const configuration = node.configuration();
+    const seat = quorum.seat(node.membership().value, settings.node);
+    const version = Option.isSome(configuration) ? configuration.value.version : 0;
+    return {
+      configuration: Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
+      configurationVersion: version,
+      term: within(node.controlUntil() - kernel.clock.now()),
+      services: Option.isSome(configuration) ? configuration.value.value.sheet.services.map(serviceFeed) : [],
+      shares: Object.fromEntries(caps),
+      draining: seat?.draining ?? false,
+      area: settings.area,
+      node: settings.node,
+    };
+  }
+
+  function tellUsage(): void {
+    if (usage.length === 0) return;
+    const reports = usage.map((told) => ({ node: settings.node, incarnation: told.incarnation, window: told.window, counts: { ...told.counts } }));
+    for (const core of node.cores()) {
+      const held = node.callPeer(core.node);
+      if (Option.isSome(held)) void held.value.call('usageTell', { reports }, tellMilliseconds);
+    }
+  }
+
+  const handlers: Handlers = { ...node.handlers };
+  const listening: readonly Listening[] = [
+    await peer.listen(kernel, identifiers.address(settings.address), handlers),
+    await peer.listen(kernel, identifiers.address(settings.feed), { feed }),
+    await kernel.network.serve(identifiers.address(settings.outward), { routes: node.routes }),
+  ];
+  node.start();
+  void kernels.every(kernel.clock, probeEveryMilliseconds, probeAll, () => !stopped);
+  void kernels.every(kernel.clock, tellMilliseconds, tellUsage, () => !stopped);
+
+  return Either.right({
+    node,
+    stop: async function stop() {
+      stopped = true;
+      node.stop();
+      for (const entry of listening) await entry.stop();
+    },
+  });
+}
+
+export const agent = { start } as const;
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,1 @@
+export * from './real-fleet.js';
--- /dev/null
+++ b/packages/elect/src/duty.ts
@@ -0,0 +1,108 @@
+// Duties: one holder at a time, by a turn number and a term in the register (design 7.6).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { Type, type Static } from '@sinclair/typebox';
+import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
+import { message, type Entry } from '@stallstall/message';
+import type { Register } from '@stallstall/register';
+import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
+
+const DutySchema = Type.Object({
+  holder: Type.String(),
+  turn: Type.Integer({ minimum: 1 }),
+  renewals: Type.Integer({ minimum: 0 }),
+  released: Type.Boolean(),
+});
+export type DutyState = Readonly<Static<typeof DutySchema>>;
+
+export type Holding = Readonly<{
+  turn: number;
+  /** Whether a call that may last so long would end within the term. */
+  covers: (milliseconds: number) => boolean;
+  renew: () => Promise<boolean>;
+  release: () => Promise<void>;
+}>;
+
+export type Duty = Readonly<{
+  /** One step towards holding: none while another's term may still run. */
+  seek: () => Promise<Option.Option<Holding>>;
+}>;
+
+export const renewMilliseconds = 600;
+
+function stateOf(entry: Option.Option<Entry>): Option.Option<DutyState> {
+  return Option.isSome(entry) && message.fits(DutySchema, entry.value.value) ? Option.some(entry.value.value) : Option.none;
+}
+
+function create(kernel: Kernel, register: Register, name: string, self: string): Duty {
+  const key = `duty/${name}`;
+  // A restarted process is another holder: what its predecessor began is not its own.
+  const holder = `${self}#${kernel.randomness.token()}`;
+  let seen: Option.Option<Readonly<{ state: DutyState; since: Instant }>> = Option.none;
+
+  function hold(turn: number, from: Instant): Holding {
+    let until = identifiers.after(from, termMilliseconds);
+
+    async function replace(released: boolean): Promise<boolean> {
+      const sentAt = kernel.clock.now();
+      const changed = await register.change(key, function next(entry) {
+        const state = stateOf(entry);
+        return Option.isSome(state) && state.value.holder === holder && state.value.turn === turn && !state.value.released
+          ? Option.some({ ...state.value, renewals: state.value.renewals + 1, released })
+          : Option.none;
+      }, 1_000);
+      const kept = Either.isRight(changed) && changed.right.wrote;
+      if (kept && !released) until = identifiers.after(sentAt, termMilliseconds);
+      return kept;
+    }
+
+    return {
+      turn,
+      covers: function covers(milliseconds) {
+        return kernel.clock.now() + milliseconds <= until;
+      },
+      renew: function renew() {
+        return replace(false);
+      },
+      release: async function release() {
+        until = kernel.clock.now();
+        await replace(true);
+      },
+    };
+  }
+
+  function mayTake(state: DutyState): boolean {
+    if (state.released) return true;
+    if (Option.isNone(seen)) return false;
+    const known = seen.value;
+    if (known.state.turn !== state.turn || known.state.renewals !== state.renewals) return false;
+    return kernel.clock.now() - known.since >= termMilliseconds + marginMilliseconds;
+  }
+
+  async function seek(): Promise<Option.Option<Holding>> {
+    const read = await register.read(key, 1_000);
+    if (Either.isLeft(read)) return Option.none;
+    const current = stateOf(read.right);
+    if (Option.isSome(current)) {
+      const state = current.value;
+      if (Option.isNone(seen) || seen.value.state.turn !== state.turn || seen.value.state.renewals !== state.renewals) {
+        seen = Option.some({ state, since: kernel.clock.now() });
+      }
+      if (!mayTake(state)) return Option.none;
+    }
+    const sentAt = kernel.clock.now();
+    const taken = await register.change(key, function take(entry) {
+      const state = stateOf(entry);
+      if (Option.isNone(state)) return Option.some({ holder, turn: 1, renewals: 0, released: false });
+      if (!mayTake(state.value)) return Option.none;
+      return Option.some({ holder, turn: state.value.turn + 1, renewals: 0, released: false });
+    }, 1_000);
+    if (Either.isLeft(taken) || !taken.right.wrote) return Option.none;
+    const state = stateOf(taken.right.entry);
+    return Option.isSome(state) && state.value.holder === holder ? Option.some(hold(state.value.turn, sentAt)) : Option.none;
+  }
+
+  return { seek };
+}
+
+export const duty = { create, stateOf } as const;
--- /dev/null
+++ b/packages/elect/src/election.ts
@@ -0,0 +1,362 @@
+// The election that runs inside every node and decides each service's primary (design 7).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, identifiers, type Fault, type Instant, type Kernel } from '@stallstall/kernel';
+import type { Ask, Entry, Membership, Reply, Settled } from '@stallstall/message';
+import { quorum } from '@stallstall/quorum';
+import type { Register } from '@stallstall/register';
+import { marginMilliseconds, termMilliseconds, type Fence } from '@stallstall/fence';
+import { sheets, type Sheet, type SheetMember, type SheetService } from '@stallstall/sheet';
+import { duty, renewMilliseconds, type Holding } from './duty.js';
+import { downAfterMilliseconds, type Liveness, type MemberState } from './liveness.js';
+
+/** The paper's election timeout. */
+export const electionTimeoutMilliseconds = 3_000;
+
+export type Vote = Readonly<{ epoch: number; candidate: string; proposer: string }>;
+
+/** Where a node's votes survive its restart: a core's own disk, or the register for an edge (design 7.2). */
+export type VoteStore = Readonly<{
+  load: (service: string) => Promise<Either.Either<Fault, Option.Option<Vote>>>;
+  /** True once the vote is durable; false when a vote as high was there before it. */
+  record: (service: string, vote: Vote) => Promise<boolean>;
+}>;
+
+export type Platform = Readonly<{
+  promote: (order: Readonly<{ service: string; member: string; epoch: number; turn: number }>, milliseconds: number) => Promise<Either.Either<Fault, unknown>>;
+}>;
+
+export type ElectionView = Readonly<{
+  self: string;
+  membership: () => Membership;
+  membershipVersion: () => number;
+  sheet: () => Option.Option<Sheet>;
+  settled: (service: string) => Option.Option<Settled>;
+  floor: (service: string) => number;
+  propose: (node: string, ask: Ask<'propose'>) => Promise<Option.Option<Reply<'propose'>>>;
+}>;
+
+export type Election = Readonly<{
+  consider: (ask: Ask<'propose'>) => Promise<Reply<'propose'>>;
+  /** The epoch this node stands at for a service; none while its own vote is not yet known. */
+  epochOf: (service: string) => Option.Option<number>;
+  step: () => void;
+  describe: () => ReadonlyArray<Readonly<Record<string, string | number>>>;
+}>;
+
+/** How long a vote without a settled epoch is given before another candidacy. */
+const patienceMilliseconds = termMilliseconds + marginMilliseconds + electionTimeoutMilliseconds;
+const rankMilliseconds = 120;
+const probeMilliseconds = 800;
+const promoteMilliseconds = 900;
+const catchUpMilliseconds = 5_000;
+
+type Standing = {
+  voted: Option.Option<Vote>;
+  loaded: boolean;
+  loading: boolean;
+  votedAt: Instant;
+  knownSince: Instant;
+  wantedSince: Option.Option<Instant>;
+  running: boolean;
+  lastOutcome: string;
+};
+
+type Found = Readonly<{ member: SheetMember; state: MemberState }>;
+
+function better(left: Found, right: Found): number {
+  if (left.state.epoch !== right.state.epoch) return right.state.epoch - left.state.epoch;
+  if (left.state.received !== right.state.received) return right.state.received - left.state.received;
+  return left.member.member < right.member.member ? -1 : 1;
+}
+
+function create(
+  kernel: Kernel, view: ElectionView, votes: VoteStore, register: Register, liveness: Liveness, terms: Fence, platform: Platform,
+): Election {
+  const standings = new Map<string, Standing>();
+
+  function standingOf(service: string): Standing {
+    let standing = standings.get(service);
+    if (standing === undefined) {
+      const now = kernel.clock.now();
+      standing = {
+        voted: Option.none, loaded: false, loading: false, votedAt: now, knownSince: now,
+        wantedSince: Option.none, running: false, lastOutcome: 'none yet',
+      };
+      standings.set(service, standing);
+    }
+    return standing;
+  }
+
+  function settledEpoch(service: string): number {
+    const settled = view.settled(service);
+    return Option.isSome(settled) ? settled.value.epoch : 0;
+  }
+
+  /** The highest epoch this node has voted for, or that was voted before its membership table was made (design 4.2). */
+  function votedEpoch(service: string, standing: Standing): number {
+    return Math.max(Option.isSome(standing.voted) ? standing.voted.value.epoch : 0, view.membership().epochs[service] ?? 0);
+  }
+
+  async function load(service: string, standing: Standing): Promise<void> {
+    if (standing.loaded || standing.loading) return;
+    standing.loading = true;
+    const loaded = await votes.load(service);
+    standing.loading = false;
+    if (Either.isLeft(loaded)) return;
+    if (Option.isSome(loaded.right) && loaded.right.value.epoch > votedEpoch(service, standing)) standing.voted = loaded.right;
+    standing.votedAt = kernel.clock.now();
+    standing.loaded = true;
+  }
+
+  function epochOf(service: string): Option.Option<number> {
+    const standing = standingOf(service);
+    return standing.loaded ? Option.some(Math.max(settledEpoch(service), votedEpoch(service, standing))) : Option.none;
+  }
+
+  function serviceOf(service: string): SheetService | undefined {
+    const sheet = view.sheet();
+    return Option.isSome(sheet) ? sheets.service(sheet.value, service) : undefined;
+  }
+
+  function primaryOf(service: SheetService): SheetMember | undefined {
+    const settled = view.settled(service.service);
+    return Option.isSome(settled) ? service.members.find((member) => member.member === settled.value.primary) : undefined;
+  }
+
+  /** The primary, when this node sees it alive and no sheet asks it to go. */
+  function livePrimary(service: SheetService): SheetMember | undefined {
+    const primary = primaryOf(service);
+    return primary !== undefined && primary.state === 'serving' && liveness.alive(primary.member) ? primary : undefined;
+  }
+
+  function refusal(ask: Ask<'propose'>, standing: Standing): Option.Option<string> {
+    const service = serviceOf(ask.service);
+    if (service === undefined) return Option.some('no such service in the sheet obeyed here');
+    if (!standing.loaded) return Option.some('own vote not yet read back');
+    if (ask.membership !== view.membershipVersion()) return Option.some('another version of the membership table is obeyed here');
+    if (ask.epoch <= settledEpoch(ask.service)) return Option.some('that epoch is settled');
+    if (ask.epoch <= votedEpoch(ask.service, standing)) return Option.some('voted as high already');
+    const candidate = service.members.find((member) => member.member === ask.candidate);
+    if (candidate === undefined || candidate.state !== 'serving') return Option.some('the candidate is not serving');
+    const primary = livePrimary(service);
+    if (primary !== undefined && primary.member !== ask.candidate) return Option.some('the primary is alive');
+    if (view.floor(ask.service) > ask.position) return Option.some('the candidate lacks acknowledged writes');
+    return Option.none;
+  }
+
+  async function consider(ask: Ask<'propose'>): Promise<Reply<'propose'>> {
+    const standing = standingOf(ask.service);
+    await load(ask.service, standing);
+    const denied = refusal(ask, standing);
+    if (Option.isSome(denied)) {
+      return { accepted: false, reason: denied.value, epoch: Math.max(settledEpoch(ask.service), votedEpoch(ask.service, standing)) };
+    }
+    // Raised in memory before the write begins: from here on this node no longer counts for the older epoch (7.3).
+    const vote: Vote = { epoch: ask.epoch, candidate: ask.candidate, proposer: ask.node };
+    standing.voted = Option.some(vote);
+    standing.votedAt = kernel.clock.now();
+    const durable = await votes.record(ask.service, vote);
+    return { accepted: durable, reason: durable ? 'accepted' : 'the vote did not become durable', epoch: ask.epoch };
+  }
+
+  async function states(service: SheetService): Promise<readonly Found[]> {
+    const answers = await Promise.all(
+      service.members.map(async function ask(member): Promise<Option.Option<Found>> {
+        const state = await liveness.probe(member.member, member.address, probeMilliseconds);
+        return Either.isRight(state) ? Option.some({ member, state: state.right }) : Option.none;
+      }),
+    );
+    return answers.flatMap((answer) => (Option.isSome(answer) ? [answer.value] : []));
+  }
+
+  /** Highest received position among the eligible, lowest id on ties; never below the floor (design 7.5). */
+  function choose(service: SheetService, found: readonly Found[]): Option.Option<Found> {
+    const primary = livePrimary(service);
+    const floor = view.floor(service.service);
+    const eligible = found.filter((one) =>
+      one.member.state === 'serving' &&
+      (primary === undefined || one.member.member === primary.member) &&
+      one.state.epoch >= settledEpoch(service.service) &&
+      one.state.received >= floor);
+    return Option.fromNullable([...eligible].sort(better)[0]);
+  }
+
+  function collectAccepts(ask: Ask<'propose'>): Promise<Either.Either<string, Instant>> {
+    const nodes = view.membership().seats.map((seat) => seat.node);
+    const needed = quorum.majority(nodes.length);
+    return new Promise(function count(resolve) {
+      let accepts = 0;
+      let left = nodes.length;
+      let lastReason = 'no answer';
+      kernel.clock.alarm(electionTimeoutMilliseconds, function late() {
+        resolve(Either.left(`${accepts} of ${needed} ACCEPTs in time; ${lastReason}`));
+      });
+      async function askNode(node: string): Promise<void> {
+        const reply = node === view.self ? Option.some(await consider(ask)) : await view.propose(node, ask);
+        left -= 1;
+        if (Option.isSome(reply) && reply.value.accepted) accepts += 1;
+        else if (Option.isSome(reply)) lastReason = reply.value.reason;
+        if (accepts >= needed) resolve(Either.right(kernel.clock.now()));
+        else if (left === 0) resolve(Either.left(`${accepts} of ${needed} ACCEPTs; ${lastReason}`));
+      }
+      for (const node of nodes) void askNode(node);
+    });
+  }
+
+  function outvoted(service: string, epoch: number): boolean {
+    return settledEpoch(service) >= epoch || votedEpoch(service, standingOf(service)) > epoch;
+  }
+
+  /** Waits until nobody can act on the older epoch, and until the candidate holds all that was acknowledged under it. */
+  async function waitOut(service: SheetService, chosen: Found, epoch: number, majorityAt: Instant): Promise<boolean> {
+    const opensAt = identifiers.after(majorityAt, termMilliseconds + marginMilliseconds);
+    await kernel.clock.sleep(Math.max(0, opensAt - kernel.clock.now()));
+    const horizon = identifiers.after(kernel.clock.now(), catchUpMilliseconds);
+    const before = primaryOf(service);
+    while (kernel.clock.now() < horizon && !outvoted(service.service, epoch)) {
+      const found = await states(service);
+      const candidate = found.find((one) => one.member.member === chosen.member.member);
+      const old = found.find((one) => one.member.member === before?.member && one.state.epoch === chosen.state.epoch);
+      const target = Math.max(view.floor(service.service), old === undefined || old === candidate ? 0 : old.state.received);
+      if (candidate !== undefined && candidate.state.received >= target) return true;
+      await kernel.clock.sleep(100);
+    }
+    return false;
+  }
+
+  async function seekDuty(service: string, epoch: number): Promise<Option.Option<Holding>> {
+    const promotion = duty.create(kernel, register, `promotion/${service}`, view.self);
+    const horizon = identifiers.after(kernel.clock.now(), 2 * (termMilliseconds + marginMilliseconds));
+    while (kernel.clock.now() < horizon && !outvoted(service, epoch)) {
+      const holding = await promotion.seek();
+      if (Option.isSome(holding)) return holding;
+      await kernel.clock.sleep(250);
+    }
+    return Option.none;
+  }
+
+  async function order(service: SheetService, chosen: Found, epoch: number, holding: Holding): Promise<Either.Either<string, null>> {
+    const horizon = identifiers.after(kernel.clock.now(), catchUpMilliseconds);
+    let last = 'no call was made';
+    while (kernel.clock.now() < horizon) {
+      if (outvoted(service.service, epoch)) return Either.left('a later epoch was voted');
+      if (!holding.covers(promoteMilliseconds + renewMilliseconds) && !(await holding.renew())) return Either.left('the promotion duty was lost');
+      if (!holding.covers(promoteMilliseconds)) continue;
+      const reply = await platform.promote({ service: service.service, member: chosen.member.member, epoch, turn: holding.turn }, promoteMilliseconds);
+      if (Either.isRight(reply)) return Either.right(null);
+      last = reply.left.message;
+      if (fault.kind(reply.left) === 'superseded') return Either.left(last);
+      await kernel.clock.sleep(200);
+    }
+    return Either.left(last);
+  }
+
+  async function settle(service: string, settled: Settled): Promise<boolean> {
+    const written = await register.change(`epoch/${service}`, function next(current: Option.Option<Entry>) {
+      const standing = Option.isSome(current) ? (current.value.value as Settled) : undefined;
+      return standing !== undefined && standing.epoch >= settled.epoch ? Option.none : Option.some(settled);
+    });
+    return Either.isRight(written) && Option.isSome(written.right.entry) && (written.right.entry.value.value as Settled).epoch === settled.epoch;
+  }
+
+  /** One candidacy, written straight down: STATE, PROPOSE, the wait, the promotion, the settled epoch. */
+  async function stand(service: SheetService): Promise<string> {
+    const found = await states(service);
+    const chosen = choose(service, found);
+    if (Option.isNone(chosen)) return 'no eligible replica: each is out of reach or lacks acknowledged writes';
+    const standing = standingOf(service.service);
+    const epoch = 1 + Math.max(settledEpoch(service.service), votedEpoch(service.service, standing), ...found.map((one) => one.state.epoch));
+    const candidate = chosen.value;
+    kernel.log('elect.propose', { service: service.service, epoch, candidate: candidate.member.member, position: candidate.state.received });
+    const majority = await collectAccepts({
+      service: service.service, epoch, candidate: candidate.member.member, position: candidate.state.received, node: view.self,
+      membership: view.membershipVersion(),
+    });
+    if (Either.isLeft(majority)) return `epoch ${epoch} not won: ${majority.left}`;
+    const [waited, holding] = await Promise.all([
+      waitOut(service, candidate, epoch, majority.right),
+      seekDuty(service.service, epoch),
+    ]);
+    if (Option.isNone(holding)) return `epoch ${epoch} given up: another holds the promotion duty`;
+    if (!waited) {
+      await holding.value.release();
+      return `epoch ${epoch} given up: the candidate never held all acknowledged writes`;
+    }
+    const promoted = await order(service, candidate, epoch, holding.value);
+    await holding.value.release();
+    if (Either.isLeft(promoted)) return `epoch ${epoch} given up: ${promoted.left}`;
+    const done = await settle(service.service, {
+      epoch, primary: candidate.member.member, wonBy: view.self, position: candidate.state.received, settledAt: kernel.clock.wall(),
+    });
+    return done ? `epoch ${epoch} settled on ${candidate.member.member}` : `epoch ${epoch} promoted but not settled`;
+  }
+
+  function wanted(service: SheetService, standing: Standing): boolean {
+    const now = kernel.clock.now();
+    if (Option.isNone(view.settled(service.service))) return now - standing.knownSince >= downAfterMilliseconds;
+    const primary = primaryOf(service);
+    if (primary === undefined || primary.state === 'draining') return true;
+    return !liveness.alive(primary.member) && now - standing.knownSince >= downAfterMilliseconds;
+  }
+
+  function rank(): number {
+    return Math.max(0, view.membership().seats.findIndex((seat) => seat.node === view.self));
+  }
+
+  async function run(service: SheetService, standing: Standing): Promise<void> {
+    standing.running = true;
+    standing.lastOutcome = await stand(service);
+    kernel.log('elect.outcome', { service: service.service, outcome: standing.lastOutcome });
+    standing.running = false;
+    standing.wantedSince = Option.none;
+  }
+
+  function stepService(service: SheetService): void {
+    const standing = standingOf(service.service);
+    if (!standing.loaded) {
+      void load(service.service, standing);
+      return;
+    }
+    if (standing.running) return;
+    const now = kernel.clock.now();
+    const pending = votedEpoch(service.service, standing) > settledEpoch(service.service);
+    const due = pending ? now - standing.votedAt >= patienceMilliseconds : wanted(service, standing);
+    if (!due) {
+      standing.wantedSince = Option.none;
+      return;
+    }
+    const startsAt = Option.isSome(standing.wantedSince)
+      ? standing.wantedSince.value
+      : identifiers.after(now, (rank() + kernel.randomness.fraction()) * rankMilliseconds);
+    standing.wantedSince = Option.some(startsAt);
+    if (now < startsAt) return;
+    // Who cannot see a majority does not stand: it would only raise its own epoch out of step with the rest.
+    const seats = view.membership().seats;
+    const peers = seats.map((seat) => seat.node).filter((node) => node !== view.self);
+    if (!seats.some((seat) => seat.node === view.self) || terms.reachable(now, peers) < quorum.majority(seats.length)) return;
+    void run(service, standing);
+  }
+
+  function step(): void {
+    const sheet = view.sheet();
+    if (Option.isSome(sheet)) for (const service of sheet.value.services) stepService(service);
+  }
+
+  function describe(): ReadonlyArray<Readonly<Record<string, string | number>>> {
+    return [...standings].map(([service, standing]) => {
+      const settled = view.settled(service);
+      return {
+        service,
+        epoch: settledEpoch(service),
+        primary: Option.isSome(settled) ? settled.value.primary : '',
+        voted: votedEpoch(service, standing),
+        outcome: standing.lastOutcome,
+      };
+    });
+  }
+
+  return { consider, epochOf, step, describe };
+}
+
+export const election = { create } as const;
--- /dev/null
+++ b/packages/elect/src/index.ts
@@ -0,0 +1,3 @@
+export * from './liveness.js';
+export * from './duty.js';
+export * from './election.js';
--- /dev/null
+++ b/packages/elect/src/liveness.ts
@@ -0,0 +1,103 @@
+// What this node itself has heard of each member: beats, and STATE over its own probe connection (design 7.1).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { Type, type Static } from '@sinclair/typebox';
+import { fault, type Fault, type HttpConnection, type Instant, type Kernel } from '@stallstall/kernel';
+import { message } from '@stallstall/message';
+
+/** The paper's down_after: this much silence flags a member DOWN. */
+export const downAfterMilliseconds = 5_000;
+
+export const MemberStateSchema = Type.Object({
+  member: Type.String({ minLength: 1, maxLength: 200 }),
+  role: Type.Union([Type.Literal('primary'), Type.Literal('replica')]),
+  epoch: Type.Integer({ minimum: 0 }),
+  received: Type.Integer({ minimum: 0 }),
+  applied: Type.Integer({ minimum: 0 }),
+});
+export type MemberState = Readonly<Static<typeof MemberStateSchema>>;
+
+export type Liveness = Readonly<{
+  beat: (state: MemberState) => void;
+  alive: (member: string) => boolean;
+  lastHeard: (member: string) => Option.Option<Instant>;
+  state: (member: string) => Option.Option<MemberState>;
+  /** Asks a member for its STATE over the one probe connection this node keeps to it. */
+  probe: (member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, MemberState>>;
+  /** Closes probes to members that no configuration names any more. */
+  keepOnly: (members: ReadonlySet<string>) => void;
+}>;
+
+type Probe = Readonly<{ address: string; connection: HttpConnection }>;
+
+function create(kernel: Kernel): Liveness {
+  const heardAt = new Map<string, Instant>();
+  const states = new Map<string, MemberState>();
+  const probes = new Map<string, Probe>();
+  const asking = new Map<string, Promise<Either.Either<Fault, MemberState>>>();
+
+  function beat(state: MemberState): void {
+    heardAt.set(state.member, kernel.clock.now());
+    states.set(state.member, state);
+  }
+
+  function alive(member: string): boolean {
+    const heard = heardAt.get(member);
+    return heard !== undefined && kernel.clock.now() - heard < downAfterMilliseconds;
+  }
+
+  function connectionTo(member: string, address: string): HttpConnection {
+    const held = probes.get(member);
+    if (held !== undefined && held.address === address && !held.connection.closed()) return held.connection;
+    held?.connection.close();
+    const connection = kernel.network.connect(address as never);
+    probes.set(member, { address, connection });
+    return connection;
+  }
+
+  async function ask(member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, MemberState>> {
+    const reply = await connectionTo(member, address).exchange({ method: 'GET', path: '/state' }, milliseconds);
+    asking.delete(member);
+    if (Either.isLeft(reply)) return reply;
+    if (!message.fits(MemberStateSchema, reply.right.body) || reply.right.body.member !== member) {
+      return Either.left(fault.create({
+        kind: 'unreachable',
+        message: `${member} at ${address} gave no STATE that can be read`,
+        remedy: 'check that the sheet names the right address',
+      }));
+    }
+    beat(reply.right.body);
+    return Either.right(reply.right.body);
+  }
+
+  function probe(member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, MemberState>> {
+    const current = asking.get(member);
+    if (current !== undefined) return current;
+    const started = ask(member, address, milliseconds);
+    asking.set(member, started);
+    return started;
+  }
+
+  function keepOnly(members: ReadonlySet<string>): void {
+    for (const [member, held] of probes) {
+      if (members.has(member)) continue;
+      held.connection.close();
+      probes.delete(member);
+    }
+  }
+
+  return {
+    beat,
+    alive,
+    probe,
+    keepOnly,
+    lastHeard: function lastHeard(member) {
+      return Option.fromNullable(heardAt.get(member));
+    },
+    state: function state(member) {
+      return Option.fromNullable(states.get(member));
+    },
+  };
+}
+
+export const liveness = { create } as const;
--- /dev/null
+++ b/packages/fence/src/index.ts
@@ -0,0 +1,52 @@
+// The fence: a term of 2 s from the send time of echoed beats, peers counted only at the same epoch (design 7.3).
+import { identifiers, type Instant } from '@stallstall/kernel';
+import { quorum } from '@stallstall/quorum';
+
+export const termMilliseconds = 2_000;
+/** What the winner waits beyond a whole term; the inequality is design 7.4. */
+export const marginMilliseconds = 500;
+
+export type Echo = Readonly<{ sentAt: Instant; epochs: Readonly<Record<string, number>> }>;
+
+export type Fence = Readonly<{
+  heard: (peer: string, echo: Echo) => void;
+  forget: (peer: string) => void;
+  /** When this node's term for a service at an epoch ends; in the past when a majority does not agree. */
+  until: (service: string, epoch: number, peers: readonly string[], total: number, ownCounts: boolean) => Instant;
+  /** How many peers, this node among them, answered a beat within the last term, at whatever epoch. */
+  reachable: (now: Instant, peers: readonly string[]) => number;
+}>;
+
+function create(): Fence {
+  const echoes = new Map<string, Echo>();
+
+  function heard(peer: string, echo: Echo): void {
+    const last = echoes.get(peer);
+    if (last === undefined || last.sentAt < echo.sentAt) echoes.set(peer, echo);
+  }
+
+  function until(service: string, epoch: number, peers: readonly string[], total: number, ownCounts: boolean): Instant {
+    if (epoch === 0 || !ownCounts) return identifiers.instant(Number.NEGATIVE_INFINITY);
+    const moments: number[] = [];
+    for (const peer of peers) {
+      const echo = echoes.get(peer);
+      if (echo !== undefined && echo.epochs[service] === epoch) moments.push(echo.sentAt);
+    }
+    return identifiers.after(identifiers.instant(quorum.reachedByMajority(moments, total, true)), termMilliseconds);
+  }
+
+  function reachable(now: Instant, peers: readonly string[]): number {
+    return 1 + peers.filter((peer) => (echoes.get(peer)?.sentAt ?? Number.NEGATIVE_INFINITY) + termMilliseconds > now).length;
+  }
+
+  return {
+    heard,
+    until,
+    reachable,
+    forget: function forget(peer) {
+      echoes.delete(peer);
+    },
+  };
+}
+
+export const fence = { create } as const;
--- /dev/null
+++ b/packages/kernel/src/http.ts
@@ -0,0 +1,64 @@
+// What every HTTP boundary shares: matching a route, answering a fault (design 9.1).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, type Fault } from './fault.js';
+import type { HttpAsk, HttpReply, HttpRequest, HttpRoute, Kernel } from './kernel.js';
+import type { Address } from './identifiers.js';
+
+function matchPath(pattern: string, path: string): Option.Option<Readonly<Record<string, string>>> {
+  const expected = pattern.split('/');
+  const actual = path.split('/');
+  if (expected.length !== actual.length) return Option.none;
+  const parameters: Record<string, string> = {};
+  for (const [index, segment] of expected.entries()) {
+    const given = actual[index] ?? '';
+    if (segment.startsWith(':')) parameters[segment.slice(1)] = decodeURIComponent(given);
+    else if (segment !== given) return Option.none;
+  }
+  return Option.some(parameters);
+}
+
+function denied(error: Fault): HttpReply {
+  return { status: fault.status(error), headers: fault.headers(error), body: fault.body(error) };
+}
+
+function replied(result: Either.Either<Fault, unknown>, status = 200): HttpReply {
+  return Either.isLeft(result) ? denied(result.left) : { status, body: result.right };
+}
+
+/** Finds the route and runs it; a thrown error becomes an honest 500, never the end of the process. */
+async function route(routes: readonly HttpRoute[], request: HttpRequest): Promise<HttpReply> {
+  for (const candidate of routes) {
+    if (candidate.method !== request.method) continue;
+    const parameters = matchPath(candidate.path, request.path);
+    if (Option.isNone(parameters)) continue;
+    try {
+      return await candidate.handle({ ...request, query: { ...request.query, ...parameters.value } });
+    } catch (error) {
+      return denied(
+        fault.create({
+          kind: 'internal',
+          message: `${request.method} ${request.path} failed: ${(error as Error).message}`,
+          remedy: 'report it with the log line of the same moment',
+        }),
+      );
+    }
+  }
+  return denied(
+    fault.create({
+      kind: 'not-found',
+      message: `there is no ${request.method} ${request.path}`,
+      remedy: 'see the list of pages in docs/operations.md',
+    }),
+  );
+}
+
+/** One exchange on a connection of its own. */
+async function once(kernel: Kernel, address: Address, ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
+  const connection = kernel.network.connect(address);
+  const reply = await connection.exchange(ask, milliseconds);
+  connection.close();
+  return reply;
+}
+
+export const http = { matchPath, denied, replied, route, once } as const;
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,5 @@
+export * from './identifiers.js';
+export * from './fault.js';
+export * from './owner.js';
+export * from './kernel.js';
+export * from './http.js';
--- /dev/null
+++ b/packages/kernel/src/kernel.ts
@@ -0,0 +1,140 @@
+// The micro-kernel: clock, network, disk, randomness and log are services (design 2.1, 2.2).
+import type * as Either from 'fp-ts/lib/Either.js';
+import type * as Option from 'fp-ts/lib/Option.js';
+import type { Address, Instant, WallTime } from './identifiers.js';
+import type { Fault } from './fault.js';
+
+export type Alarm = Readonly<{ cancel: () => void }>;
+
+export type Clock = Readonly<{
+  now: () => Instant;
+  wall: () => WallTime;
+  alarm: (milliseconds: number, action: () => void) => Alarm;
+  sleep: (milliseconds: number) => Promise<void>;
+}>;
+
+export type Randomness = Readonly<{
+  /** A number in [0, 1). */
+  fraction: () => number;
+  /** An identifier nobody else has. */
+  token: () => string;
+}>;
+
+/** A held connection that carries JSON messages in order, until either side closes it. */
+export type Link = Readonly<{
+  send: (message: unknown) => void;
+  receive: () => Promise<Option.Option<unknown>>;
+  close: () => void;
+}>;
+
+export type HttpRequest = Readonly<{
+  method: string;
+  path: string;
+  query: Readonly<Record<string, string>>;
+  headers: Readonly<Record<string, string>>;
+  body: unknown;
+  connection: string;
+}>;
+
+export type HttpReply = Readonly<{
+  status: number;
+  headers?: Readonly<Record<string, string>>;
+  body: unknown;
+}>;
+
+export type HttpRoute = Readonly<{
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  /** Segments that begin with a colon are parameters, handed over in the query. */
+  path: string;
+  handle: (request: HttpRequest) => Promise<HttpReply>;
+}>;
+
+export type HttpServer = Readonly<{
+  routes: readonly HttpRoute[];
+  connectionClosed?: (connection: string) => void;
+}>;
+
+export type HttpAsk = Readonly<{
+  method: string;
+  path: string;
+  headers?: Readonly<Record<string, string>>;
+  body?: unknown;
+}>;
+
+/**
+ * One outward HTTP connection, one exchange at a time. A fault of kind `unreachable` promises that no byte of the
+ * request left; `reply-lost` promises nothing.
+ */
+export type HttpConnection = Readonly<{
+  exchange: (ask: HttpAsk, milliseconds: number) => Promise<Either.Either<Fault, HttpReply>>;
+  close: () => void;
+  closed: () => boolean;
+}>;
+
+export type Listening = Readonly<{ stop: () => Promise<void> }>;
+
+export type Network = Readonly<{
+  listen: (address: Address, greet: (link: Link) => void) => Promise<Listening>;
+  open: (address: Address) => Promise<Either.Either<Fault, Link>>;
+  serve: (address: Address, server: HttpServer) => Promise<Listening>;
+  connect: (address: Address) => HttpConnection;
+}>;
+
+export type Disk = Readonly<{
+  /** Every key and value, as last synced. */
+  load: () => Promise<ReadonlyMap<string, unknown>>;
+  /** Right only once the value would survive the loss of power; after a left it may stand there or not. */
+  put: (key: string, value: unknown) => Promise<Either.Either<Fault, null>>;
+}>;
+
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+export type Log = (event: string, fields?: LogFields) => void;
+
+declare const held: unique symbol;
+export type ServiceName<Service> = string & { readonly [held]: Service };
+
+export type Directory = Readonly<{
+  offer: <Service>(name: ServiceName<Service>, service: Service) => void;
+  find: <Service>(name: ServiceName<Service>) => Service;
+}>;
+
+export type Kernel = Readonly<{
+  clock: Clock;
+  network: Network;
+  disk: Option.Option<Disk>;
+  randomness: Randomness;
+  log: Log;
+  services: Directory;
+  /** Ends this process: the last act of one that must not go on. */
+  stop: (reason: Fault) => void;
+}>;
+
+function directory(): Directory {
+  const services = new Map<string, unknown>();
+
+  function offer<Service>(name: ServiceName<Service>, service: Service): void {
+    services.set(name, service);
+  }
+
+  function find<Service>(name: ServiceName<Service>): Service {
+    const service = services.get(name);
+    if (service === undefined) throw new Error(`no service is offered under the name ${name}; offer it before it is sought`);
+    return service as Service;
+  }
+
+  return { offer, find };
+}
+
+function serviceName<Service>(name: string): ServiceName<Service> {
+  return name as ServiceName<Service>;
+}
+
+/** Runs an action at once and then every so many milliseconds, never two at a time. */
+async function every(clock: Clock, milliseconds: number, action: () => void | Promise<void>, goesOn: () => boolean): Promise<void> {
+  while (goesOn()) {
+    await action();
+    await clock.sleep(milliseconds);
+  }
+}
+
+export const kernel = { directory, serviceName, every } as const;
--- /dev/null
+++ b/packages/machine/src/network.ts
@@ -0,0 +1,207 @@
+// The network of a real machine: TCP by IP numbers, HTTP through fastify and undici (design 2.2).
+import net from 'node:net';
+import fastify, { type FastifyInstance } from 'fastify';
+import { Client } from 'undici';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import {
+  fault, http, type Address, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Link, type Listening, type Network,
+} from '@stallstall/kernel';
+
+const longestFrame = 8 * 1024 * 1024;
+const longestBody = 1024 * 1024;
+const connectMilliseconds = 3_000;
+const keepMilliseconds = 600_000;
+
+function parts(address: Address): Readonly<{ host: string; port: number }> {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+function unreachable(address: Address, cause: Error): Fault {
+  return fault.create({ kind: 'unreachable', message: `${address} could not be reached`, remedy: 'see whether it runs and can be reached', cause });
+}
+
+/** One JSON value a line, in order, over one socket. */
+function linkOver(socket: net.Socket): Link {
+  const arrived: unknown[] = [];
+  let waiting: ((message: Option.Option<unknown>) => void) | undefined;
+  let rest = '';
+  let open = true;
+  socket.setNoDelay(true);
+  socket.setEncoding('utf8');
+
+  function over(): void {
+    if (!open) return;
+    open = false;
+    socket.destroy();
+    waiting?.(Option.none);
+    waiting = undefined;
+  }
+
+  function take(line: string): void {
+    let message: unknown;
+    try {
+      message = JSON.parse(line);
+    } catch {
+      over();
+      return;
+    }
+    const resolve = waiting;
+    waiting = undefined;
+    if (resolve === undefined) arrived.push(message);
+    else resolve(Option.some(message));
+  }
+
+  function data(chunk: string): void {
+    const lines = (rest + chunk).split('\n');
+    rest = lines.pop() ?? '';
+    if (rest.length > longestFrame) over();
+    for (const line of lines) if (open) take(line);
+  }
+
+  socket.on('data', data);
+  socket.on('close', over);
+  socket.on('error', over);
+
+  return {
+    send: function send(message) {
+      if (open) socket.write(`${JSON.stringify(message)}\n`);
+    },
+    receive: function receive() {
+      if (arrived.length > 0) return Promise.resolve(Option.some(arrived.shift()));
+      if (!open) return Promise.resolve(Option.none);
+      return new Promise((resolve) => {
+        waiting = resolve;
+      });
+    },
+    close: over,
+  };
+}
+
+function listen(address: Address, greet: (link: Link) => void): Promise<Listening> {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer((socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    greet(linkOver(socket));
+  });
+  return new Promise((resolve, reject) => {
+    server.on('error', reject);
+    server.listen(parts(address), () => resolve({
+      stop: () => new Promise((stopped) => {
+        server.close(() => stopped());
+        for (const socket of sockets) socket.destroy();
+      }),
+    }));
+  });
+}
+
+function open(address: Address): Promise<Either.Either<Fault, Link>> {
+  return new Promise((resolve) => {
+    const socket = net.connect(parts(address));
+    function failed(error: Error): void {
+      socket.destroy();
+      resolve(Either.left(unreachable(address, error)));
+    }
+    socket.setTimeout(connectMilliseconds, () => failed(new Error('no connection in time')));
+    socket.once('error', failed);
+    socket.once('connect', () => {
+      socket.removeListener('error', failed);
+      socket.setTimeout(0);
+      resolve(Either.right(linkOver(socket)));
+    });
+  });
+}
+
+function typedError(error: { readonly statusCode?: number; readonly message: string }): HttpReply {
+  return http.denied(error.statusCode === 413
+    ? fault.create({ kind: 'too-large', message: `the body is over ${longestBody} bytes`, remedy: 'send less at a time' })
+    : fault.create({ kind: (error.statusCode ?? 500) < 500 ? 'bad-request' : 'internal', message: error.message, remedy: 'send HTTP/1.1 with a JSON body' }));
+}
+
+async function serve(address: Address, server: HttpServer): Promise<Listening> {
+  const names = new WeakMap<net.Socket, string>();
+  let lastName = 0;
+  const app: FastifyInstance = fastify({ bodyLimit: longestBody, keepAliveTimeout: keepMilliseconds, forceCloseConnections: true, routerOptions: { maxParamLength: 300 } });
+
+  function nameOf(socket: net.Socket): string {
+    const known = names.get(socket);
+    if (known !== undefined) return known;
+    lastName += 1;
+    const name = `${address}/${lastName}`;
+    names.set(socket, name);
+    socket.once('close', () => server.connectionClosed?.(name));
+    return name;
+  }
+
+  app.setErrorHandler(async (error, _request, reply) => {
+    const typed = typedError(error as Error);
+    await reply.status(typed.status).send(typed.body);
+  });
+  app.setNotFoundHandler(async (request, reply) => {
+    const missing = await http.route([], { method: request.method, path: request.url, query: {}, headers: {}, body: null, connection: '' });
+    await reply.status(missing.status).send(missing.body);
+  });
+  for (const route of server.routes) {
+    app.route({
+      method: route.method,
+      url: route.path,
+      handler: async (request, reply) => {
+        const answered = await http.route([{ ...route, path: '' }], {
+          method: request.method, path: '', body: request.body ?? null, connection: nameOf(request.raw.socket),
+          query: { ...(request.query as Record<string, string>), ...(request.params as Record<string, string>) },
+          headers: request.headers as Record<string, string>,
+        });
+        await reply.status(answered.status).headers(answered.headers ?? {}).send(answered.body);
+      },
+    });
+  }
+  await app.listen(parts(address));
+  return { stop: () => app.close().then(() => undefined) };
+}
+
+function connect(address: Address): HttpConnection {
+  const client = new Client(`http://${address}`, { pipelining: 1, connect: { timeout: connectMilliseconds }, keepAliveTimeout: keepMilliseconds, keepAliveMaxTimeout: keepMilliseconds, headersTimeout: 0, bodyTimeout: 0 });
+  let connected = false;
+  let closed = false;
+
+  function close(): void {
+    if (closed) return;
+    closed = true;
+    client.destroy(() => undefined);
+  }
+
+  client.on('connect', () => {
+    connected = true;
+  });
+  // Once lost, this connection never comes back by itself: a member would not know the session on it.
+  client.on('disconnect', close);
+
+  async function exchange(ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
+    const timer = setTimeout(close, milliseconds);
+    try {
+      if (closed) throw new Error('the connection is closed');
+      const reply = await client.request({
+        method: ask.method as 'GET', path: ask.path, signal: null,
+        headers: { ...(ask.body === undefined ? {} : { 'content-type': 'application/json' }), ...ask.headers },
+        ...(ask.body === undefined ? {} : { body: JSON.stringify(ask.body) }),
+      });
+      const text = await reply.body.text();
+      const headers = Object.fromEntries(Object.entries(reply.headers).map(([name, value]) => [name, String(value)]));
+      return Either.right({ status: reply.statusCode, headers, body: text === '' ? null : JSON.parse(text) });
+    } catch (error) {
+      close();
+      if (!connected) return Either.left(unreachable(address, error as Error));
+      return Either.left(fault.create({
+        kind: 'reply-lost', message: `the reply of ${address} was lost`, remedy: 'see whether it runs and can be reached', cause: error as Error,
+      }));
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  return { exchange, close, closed: () => closed };
+}
+
+export const network: Network = { listen, open, serve, connect };
--- /dev/null
+++ b/packages/message/src/index.ts
@@ -0,0 +1,218 @@
+// What this system's own processes say to each other: typebox schemas over JSON (design 3).
+import { Type, type Static, type TSchema } from '@sinclair/typebox';
+import { TypeCompiler, type TypeCheck } from '@sinclair/typebox/compiler';
+
+const Count = Type.Integer({ minimum: 0 });
+const Name = Type.String({ minLength: 1, maxLength: 200 });
+const Moment = Type.Number();
+
+export const BallotSchema = Type.Readonly(Type.Object({ counter: Count, node: Type.String({ maxLength: 200 }) }));
+export type Ballot = Readonly<Static<typeof BallotSchema>>;
+
+export const EntrySchema = Type.Object({ ballot: BallotSchema, version: Count, value: Type.Unknown() });
+export type Entry = Readonly<Static<typeof EntrySchema>>;
+
+export const NodeRoleSchema = Type.Union([Type.Literal('core'), Type.Literal('edge')]);
+export type NodeRole = Static<typeof NodeRoleSchema>;
+
+export const SeatSchema = Type.Object({
+  node: Name,
+  role: NodeRoleSchema,
+  area: Name,
+  address: Name,
+  outward: Name,
+  draining: Type.Boolean(),
+});
+export type Seat = Readonly<Static<typeof SeatSchema>>;
+
+const ServiceCounts = Type.Record(Type.String({ maxLength: 200 }), Count);
+
+/** `epochs` is the barrier of design 4.2: the highest epochs voted before this version of the table was made. */
+export const MembershipSchema = Type.Object({ seats: Type.Array(SeatSchema, { maxItems: 1000 }), epochs: ServiceCounts });
+export type Membership = Readonly<{ seats: readonly Seat[]; epochs: Readonly<Record<string, number>> }>;
+
+export const SettledSchema = Type.Object({
+  epoch: Count,
+  primary: Name,
+  wonBy: Name,
+  position: Count,
+  settledAt: Moment,
+});
+export type Settled = Readonly<Static<typeof SettledSchema>>;
+
+const HelloAsk = Type.Object({ seat: SeatSchema, incarnation: Count, fleet: Type.String({ maxLength: 200 }) });
+const HelloReply = Type.Object({
+  node: Name,
+  role: NodeRoleSchema,
+  incarnation: Count,
+  fleet: Type.String({ maxLength: 200 }),
+  founding: Type.String({ maxLength: 200 }),
+  cores: Type.Array(SeatSchema, { maxItems: 100 }),
+  superseded: Type.Boolean(),
+});
+
+const FormAsk = Type.Object({
+  step: Type.Union([Type.Literal('propose'), Type.Literal('formed')]),
+  fleet: Name,
+  cores: Type.Array(SeatSchema, { maxItems: 100 }),
+});
+const FormReply = Type.Object({ agreed: Type.Boolean() });
+
+const CopyReply = Type.Object({
+  ready: Type.Boolean(),
+  entries: Type.Array(Type.Object({ key: Name, state: Type.Unknown() })),
+});
+
+const JoinAsk = Type.Object({ seat: SeatSchema });
+const JoinReply = Type.Object({ joined: Type.Boolean(), reason: Type.String({ maxLength: 300 }) });
+
+const BeatAsk = Type.Object({
+  node: Name,
+  incarnation: Count,
+  epochs: ServiceCounts,
+  floors: ServiceCounts,
+  caps: ServiceCounts,
+  membership: Count,
+});
+const BeatReply = Type.Object({ epochs: ServiceCounts, floors: ServiceCounts, caps: ServiceCounts, membership: Count, superseded: Type.Boolean() });
+
+const ProposeAsk = Type.Object({
+  service: Name,
+  epoch: Count,
+  candidate: Name,
+  position: Count,
+  node: Name,
+  membership: Count,
+});
+const ProposeReply = Type.Object({ accepted: Type.Boolean(), reason: Type.String({ maxLength: 300 }), epoch: Count });
+
+const RegisterAsk = Type.Object({ key: Name, ballot: BallotSchema });
+const AcceptAsk = Type.Object({ key: Name, entry: EntrySchema });
+const RegisterReply = Type.Object({
+  ready: Type.Boolean(),
+  agreed: Type.Boolean(),
+  promised: BallotSchema,
+  accepted: Type.Union([EntrySchema, Type.Null()]),
+});
+
+const WatchAsk = Type.Object({ node: Name, incarnation: Count, acknowledged: Count, obeyed: Count });
+const WatchReply = Type.Object({
+  ready: Type.Boolean(),
+  number: Count,
+  configuration: Count,
+  membership: Count,
+  superseded: Type.Boolean(),
+});
+
+export const UsageReportSchema = Type.Object({
+  node: Name,
+  /** The proxy process that counted: a restart counts from nothing, under another name. */
+  incarnation: Name,
+  window: Count,
+  counts: ServiceCounts,
+});
+export type UsageReport = Readonly<Static<typeof UsageReportSchema>>;
+const UsageTell = Type.Object({ reports: Type.Array(UsageReportSchema, { maxItems: 100 }) });
+const UsageLook = Type.Object({ window: Count });
+
+const StatusReply = Type.Object({ status: Type.Unknown() });
+const Empty = Type.Object({});
+
+export const TargetSchema = Type.Object({
+  member: Name,
+  alive: Type.Boolean(),
+  /** How long ago, at the least, the state this member has applied was the primary's; -1: not known. */
+  freshAgo: Type.Number(),
+  applied: Count,
+  follows: Count,
+});
+export type Target = Readonly<Static<typeof TargetSchema>>;
+
+export const ServiceFeedSchema = Type.Object({
+  service: Name,
+  epoch: Count,
+  primary: Type.String({ maxLength: 200 }),
+  /** Milliseconds of fence term left when the agent replied. */
+  fence: Type.Number(),
+  targets: Type.Array(TargetSchema, { maxItems: 1000 }),
+});
+export type ServiceFeed = Readonly<Static<typeof ServiceFeedSchema>>;
+
+const FeedAsk = Type.Object({
+  configuration: Count,
+  floors: ServiceCounts,
+  usage: Type.Array(Type.Object({ window: Count, counts: ServiceCounts }), { maxItems: 20 }),
+  /** The most connections this proxy holds to any one member of a service. */
+  open: ServiceCounts,
+  incarnation: Name,
+});
+const FeedReply = Type.Object({
+  configuration: Type.Union([Type.Object({ version: Count, sheet: Type.Unknown() }), Type.Null()]),
+  configurationVersion: Count,
+  /** Milliseconds of configuration term left when the agent replied. */
+  term: Type.Number(),
+  services: Type.Array(ServiceFeedSchema, { maxItems: 1000 }),
+  /** The most connections this proxy may hold to each member of a service. */
+  shares: ServiceCounts,
+  draining: Type.Boolean(),
+  area: Name,
+  node: Name,
+});
+
+export const messages = {
+  hello: { ask: HelloAsk, reply: HelloReply },
+  form: { ask: FormAsk, reply: FormReply },
+  copy: { ask: Empty, reply: CopyReply },
+  join: { ask: JoinAsk, reply: JoinReply },
+  beat: { ask: BeatAsk, reply: BeatReply },
+  propose: { ask: ProposeAsk, reply: ProposeReply },
+  prepare: { ask: RegisterAsk, reply: RegisterReply },
+  accept: { ask: AcceptAsk, reply: RegisterReply },
+  look: { ask: Type.Object({ key: Name }), reply: RegisterReply },
+  watch: { ask: WatchAsk, reply: WatchReply },
+  usageTell: { ask: UsageTell, reply: Empty },
+  usageLook: { ask: UsageLook, reply: UsageTell },
+  status: { ask: Empty, reply: StatusReply },
+  feed: { ask: FeedAsk, reply: FeedReply },
+} as const;
+
+export type MessageKind = keyof typeof messages;
+export type Ask<Kind extends MessageKind> = Readonly<Static<(typeof messages)[Kind]['ask']>>;
+export type Reply<Kind extends MessageKind> = Readonly<Static<(typeof messages)[Kind]['reply']>>;
+
+/** Numbered changes a core pushes down held links (design 5.2). */
+export const ChangeSchema = Type.Object({ number: Count, key: Name, entry: EntrySchema });
+export type Change = Readonly<Static<typeof ChangeSchema>>;
+
+export const FrameSchema = Type.Union([
+  Type.Object({ call: Count, kind: Name, body: Type.Unknown() }),
+  Type.Object({ reply: Count, body: Type.Unknown() }),
+  Type.Object({ deny: Count, reason: Type.String() }),
+  Type.Object({ change: ChangeSchema }),
+]);
+export type Frame = Readonly<Static<typeof FrameSchema>>;
+
+const compiled = new Map<TSchema, TypeCheck<TSchema>>();
+
+function fits<Schema extends TSchema>(schema: Schema, value: unknown): value is Static<Schema> {
+  let check = compiled.get(schema);
+  if (check === undefined) {
+    check = TypeCompiler.Compile(schema);
+    compiled.set(schema, check);
+  }
+  return check.Check(value);
+}
+
+function isKind(kind: string): kind is MessageKind {
+  return Object.hasOwn(messages, kind);
+}
+
+/** Orders ballots: the counter first, then the proposer's name. */
+function compareBallots(left: Ballot, right: Ballot): number {
+  if (left.counter !== right.counter) return left.counter - right.counter;
+  return left.node === right.node ? 0 : left.node < right.node ? -1 : 1;
+}
+
+export const ballotZero: Ballot = { counter: 0, node: '' };
+
+export const message = { fits, isKind, compareBallots } as const;
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,485 @@
+// What a core and an agent share: finding one another, beats, watched keys, liveness, fence and election (design 3, 4).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import {
+  fault, http, identifiers, kernel as kernels, type HttpReply, type HttpRoute, type Instant, type Kernel,
+} from '@stallstall/kernel';
+import {
+  MembershipSchema, message, SettledSchema, type Ask, type Change, type Entry, type Membership, type NodeRole, type Reply, type Seat, type Settled,
+} from '@stallstall/message';
+import { peer, type Handlers, type Peer } from '@stallstall/peer';
+import { quorum } from '@stallstall/quorum';
+import { proposer, watcher, type Register, type RegisterTarget } from '@stallstall/register';
+import { fence, termMilliseconds, type Fence } from '@stallstall/fence';
+import { election, liveness, MemberStateSchema, type Election, type Liveness, type Platform, type VoteStore } from '@stallstall/elect';
+import { sheets, type Sheet } from '@stallstall/sheet';
+
+export const beatMilliseconds = 200;
+const callMilliseconds = 800;
+
+export type NodeSettings = Readonly<{
+  node: string;
+  area: string;
+  /** Where other nodes reach this one, and where members and operators do. */
+  address: string;
+  outward: string;
+  seeds: readonly string[];
+  /** Asked at each call, since the settings file may change while the process runs. */
+  platform: () => string;
+}>;
+
+export type Configuration = Readonly<{
+  sheet: Sheet;
+  sendId: string;
+  sentBy: string;
+  sentAt: number;
+  history: ReadonlyArray<Readonly<{ version: number; sheet: Sheet; sendId: string; sentBy: string; sentAt: number }>>;
+}>;
+
+export type Obeyed<Value> = Readonly<{ version: number; value: Value }>;
+
+/** What differs between a core and an agent. */
+export type NodeParts = Readonly<{
+  role: NodeRole;
+  votes: (register: Register) => VoteStore;
+  /** A core's own disk, which it asks without a link. */
+  own: Option.Option<Readonly<{ target: RegisterTarget; accepted: (key: string) => Option.Option<Entry> }>>;
+  floor: (service: string) => number;
+  /** The most connections to any one member that this edge holds or may hold, by service (design 8.3). */
+  caps: () => Readonly<Record<string, number>>;
+  onObeyed: (key: string) => void;
+  onHello: (reply: Reply<'hello'>, address: string) => void;
+}>;
+
+export type Node = Readonly<{
+  settings: NodeSettings;
+  handlers: Handlers;
+  routes: readonly HttpRoute[];
+  register: Register;
+  election: Election;
+  liveness: Liveness;
+  configuration: () => Option.Option<Obeyed<Configuration>>;
+  membership: () => Obeyed<Membership>;
+  settled: (service: string) => Option.Option<Settled>;
+  /** When the majority of cores last confirmed that nothing newer than what is obeyed here is acknowledged, plus a term. */
+  controlUntil: () => Instant;
+  fenceUntil: (service: string) => Instant;
+  floors: () => Readonly<Record<string, number>>;
+  /** Highest floor each peer told of, merged with this node's own. */
+  raiseFloor: (service: string, position: number) => void;
+  /** What every other edge last told of its caps; none for one that has told nothing yet. */
+  capsOfOthers: () => ReadonlyArray<Option.Option<Readonly<Record<string, number>>>>;
+  stances: () => ReadonlyArray<Readonly<{ node: string; membership: number; epochs: Readonly<Record<string, number>> }>>;
+  heardAt: (node: string) => Option.Option<Instant>;
+  callPeer: (node: string) => Option.Option<Peer>;
+  cores: () => readonly Seat[];
+  setCores: (cores: readonly Seat[]) => void;
+  incarnation: () => number;
+  seat: () => Seat;
+  fleet: () => string;
+  setFleet: (fleet: string) => void;
+  platform: Platform;
+  /** Takes what a core's own disk accepted, as if it had been pushed. */
+  changed: (core: string, change: Change) => void;
+  isStale: (node: string, incarnation: number) => boolean;
+  start: () => void;
+  stop: () => void;
+}>;
+
+type Told = Readonly<{ membership: number; epochs: Readonly<Record<string, number>>; caps: Readonly<Record<string, number>>; at: Instant }>;
+
+function platformAt(kernel: Kernel, address: () => string): Platform {
+  return {
+    promote: async function promote(order, milliseconds) {
+      const reply = await http.once(kernel, identifiers.address(address()), { method: 'POST', path: '/v1/promotions', body: order }, milliseconds);
+      if (Either.isLeft(reply)) return reply;
+      if (reply.right.status === 200) return Either.right(reply.right.body);
+      return Either.left(fault.create({
+        kind: reply.right.status === 409 ? 'superseded' : 'unreachable',
+        message: `the platform answered a promotion with ${reply.right.status}`,
+        remedy: reply.right.status === 409 ? 'a later turn is known there; this one is over' : 'it is asked again',
+      }));
+    },
+  };
+}
+
+function create(kernel: Kernel, settings: NodeSettings, parts: NodeParts): Node {
+  const ownSeat: Seat = {
+    node: settings.node, role: parts.role, area: settings.area, address: settings.address, outward: settings.outward, draining: false,
+  };
+  const members = liveness.create(kernel);
+  const terms: Fence = fence.create();
+  const peers = new Map<string, Readonly<{ address: string; peer: Peer }>>();
+  const told = new Map<string, Told>();
+  const incarnations = new Map<string, number>();
+  const confirmations = new Map<string, Readonly<{ sentAt: Instant; configuration: number; membership: number }>>();
+  const acknowledged = new Map<string, number>();
+  const floors = new Map<string, number>();
+  let cores: readonly Seat[] = [];
+  let fleetName = '';
+  let incarnation = 0;
+  let stopped = false;
+
+  function goesOn(): boolean {
+    return !stopped;
+  }
+
+  function targets(): readonly RegisterTarget[] {
+    const remote = cores.filter((core) => core.node !== settings.node).map((core): RegisterTarget => ({
+      core: core.node,
+      ask: function ask(kind, body, milliseconds) {
+        const held = peers.get(core.node);
+        return held === undefined ? Promise.resolve(Option.none) : held.peer.call(kind, body, milliseconds);
+      },
+    }));
+    return Option.isSome(parts.own) ? [parts.own.value.target, ...remote] : remote;
+  }
+
+  const register = proposer.create(kernel, settings.node, targets, () => cores.length);
+  const watch = watcher.create(kernel, register, () => cores.length, function obeyed(key, entry) {
+    kernel.log('node.obeyed', { key, version: entry.version });
+    if (key === 'membership') membershipChanged();
+    parts.onObeyed(key);
+  });
+
+  function configuration(): Option.Option<Obeyed<Configuration>> {
+    const entry = watch.obeyed('configuration');
+    return Option.isSome(entry) ? Option.some({ version: entry.value.version, value: entry.value.value as Configuration }) : Option.none;
+  }
+
+  function membership(): Obeyed<Membership> {
+    const entry = watch.obeyed('membership');
+    return Option.isSome(entry) && message.fits(MembershipSchema, entry.value.value)
+      ? { version: entry.value.version, value: entry.value.value }
+      : { version: 0, value: quorum.empty };
+  }
+
+  function settled(service: string): Option.Option<Settled> {
+    const entry = watch.obeyed(`epoch/${service}`);
+    return Option.isSome(entry) && message.fits(SettledSchema, entry.value.value) ? Option.some(entry.value.value) : Option.none;
+  }
+
+  function sheet(): Option.Option<Sheet> {
+    const current = configuration();
+    return Option.isSome(current) ? Option.some(current.value.value.sheet) : Option.none;
+  }
+
+  function otherSeats(): readonly string[] {
+    return membership().value.seats.map((seat) => seat.node).filter((node) => node !== settings.node);
+  }
+
+  function superseded(): void {
+    if (stopped) return;
+    stop();
+    kernel.stop(fault.create({
+      kind: 'superseded',
+      message: `another process runs as ${settings.node} with a later incarnation than ${incarnation}`,
+      remedy: 'run one process for each node id, or give this one an id of its own',
+    }));
+  }
+
+  /** True when a later incarnation of that node is known here. */
+  function isStale(node: string, told: number): boolean {
+    const known = incarnations.get(node) ?? 0;
+    if (told > known) incarnations.set(node, told);
+    return told < known;
+  }
+
+  // -- Links to other nodes: one task for each (design 3.2).
+
+  function ensurePeer(seat: Seat): void {
+    const held = peers.get(seat.node);
+    if (held !== undefined && held.address === seat.address) return;
+    held?.peer.close();
+    const dialled = peer.dial(kernel, identifiers.address(seat.address), {
+      connected: function connected() {
+        acknowledged.delete(seat.node);
+      },
+      changed: function changed(change: Change) {
+        acknowledged.set(seat.node, change.number);
+        watch.changed(seat.node, change);
+      },
+    });
+    peers.set(seat.node, { address: seat.address, peer: dialled });
+    void kernels.every(kernel.clock, beatMilliseconds, () => void beat(seat.node, dialled), () => goesOn() && peers.get(seat.node)?.peer === dialled);
+    if (seat.role === 'core') {
+      void kernels.every(kernel.clock, beatMilliseconds, () => void watchCore(seat.node, dialled), () => goesOn() && peers.get(seat.node)?.peer === dialled);
+    }
+  }
+
+  function membershipChanged(): void {
+    const table = membership().value;
+    for (const seat of table.seats) if (seat.node !== settings.node) ensurePeer(seat);
+    for (const [node, held] of peers) {
+      if (quorum.seat(table, node) !== undefined || cores.some((core) => core.node === node)) continue;
+      held.peer.close();
+      peers.delete(node);
+      told.delete(node);
+      terms.forget(node);
+    }
+  }
+
+  function epochs(): Readonly<Record<string, number>> {
+    const stances: Record<string, number> = {};
+    const current = sheet();
+    if (Option.isNone(current)) return stances;
+    for (const service of current.value.services) {
+      const epoch = elections.epochOf(service.service);
+      if (Option.isSome(epoch)) stances[service.service] = epoch.value;
+    }
+    return stances;
+  }
+
+  function ownFloors(): Readonly<Record<string, number>> {
+    const current = sheet();
+    return Option.isNone(current) ? {} : Object.fromEntries(current.value.services.map((service) => [service.service, floorOf(service.service)]));
+  }
+
+  function floorOf(service: string): number {
+    return Math.max(floors.get(service) ?? 0, parts.floor(service));
+  }
+
+  function raiseFloor(service: string, position: number): void {
+    if (position > (floors.get(service) ?? 0)) floors.set(service, position);
+  }
+
+  function takeTold(node: string, body: Readonly<{ epochs: Record<string, number>; floors: Record<string, number>; caps: Record<string, number>; membership: number }>): void {
+    told.set(node, { membership: body.membership, epochs: body.epochs, caps: body.caps, at: kernel.clock.now() });
+    for (const [service, position] of Object.entries(body.floors)) raiseFloor(service, position);
+  }
+
+  async function beat(node: string, to: Peer): Promise<void> {
+    if (incarnation === 0 || !to.connected()) return;
+    const sentAt = kernel.clock.now();
+    const reply = await to.call('beat', {
+      node: settings.node, incarnation, epochs: epochs(), floors: ownFloors(), caps: parts.caps(), membership: membership().version,
+    }, callMilliseconds);
+    if (Option.isNone(reply) || peers.get(node)?.peer !== to) return;
+    if (reply.value.superseded) return superseded();
+    takeTold(node, reply.value);
+    terms.heard(node, { sentAt, epochs: reply.value.epochs });
+  }
+
+  async function watchCore(core: string, to: Peer): Promise<void> {
+    if (!to.connected()) return;
+    const sentAt = kernel.clock.now();
+    const reply = await to.call('watch', {
+      node: settings.node, incarnation, acknowledged: acknowledged.get(core) ?? 0,
+      obeyed: Option.getOrElse(() => 0)(Option.map((current: Obeyed<Configuration>) => current.version)(configuration())),
+    }, callMilliseconds);
+    if (Option.isNone(reply)) return;
+    if (reply.value.superseded) return superseded();
+    if (reply.value.ready) confirmations.set(core, { sentAt, configuration: reply.value.configuration, membership: reply.value.membership });
+  }
+
+  /** The version of a key on this core's own disk. */
+  function ownVersion(key: string): number {
+    const entry = Option.isSome(parts.own) ? parts.own.value.accepted(key) : Option.none;
+    return Option.isSome(entry) ? entry.value.version : 0;
+  }
+
+  function controlUntil(): Instant {
+    const obeyedConfiguration = configuration();
+    const configurationVersion = Option.isSome(obeyedConfiguration) ? obeyedConfiguration.value.version : 0;
+    const membershipVersion = membership().version;
+    const moments: number[] = [];
+    for (const core of cores) {
+      const confirmed = confirmations.get(core.node);
+      if (confirmed !== undefined && confirmed.configuration <= configurationVersion && confirmed.membership <= membershipVersion) moments.push(confirmed.sentAt);
+    }
+    if (Option.isSome(parts.own)) {
+      if (ownVersion('configuration') <= configurationVersion && ownVersion('membership') <= membershipVersion) moments.push(kernel.clock.now());
+    }
+    if (cores.length === 0) return identifiers.instant(Number.NEGATIVE_INFINITY);
+    return identifiers.after(identifiers.instant(quorum.reachedByMajority(moments, cores.length, false)), termMilliseconds);
+  }
+
+  function fenceUntil(service: string): Instant {
+    const current = settled(service);
+    const stance = elections.epochOf(service);
+    const table = membership().value;
+    if (Option.isNone(current) || Option.isNone(stance) || quorum.seat(table, settings.node) === undefined) return identifiers.instant(Number.NEGATIVE_INFINITY);
+    const epoch = current.value.epoch;
+    const until = terms.until(service, epoch, otherSeats(), table.seats.length, stance.value === epoch);
+    return identifiers.instant(Math.min(until, controlUntil()));
+  }
+
+  const platform = platformAt(kernel, settings.platform);
+  const elections = election.create(
+    kernel,
+    {
+      self: settings.node,
+      membership: () => membership().value,
+      membershipVersion: () => membership().version,
+      sheet,
+      settled,
+      floor: floorOf,
+      propose: function propose(node, ask) {
+        const held = peers.get(node);
+        return held === undefined ? Promise.resolve(Option.none) : held.peer.call('propose', ask, 2_900);
+      },
+    },
+    parts.votes(register), register, members, terms, platform,
+  );
+
+  // -- Finding the fleet through the three seeds (design 3.3).
+
+  function setCores(found: readonly Seat[]): void {
+    cores = found;
+    for (const core of found) if (core.node !== settings.node) ensurePeer(core);
+  }
+
+  async function seed(address: string): Promise<void> {
+    const dialled = peer.dial(kernel, identifiers.address(address));
+    await kernels.every(kernel.clock, beatMilliseconds, async function greet() {
+      const reply = await dialled.call('hello', { seat: ownSeat, incarnation, fleet: fleetName }, callMilliseconds);
+      if (Option.isNone(reply)) return;
+      if (reply.value.superseded) superseded();
+      parts.onHello(reply.value, address);
+      if (parts.role === 'edge' && reply.value.fleet !== '' && reply.value.cores.length > 0 && cores.length === 0) {
+        fleetName = reply.value.fleet;
+        setCores(reply.value.cores);
+      }
+    }, () => goesOn() && !(cores.length > 0 && joined()));
+    dialled.close();
+  }
+
+  function joined(): boolean {
+    return incarnation > 0 && quorum.seat(membership().value, settings.node) !== undefined;
+  }
+
+  /** A restart is the same node with a later incarnation; the register hands the number out (design 4.1). */
+  async function takeIncarnation(): Promise<void> {
+    const token = kernel.randomness.token();
+    while (goesOn() && incarnation === 0) {
+      await kernel.clock.sleep(50);
+      if (cores.length === 0) continue;
+      const changed = await register.change(`incarnation/${settings.node}`, function next(current) {
+        const value = Option.isSome(current) ? (current.value.value as { number: number; token: string }) : { number: 0, token: '' };
+        return value.token === token ? Option.none : Option.some({ number: value.number + 1, token });
+      });
+      if (Either.isRight(changed) && Option.isSome(changed.right.entry)) {
+        const value = changed.right.entry.value.value as { number: number; token: string };
+        if (value.token === token) incarnation = value.number;
+        else return superseded();
+      }
+    }
+  }
+
+  async function join(): Promise<void> {
+    let lastReason = '';
+    while (goesOn()) {
+      await kernel.clock.sleep(beatMilliseconds / 2);
+      const table = membership().value;
+      const standing = quorum.seat(table, settings.node);
+      if (incarnation === 0 || (standing !== undefined && standing.address === settings.address && standing.outward === settings.outward)) continue;
+      for (const core of cores) {
+        const held = peers.get(core.node);
+        const reply = core.node === settings.node
+          ? Option.fromNullable(await handlers.join?.({ seat: ownSeat }, { change: () => undefined, open: () => true }))
+          : held === undefined ? Option.none : await held.peer.call('join', { seat: ownSeat }, 2_000);
+        if (Option.isSome(reply) && reply.value.joined) break;
+        if (Option.isSome(reply) && reply.value.reason !== lastReason) {
+          lastReason = reply.value.reason;
+          kernel.log('node.join-waits', { reason: lastReason });
+        }
+      }
+    }
+  }
+
+  const handlers: Handlers = {
+    hello: function hello(ask): Reply<'hello'> {
+      return {
+        node: settings.node, role: parts.role, incarnation, fleet: fleetName, founding: '', cores: [...cores],
+        superseded: ask.incarnation > 0 && isStale(ask.seat.node, ask.incarnation),
+      };
+    },
+    beat: function heard(ask): Reply<'beat'> {
+      const stale = isStale(ask.node, ask.incarnation);
+      if (!stale) takeTold(ask.node, ask);
+      return { epochs: epochs(), floors: ownFloors(), caps: parts.caps(), membership: membership().version, superseded: stale };
+    },
+    propose: function propose(ask: Ask<'propose'>) {
+      return elections.consider(ask);
+    },
+  };
+
+  const routes: readonly HttpRoute[] = [
+    {
+      method: 'POST',
+      path: '/v1/members/:member/beat',
+      handle: async function heard(request): Promise<HttpReply> {
+        const current = sheet();
+        if (!message.fits(MemberStateSchema, request.body) || request.body.member !== request.query['member']) {
+          return http.denied(fault.create({
+            kind: 'bad-request',
+            message: 'a beat is {member, role, epoch, received, applied} of the member named in the path',
+            remedy: 'send these five fields',
+          }));
+        }
+        if (Option.isNone(current) || sheets.member(current.value, request.body.member) === undefined) {
+          return http.denied(fault.create({
+            kind: 'not-found', message: `no sheet names a member ${request.body.member}`, remedy: 'add it to the sheet first', retryAfterSeconds: 1,
+          }));
+        }
+        members.beat(request.body);
+        return { status: 200, body: { heard: true } };
+      },
+    },
+    {
+      method: 'GET',
+      path: '/live',
+      handle: async function live(): Promise<HttpReply> {
+        return { status: 200, body: { node: settings.node, live: true } };
+      },
+    },
+  ];
+
+  function tick(): void {
+    watch.resolve();
+    elections.step();
+    const current = sheet();
+    if (Option.isSome(current)) members.keepOnly(new Set(current.value.services.flatMap((service) => service.members.map((member) => member.member))));
+  }
+
+  function start(): void {
+    for (const address of settings.seeds) if (address !== settings.address) void seed(address);
+    void takeIncarnation();
+    void join();
+    void kernels.every(kernel.clock, beatMilliseconds, tick, goesOn);
+  }
+
+  function stop(): void {
+    stopped = true;
+    for (const held of peers.values()) held.peer.close();
+    members.keepOnly(new Set());
+  }
+
+  return {
+    settings, handlers, routes, register, election: elections, liveness: members, configuration, membership, settled, controlUntil, fenceUntil,
+    floors: ownFloors, raiseFloor, platform, start, stop, setCores, isStale,
+    changed: watch.changed,
+    capsOfOthers: function capsOfOthers() {
+      return quorum.withRole(membership().value, 'edge').filter((seat) => seat.node !== settings.node)
+        .map((seat) => Option.map((entry: Told) => entry.caps)(Option.fromNullable(told.get(seat.node))));
+    },
+    stances: function stances() {
+      const others = otherSeats().flatMap((node) => {
+        const stance = told.get(node);
+        return stance === undefined ? [] : [{ node, membership: stance.membership, epochs: stance.epochs }];
+      });
+      return [{ node: settings.node, membership: membership().version, epochs: epochs() }, ...others];
+    },
+    heardAt: (node) => Option.map((entry: Told) => entry.at)(Option.fromNullable(told.get(node))),
+    callPeer: (node) => Option.map((held: Readonly<{ peer: Peer }>) => held.peer)(Option.fromNullable(peers.get(node))),
+    cores: () => cores,
+    incarnation: () => incarnation,
+    seat: () => ownSeat,
+    fleet: () => fleetName,
+    setFleet: function setFleet(name) {
+      fleetName = name;
+    },
+  };
+}
+
+export const node = { create } as const;
--- /dev/null
+++ b/packages/operator/src/daemons.ts
@@ -0,0 +1,90 @@
+// The daemons. oclif asks for classes; they are the forced exception of design 2.6.
+import { Command, Flags } from '@oclif/core';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import type { Fault, Kernel } from '@stallstall/kernel';
+import { disk, machine } from '@stallstall/machine';
+import { core } from '@stallstall/core';
+import { agent } from '@stallstall/agent';
+import { proxy } from '@stallstall/proxy';
+import { agentSettings, coreSettings, proxySettings, settings } from './settings.js';
+
+const shared = {
+  settings: Flags.string({ description: 'a JSON settings file; flags go before it' }),
+};
+const nodeFlags = {
+  ...shared,
+  node: Flags.string({ description: 'the id of this node, kept over restarts' }),
+  area: Flags.string({ description: 'the area (zone) of this machine' }),
+  address: Flags.string({ description: 'where other nodes reach this one' }),
+  outward: Flags.string({ description: 'where members and operators reach it over HTTP' }),
+  seeds: Flags.string({ description: 'three addresses of other nodes, with commas between' }),
+  platform: Flags.string({ description: 'the address of the platform' }),
+};
+
+function given(flags: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
+  const { settings: _file, json: _json, seeds, ...rest } = flags;
+  return { ...rest, ...(typeof seeds === 'string' ? { seeds: seeds.split(',') } : {}) };
+}
+
+function endWith(kernel: Kernel, stop: () => Promise<void>): void {
+  let stopping = false;
+  async function end(): Promise<void> {
+    if (stopping) return;
+    stopping = true;
+    kernel.log('process.ends', {});
+    await stop();
+    process.exit(0);
+  }
+  process.on('SIGTERM', () => void end());
+  process.on('SIGINT', () => void end());
+}
+
+function orFail<Value>(command: Command, result: Either.Either<Fault, Value>): Value {
+  if (Either.isLeft(result)) return command.error(result.left.message, { exit: 2 });
+  return result.right;
+}
+
+export class RunCore extends Command {
+  static override description = 'Run a core: a disk of the register, pushes, and the administration API.';
+  static override flags = { ...nodeFlags, data: Flags.string({ description: 'the data folder' }), cores: Flags.integer({ description: 'how many cores form the fleet' }) };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(RunCore);
+    const first = orFail(this, settings.read(coreSettings, flags.settings, given(flags)));
+    const kernel = await machine.create('core', Option.some(orFail(this, disk.open(first.data))));
+    const current = settings.follow(kernel, coreSettings, flags.settings, given(flags), first);
+    const started = orFail(this, await core.start(kernel, { ...first, platform: () => current().platform }));
+    endWith(kernel, started.stop);
+    kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
+  }
+}
+
+export class RunAgent extends Command {
+  static override description = 'Run an agent: the control link, beats and votes of an edge.';
+  static override flags = { ...nodeFlags, feed: Flags.string({ description: 'the loopback address its proxy is fed at' }) };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(RunAgent);
+    const first = orFail(this, settings.read(agentSettings, flags.settings, given(flags)));
+    const kernel = await machine.create('agent', Option.none);
+    const current = settings.follow(kernel, agentSettings, flags.settings, given(flags), first);
+    const started = orFail(this, await agent.start(kernel, { ...first, platform: () => current().platform }));
+    endWith(kernel, started.stop);
+    kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
+  }
+}
+
+export class RunProxy extends Command {
+  static override description = "Run a proxy: the senders' side of an edge, fed by its agent.";
+  static override flags = { ...shared, address: Flags.string({ description: 'where senders reach it over HTTP' }), feed: Flags.string({ description: "its agent's feed address" }) };
+
+  async run(): Promise<void> {
+    const { flags } = await this.parse(RunProxy);
+    const first = orFail(this, settings.read(proxySettings, flags.settings, given(flags)));
+    const kernel = await machine.create('proxy', Option.none);
+    const started = await proxy.start(kernel, first);
+    endWith(kernel, started.drain);
+    kernel.log('process.runs', { address: first.address });
+  }
+}
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,2 @@
+export { commands } from './commands.js';
+export { settings } from './settings.js';
--- /dev/null
+++ b/packages/operator/src/operator.ts
@@ -0,0 +1,234 @@
+// The operator's commands over the whole fleet, through the administration API of any core (design 9.2).
+import fs from 'node:fs';
+import { Args, Command, Flags } from '@oclif/core';
+import * as Either from 'fp-ts/lib/Either.js';
+import { fault, identifiers, type Fault, type HttpAsk, type HttpReply } from '@stallstall/kernel';
+import { network } from '@stallstall/machine';
+
+const exchangeMilliseconds = 8_000;
+
+const coreFlags = {
+  core: Flags.string({ description: 'outward addresses of cores, with commas between; each is tried', env: 'STALLSTALL_CORES', required: true }),
+};
+
+/** Exit codes: 0 done, 1 denied by the fleet, 2 wrong call, 3 no core reached. */
+const exits = { denied: 1, wrong: 2, unreachable: 3 } as const;
+
+async function askAny(cores: string, ask: HttpAsk): Promise<Either.Either<Fault, HttpReply>> {
+  let last: Either.Either<Fault, HttpReply> = Either.left(fault.create({ kind: 'unreachable', message: 'no core is named', remedy: 'name one with --core' }));
+  for (const address of cores.split(',')) {
+    const connection = network.connect(identifiers.address(address.trim()));
+    last = await connection.exchange(ask, exchangeMilliseconds);
+    connection.close();
+    // Only what surely never left may be asked of another core.
+    if (Either.isRight(last) || fault.kind(last.left) !== 'unreachable') return last;
+  }
+  return last;
+}
+
+async function replyOf(command: Command, cores: string, ask: HttpAsk): Promise<unknown> {
+  const reply = await askAny(cores, ask);
+  if (Either.isLeft(reply)) return command.error(reply.left.message, { exit: exits.unreachable });
+  if (reply.right.status < 300) return reply.right.body;
+  const denied = reply.right.body as Readonly<{ error?: string; message?: string; details?: unknown }> | null;
+  const faults = Array.isArray(denied?.details)
+    ? (denied.details as ReadonlyArray<Readonly<Record<string, string>>>).map((one) => `\n  ${one['row']} ${one['column']}: ${one['message']}; ${one['remedy']}`).join('')
+    : '';
+  return command.error(`${denied?.error ?? reply.right.status}: ${denied?.message ?? 'denied'}${faults}`, { exit: exits.denied });
+}
+
+type Row = Readonly<Record<string, unknown>>;
+
+function table(rows: readonly Row[], columns: readonly string[]): string {
+  const cells = [columns, ...rows.map((row) => columns.map((column) => String(row[column] ?? '')))];
+  const widths = columns.map((_, index) => Math.max(...cells.map((line) => (line[index] ?? '').length)));
+  return cells.map((line) => line.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ').trimEnd()).join('\n');
+}
+
+function readSheet(command: Command, file: string): unknown {
+  try {
+    return JSON.parse(fs.readFileSync(file, 'utf8'));
+  } catch (error) {
+    return command.error(`${file} holds no JSON sheet: ${(error as Error).message}; mend the file`, { exit: exits.wrong });
+  }
+}
+
+export class Status extends Command {
+  static override description = 'The nodes of the fleet: who is heard, and which configuration each obeys.';
+  static override enableJsonFlag = true;
+  static override flags = coreFlags;
+
+  async run(): Promise<unknown> {
+    const { flags } = await this.parse(Status);
+    const status = await replyOf(this, flags.core, { method: 'GET', path: '/v1/fleet' }) as Row & { nodes: readonly Row[] };
+    this.log(`fleet ${status['fleet']}: ${status['size']} nodes, quorum ${status['quorum']}, membership ${status['membership']}, configuration ${status['configuration']}`);
+    this.log(table(status.nodes, ['node', 'role', 'area', 'heardMilliseconds', 'obeys', 'draining', 'address', 'outward']));
+    return status;
+  }
+}
+
+export class Members extends Command {
+  static override description = 'The database members: who leads, who is alive, how far each has got.';
+  static override enableJsonFlag = true;
+  static override flags = coreFlags;
+
+  async run(): Promise<unknown> {
+    const { flags } = await this.parse(Members);
+    const reply = await replyOf(this, flags.core, { method: 'GET', path: '/v1/members' }) as Row & { members: readonly Row[] };
+    this.log(table(reply.members, ['service', 'member', 'area', 'state', 'alive', 'leads', 'epoch', 'received', 'applied', 'heardMilliseconds']));
+    return reply;
+  }
+}
+
+export class Elections extends Command {
+  static override description = 'Each service: its epoch, its primary, the last outcome at the core asked.';
+  static override enableJsonFlag = true;
+  static override flags = coreFlags;
+
+  async run(): Promise<unknown> {
+    const { flags } = await this.parse(Elections);
+    const reply = await replyOf(this, flags.core, { method: 'GET', path: '/v1/elections' }) as Row & { services: readonly Row[] };
+    this.log(table(reply.services, ['service', 'epoch', 'primary', 'voted', 'outcome']));
+    return reply;
+  }
+}
+
+export class Usage extends Command {
+  static override description = 'The usage windows fixed last, and whether the platform has them.';
+  static override enableJsonFlag = true;
+  static override flags = coreFlags;
+
+  async run(): Promise<unknown> {
+    const { flags } = await this.parse(Usage);
+    const windows = await replyOf(this, flags.core, { method: 'GET', path: '/v1/usage' }) as ReadonlyArray<Readonly<{ window: number; sent: boolean; counts: Row }>>;
+    this.log(table(windows.map((one) => ({ window: one.window, sent: one.sent, counts: Object.entries(one.counts).map(([name, count]) => `${name}=${String(count)}`).join(' ') })), ['window', 'sent', 'counts']));
+    return windows;
+  }
+}
+
+export class SheetCheck extends Command {
+  static override description = 'Check a sheet without sending it; every fault is told at once.';
+  static override enableJsonFlag = true;
+  static override flags = coreFlags;
+  static override args = { file: Args.string({ required: true, description: 'the sheet, as JSON' }) };
+
+  async run(): Promise<unknown> {
+    const { flags, args } = await this.parse(SheetCheck);
+    const reply = await replyOf(this, flags.core, { method: 'POST', path: '/v1/sheet/check', body: { sheet: readSheet(this, args.file) } });
+    this.log('the sheet is sound');
+    return reply;
+  }
+}
+
+export class SheetSend extends Command {
+  static override description = 'Send a sheet whole; it is acknowledged once a majority of disks has it.';
+  static override enableJsonFlag = true;
+  static override flags = {
+    ...coreFlags,
+    by: Flags.string({ description: 'who sends it', default: process.env['USER'] ?? 'unnamed' }),
+    'if-version': Flags.integer({ description: 'send only if this is the current version' }),
+  };
+  static override args = { file: Args.string({ required: true, description: 'the sheet, as JSON' }) };
+
+  async run(): Promise<unknown> {
+    const { flags, args } = await this.parse(SheetSend);
+    const expected = flags['if-version'];
+    const reply = await replyOf(this, flags.core, {
+      method: 'PUT', path: '/v1/sheet', body: { sheet: readSheet(this, args.file), sentBy: flags.by },
+      ...(expected === undefined ? {} : { headers: { 'if-match': String(expected) } }),
+    }) as Readonly<{ version: number }>;
+    this.log(`taken as version ${reply.version}`);
+    return reply;
+  }
+}
+
+export class SheetGet extends Command {
+  static override description = 'Read back the current sheet, or an earlier version that is still kept.';
+  static override enableJsonFlag = true;
+  static override flags = { ...coreFlags, version: Flags.integer({ description: 'an earlier version' }) };
+
+  async run(): Promise<unknown> {
+    const { flags } = await this.parse(SheetGet);
+    const reply = await replyOf(this, flags.core, { method: 'GET', path: `/v1/sheet${flags.version === undefined ? '' : `?version=${flags.version}`}` }) as Readonly<{ sheet: unknown }>;
+    this.log(JSON.stringify(reply.sheet, null, 2));
+    return reply;
+  }
+}
+
+function flatten(value: unknown, path: string, into: Map<string, string>): void {
+  if (typeof value !== 'object' || value === null) {
+    into.set(path, JSON.stringify(value));
+    return;
+  }
+  for (const [name, inner] of Object.entries(value)) flatten(inner, path === '' ? name : `${path}.${name}`, into);
+}
+
+export class SheetDiff extends Command {
+  static override description = 'What would change, cell by cell, if this sheet were sent.';
+  static override enableJsonFlag = true;
+  static override flags = coreFlags;
+  static override args = { file: Args.string({ required: true, description: 'the sheet, as JSON' }) };
+
+  async run(): Promise<unknown> {
+    const { flags, args } = await this.parse(SheetDiff);
+    const current = await replyOf(this, flags.core, { method: 'GET', path: '/v1/sheet' }) as Readonly<{ version: number; sheet: unknown }>;
+    const before = new Map<string, string>();
+    const after = new Map<string, string>();
+    flatten(current.sheet, '', before);
+    flatten(readSheet(this, args.file), '', after);
+    const cells = [...new Set([...before.keys(), ...after.keys()])].sort().filter((cell) => before.get(cell) !== after.get(cell));
+    const changes = cells.map((cell) => ({ cell, before: before.get(cell) ?? '(none)', after: after.get(cell) ?? '(none)' }));
+    this.log(changes.length === 0 ? `no cell differs from version ${current.version}` : table(changes, ['cell', 'before', 'after']));
+    return { version: current.version, changes };
+  }
+}
+
+const nodeArgs = { node: Args.string({ required: true, description: 'the edge, by its node id' }) };
+
+export class Drain extends Command {
+  static override description = 'Drain an edge: readiness fails at once, no new work, what is in flight ends.';
+  static override enableJsonFlag = true;
+  static override flags = { ...coreFlags, undo: Flags.boolean({ description: 'let it work again' }) };
+  static override args = nodeArgs;
+
+  async run(): Promise<unknown> {
+    const { flags, args } = await this.parse(Drain);
+    const reply = await replyOf(this, flags.core, { method: flags.undo ? 'DELETE' : 'POST', path: `/v1/nodes/${encodeURIComponent(args.node)}/drain`, ...(flags.undo ? {} : { body: {} }) });
+    this.log(flags.undo ? `${args.node} works again` : `${args.node} drains`);
+    return reply;
+  }
+}
+
+export class Remove extends Command {
+  static override description = 'Take an edge out of the membership table for good; N and the quorum shrink by it.';
+  static override enableJsonFlag = true;
+  static override flags = coreFlags;
+  static override args = nodeArgs;
+
+  async run(): Promise<unknown> {
+    const { flags, args } = await this.parse(Remove);
+    const reply = await replyOf(this, flags.core, { method: 'DELETE', path: `/v1/nodes/${encodeURIComponent(args.node)}` });
+    this.log(`${args.node} is no longer a node`);
+    return reply;
+  }
+}
+
+export class Retire extends Command {
+  static override description = 'Mark a member draining (or serving again) in the sheet and send it whole; a primary hands over as planned.';
+  static override enableJsonFlag = true;
+  static override flags = { ...coreFlags, undo: Flags.boolean({ description: 'mark it serving again' }), by: Flags.string({ description: 'who sends it', default: process.env['USER'] ?? 'unnamed' }) };
+  static override args = { member: Args.string({ required: true, description: 'the member' }) };
+
+  async run(): Promise<unknown> {
+    const { flags, args } = await this.parse(Retire);
+    const current = await replyOf(this, flags.core, { method: 'GET', path: '/v1/sheet' }) as { version: number; sheet: { services: Array<{ members: Array<{ member: string; state: string }> }> } };
+    const member = current.sheet.services.flatMap((service) => service.members).find((one) => one.member === args.member);
+    if (member === undefined) return this.error(`the sheet names no member ${args.member}; see stallstall members`, { exit: exits.wrong });
+    member.state = flags.undo ? 'serving' : 'draining';
+    const reply = await replyOf(this, flags.core, {
+      method: 'PUT', path: '/v1/sheet', headers: { 'if-match': String(current.version) }, body: { sheet: current.sheet, sentBy: flags.by },
+    }) as Readonly<{ version: number }>;
+    this.log(`${args.member} is ${member.state} as of version ${reply.version}`);
+    return reply;
+  }
+}
--- /dev/null
+++ b/packages/operator/src/settings.ts
@@ -0,0 +1,70 @@
+// Settings of a process: its addresses, its area, three seeds; from a file, from flags, or both (design 9.3).
+import fs from 'node:fs';
+import * as Either from 'fp-ts/lib/Either.js';
+import { z } from 'zod';
+import { fault, type Fault, type Kernel } from '@stallstall/kernel';
+
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'give an IP number and a port, as in 127.0.0.1:7000');
+const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/i, 'use letters, digits, dot, dash and underscore, at most 63');
+const seeds = z.array(address).length(3, 'name exactly three seeds');
+
+export const nodeSettings = z.strictObject({ node: name, area: name, address, outward: address, seeds, platform: address });
+export const coreSettings = nodeSettings.extend({ data: z.string().min(1), cores: z.number().int().min(1).max(9).default(3) });
+export const agentSettings = nodeSettings.extend({ feed: address });
+export const proxySettings = z.strictObject({ address, feed: address });
+
+/** What may change while the process runs; anything else waits for a restart. */
+const changeable = new Set(['platform']);
+
+function readFile(file: string | undefined): Either.Either<Fault, Readonly<Record<string, unknown>>> {
+  if (file === undefined) return Either.right({});
+  try {
+    const parsed: unknown = JSON.parse(fs.readFileSync(file, 'utf8'));
+    if (typeof parsed === 'object' && parsed !== null && !Array.isArray(parsed)) return Either.right(parsed as Record<string, unknown>);
+    throw new Error('it holds no JSON object');
+  } catch (error) {
+    return Either.left(fault.create({ kind: 'bad-settings', message: `the settings file cannot be read: ${(error as Error).message}`, remedy: 'mend the file, then send SIGHUP or start again' }));
+  }
+}
+
+/** Flags go before the file; every fault is told at once. */
+function read<Schema extends z.ZodType>(schema: Schema, file: string | undefined, flags: Readonly<Record<string, unknown>>): Either.Either<Fault, z.infer<Schema>> {
+  const stored = readFile(file);
+  if (Either.isLeft(stored)) return stored;
+  const given = Object.fromEntries(Object.entries(flags).filter(([, value]) => value !== undefined));
+  const parsed = schema.safeParse({ ...stored.right, ...given });
+  if (parsed.success) return Either.right(parsed.data);
+  return Either.left(fault.create({
+    kind: 'bad-settings',
+    message: parsed.error.issues.map((issue) => `${issue.path.join('.') || 'settings'}: ${issue.message}`).join('; '),
+    remedy: 'mend the named settings in the file or the flags',
+  }));
+}
+
+/** Reads the file again on SIGHUP and whenever it changes; an invalid one keeps the old and logs the remedy. */
+function follow<Schema extends z.ZodType<Readonly<Record<string, unknown>>>>(
+  kernel: Kernel, schema: Schema, file: string | undefined, flags: Readonly<Record<string, unknown>>, first: z.infer<Schema>,
+): () => z.infer<Schema> {
+  let current = first;
+
+  function again(): void {
+    const next = read(schema, file, flags);
+    if (Either.isLeft(next)) {
+      kernel.log('settings.denied', { reason: next.left.message });
+      return;
+    }
+    const changed = Object.keys(next.right).filter((column) => JSON.stringify(next.right[column]) !== JSON.stringify(current[column]));
+    if (changed.length === 0) return;
+    for (const column of changed) if (!changeable.has(column)) kernel.log('settings.waits', { column, remedy: 'restart the process to obey it' });
+    current = { ...current, ...Object.fromEntries(changed.filter((column) => changeable.has(column)).map((column) => [column, next.right[column]])) };
+    kernel.log('settings.obeyed', { columns: changed.filter((column) => changeable.has(column)).join(',') });
+  }
+
+  if (file !== undefined) {
+    process.on('SIGHUP', again);
+    fs.watchFile(file, { interval: 1_000 }, again);
+  }
+  return () => current;
+}
+
+export const settings = { read, follow } as const;
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,180 @@
+// Calls between nodes over held links: one task for each peer and each connection (design 3.2).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import type { Address, Alarm, Kernel, Link, Listening } from '@stallstall/kernel';
+import { ChangeSchema, FrameSchema, message, messages, type Ask, type Change, type MessageKind, type Reply } from '@stallstall/message';
+
+export type Peer = Readonly<{
+  address: Address;
+  call: <Kind extends MessageKind>(kind: Kind, body: Ask<Kind>, milliseconds: number) => Promise<Option.Option<Reply<Kind>>>;
+  connected: () => boolean;
+  close: () => void;
+}>;
+
+/** What a served link can do besides replying: hand over changes, and tell when it has gone. */
+export type Caller = Readonly<{ change: (change: Change) => void; open: () => boolean }>;
+
+export type Handlers = {
+  readonly [Kind in MessageKind]?: (body: Ask<Kind>, caller: Caller) => Promise<Reply<Kind>> | Reply<Kind>;
+};
+
+type Waiting = Readonly<{ kind: MessageKind; settle: (reply: Option.Option<unknown>) => void; alarm: Alarm }>;
+
+export type PeerEvents = Readonly<{
+  connected?: () => void;
+  changed?: (change: Change) => void;
+}>;
+
+/** How long a dialler waits after a failed or broken link; jittered so that returns do not come together. */
+const redialMilliseconds = 150;
+/** So many calls in a row without an answer, and the link is taken for half open and dialled anew. */
+const silentCalls = 5;
+
+function dial(kernel: Kernel, address: Address, events: PeerEvents = {}): Peer {
+  const waiting = new Map<number, Waiting>();
+  let lastCall = 0;
+  let current: Option.Option<Link> = Option.none;
+  let closed = false;
+  let silent = 0;
+
+  function settle(call: number, reply: Option.Option<unknown>): void {
+    const entry = waiting.get(call);
+    if (entry === undefined) return;
+    waiting.delete(call);
+    entry.alarm.cancel();
+    entry.settle(reply);
+  }
+
+  function settleAll(): void {
+    for (const call of [...waiting.keys()]) settle(call, Option.none);
+  }
+
+  function take(frame: unknown): boolean {
+    if (!message.fits(FrameSchema, frame)) return false;
+    silent = 0;
+    if ('reply' in frame) {
+      const entry = waiting.get(frame.reply);
+      if (entry === undefined) return true;
+      if (!message.fits(messages[entry.kind].reply, frame.body)) return false;
+      settle(frame.reply, Option.some(frame.body));
+      return true;
+    }
+    if ('deny' in frame) {
+      kernel.log('peer.denied', { address, reason: frame.reason });
+      settle(frame.deny, Option.none);
+      return true;
+    }
+    if ('change' in frame && message.fits(ChangeSchema, frame.change)) {
+      events.changed?.(frame.change);
+      return true;
+    }
+    return false;
+  }
+
+  async function hold(link: Link): Promise<void> {
+    current = Option.some(link);
+    silent = 0;
+    events.connected?.();
+    for (;;) {
+      const frame = await link.receive();
+      if (Option.isNone(frame)) break;
+      if (!take(frame.value)) {
+        kernel.log('peer.malformed', { address });
+        break;
+      }
+    }
+    current = Option.none;
+    link.close();
+    settleAll();
+  }
+
+  async function task(): Promise<void> {
+    while (!closed) {
+      const opened = await kernel.network.open(address);
+      if (closed) {
+        if (Either.isRight(opened)) opened.right.close();
+        return;
+      }
+      if (Either.isRight(opened)) await hold(opened.right);
+      if (!closed) await kernel.clock.sleep(redialMilliseconds * (0.5 + kernel.randomness.fraction()));
+    }
+  }
+
+  function call<Kind extends MessageKind>(kind: Kind, body: Ask<Kind>, milliseconds: number): Promise<Option.Option<Reply<Kind>>> {
+    if (Option.isNone(current)) return Promise.resolve(Option.none);
+    const link = current.value;
+    lastCall += 1;
+    const number = lastCall;
+    return new Promise(function wait(resolve) {
+      const alarm = kernel.clock.alarm(milliseconds, function late() {
+        settle(number, Option.none);
+        silent += 1;
+        if (silent >= silentCalls) link.close();
+      });
+      waiting.set(number, { kind, settle: resolve as (reply: Option.Option<unknown>) => void, alarm });
+      link.send({ call: number, kind, body });
+    });
+  }
+
+  function close(): void {
+    closed = true;
+    if (Option.isSome(current)) current.value.close();
+    settleAll();
+  }
+
+  function connected(): boolean {
+    return Option.isSome(current);
+  }
+
+  void task();
+  return { address, call, connected, close };
+}
+
+async function answer(link: Link, caller: Caller, handlers: Handlers, frame: Readonly<{ call: number; kind: string; body: unknown }>): Promise<void> {
+  const handler = message.isKind(frame.kind) ? handlers[frame.kind] : undefined;
+  if (handler === undefined || !message.isKind(frame.kind)) {
+    link.send({ deny: frame.call, reason: `no handler for ${frame.kind}` });
+    return;
+  }
+  if (!message.fits(messages[frame.kind].ask, frame.body)) {
+    link.send({ deny: frame.call, reason: `malformed ${frame.kind}` });
+    return;
+  }
+  try {
+    const reply = await (handler as (body: unknown, caller: Caller) => unknown)(frame.body, caller);
+    link.send({ reply: frame.call, body: reply });
+  } catch (error) {
+    link.send({ deny: frame.call, reason: (error as Error).message });
+  }
+}
+
+function listen(kernel: Kernel, address: Address, handlers: Handlers): Promise<Listening> {
+  async function task(link: Link): Promise<void> {
+    let open = true;
+    const caller: Caller = {
+      change: function change(body) {
+        link.send({ change: body });
+      },
+      open: function isOpen() {
+        return open;
+      },
+    };
+    for (;;) {
+      const frame = await link.receive();
+      if (Option.isNone(frame)) break;
+      if (!message.fits(FrameSchema, frame.value) || !('call' in frame.value)) {
+        kernel.log('peer.malformed', { address });
+        break;
+      }
+      void answer(link, caller, handlers, frame.value);
+    }
+    open = false;
+    link.close();
+  }
+
+  return kernel.network.listen(address, function greet(link) {
+    void task(link);
+  });
+}
+
+export const peer = { dial, listen } as const;
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,261 @@
+// The proxy: senders' statements in, verdicts looked up, members' replies out; fed by its agent (design 8).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import {
+  fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpRequest, type HttpRoute, type Instant, type Kernel,
+} from '@stallstall/kernel';
+import { message, type Reply } from '@stallstall/message';
+import { peer } from '@stallstall/peer';
+import { sheets, statementKinds, type Sheet } from '@stallstall/sheet';
+import { verdicts, type KnownService } from '@stallstall/verdict';
+import { pools, type MemberWish } from '@stallstall/pool';
+import { Type, type Static } from '@sinclair/typebox';
+import { requests as requestTables, type Known } from './requests.js';
+import { sessions as sessionTables, type Session } from './sessions.js';
+
+export type ProxySettings = Readonly<{ address: string; feed: string }>;
+
+export type Proxy = Readonly<{
+  /** Fails readiness at once, takes work for a moment more, lets what is in flight end, then stops. */
+  drain: () => Promise<void>;
+  stop: () => Promise<void>;
+  inFlight: () => number;
+  known: () => Known;
+  connections: () => ReadonlyArray<Readonly<{ member: string; idle: number; busy: number; opening: number; cap: number }>>;
+}>;
+
+const feedMilliseconds = 100;
+const sweepMilliseconds = 25;
+const defaultHorizonMilliseconds = 4_000;
+/** The platform goes on sending for a moment after readiness fails. */
+const lameMilliseconds = 1_500;
+export const graceMilliseconds = 6_000;
+
+const StatementSchema = Type.Object({
+  kind: Type.Union(statementKinds.map((kind) => Type.Literal(kind))),
+  statements: Type.Array(Type.Object({ text: Type.String({ maxLength: 65_536 }), parameters: Type.Optional(Type.Array(Type.Unknown(), { maxItems: 1_000 })) }), { maxItems: 200 }),
+  transaction: Type.Optional(Type.Union([Type.Literal('none'), Type.Literal('begin'), Type.Literal('within'), Type.Literal('commit'), Type.Literal('rollback')])),
+  atLeast: Type.Optional(Type.Integer({ minimum: 0 })),
+  horizonMilliseconds: Type.Optional(Type.Integer({ minimum: 10, maximum: 60_000 })),
+});
+type StatementBody = Static<typeof StatementSchema>;
+const ValueSchema = Type.Object({ value: Type.Union([Type.String({ maxLength: 4_096 }), Type.Number(), Type.Boolean()]) });
+const ShapeSchema = Type.Object({ text: Type.String({ minLength: 1, maxLength: 65_536 }) });
+
+const never = identifiers.instant(Number.NEGATIVE_INFINITY);
+
+async function start(kernel: Kernel, settings: ProxySettings): Promise<Proxy> {
+  let known: Known = { sheet: Option.none, version: 0, area: '', table: new Map(), controlUntil: never, fences: new Map(), draining: false };
+  let feed: Option.Option<Reply<'feed'>> = Option.none;
+  let drainingSince: Option.Option<Instant> = Option.none;
+  let stopping = false;
+  let stopped = false;
+  const self = kernel.randomness.token();
+  const pool = pools.create(kernel, () => requests.sweep());
+  const sessions = sessionTables.create(kernel, pool);
+  const requests = requestTables.create(kernel, () => known, pool, sessions);
+  const agent = peer.dial(kernel, identifiers.address(settings.feed));
+
+  // -- Fed by the agent: remaining terms are counted from this process's own send time (design 7.3).
+
+  function takeFeed(reply: Reply<'feed'>, sentAt: Instant): void {
+    const taken: Option.Option<Sheet> = reply.configuration === null ? known.sheet : Option.some(reply.configuration.sheet as Sheet);
+    const changed = reply.configurationVersion !== known.version;
+    if (changed && reply.configuration === null) return;
+    const services: readonly KnownService[] = reply.services.map((service) => ({
+      service: service.service, epoch: service.epoch, primary: service.primary,
+      targets: service.targets.map((target) => ({
+        member: target.member, alive: target.alive, applied: target.applied, follows: target.follows,
+        freshAt: target.freshAgo < 0 ? never : identifiers.after(sentAt, -target.freshAgo),
+      })),
+    }));
+    known = {
+      sheet: taken,
+      version: reply.configurationVersion,
+      area: reply.area,
+      table: Option.isSome(taken) ? verdicts.compile(taken.value, services, reply.area) : new Map(),
+      controlUntil: identifiers.after(sentAt, reply.term),
+      fences: new Map(reply.services.map((service) => [service.service, { epoch: service.epoch, until: identifiers.after(sentAt, service.fence) }])),
+      draining: known.draining,
+    };
+    feed = Option.some(reply);
+    noteDraining();
+    if (changed) cutWithdrawn();
+    pool.wish(wishes());
+    requests.sweep();
+  }
+
+  function wishes(): readonly MemberWish[] {
+    if (Option.isNone(known.sheet) || Option.isNone(feed)) return [];
+    const shares = feed.value.shares;
+    return known.sheet.value.services.flatMap((service) => service.members.map((member) => ({
+      service: service.service, member: member.member, address: member.address, epoch: known.fences.get(service.service)?.epoch ?? 0, cap: shares[service.service] ?? 0,
+    })));
+  }
+
+  /** A withdrawn key ends its sessions, and with them any transaction under it (design 6.4). */
+  function cutWithdrawn(): void {
+    for (const session of sessions.all()) if (!mayHold(session.key, session.service)) sessions.close(session);
+  }
+
+  function mayHold(key: string, service: string): boolean {
+    if (Option.isNone(known.sheet)) return false;
+    const sheet = known.sheet.value;
+    return statementKinds.some((kind) => sheets.allows(sheet, key, service, kind));
+  }
+
+  async function askFeed(): Promise<void> {
+    const sentAt = kernel.clock.now();
+    const reply = await agent.call('feed', {
+      configuration: known.version, floors: { ...requests.floors() }, open: { ...pool.open() }, incarnation: self,
+      usage: requests.counts().map((window) => ({ window: window.window, counts: { ...window.counts } })),
+    }, 800);
+    if (Option.isSome(reply)) takeFeed(reply.value, sentAt);
+  }
+
+  /** `known.draining` denies new work; it follows the asking for a drain by the lame moment. */
+  function noteDraining(): void {
+    const asked = stopping || (Option.isSome(feed) && feed.value.draining);
+    if (!asked) drainingSince = Option.none;
+    else if (Option.isNone(drainingSince)) drainingSince = Option.some(kernel.clock.now());
+    const since = drainingSince;
+    known = { ...known, draining: Option.isSome(since) && kernel.clock.now() >= identifiers.after(since.value, lameMilliseconds) };
+  }
+
+  function ready(): boolean {
+    return Option.isNone(drainingSince) && known.controlUntil > kernel.clock.now() && Option.isSome(known.sheet);
+  }
+
+  // -- The senders' side.
+
+  function keyOf(request: HttpRequest): string {
+    return request.headers['x-stallstall-key'] ?? '';
+  }
+
+  function sessionFor(request: HttpRequest, id: string): Either.Either<Fault, Session> {
+    const session = sessions.find(id);
+    if (Option.isNone(session) || session.value.key !== keyOf(request)) {
+      return Either.left(fault.create({ kind: 'session-lost', message: 'this edge holds no such session for this key', remedy: 'open another session' }));
+    }
+    session.value.touch();
+    return Either.right(session.value);
+  }
+
+  async function statement(request: HttpRequest): Promise<HttpReply> {
+    if (!message.fits(StatementSchema, request.body)) {
+      return http.denied(fault.create({
+        kind: 'bad-request', message: 'a statement is {kind, statements: [{text, parameters}], transaction?, atLeast?, horizonMilliseconds?}',
+        remedy: `kind is one of ${statementKinds.join(', ')}; see docs/operations.md`,
+      }));
+    }
+    const body = request.body as StatementBody;
+    const service = request.query['service'] ?? '';
+    const named = Option.fromNullable(request.headers['x-stallstall-session']);
+    const transaction = body.transaction ?? 'none';
+    if (Option.isSome(named)) {
+      const session = sessionFor(request, named.value);
+      if (Either.isLeft(session)) return http.denied(session.left);
+      if (session.right.service !== service) {
+        return http.denied(fault.create({ kind: 'bad-request', message: `this session is of ${session.right.service}`, remedy: 'open a session for each service' }));
+      }
+      if ((transaction === 'none' || transaction === 'begin') && Option.isSome(session.right.pinned())) {
+        return http.denied(fault.create({ kind: 'bad-request', message: 'a transaction is open in this session', remedy: 'send transaction "within", "commit" or "rollback"' }));
+      }
+    } else if (transaction !== 'none') {
+      return http.denied(fault.create({ kind: 'bad-request', message: 'a transaction needs a session', remedy: 'open one and name it in x-stallstall-session' }));
+    }
+    const outcome = await requests.ask({
+      service, kind: body.kind as never, key: keyOf(request), transaction, session: named, atLeast: body.atLeast ?? 0,
+      statements: body.statements.map((one) => ({ text: one.text, parameters: one.parameters ?? [] })),
+      horizonMilliseconds: body.horizonMilliseconds ?? defaultHorizonMilliseconds,
+    });
+    return http.replied(outcome);
+  }
+
+  async function openSession(request: HttpRequest): Promise<HttpReply> {
+    const service = request.query['service'] ?? '';
+    if (known.controlUntil <= kernel.clock.now()) {
+      return http.denied(fault.create({ kind: 'stale-configuration', message: 'this edge has not heard from a majority of cores within its term', remedy: 'try another edge', retryAfterSeconds: 1 }));
+    }
+    if (known.draining) return http.denied(fault.create({ kind: 'draining', message: 'this edge is draining', remedy: 'send it to another edge', retryAfterSeconds: 1 }));
+    if (!mayHold(keyOf(request), service)) {
+      return http.denied(fault.create({ kind: 'key-denied', message: `this key may not open a session on ${service}`, remedy: 'ask the operators for a key that may' }));
+    }
+    return { status: 201, body: { session: sessions.open(keyOf(request), service).id } };
+  }
+
+  async function closeSession(request: HttpRequest): Promise<HttpReply> {
+    const session = sessionFor(request, request.query['session'] ?? '');
+    if (Either.isRight(session)) sessions.close(session.right);
+    return http.replied(Either.map(() => ({ closed: true }))(session));
+  }
+
+  async function setValue(request: HttpRequest): Promise<HttpReply> {
+    const session = sessionFor(request, request.query['session'] ?? '');
+    if (Either.isLeft(session)) return http.denied(session.left);
+    if (!message.fits(ValueSchema, request.body)) {
+      return http.denied(fault.create({ kind: 'bad-request', message: 'a session value is {"value": text, number or truth}', remedy: 'send that shape' }));
+    }
+    session.right.setValue(request.query['name'] ?? '', request.body.value);
+    return { status: 200, body: { set: true } };
+  }
+
+  async function setShape(request: HttpRequest): Promise<HttpReply> {
+    const session = sessionFor(request, request.query['session'] ?? '');
+    if (Either.isLeft(session)) return http.denied(session.left);
+    if (!message.fits(ShapeSchema, request.body)) {
+      return http.denied(fault.create({ kind: 'bad-request', message: 'a prepared shape is {"text": "..."}', remedy: 'send that shape' }));
+    }
+    session.right.setShape(request.query['name'] ?? '', request.body.text);
+    return { status: 200, body: { prepared: true } };
+  }
+
+  const routes: readonly HttpRoute[] = [
+    { method: 'POST', path: '/v1/services/:service/statements', handle: statement },
+    { method: 'POST', path: '/v1/services/:service/sessions', handle: openSession },
+    { method: 'DELETE', path: '/v1/sessions/:session', handle: closeSession },
+    { method: 'PUT', path: '/v1/sessions/:session/values/:name', handle: setValue },
+    { method: 'PUT', path: '/v1/sessions/:session/shapes/:name', handle: setShape },
+    { method: 'GET', path: '/live', handle: async () => ({ status: 200, body: { live: true } }) },
+    { method: 'GET', path: '/ready', handle: async () => ({ status: ready() ? 200 : 503, body: { ready: ready(), configuration: known.version } }) },
+    {
+      method: 'GET', path: '/v1/state',
+      handle: async () => ({ status: 200, body: { configuration: known.version, inFlight: requests.inFlight(), connections: pool.describe(), totals: requests.totals() } }),
+    },
+  ];
+
+  const listening = await kernel.network.serve(identifiers.address(settings.address), { routes });
+
+  function tick(): void {
+    noteDraining();
+    sessions.expire();
+    requests.sweep();
+  }
+
+  void kernels.every(kernel.clock, feedMilliseconds, askFeed, () => !stopped);
+  void kernels.every(kernel.clock, sweepMilliseconds, tick, () => !stopped);
+
+  async function stop(): Promise<void> {
+    stopped = true;
+    agent.close();
+    await listening.stop();
+    pool.closeAll();
+  }
+
+  async function drain(): Promise<void> {
+    stopping = true;
+    noteDraining();
+    const horizon = identifiers.after(kernel.clock.now(), graceMilliseconds);
+    await kernel.clock.sleep(lameMilliseconds);
+    while (kernel.clock.now() < horizon && (requests.inFlight() > 0 || sessions.all().some((session) => Option.isSome(session.pinned())))) {
+      await kernel.clock.sleep(sweepMilliseconds);
+    }
+    await askFeed();
+    await stop();
+  }
+
+  return { drain, stop, inFlight: requests.inFlight, known: () => known, connections: pool.describe };
+}
+
+export const proxy = { start } as const;
+export type { Known } from './requests.js';
--- /dev/null
+++ b/packages/register/src/acceptor.ts
@@ -0,0 +1,135 @@
+// The disk half of the register: promises and accepted entries, each synced before its answer leaves (design 5.1).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { owner, type Disk, type Fault, type Owner } from '@stallstall/kernel';
+import { ballotZero, EntrySchema, BallotSchema, message, type Ask, type Ballot, type Entry, type Reply } from '@stallstall/message';
+
+export type CellState = Readonly<{ promised: Ballot; accepted: Entry | null }>;
+
+type Cell = { state: CellState };
+
+export type Acceptor = Readonly<{
+  prepare: (ask: Ask<'prepare'>) => Promise<Reply<'prepare'>>;
+  accept: (ask: Ask<'accept'>) => Promise<Reply<'accept'>>;
+  look: (ask: Ask<'look'>) => Promise<Reply<'look'>>;
+  accepted: (key: string) => Option.Option<Entry>;
+  keys: () => readonly string[];
+  cells: () => ReadonlyArray<Readonly<{ key: string; state: CellState }>>;
+  /** Takes over what another disk holds, never going back (design 4.3). */
+  merge: (key: string, state: CellState) => Promise<boolean>;
+  open: () => void;
+  ready: () => boolean;
+}>;
+
+const prefix = 'register/';
+const unborn: CellState = { promised: ballotZero, accepted: null };
+const unanswered: Reply<'prepare'> = { ready: false, agreed: false, promised: ballotZero, accepted: null };
+
+function isCellState(value: unknown): value is CellState {
+  const cell = value as Partial<CellState> | null;
+  return (
+    typeof cell === 'object' && cell !== null && message.fits(BallotSchema, cell.promised) &&
+    (cell.accepted === null || message.fits(EntrySchema, cell.accepted))
+  );
+}
+
+function higher(left: CellState, right: CellState): CellState {
+  const promised = message.compareBallots(left.promised, right.promised) >= 0 ? left.promised : right.promised;
+  if (left.accepted === null) return { promised, accepted: right.accepted };
+  if (right.accepted === null) return { promised, accepted: left.accepted };
+  return { promised, accepted: message.compareBallots(left.accepted.ballot, right.accepted.ballot) >= 0 ? left.accepted : right.accepted };
+}
+
+function create(disk: Disk, stored: ReadonlyMap<string, unknown>, onAccepted: (key: string, entry: Entry) => void, onDiskFailed: (error: Fault) => void): Acceptor {
+  const cells = new Map<string, Owner<Cell>>();
+  const states = new Map<string, CellState>();
+  let open = false;
+
+  for (const [key, value] of stored) {
+    if (key.startsWith(prefix) && isCellState(value)) place(key.slice(prefix.length), value);
+  }
+
+  function place(key: string, state: CellState): Owner<Cell> {
+    const cell = owner.create(key, { state });
+    cells.set(key, cell);
+    states.set(key, state);
+    return cell;
+  }
+
+  function cellOf(key: string): Owner<Cell> {
+    return cells.get(key) ?? place(key, unborn);
+  }
+
+  /** False when the disk did not sync: then this core gives no answer, whatever the disk may hold. */
+  async function keep(key: string, cell: Cell, state: CellState): Promise<boolean> {
+    const kept = await disk.put(prefix + key, state);
+    if (Either.isLeft(kept)) {
+      onDiskFailed(kept.left);
+      return false;
+    }
+    cell.state = state;
+    states.set(key, state);
+    return true;
+  }
+
+  function reply(state: CellState, agreed: boolean): Reply<'prepare'> {
+    return { ready: true, agreed, promised: state.promised, accepted: state.accepted };
+  }
+
+  function prepare(ask: Ask<'prepare'>): Promise<Reply<'prepare'>> {
+    return cellOf(ask.key).ask(async function promise(cell) {
+      if (!open) return unanswered;
+      if (message.compareBallots(ask.ballot, cell.state.promised) <= 0) return reply(cell.state, false);
+      if (!(await keep(ask.key, cell, { promised: ask.ballot, accepted: cell.state.accepted }))) return unanswered;
+      return reply(cell.state, true);
+    });
+  }
+
+  // Only a ballot this very disk has promised is accepted: a promise that was lost with an earlier disk counts for
+  // nothing (design 5.1).
+  function accept(ask: Ask<'accept'>): Promise<Reply<'accept'>> {
+    return cellOf(ask.key).ask(async function take(cell) {
+      if (!open) return unanswered;
+      if (message.compareBallots(ask.entry.ballot, cell.state.promised) !== 0) return reply(cell.state, false);
+      if (!(await keep(ask.key, cell, { promised: ask.entry.ballot, accepted: ask.entry }))) return unanswered;
+      onAccepted(ask.key, ask.entry);
+      return reply(cell.state, true);
+    });
+  }
+
+  function look(ask: Ask<'look'>): Promise<Reply<'look'>> {
+    return Promise.resolve(open ? reply(states.get(ask.key) ?? unborn, true) : unanswered);
+  }
+
+  function merge(key: string, state: CellState): Promise<boolean> {
+    return cellOf(key).ask(async function join(cell) {
+      return keep(key, cell, higher(cell.state, state));
+    });
+  }
+
+  return {
+    prepare,
+    accept,
+    look,
+    merge,
+    accepted: function accepted(key) {
+      return Option.fromNullable(states.get(key)?.accepted);
+    },
+    keys: function keys() {
+      return [...states.keys()];
+    },
+    cells: function all() {
+      return [...states].map(function pair([key, state]) {
+        return { key, state };
+      });
+    },
+    open: function start() {
+      open = true;
+    },
+    ready: function ready() {
+      return open;
+    },
+  };
+}
+
+export const acceptor = { create, isCellState } as const;
--- /dev/null
+++ b/packages/register/src/index.ts
@@ -0,0 +1,3 @@
+export * from './acceptor.js';
+export * from './proposer.js';
+export * from './watcher.js';
--- /dev/null
+++ b/packages/register/src/proposer.ts
@@ -0,0 +1,154 @@
+// The asking half of the register: majority write, majority read, compare-and-swap on top (design 5.1).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, identifiers, type Fault, type Kernel } from '@stallstall/kernel';
+import { ballotZero, message, type Ask, type Ballot, type Entry, type Reply } from '@stallstall/message';
+import { quorum } from '@stallstall/quorum';
+
+type RegisterKind = 'prepare' | 'accept' | 'look';
+
+/** One disk as a proposer sees it: a call over a held link, or the core's own acceptor. */
+export type RegisterTarget = Readonly<{
+  core: string;
+  ask: <Kind extends RegisterKind>(kind: Kind, body: Ask<Kind>, milliseconds: number) => Promise<Option.Option<Reply<Kind>>>;
+}>;
+
+export type Changed = Readonly<{ wrote: boolean; entry: Option.Option<Entry> }>;
+
+export type Register = Readonly<{
+  read: (key: string, milliseconds?: number) => Promise<Either.Either<Fault, Option.Option<Entry>>>;
+  /**
+   * Hands the chosen value to `decide`; what it returns takes the next version, none keeps what stands. A shot whose
+   * fate is not known is followed by another, so `decide` must know its own work when it sees it.
+   */
+  change: (key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>, milliseconds?: number) => Promise<Either.Either<Fault, Changed>>;
+}>;
+
+const callMilliseconds = 800;
+const defaultHorizonMilliseconds = 4_000;
+const backoffMilliseconds = 20;
+
+type Answered = Readonly<{ target: RegisterTarget; reply: Reply<'prepare'> }>;
+
+/** Asks every target and settles as soon as `enough` holds, or all have answered or fallen silent. */
+function gather<Kind extends RegisterKind>(
+  targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (answers: readonly Answered[]) => boolean,
+): Promise<readonly Answered[]> {
+  return new Promise(function collect(resolve) {
+    const answers: Answered[] = [];
+    let left = targets.length;
+    if (left === 0) resolve(answers);
+    async function ask(target: RegisterTarget): Promise<void> {
+      const reply = await target.ask(kind, body, milliseconds);
+      left -= 1;
+      if (Option.isSome(reply) && reply.value.ready) answers.push({ target, reply: reply.value as Reply<'prepare'> });
+      if (left === 0 || enough(answers)) resolve([...answers]);
+    }
+    for (const target of targets) void ask(target);
+  });
+}
+
+function agreed(answers: readonly Answered[]): readonly Answered[] {
+  return answers.filter(function yes(answer) {
+    return answer.reply.agreed;
+  });
+}
+
+function highestEntry(answers: readonly Answered[]): Option.Option<Entry> {
+  let highest: Entry | null = null;
+  for (const answer of answers) {
+    const entry = answer.reply.accepted;
+    if (entry !== null && (highest === null || message.compareBallots(entry.ballot, highest.ballot) > 0)) highest = entry;
+  }
+  return Option.fromNullable(highest);
+}
+
+function sameEverywhere(answers: readonly Answered[]): boolean {
+  const first = answers[0]?.reply.accepted?.ballot ?? ballotZero;
+  return answers.every(function same(answer) {
+    return message.compareBallots(answer.reply.accepted?.ballot ?? ballotZero, first) === 0;
+  });
+}
+
+function create(kernel: Kernel, name: string, targets: () => readonly RegisterTarget[], total: () => number): Register {
+  const proposer = `${name}#${kernel.randomness.token()}`;
+  let counter = 0;
+
+  function noMajority(key: string): Fault {
+    return fault.create({
+      kind: 'no-majority',
+      message: `the register did not settle ${key}: no majority of its ${total()} disks answered in time`,
+      remedy: 'bring a core back, then try again',
+      retryAfterSeconds: 1,
+    });
+  }
+
+  function nextBallot(): Ballot {
+    counter += 1;
+    return { counter, node: proposer };
+  }
+
+  function learn(answers: readonly Answered[]): void {
+    for (const answer of answers) counter = Math.max(counter, answer.reply.promised.counter);
+  }
+
+  function majorityOf(answers: readonly Answered[]): boolean {
+    return total() > 0 && answers.length >= quorum.majority(total());
+  }
+
+  async function shot(key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>): Promise<Option.Option<Changed>> {
+    const ballot = nextBallot();
+    const promised = await gather(targets(), 'prepare', { key, ballot }, callMilliseconds, function enough(answers) {
+      return majorityOf(agreed(answers));
+    });
+    learn(promised);
+    const promises = agreed(promised);
+    if (!majorityOf(promises)) return Option.none;
+    const current = highestEntry(promises);
+    const decided = decide(current);
+    if (Option.isNone(decided) && sameEverywhere(promises)) return Option.some({ wrote: false, entry: current });
+    const entry: Entry = Option.isSome(decided)
+      ? { ballot, version: Option.isSome(current) ? current.value.version + 1 : 1, value: decided.value }
+      : { ...(current as Option.Some<Entry>).value, ballot };
+    // Only those whose promises were counted are asked to accept (design 5.1).
+    const accepted = await gather(
+      promises.map(function target(answer) {
+        return answer.target;
+      }),
+      'accept', { key, entry }, callMilliseconds,
+      function enough(answers) {
+        return majorityOf(agreed(answers));
+      },
+    );
+    learn(accepted);
+    return majorityOf(agreed(accepted)) ? Option.some({ wrote: Option.isSome(decided), entry: Option.some(entry) }) : Option.none;
+  }
+
+  async function change(
+    key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>, milliseconds = defaultHorizonMilliseconds,
+  ): Promise<Either.Either<Fault, Changed>> {
+    const horizon = identifiers.after(kernel.clock.now(), milliseconds);
+    for (let shots = 1; ; shots += 1) {
+      const outcome = await shot(key, decide);
+      if (Option.isSome(outcome)) return Either.right(outcome.value);
+      const pause = backoffMilliseconds * Math.min(shots, 10) * (0.5 + kernel.randomness.fraction());
+      if (kernel.clock.now() + pause >= horizon) return Either.left(noMajority(key));
+      await kernel.clock.sleep(pause);
+    }
+  }
+
+  function keep(): Option.Option<unknown> {
+    return Option.none;
+  }
+
+  async function read(key: string, milliseconds = defaultHorizonMilliseconds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
+    const answers = await gather(targets(), 'look', { key }, callMilliseconds, majorityOf);
+    if (majorityOf(answers) && sameEverywhere(answers)) return Either.right(highestEntry(answers));
+    const completed = await change(key, keep, milliseconds);
+    return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
+  }
+
+  return { read, change };
+}
+
+export const proposer = { create } as const;
--- /dev/null
+++ b/packages/sheet/src/index.ts
@@ -0,0 +1,175 @@
+// The operators' placement sheet: one row for each database and zone, checked whole by zod (design 6.1).
+import * as Either from 'fp-ts/lib/Either.js';
+import { z } from 'zod';
+import { fault, type Fault } from '@stallstall/kernel';
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/i, 'use letters, digits, dot, dash and underscore, at most 63');
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'give an IP number and a port, as in 127.0.0.1:7101');
+
+export const statementKinds = ['write', 'leader-read', 'bounded-read', 'own-read'] as const;
+export type StatementKind = (typeof statementKinds)[number];
+
+const memberSchema = z.strictObject({
+  member: name,
+  area: name,
+  address,
+  state: z.enum(['serving', 'draining']).default('serving'),
+});
+
+const serviceSchema = z.strictObject({
+  service: name,
+  connectionLimit: z.number().int().min(1).max(100_000),
+  members: z.array(memberSchema).min(1).max(99),
+});
+
+const rowSchema = z.strictObject({
+  service: name,
+  area: name,
+  serves: z.strictObject({
+    write: z.literal('leader').optional(),
+    'leader-read': z.literal('leader').optional(),
+    'bounded-read': z.array(name).min(1).optional(),
+    'own-read': z.array(name).min(1).optional(),
+  }),
+  weights: z.record(name, z.number().min(0).max(1_000)).default({}),
+  staleMilliseconds: z.number().int().min(200).max(60_000).default(1_500),
+  mostWaiting: z.number().int().min(1).max(100_000).default(400),
+});
+
+const keySchema = z.strictObject({
+  key: z.string().min(8, 'use at least 8 characters').max(200),
+  services: z.array(name).min(1),
+  kinds: z.array(z.enum(statementKinds)).min(1).default([...statementKinds]),
+});
+
+const sheetSchema = z.strictObject({
+  services: z.array(serviceSchema).max(500),
+  rows: z.array(rowSchema).max(5_000),
+  keys: z.array(keySchema).max(10_000),
+});
+
+export type Sheet = z.infer<typeof sheetSchema>;
+export type SheetService = Sheet['services'][number];
+export type SheetMember = SheetService['members'][number];
+export type SheetRow = Sheet['rows'][number];
+export type SheetKey = Sheet['keys'][number];
+
+export type SheetFault = Readonly<{ row: string; column: string; message: string; remedy: string }>;
+
+/** Where an issue stands, as an operator would point at it: `rows[3] (bookings/north)`, column `weights.bookings-2`. */
+function place(path: readonly PropertyKey[]): Readonly<{ row: string; column: string }> {
+  const row = path.slice(0, 2).map(String);
+  return { row: row.length === 2 ? `${row[0]}[${row[1]}]` : (row[0] ?? 'sheet'), column: path.slice(2).map(String).join('.') || '(whole)' };
+}
+
+function remedyOf(code: string): string {
+  if (code === 'unrecognized_keys') return 'remove the column, or mend its spelling';
+  if (code === 'invalid_type') return 'give a value of the named type';
+  return 'give a value within the named bounds';
+}
+
+function repeated(names: readonly string[]): readonly string[] {
+  return [...new Set(names.filter(function again(candidate, index) {
+    return names.indexOf(candidate) !== index;
+  }))];
+}
+
+function crossFaults(sheet: Sheet): readonly SheetFault[] {
+  const faults: SheetFault[] = [];
+  function add(row: string, column: string, message: string, remedy: string): void {
+    faults.push({ row, column, message, remedy });
+  }
+  const services = new Map(sheet.services.map(function pair(service) {
+    return [service.service, service] as const;
+  }));
+  for (const twice of repeated(sheet.services.map((service) => service.service))) {
+    add('services', 'service', `${twice} stands twice`, 'keep one entry for each service');
+  }
+  const everyMember = sheet.services.flatMap((service) => service.members);
+  for (const twice of repeated(everyMember.map((member) => member.member))) {
+    add('services', 'members.member', `${twice} stands twice`, 'give every member a name of its own');
+  }
+  for (const twice of repeated(everyMember.map((member) => member.address))) {
+    add('services', 'members.address', `${twice} stands twice`, 'give every member an address of its own');
+  }
+  for (const [index, service] of sheet.services.entries()) {
+    if (service.members.every((member) => member.state === 'draining')) {
+      add(`services[${index}]`, 'members.state', `every member of ${service.service} is draining`, 'leave at least one serving');
+    }
+  }
+  for (const twice of repeated(sheet.rows.map((row) => `${row.service}/${row.area}`))) {
+    add('rows', 'service', `the row ${twice} stands twice`, 'keep one row for each service and area');
+  }
+  for (const [index, row] of sheet.rows.entries()) {
+    const service = services.get(row.service);
+    const where = `rows[${index}]`;
+    if (service === undefined) {
+      add(where, 'service', `there is no service ${row.service}`, 'add it under services, or mend the name');
+      continue;
+    }
+    const members = new Set(service.members.map((member) => member.member));
+    for (const kind of ['bounded-read', 'own-read'] as const) {
+      for (const named of row.serves[kind] ?? []) {
+        if (!members.has(named)) add(where, `serves.${kind}`, `${named} is no member of ${row.service}`, 'name a member of this service');
+      }
+    }
+    for (const named of Object.keys(row.weights)) {
+      if (!members.has(named)) add(where, `weights.${named}`, `${named} is no member of ${row.service}`, 'name a member of this service');
+    }
+  }
+  for (const twice of repeated(sheet.keys.map((key) => key.key))) {
+    add('keys', 'key', `${twice.slice(0, 4)}… stands twice`, 'keep one entry for each key');
+  }
+  for (const [index, key] of sheet.keys.entries()) {
+    for (const named of key.services) {
+      if (!services.has(named)) add(`keys[${index}]`, 'services', `there is no service ${named}`, 'add it under services, or mend the name');
+    }
+  }
+  return faults;
+}
+
+/** One answer that lists every fault; nothing is taken from a sheet that has one. */
+function check(value: unknown): Either.Either<Fault, Sheet> {
+  const parsed = sheetSchema.safeParse(value);
+  const faults: readonly SheetFault[] = parsed.success
+    ? crossFaults(parsed.data)
+    : parsed.error.issues.map(function told(issue) {
+        return { ...place(issue.path), message: issue.message, remedy: remedyOf(issue.code) };
+      });
+  if (parsed.success && faults.length === 0) return Either.right(parsed.data);
+  return Either.left(
+    fault.create({
+      kind: 'bad-sheet',
+      message: `the sheet has ${faults.length} fault${faults.length === 1 ? '' : 's'} and nothing was changed`,
+      remedy: 'mend each of them and send the sheet whole',
+      details: faults,
+    }),
+  );
+}
+
+function service(sheet: Sheet, named: string): SheetService | undefined {
+  return sheet.services.find((candidate) => candidate.service === named);
+}
+
+function member(sheet: Sheet, named: string): SheetMember | undefined {
+  for (const candidate of sheet.services) {
+    const found = candidate.members.find((one) => one.member === named);
+    if (found !== undefined) return found;
+  }
+  return undefined;
+}
+
+function row(sheet: Sheet, named: string, area: string): SheetRow | undefined {
+  return sheet.rows.find((candidate) => candidate.service === named && candidate.area === area);
+}
+
+function allows(sheet: Sheet, key: string, named: string, kind: StatementKind): boolean {
+  return sheet.keys.some((candidate) => candidate.key === key && candidate.services.includes(named) && candidate.kinds.includes(kind));
+}
+
+/** The share of a member's connection limit that one edge may hold; every node keeps one for its probe (design 8.3). */
+function share(limit: number, nodes: number, edges: number): number {
+  return edges === 0 ? 0 : Math.max(0, Math.floor((limit - nodes) / edges));
+}
+
+export const sheets = { check, service, member, row, allows, share } as const;
--- /dev/null
+++ b/packages/simulator/src/fleet.ts
@@ -0,0 +1,191 @@
+// An in-memory fleet: 3 cores, 6 edges in 3 areas, 3 services of 3 members, the platform, senders, operators (design 10.4).
+import * as Either from 'fp-ts/lib/Either.js';
+import { fault, http, identifiers, type Fault, type HttpReply } from '@stallstall/kernel';
+import { core, type Core } from '@stallstall/core';
+import { agent, type Agent } from '@stallstall/agent';
+import { proxy, type Proxy } from '@stallstall/proxy';
+import {
+  areas, deployments, member, platform, sender, type Deployment, type Ledger, type Member, type MemberPlace, type MemberStore, type Platform, type PlatformStore,
+} from '@stallstall/stand-in';
+import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
+
+type Slot<Running> = { process: Process | undefined; running: Running | undefined };
+
+export type CoreSlot = Slot<Core> & { readonly name: string; readonly machine: string; disk: SimulatedDisk };
+export type EdgeSlot = { readonly name: string; readonly machine: string; readonly area: string; readonly agent: Slot<Agent>; readonly proxy: Slot<Proxy> };
+export type MemberSlot = Slot<Member> & { readonly place: MemberPlace; readonly machine: string; store: MemberStore };
+
+export type FleetOptions = Readonly<{ edges?: number; synchronous?: number; replicateMilliseconds?: number; runMilliseconds?: number }>;
+
+export type Fleet = Readonly<{
+  world: World;
+  deployment: Deployment;
+  cores: readonly CoreSlot[];
+  edges: readonly EdgeSlot[];
+  members: readonly MemberSlot[];
+  platformStore: PlatformStore;
+  platform: () => Platform;
+  ledger: Ledger;
+  key: string;
+  startAll: () => Promise<void>;
+  startCore: (slot: CoreSlot) => Promise<void>;
+  startAgent: (slot: EdgeSlot) => Promise<void>;
+  startProxy: (slot: EdgeSlot) => Promise<void>;
+  startMember: (slot: MemberSlot) => Promise<void>;
+  stopSlot: (slot: Slot<unknown>) => void;
+  sheet: () => Record<string, unknown>;
+  /** Steps as an operator would, against any core that answers. */
+  operate: (method: string, path: string, body?: unknown, headers?: Readonly<Record<string, string>>, coreIndex?: number) => Promise<HttpReply>;
+  /** Sends a sheet without waiting for virtual time to pass. */
+  send: (sheet: unknown, coreIndex: number) => Promise<HttpReply>;
+  ask: (edge: EdgeSlot, method: string, path: string, body?: unknown, headers?: Readonly<Record<string, string>>) => Promise<HttpReply>;
+  startSenders: (rate?: number, sessions?: number) => Readonly<{ stop: () => void }>;
+  primaryOf: (service: string) => MemberSlot | undefined;
+  /** Runs until a condition holds; false when it has not within so many virtual milliseconds. */
+  until: (condition: () => boolean, milliseconds: number) => Promise<boolean>;
+  place: (slot: CoreSlot) => { address: string; outward: string };
+  edgeAddresses: (slot: EdgeSlot) => { address: string; outward: string; feed: string; proxy: string };
+}>;
+
+const senderKey = 'sender-key-0001';
+
+function create(seed: number, deployment: Deployment, options: FleetOptions = {}): Fleet {
+  const world = worlds.create(seed);
+  const edgeCount = options.edges ?? 6;
+  const cores: CoreSlot[] = [0, 1, 2].map((index) => ({ name: `core-${index + 1}`, machine: `core-machine-${index + 1}`, disk: world.disk(), process: undefined, running: undefined }));
+  const edges: EdgeSlot[] = Array.from({ length: edgeCount }, (_, index) => ({
+    name: `edge-${index + 1}`, machine: `edge-machine-${index + 1}`, area: areas[index % areas.length] as string,
+    agent: { process: undefined, running: undefined }, proxy: { process: undefined, running: undefined },
+  }));
+  const members: MemberSlot[] = deployment.services.flatMap((service, serviceIndex) => areas.map((area, index) => ({
+    place: { service, member: `${service}-${index + 1}`, area, address: `10.3.${serviceIndex}.${index + 1}:5000`, control: `10.3.${serviceIndex}.${index + 1}:5001` },
+    machine: `member-machine-${service}-${index + 1}`, store: member.emptyStore(false), process: undefined, running: undefined,
+  })));
+  const platformStore = platform.emptyStore();
+  const platformAddress = '10.4.0.1:9000';
+  const ledger = sender.emptyLedger();
+  const operator = world.spawn('operator', 'operator-machine');
+  const senders = world.spawn('senders', 'sender-machine');
+  let platformSlot: Platform | undefined;
+
+  function place(slot: CoreSlot): { address: string; outward: string } {
+    const index = cores.indexOf(slot) + 1;
+    return { address: `10.1.0.${index}:7000`, outward: `10.1.0.${index}:7001` };
+  }
+
+  function edgeAddresses(slot: EdgeSlot): { address: string; outward: string; feed: string; proxy: string } {
+    const index = edges.indexOf(slot) + 1;
+    return { address: `10.2.0.${index}:7000`, outward: `10.2.0.${index}:7001`, feed: `10.2.0.${index}:7002`, proxy: `10.2.0.${index}:8000` };
+  }
+
+  const seeds = cores.map((slot) => place(slot).address);
+
+  async function startCore(slot: CoreSlot): Promise<void> {
+    const spawned = world.spawn(slot.name, slot.machine, slot.disk);
+    slot.process = spawned;
+    const area = areas[cores.indexOf(slot)] as string;
+    const started = await core.start(spawned.kernel, { node: slot.name, area, ...place(slot), seeds, platform: () => platformAddress, cores: 3 });
+    if (Either.isLeft(started)) spawned.kernel.stop(started.left);
+    else slot.running = started.right;
+  }
+
+  async function startAgent(slot: EdgeSlot): Promise<void> {
+    const spawned = world.spawn(`${slot.name}/agent`, slot.machine);
+    slot.agent.process = spawned;
+    const { address, outward, feed } = edgeAddresses(slot);
+    const started = await agent.start(spawned.kernel, { node: slot.name, area: slot.area, address, outward, feed, seeds, platform: () => platformAddress });
+    if (Either.isRight(started)) slot.agent.running = started.right;
+  }
+
+  async function startProxy(slot: EdgeSlot): Promise<void> {
+    const spawned = world.spawn(`${slot.name}/proxy`, slot.machine);
+    slot.proxy.process = spawned;
+    const { feed, proxy: address } = edgeAddresses(slot);
+    slot.proxy.running = await proxy.start(spawned.kernel, { address, feed });
+  }
+
+  async function startMember(slot: MemberSlot): Promise<void> {
+    const spawned = world.spawn(slot.place.member, slot.machine);
+    slot.process = spawned;
+    slot.running = await member.start(spawned.kernel, {
+      member: slot.place.member, service: slot.place.service, address: slot.place.address, control: slot.place.control,
+      connectionLimit: deployment.connectionLimit,
+      nodes: [...cores.map((one) => place(one).outward), ...edges.map((one) => edgeAddresses(one).outward)],
+      runMilliseconds: options.runMilliseconds ?? 6, replicateMilliseconds: options.replicateMilliseconds ?? 20, synchronous: options.synchronous ?? 1,
+    }, slot.store);
+  }
+
+  async function startAll(): Promise<void> {
+    platformSlot = await platform.start(world.spawn('platform', 'platform-machine').kernel, {
+      address: platformAddress, members: members.map((slot) => ({ service: slot.place.service, member: slot.place.member, control: slot.place.control })),
+    }, platformStore);
+    for (const slot of members) await startMember(slot);
+    for (const slot of cores) await startCore(slot);
+    for (const slot of edges) {
+      await startAgent(slot);
+      await startProxy(slot);
+    }
+  }
+
+  function stopSlot(slot: Slot<unknown>): void {
+    if (slot.process !== undefined) world.kill(slot.process);
+    slot.running = undefined;
+  }
+
+  async function drive<Result>(work: Promise<Result>, milliseconds = 30_000): Promise<Result> {
+    let done = false;
+    void work.then(() => {
+      done = true;
+    });
+    for (let spent = 0; !done && spent < milliseconds; spent += 5) await world.run(5);
+    if (!done) throw new Error('the fleet gave no answer in 30 s of virtual time');
+    return work;
+  }
+
+  function exchanged(reply: Either.Either<Fault, HttpReply>): HttpReply {
+    return Either.isRight(reply) ? reply.right : { status: 0, body: fault.body(reply.left) };
+  }
+
+  async function operate(method: string, path: string, body?: unknown, headers: Readonly<Record<string, string>> = {}, coreIndex = 0): Promise<HttpReply> {
+    const address = identifiers.address(place(cores[coreIndex] as CoreSlot).outward);
+    return exchanged(await drive(http.once(operator.kernel, address, { method, path, body, headers }, 10_000)));
+  }
+
+  async function send(sheet: unknown, coreIndex: number): Promise<HttpReply> {
+    const address = identifiers.address(place(cores[coreIndex] as CoreSlot).outward);
+    return exchanged(await http.once(operator.kernel, address, { method: 'PUT', path: '/v1/sheet', body: { sheet, sentBy: `operator-${coreIndex}` } }, 8_000));
+  }
+
+  async function ask(edge: EdgeSlot, method: string, path: string, body?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<HttpReply> {
+    const address = identifiers.address(edgeAddresses(edge).proxy);
+    return exchanged(await drive(http.once(senders.kernel, address, { method, path, body, headers: { 'x-stallstall-key': senderKey, ...headers } }, 10_000)));
+  }
+
+  function startSenders(rate = deployment.requestsPerSecond, sessions = deployment.sessions): Readonly<{ stop: () => void }> {
+    return sender.start(senders.kernel, {
+      deployment, key: senderKey, sessions, requestsPerSecond: rate, horizonMilliseconds: 3_000, tag: 's',
+      edges: () => edges.filter((slot) => slot.proxy.process?.alive() === true).map((slot) => edgeAddresses(slot).proxy),
+    }, ledger);
+  }
+
+  function primaryOf(service: string): MemberSlot | undefined {
+    const leader = platformStore.leaders.get(service);
+    return members.find((slot) => slot.place.member === leader?.member);
+  }
+
+  async function until(condition: () => boolean, milliseconds: number): Promise<boolean> {
+    for (let spent = 0; spent < milliseconds; spent += 50) {
+      if (condition()) return true;
+      await world.run(50);
+    }
+    return condition();
+  }
+
+  return {
+    world, deployment, cores, edges, members, platformStore, platform: () => platformSlot as Platform, ledger, key: senderKey,
+    startAll, startCore, startAgent, startProxy, startMember, stopSlot, operate, send, ask, startSenders, primaryOf, until, place, edgeAddresses,
+    sheet: () => structuredClone(deployments.sheet(deployment, members.map((slot) => slot.place), senderKey)) as Record<string, unknown>,
+  };
+}
+
+export const fleet = { create } as const;
--- /dev/null
+++ b/packages/simulator/src/index.ts
@@ -0,0 +1,4 @@
+export * from './world.js';
+export * from './fleet.js';
+export * from './checks.js';
+export * from './storm.js';
--- /dev/null
+++ b/packages/simulator/src/seeds.ts
@@ -0,0 +1,63 @@
+// The seeded run from the command line: `seeds.js [first] [count] [--workers N] [--trace]`; a failure prints its replay command.
+import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
+import os from 'node:os';
+import { fileURLToPath } from 'node:url';
+import { storm, type StormResult } from './storm.js';
+
+type Work = Readonly<{ seeds: readonly number[] }>;
+
+function numbersFrom(words: readonly string[]): Readonly<{ first: number; count: number; trace: boolean }> {
+  const plain = words.filter((word) => !word.startsWith('--'));
+  return { first: Number(plain[0] ?? 1), count: Number(plain[1] ?? 20), trace: words.includes('--trace') };
+}
+
+function tell(result: StormResult): void {
+  const verdict = result.violations.length === 0 ? 'passed' : 'FAILED';
+  console.log(`seed=${result.seed} ${verdict} deployment=${result.deployment} served=${result.served} elections=${result.elections} longestDenial=${result.longestDenial} reasons=${JSON.stringify(result.reasons)}`);
+  if (result.violations.length === 0) return;
+  for (const violation of result.violations.slice(0, 6)) console.log(`  ${violation.check}: ${violation.detail}`);
+  if (result.violations.length > 6) console.log(`  and ${result.violations.length - 6} more`);
+  console.log(`  faults: ${result.faults.join('; ')}`);
+  console.log(`  replay: npm run seeds -- ${result.seed} 1 --trace`);
+}
+
+function failed(seed: number, error: Error): StormResult {
+  return { seed, deployment: '', violations: [{ check: 'run-broke', detail: error.stack ?? error.message }], faults: [], served: 0, reasons: {}, events: 0, elections: 0, longestDenial: 0 };
+}
+
+async function work(seeds: readonly number[], trace: boolean, done: (result: StormResult) => void): Promise<void> {
+  for (const seed of seeds) {
+    try {
+      done(await storm.run(seed, { trace }));
+    } catch (error) {
+      done(failed(seed, error as Error));
+    }
+  }
+}
+
+async function main(): Promise<void> {
+  const { first, count, trace } = numbersFrom(process.argv.slice(2));
+  const seeds = Array.from({ length: count }, (_, index) => first + index);
+  const results: StormResult[] = [];
+  function done(result: StormResult): void {
+    results.push(result);
+    tell(result);
+  }
+  if (count === 1) await work(seeds, trace, done);
+  else {
+    const workers = Math.min(count, Math.max(1, os.availableParallelism() - 1));
+    await Promise.all(Array.from({ length: workers }, (_, index) => new Promise<void>((resolve, reject) => {
+      const worker = new Worker(fileURLToPath(import.meta.url), { workerData: { seeds: seeds.filter((seed) => (seed - first) % workers === index) } satisfies Work });
+      worker.on('message', done);
+      worker.on('error', reject);
+      worker.on('exit', () => resolve());
+    })));
+  }
+  const bad = results.filter((result) => result.violations.length > 0).map((result) => result.seed).sort((left, right) => left - right);
+  console.log(`seeds: ${results.length} run, ${bad.length} failed${bad.length === 0 ? '' : `: ${bad.join(' ')}`}`);
+  console.log(`seeded-run: ${results.length - bad.length} passed, ${bad.length} failed`);
+  if (results.length !== count || bad.length > 0) process.exitCode = 1;
+}
+
+if (isMainThread) await main();
+else await work((workerData as Work).seeds, false, (result) => parentPort?.postMessage(result));
--- /dev/null
+++ b/packages/simulator/src/world.ts
@@ -0,0 +1,517 @@
+// Virtual time, network, disks and randomness from one seed; the production code runs on them unchanged (design 10.4).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import {
+  fault, http, identifiers, kernel as kernels, type Disk, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Instant,
+  type Kernel, type Link, type Listening, type LogFields,
+} from '@stallstall/kernel';
+
+export type DiskTrouble = { failing: boolean; slowMilliseconds: number };
+export type SimulatedDisk = { readonly entries: Map<string, string>; readonly trouble: DiskTrouble };
+
+export type Process = Readonly<{
+  name: string;
+  machine: string;
+  kernel: Kernel;
+  alive: () => boolean;
+  stoppedBy: () => Option.Option<Fault>;
+}>;
+
+type Body = {
+  readonly name: string;
+  readonly machine: string;
+  alive: boolean;
+  frozenUntil: number;
+  stoppedBy: Option.Option<Fault>;
+  readonly closers: Set<() => void>;
+};
+
+export type LogLine = Readonly<{ at: number; process: string; event: string; fields: LogFields }>;
+
+export type World = Readonly<{
+  now: () => number;
+  fraction: () => number;
+  spawn: (name: string, machine: string, disk?: SimulatedDisk) => Process;
+  kill: (process: Process) => void;
+  freeze: (process: Process, milliseconds: number) => void;
+  frozen: (process: Process) => boolean;
+  /** Messages from one machine to another are held until the cut is healed. */
+  cut: (from: string, to: string) => void;
+  heal: (from: string, to: string) => void;
+  healAll: () => void;
+  disk: () => SimulatedDisk;
+  run: (milliseconds: number) => Promise<void>;
+  at: (milliseconds: number, action: () => void) => void;
+  logs: LogLine[];
+  events: () => number;
+}>;
+
+type Event = Readonly<{ at: number; order: number; action: () => void }>;
+
+/** A small generator with a good spread; the seed is the whole of its state. */
+function generator(seed: number): () => number {
+  let state = (seed * 2_654_435_761 + 1) >>> 0;
+  return function next() {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = state;
+    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  };
+}
+
+function earlier(left: Event, right: Event): boolean {
+  return left.at !== right.at ? left.at < right.at : left.order < right.order;
+}
+
+function queue(): Readonly<{ push: (event: Event) => void; pop: () => Event | undefined; peek: () => Event | undefined }> {
+  const heap: Event[] = [];
+
+  function swap(left: number, right: number): void {
+    const kept = heap[left] as Event;
+    heap[left] = heap[right] as Event;
+    heap[right] = kept;
+  }
+
+  function push(event: Event): void {
+    heap.push(event);
+    let index = heap.length - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!earlier(heap[index] as Event, heap[parent] as Event)) break;
+      swap(index, parent);
+      index = parent;
+    }
+  }
+
+  function pop(): Event | undefined {
+    const first = heap[0];
+    const last = heap.pop();
+    if (first === undefined || last === undefined || heap.length === 0) return first;
+    heap[0] = last;
+    let index = 0;
+    for (;;) {
+      let least = index;
+      for (const child of [2 * index + 1, 2 * index + 2]) {
+        if (child < heap.length && earlier(heap[child] as Event, heap[least] as Event)) least = child;
+      }
+      if (least === index) return first;
+      swap(index, least);
+      index = least;
+    }
+  }
+
+  return { push, pop, peek: () => heap[0] };
+}
+
+/** Lets every promise that can go on do so before the next event. */
+function settleTasks(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+const wallStart = 1_800_000_000_000;
+const leastLatency = 0.2;
+const latencySpread = 0.8;
+const connectMilliseconds = 3_000;
+
+function create(seed: number): World {
+  const random = generator(seed);
+  const events = queue();
+  const cuts = new Map<string, Array<() => void>>();
+  const listeners = new Map<string, Readonly<{ body: Body; greet: (link: Link) => void }>>();
+  const servers = new Map<string, Readonly<{ body: Body; server: HttpServer }>>();
+  const logs: LogLine[] = [];
+  let now = 0;
+  let order = 0;
+  let count = 0;
+  let tokens = 0;
+
+  function at(milliseconds: number, action: () => void): void {
+    order += 1;
+    events.push({ at: now + Math.max(0, milliseconds), order, action });
+  }
+
+  function inside(body: Body, action: () => void): void {
+    if (!body.alive) return;
+    if (body.frozenUntil > now) at(body.frozenUntil - now, () => inside(body, action));
+    else action();
+  }
+
+  function latency(): number {
+    return leastLatency + random() * latencySpread;
+  }
+
+  /** Hands an action from one machine to another; while the way is cut it waits, in order. */
+  function carry(from: Body, to: Body, milliseconds: number, action: () => void): void {
+    const way = `${from.machine}>${to.machine}`;
+    function arrive(): void {
+      const held = cuts.get(way);
+      if (held !== undefined) held.push(arrive);
+      else inside(to, action);
+    }
+    at(milliseconds, arrive);
+  }
+
+  function isCut(from: Body, to: Body): boolean {
+    return cuts.has(`${from.machine}>${to.machine}`) || cuts.has(`${to.machine}>${from.machine}`);
+  }
+
+  function freezeJson(value: unknown): unknown {
+    return value === undefined ? undefined : JSON.parse(JSON.stringify(value));
+  }
+
+  // -- Links.
+
+  type End = { readonly link: Link; readonly take: (message: unknown) => void; readonly broken: () => void };
+
+  function end(send: (message: unknown) => void, close: () => void): End {
+    const arrived: unknown[] = [];
+    let waiting: ((message: Option.Option<unknown>) => void) | undefined;
+    let open = true;
+
+    function take(message: unknown): void {
+      if (!open) return;
+      if (waiting === undefined) arrived.push(message);
+      else {
+        const resolve = waiting;
+        waiting = undefined;
+        resolve(Option.some(message));
+      }
+    }
+
+    function broken(): void {
+      if (!open) return;
+      open = false;
+      waiting?.(Option.none);
+      waiting = undefined;
+    }
+
+    return {
+      take,
+      broken,
+      link: {
+        send: function sendOn(message) {
+          if (open) send(message);
+        },
+        receive: function receive() {
+          if (arrived.length > 0) return Promise.resolve(Option.some(arrived.shift()));
+          if (!open) return Promise.resolve(Option.none);
+          return new Promise((resolve) => {
+            waiting = resolve;
+          });
+        },
+        close: function closeOn() {
+          if (!open) return;
+          broken();
+          close();
+        },
+      },
+    };
+  }
+
+  /** Keeps each direction in order whatever the latencies are. */
+  function lane(from: Body, to: Body): (action: () => void) => void {
+    let last = 0;
+    return function put(action) {
+      const due = Math.max(now + latency(), last + 0.001);
+      last = due;
+      carry(from, to, due - now, action);
+    };
+  }
+
+  function openLink(body: Body, address: string): Promise<Either.Either<Fault, Link>> {
+    return new Promise((resolve) => {
+      let settled = false;
+      function settle(result: Either.Either<Fault, Link>): void {
+        if (settled) return;
+        settled = true;
+        resolve(result);
+      }
+      const listener = listeners.get(address);
+      const unreachable = fault.create({ kind: 'unreachable', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' });
+      at(connectMilliseconds, () => inside(body, () => settle(Either.left(unreachable))));
+      if (listener === undefined || !listener.body.alive) {
+        at(latency(), () => inside(body, () => settle(Either.left(unreachable))));
+        return;
+      }
+      const there = lane(body, listener.body);
+      const back = lane(listener.body, body);
+      const near: End = end((message) => {
+        if (!body.alive) return;
+        const copy = freezeJson(message);
+        there(() => far.take(copy));
+      }, () => hangUp(there, far));
+      const far: End = end((message) => {
+        if (!listener.body.alive) return;
+        const copy = freezeJson(message);
+        back(() => near.take(copy));
+      }, () => hangUp(back, near));
+      function hangUp(put: (action: () => void) => void, other: End): void {
+        body.closers.delete(nearGone);
+        listener?.body.closers.delete(farGone);
+        put(other.broken);
+      }
+      function nearGone(): void {
+        there(far.broken);
+      }
+      function farGone(): void {
+        back(near.broken);
+      }
+      there(() => {
+        listener.body.closers.add(farGone);
+        body.closers.add(nearGone);
+        listener.greet(far.link);
+        back(() => settle(Either.right(near.link)));
+      });
+    });
+  }
+
+  // -- HTTP.
+
+  function connect(body: Body, address: string): HttpConnection {
+    tokens += 1;
+    const id = `connection-${tokens}`;
+    let peerBody: Body | undefined;
+    let peerServer: HttpServer | undefined;
+    let closed = false;
+    let pending: ((result: Either.Either<Fault, HttpReply>) => void) | undefined;
+
+    function lostFault(kind: 'unreachable' | 'reply-lost'): Fault {
+      return fault.create({
+        kind, message: kind === 'unreachable' ? `${address} could not be reached` : `the reply of ${address} was lost`, remedy: 'see whether it runs and can be reached',
+      });
+    }
+
+    function farGone(): void {
+      if (peerBody === undefined) return;
+      carry(peerBody, body, latency(), () => {
+        closed = true;
+        pending?.(Either.left(lostFault('reply-lost')));
+      });
+    }
+
+    function tellClosed(): void {
+      const server = peerServer;
+      if (peerBody === undefined || server === undefined) return;
+      peerBody.closers.delete(farGone);
+      carry(body, peerBody, latency(), () => server.connectionClosed?.(id));
+    }
+
+    function close(): void {
+      if (closed) return;
+      closed = true;
+      body.closers.delete(tellClosed);
+      tellClosed();
+      pending?.(Either.left(lostFault('reply-lost')));
+    }
+
+    function reach(): Promise<boolean> {
+      if (peerBody !== undefined) return Promise.resolve(true);
+      return new Promise((resolve) => {
+        const found = servers.get(address);
+        if (found === undefined || !found.body.alive) {
+          at(latency(), () => inside(body, () => resolve(false)));
+          return;
+        }
+        at(connectMilliseconds, () => inside(body, () => resolve(false)));
+        if (isCut(body, found.body)) return;
+        carry(body, found.body, latency(), () => {
+          if (closed) return;
+          peerBody = found.body;
+          peerServer = found.server;
+          found.body.closers.add(farGone);
+          body.closers.add(tellClosed);
+          carry(found.body, body, latency(), () => resolve(true));
+        });
+      });
+    }
+
+    function exchange(ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
+      return new Promise((resolve) => {
+        let settled = false;
+        let left = false;
+        function settle(result: Either.Either<Fault, HttpReply>): void {
+          if (settled) return;
+          settled = true;
+          pending = undefined;
+          resolve(result);
+        }
+        if (closed) {
+          settle(Either.left(lostFault('unreachable')));
+          return;
+        }
+        pending = settle;
+        at(milliseconds, () => inside(body, () => {
+          if (settled) return;
+          settle(Either.left(lostFault(left ? 'reply-lost' : 'unreachable')));
+          close();
+        }));
+        void reach().then((reached) => {
+          if (settled || !body.alive) return;
+          const far = peerBody;
+          const server = peerServer;
+          if (!reached || far === undefined || server === undefined || closed) {
+            settle(Either.left(lostFault('unreachable')));
+            return;
+          }
+          left = true;
+          const [path, query] = ask.path.split('?');
+          const copy = freezeJson(ask.body);
+          carry(body, far, latency(), () => {
+            void http.route(server.routes, {
+              method: ask.method, path: path ?? '', query: Object.fromEntries(new URLSearchParams(query ?? '')), headers: ask.headers ?? {}, body: copy, connection: id,
+            }).then((reply) => {
+              if (!far.alive) return;
+              const answer = { ...reply, body: freezeJson(reply.body) };
+              carry(far, body, latency(), () => settle(Either.right(answer)));
+            });
+          });
+        });
+      });
+    }
+
+    return { exchange, close, closed: () => closed };
+  }
+
+  function kernelOf(body: Body, disk: SimulatedDisk | undefined): Kernel {
+    const clock = {
+      now: () => now as Instant,
+      wall: () => identifiers.wallTime(wallStart + now),
+      alarm: function alarm(milliseconds: number, action: () => void) {
+        let live = true;
+        at(milliseconds, () => inside(body, () => {
+          if (live) action();
+        }));
+        return {
+          cancel: function cancel() {
+            live = false;
+          },
+        };
+      },
+      sleep: (milliseconds: number) => new Promise<void>((resolve) => {
+        at(milliseconds, () => inside(body, resolve));
+      }),
+    };
+
+    function listening(table: Map<string, { readonly body: Body }>, address: string): Listening {
+      return {
+        stop: function stop() {
+          if (table.get(address)?.body === body) table.delete(address);
+          return Promise.resolve();
+        },
+      };
+    }
+
+    const stored: Option.Option<Disk> = disk === undefined ? Option.none : Option.some({
+      load: () => Promise.resolve(new Map([...disk.entries].map(([key, value]) => [key, JSON.parse(value) as unknown]))),
+      put: (key: string, value: unknown) => new Promise<Either.Either<Fault, null>>((resolve) => {
+        const text = JSON.stringify(value);
+        at(0.5 + random() * 2 + disk.trouble.slowMilliseconds, () => {
+          if (!body.alive) return;
+          if (disk.trouble.failing) {
+            inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error('the disk is set to fail')))));
+            return;
+          }
+          disk.entries.set(key, text);
+          inside(body, () => resolve(Either.right(null)));
+        });
+      }),
+    });
+
+    return {
+      clock,
+      disk: stored,
+      randomness: {
+        fraction: random,
+        token: function token() {
+          tokens += 1;
+          return `${tokens.toString(36)}-${Math.floor(random() * 1e9).toString(36)}`;
+        },
+      },
+      network: {
+        listen: function listen(address, greet) {
+          listeners.set(address, { body, greet });
+          return Promise.resolve(listening(listeners, address));
+        },
+        open: (address) => openLink(body, address),
+        serve: function serve(address, server) {
+          servers.set(address, { body, server });
+          return Promise.resolve(listening(servers, address));
+        },
+        connect: (address) => connect(body, address),
+      },
+      log: function log(event, fields = {}) {
+        if (body.alive) logs.push({ at: now, process: body.name, event, fields });
+      },
+      services: kernels.directory(),
+      stop: function stop(reason) {
+        body.stoppedBy = Option.some(reason);
+        die(body);
+      },
+    };
+  }
+
+  const bodies = new Map<Process, Body>();
+
+  function die(body: Body): void {
+    if (!body.alive) return;
+    body.alive = false;
+    for (const close of body.closers) close();
+    body.closers.clear();
+  }
+
+  function spawn(name: string, machine: string, disk?: SimulatedDisk): Process {
+    const body: Body = { name, machine, alive: true, frozenUntil: 0, stoppedBy: Option.none, closers: new Set() };
+    const process: Process = { name, machine, kernel: kernelOf(body, disk), alive: () => body.alive, stoppedBy: () => body.stoppedBy };
+    bodies.set(process, body);
+    return process;
+  }
+
+  function healWay(way: string): void {
+    const held = cuts.get(way);
+    cuts.delete(way);
+    for (const arrive of held ?? []) arrive();
+  }
+
+  async function run(milliseconds: number): Promise<void> {
+    const until = now + milliseconds;
+    await settleTasks();
+    for (let next = events.peek(); next !== undefined && next.at <= until; next = events.peek()) {
+      events.pop();
+      now = Math.max(now, next.at);
+      next.action();
+      count += 1;
+      await settleTasks();
+    }
+    now = until;
+  }
+
+  return {
+    now: () => now,
+    fraction: random,
+    spawn,
+    kill: (process) => die(bodies.get(process) as Body),
+    freeze: function freeze(process, milliseconds) {
+      const body = bodies.get(process) as Body;
+      body.frozenUntil = Math.max(body.frozenUntil, now + milliseconds);
+    },
+    frozen: (process) => (bodies.get(process) as Body).frozenUntil > now,
+    cut: function cut(from, to) {
+      const way = `${from}>${to}`;
+      if (!cuts.has(way)) cuts.set(way, []);
+    },
+    heal: (from, to) => healWay(`${from}>${to}`),
+    healAll: function healAll() {
+      for (const way of [...cuts.keys()]) healWay(way);
+    },
+    disk: () => ({ entries: new Map(), trouble: { failing: false, slowMilliseconds: 0 } }),
+    run,
+    at,
+    logs,
+    events: () => count,
+  };
+}
+
+export const world = { create } as const;
--- /dev/null
+++ b/packages/stand-in/src/sender.ts
@@ -0,0 +1,195 @@
+// Senders and the ledger they keep; the checkers read the ledger (design 10.3).
+import * as Either from 'fp-ts/lib/Either.js';
+import { identifiers, type HttpConnection, type HttpReply, type Kernel } from '@stallstall/kernel';
+import type { Deployment } from './deployment.js';
+
+export type WriteRecord = Readonly<{ name: string; session: number; sessionName: string; service: string; sequence: number; startedAt: number; endedAt: number; fate: 'kept' | 'nothing-kept' | 'unknown'; reason: string }>;
+export type ReadRecord = Readonly<{ service: string; kind: string; session: number; sessionName: string; startedAt: number; endedAt: number; sequence: number; ok: boolean; reason: string }>;
+
+export type Ledger = {
+  readonly writes: WriteRecord[];
+  readonly reads: ReadRecord[];
+  crossed: number;
+  /** Errors by name, for reports. */
+  readonly reasons: Map<string, number>;
+  /** Served and denied by second, for the checks on recovery. */
+  readonly bySecond: Map<number, { served: number; denied: number; asked: number }>;
+  readonly usageBySecond: Map<string, number>;
+  longestDenial: number;
+};
+
+export type SenderSettings = Readonly<{
+  deployment: Deployment;
+  edges: () => readonly string[];
+  key: string;
+  sessions: number;
+  requestsPerSecond: number;
+  horizonMilliseconds: number;
+  /** Told apart from other senders that write to the same services. */
+  tag: string;
+}>;
+
+const windowMilliseconds = 5_000;
+/** Definite: the system promises that nothing was kept. Everything else may have happened. */
+const definite = new Set([
+  'bad-request', 'not-found', 'key-denied', 'read-only', 'no-target', 'stale-configuration', 'draining', 'overloaded', 'given-up',
+  'transaction-ended', 'session-lost', 'statement-denied', 'unreachable',
+]);
+
+function emptyLedger(): Ledger {
+  return { writes: [], reads: [], crossed: 0, reasons: new Map(), bySecond: new Map(), usageBySecond: new Map(), longestDenial: 0 };
+}
+
+function reasonOf(reply: Either.Either<unknown, HttpReply>): string {
+  if (Either.isLeft(reply)) return (reply.left as Error).name;
+  if (reply.right.status < 300) return 'served';
+  return String((reply.right.body as { error?: unknown } | null)?.error ?? reply.right.status);
+}
+
+/** Each session is one task that asks, waits for the reply, and pauses, so that the whole gives the deployment's rate. */
+function start(kernel: Kernel, settings: SenderSettings, ledger: Ledger): Readonly<{ stop: () => void }> {
+  const sequences = new Map<string, number>();
+  let stopped = false;
+
+  function note(startedAt: number, reason: string, service: string): void {
+    const now = kernel.clock.now();
+    const second = Math.floor(now / 1_000);
+    const slot = ledger.bySecond.get(second) ?? { served: 0, denied: 0, asked: 0 };
+    ledger.bySecond.set(second, slot);
+    slot.asked += 1;
+    if (reason === 'served') {
+      slot.served += 1;
+      const window = `${Math.floor(kernel.clock.wall() / windowMilliseconds)}|${service}`;
+      ledger.usageBySecond.set(window, (ledger.usageBySecond.get(window) ?? 0) + 1);
+    } else {
+      slot.denied += 1;
+      ledger.longestDenial = Math.max(ledger.longestDenial, now - startedAt);
+    }
+    ledger.reasons.set(reason, (ledger.reasons.get(reason) ?? 0) + 1);
+  }
+
+  function nextSequence(service: string): number {
+    const next = (sequences.get(service) ?? 0) + 1;
+    sequences.set(service, next);
+    return next;
+  }
+
+  async function session(index: number): Promise<void> {
+    const service = settings.deployment.services[index % settings.deployment.services.length] as string;
+    const period = (settings.sessions / settings.requestsPerSecond) * 1_000;
+    let connection: HttpConnection | undefined;
+    let edge = '';
+    let name = '';
+    let marks = 0;
+
+    async function exchange(method: string, path: string, body: unknown): Promise<Either.Either<unknown, HttpReply>> {
+      const reply = await (connection as HttpConnection).exchange({
+        method, path, body,
+        headers: { 'x-stallstall-key': settings.key, ...(name === '' || path.endsWith('/sessions') ? {} : { 'x-stallstall-session': name }) },
+      }, settings.horizonMilliseconds + 3_000);
+      return reply;
+    }
+
+    async function openSession(): Promise<boolean> {
+      const edges = settings.edges();
+      connection?.close();
+      edge = edges[Math.floor(kernel.randomness.fraction() * edges.length)] ?? '';
+      if (edge === '') return false;
+      connection = kernel.network.connect(identifiers.address(edge));
+      name = '';
+      const startedAt = kernel.clock.now();
+      const reply = await exchange('POST', `/v1/services/${service}/sessions`, {});
+      if (Either.isLeft(reply) || reply.right.status !== 201) {
+        note(startedAt, `session:${reasonOf(reply)}`, service);
+        return false;
+      }
+      name = String((reply.right.body as { session: unknown }).session);
+      await exchange('PUT', `/v1/sessions/${name}/values/owner`, { value: `${settings.tag}-${index}` });
+      return true;
+    }
+
+    function lost(reason: string): boolean {
+      return reason === 'session-lost' || reason === 'unreachable' || reason === 'reply-lost' || reason === 'draining' || reason === 'stale-configuration';
+    }
+
+    async function statement(kind: string, statements: readonly unknown[], transaction: string): Promise<Either.Either<unknown, HttpReply>> {
+      return exchange('POST', `/v1/services/${service}/statements`, { kind, statements, transaction, horizonMilliseconds: settings.horizonMilliseconds });
+    }
+
+    async function write(transaction: boolean): Promise<string> {
+      const sequence = nextSequence(service);
+      const startedAt = kernel.clock.now();
+      const record = `${settings.tag}/${service}/${sequence}`;
+      const puts = [{ text: 'put', parameters: [record, sequence] }, { text: 'put', parameters: [`${settings.tag}/${service}/session-${index}`, sequence] }, { text: 'value owner' }];
+      let reply: Either.Either<unknown, HttpReply>;
+      if (transaction) {
+        reply = await statement('write', puts.slice(0, 2), 'begin');
+        if (reasonOf(reply) === 'served') reply = await statement('write', puts.slice(2), 'commit');
+        else if (Either.isLeft(reply)) {
+          // Begun, its fate unknown, but never committed: nothing may be kept of it.
+          ledger.writes.push({ name: record, session: index, sessionName: name, service, sequence, startedAt, endedAt: kernel.clock.now(), fate: 'nothing-kept', reason: 'begin lost' });
+          note(startedAt, reasonOf(reply), service);
+          return reasonOf(reply);
+        }
+      } else reply = await statement('write', puts, 'none');
+      const reason = reasonOf(reply);
+      const fate = reason === 'served' ? 'kept' : definite.has(reason) ? 'nothing-kept' : 'unknown';
+      ledger.writes.push({ name: record, session: index, sessionName: name, service, sequence, startedAt, endedAt: kernel.clock.now(), fate, reason });
+      if (fate === 'kept') {
+        const results = ((reply as Either.Right<HttpReply>).right.body as { results: readonly unknown[] }).results;
+        if (results.at(-1) !== `${settings.tag}-${index}`) ledger.crossed += 1;
+      }
+      note(startedAt, reason, service);
+      return reason;
+    }
+
+    /** Reads the latest of its own writes, and a shared mark that all sessions of the service move on. */
+    async function read(kind: string): Promise<string> {
+      const startedAt = kernel.clock.now();
+      const reply = await statement(kind, [{ text: 'get', parameters: [`${settings.tag}/${service}/session-${index}`] }, { text: 'value owner' }], 'none');
+      const reason = reasonOf(reply);
+      let sequence = -1;
+      if (reason === 'served') {
+        const results = ((reply as Either.Right<HttpReply>).right.body as { results: readonly unknown[] }).results;
+        sequence = typeof results[0] === 'number' ? results[0] : 0;
+        if (results[1] !== `${settings.tag}-${index}`) ledger.crossed += 1;
+      }
+      ledger.reads.push({ service, kind, session: index, sessionName: name, startedAt, endedAt: kernel.clock.now(), sequence, ok: reason === 'served', reason });
+      note(startedAt, reason, service);
+      return reason;
+    }
+
+    await kernel.clock.sleep(kernel.randomness.fraction() * period);
+    while (!stopped) {
+      if (name === '') {
+        if (!(await openSession())) {
+          await kernel.clock.sleep(500 + 500 * kernel.randomness.fraction());
+          continue;
+        }
+      }
+      const draw = kernel.randomness.fraction();
+      let sum = 0;
+      const kind = settings.deployment.mix.find((one) => {
+        sum += one.share;
+        return draw < sum;
+      }) ?? settings.deployment.mix[0];
+      const startedAt = kernel.clock.now();
+      marks += 1;
+      const reason = kind?.kind === 'write' ? await write(kind.transaction) : await read(marks % 10 === 0 ? 'leader-read' : (kind?.kind ?? 'bounded-read'));
+      if (lost(reason)) name = '';
+      const spent = kernel.clock.now() - startedAt;
+      const pause = reason === 'served' ? period - spent : Math.max(period - spent, 700 + 600 * kernel.randomness.fraction());
+      await kernel.clock.sleep(Math.max(1, pause));
+    }
+    (connection as HttpConnection | undefined)?.close();
+  }
+
+  for (let index = 0; index < settings.sessions; index += 1) void session(index);
+  return {
+    stop: function stop() {
+      stopped = true;
+    },
+  };
+}
+
+export const sender = { start, emptyLedger } as const;
