--- /dev/null
+++ b/packages/stories/src/steps.ts
@@ -0,0 +1,290 @@
+// The steps of the stories: given-when-then over an in-memory fleet; virtual time alone passes.
+import assert from 'node:assert/strict';
+import { Given, Then, When, setDefaultTimeout, setWorldConstructor } from '@cucumber/cucumber';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, type HttpReply } from '@stallstall/kernel';
+import { checks, fleet as fleets, type CoreSlot, type EdgeSlot, type Fleet, type FleetOptions, type MemberSlot, type Process } from '@stallstall/simulator';
+import { brightpath, redComun } from '@stallstall/stand-in';
+
+type Story = {
+  fleet: Fleet;
+  replies: HttpReply[];
+  session: string;
+  edge: EdgeSlot;
+  before: Readonly<{ member: string; epoch: number }>;
+  process: Process | undefined;
+};
+
+function Story(this: Partial<Story>): void {
+  this.replies = [];
+}
+
+setWorldConstructor(Story as never);
+setDefaultTimeout(120_000);
+
+function edgeOf(story: Story, name: string): EdgeSlot {
+  return story.fleet.edges.find((slot) => slot.name === name) as EdgeSlot;
+}
+
+function coreOf(story: Story, name: string): CoreSlot {
+  return story.fleet.cores.find((slot) => slot.name === name) as CoreSlot;
+}
+
+async function bringUp(deployment: string, options: FleetOptions = {}): Promise<Fleet> {
+  const fleet = fleets.create(7, deployment === 'Brightpath' ? brightpath : redComun, options);
+  await fleet.startAll();
+  assert.ok(await fleet.until(() => fleet.cores.every((slot) => slot.running?.node.membership().value.seats.length === 9), 10_000), 'the fleet did not form');
+  assert.equal((await fleet.operate('PUT', '/v1/sheet', { sheet: fleet.sheet(), sentBy: 'story' })).status, 200);
+  assert.ok(await fleet.until(() => fleet.deployment.services.every((service) => fleet.primaryOf(service) !== undefined), 20_000), 'no primaries were elected');
+  await fleet.world.run(4_000);
+  return fleet;
+}
+
+function errorOf(reply: HttpReply): string {
+  return String((reply.body as { error?: unknown } | null)?.error ?? 'served');
+}
+
+function statement(kind: string, text: string): Readonly<Record<string, unknown>> {
+  return { kind, statements: [{ text }] };
+}
+
+function within(reply: HttpReply, kinds: readonly string[]): void {
+  assert.ok(kinds.includes(errorOf(reply)), `${reply.status} ${JSON.stringify(reply.body)} is none of ${kinds.join(', ')}`);
+}
+
+function kindsOf(first: string, second?: string): readonly string[] {
+  return second === undefined ? [first] : [first, second];
+}
+
+function primary(story: Story, service: string): MemberSlot {
+  return story.fleet.primaryOf(service) as MemberSlot;
+}
+
+Given('a fleet of {word} with its sheet obeyed and its primaries elected', async function given(this: Story, deployment: string) {
+  this.fleet = await bringUp(deployment);
+});
+
+Given('a fleet of Red Común with its sheet obeyed and its primaries elected', async function given(this: Story) {
+  this.fleet = await bringUp('Red Común');
+});
+
+Given('replicas that lag by {int} ms', async function given(this: Story, milliseconds: number) {
+  this.fleet = await bringUp(this.fleet.deployment === brightpath ? 'Brightpath' : 'Red Común', { replicateMilliseconds: milliseconds, synchronous: 0 });
+});
+
+Given('a session on {string} through {word} with an open transaction that put {string} as {int}', async function given(this: Story, service: string, edge: string, name: string, value: number) {
+  this.edge = edgeOf(this, edge);
+  const opened = await this.fleet.ask(this.edge, 'POST', `/v1/services/${service}/sessions`, {});
+  assert.equal(opened.status, 201);
+  this.session = (opened.body as { session: string }).session;
+  const begun = await this.fleet.ask(this.edge, 'POST', `/v1/services/${service}/statements`, { ...statement('write', `put ${name} ${value}`), transaction: 'begin' }, { 'x-stallstall-session': this.session });
+  assert.equal(begun.status, 200, JSON.stringify(begun.body));
+});
+
+When('a sender puts {string} as {int} in {string} through {word}', async function when(this: Story, name: string, value: number, service: string, edge: string) {
+  const reply = await this.fleet.ask(edgeOf(this, edge), 'POST', `/v1/services/${service}/statements`, { kind: 'write', statements: [{ text: 'put', parameters: [name, value] }] });
+  assert.equal(reply.status, 200, JSON.stringify(reply.body));
+});
+
+When('a session on {string} through {word} puts {string} as {int}', async function when(this: Story, service: string, edge: string, name: string, value: number) {
+  this.edge = edgeOf(this, edge);
+  const opened = await this.fleet.ask(this.edge, 'POST', `/v1/services/${service}/sessions`, {});
+  this.session = (opened.body as { session: string }).session;
+  const reply = await this.fleet.ask(this.edge, 'POST', `/v1/services/${service}/statements`, { kind: 'write', statements: [{ text: 'put', parameters: [name, value] }] }, { 'x-stallstall-session': this.session });
+  assert.equal(reply.status, 200, JSON.stringify(reply.body));
+});
+
+When('the primary of {string} is killed', async function when(this: Story, service: string) {
+  const slot = primary(this, service);
+  this.before = { member: slot.place.member, epoch: this.fleet.platformStore.leaders.get(service)?.epoch ?? 0 };
+  this.fleet.stopSlot(slot);
+});
+
+When('its senders work for {int} s', async function when(this: Story, seconds: number) {
+  const senders = this.fleet.startSenders();
+  await this.fleet.world.run(seconds * 1_000);
+  senders.stop();
+  await this.fleet.world.run(3_000);
+});
+
+When('{int} s pass', async function when(this: Story, seconds: number) {
+  await this.fleet.world.run(seconds * 1_000);
+});
+
+When('{word} is cut off from the other nodes', async function when(this: Story, edge: string) {
+  const machine = edgeOf(this, edge).machine;
+  for (const other of [...this.fleet.cores, ...this.fleet.edges]) {
+    if (other.machine === machine) continue;
+    this.fleet.world.cut(machine, other.machine);
+    this.fleet.world.cut(other.machine, machine);
+  }
+});
+
+When('{word} comes back with an empty disk', async function when(this: Story, core: string) {
+  const slot = coreOf(this, core);
+  this.fleet.stopSlot(slot);
+  slot.disk = this.fleet.world.disk();
+  await this.fleet.startCore(slot);
+});
+
+When('core-{int} is killed', async function when(this: Story, index: number) {
+  this.fleet.stopSlot(coreOf(this, `core-${index}`));
+});
+
+When('a second agent starts as {word}', async function when(this: Story, edge: string) {
+  this.edge = edgeOf(this, edge);
+  this.process = this.edge.agent.process;
+  await this.fleet.startAgent(this.edge);
+});
+
+When('an operator drains {word}', async function when(this: Story, edge: string) {
+  assert.equal((await this.fleet.operate('POST', `/v1/nodes/${edge}/drain`, {})).status, 200);
+});
+
+When('the agent of {word} is killed', async function when(this: Story, edge: string) {
+  this.fleet.stopSlot(edgeOf(this, edge).agent);
+});
+
+When('an operator sends a sheet with an unknown service in a row and a weight for a stranger', async function when(this: Story) {
+  const sheet = this.fleet.sheet() as { rows: Array<{ service: string; weights: Record<string, number> }> };
+  (sheet.rows[0] as { service: string }).service = 'nowhere';
+  (sheet.rows[4] as { weights: Record<string, number> }).weights['stranger'] = 2;
+  this.replies = [await this.fleet.operate('PUT', '/v1/sheet', { sheet })];
+});
+
+When('two operators send sheets through different cores at once', async function when(this: Story) {
+  const sends = [this.fleet.send(this.fleet.sheet(), 0), this.fleet.send(this.fleet.sheet(), 1)];
+  await this.fleet.world.run(5_000);
+  this.replies = await Promise.all(sends);
+});
+
+When('an operator sends a sheet for version {int}', async function when(this: Story, version: number) {
+  this.replies = [await this.fleet.operate('PUT', '/v1/sheet', { sheet: this.fleet.sheet() }, { 'if-match': String(version) })];
+});
+
+When("an operator withdraws the senders' key", async function when(this: Story) {
+  const sheet = this.fleet.sheet();
+  sheet['keys'] = [];
+  assert.equal((await this.fleet.operate('PUT', '/v1/sheet', { sheet })).status, 200);
+});
+
+When('an operator marks the primary of {string} draining', async function when(this: Story, service: string) {
+  const slot = primary(this, service);
+  this.before = { member: slot.place.member, epoch: this.fleet.platformStore.leaders.get(service)?.epoch ?? 0 };
+  const sheet = this.fleet.sheet() as { services: Array<{ members: Array<{ member: string; state: string }> }> };
+  for (const one of sheet.services) for (const member of one.members) if (member.member === slot.place.member) member.state = 'draining';
+  assert.equal((await this.fleet.operate('PUT', '/v1/sheet', { sheet })).status, 200);
+});
+
+Then('the membership table names {int} cores and {int} edges', async function then(this: Story, cores: number, edges: number) {
+  const nodes = ((await this.fleet.operate('GET', '/v1/fleet')).body as { nodes: ReadonlyArray<{ role: string }> }).nodes;
+  assert.equal(nodes.filter((node) => node.role === 'core').length, cores);
+  assert.equal(nodes.filter((node) => node.role === 'edge').length, edges);
+});
+
+async function readGives(story: Story, kind: string, name: string, service: string, edge: EdgeSlot, value: number, headers: Readonly<Record<string, string>> = {}): Promise<void> {
+  const reply = await story.fleet.ask(edge, 'POST', `/v1/services/${service}/statements`, statement(kind, `get ${name}`), headers);
+  assert.equal(reply.status, 200, JSON.stringify(reply.body));
+  assert.deepEqual((reply.body as { results: unknown }).results, [value]);
+}
+
+Then('a {word} of {string} in {string} through {word} gives {int}', async function then(this: Story, kind: string, name: string, service: string, edge: string, value: number) {
+  await readGives(this, kind, name, service, edgeOf(this, edge), value);
+});
+
+Then('after {int} s a {word} of {string} in {string} through {word} gives {int}', async function then(this: Story, seconds: number, kind: string, name: string, service: string, edge: string, value: number) {
+  await this.fleet.world.run(seconds * 1_000);
+  await readGives(this, kind, name, service, edgeOf(this, edge), value);
+});
+
+Then('its own-read of {string} gives {int} at once', async function then(this: Story, name: string, value: number) {
+  for (let shot = 0; shot < 12; shot += 1) await readGives(this, 'own-read', name, 'seats', this.edge, value, { 'x-stallstall-session': this.session });
+});
+
+Then('within {int} s another member of {string} is elected at a later epoch', async function then(this: Story, seconds: number, service: string) {
+  function settled(story: Story): boolean {
+    return story.fleet.edges.every((slot) => {
+      const current = slot.agent.running?.node.settled(service) ?? Option.none;
+      return Option.isSome(current) && current.value.epoch > story.before.epoch && current.value.primary !== story.before.member;
+    });
+  }
+  assert.ok(await this.fleet.until(() => settled(this), seconds * 1_000), 'no other member was elected in time');
+  await this.fleet.world.run(1_000);
+});
+
+Then('at least {int} statements were served and none was denied', function then(this: Story, least: number) {
+  assert.ok((this.fleet.ledger.reasons.get('served') ?? 0) >= least, JSON.stringify(Object.fromEntries(this.fleet.ledger.reasons)));
+  assert.deepEqual([...this.fleet.ledger.reasons.keys()], ['served']);
+  assert.deepEqual(checks.reads(this.fleet.ledger), []);
+  assert.deepEqual(checks.writes(this.fleet.ledger, checks.logsOf(this.fleet)), []);
+});
+
+Then('no member held more connections than its limit', function then(this: Story) {
+  const peaks = new Map(this.fleet.members.map((slot) => [slot.place.member, slot.running?.peakConnections() ?? 0]));
+  assert.deepEqual(checks.limits(this.fleet, peaks), []);
+  assert.ok(Math.max(...peaks.values()) > 9, 'no connection was used at all');
+});
+
+Then('it is denied as {string} with {int} faults that name row, column and remedy', function then(this: Story, kind: string, count: number) {
+  const reply = this.replies[0] as HttpReply;
+  within(reply, [kind]);
+  const told = (reply.body as { details?: unknown }).details;
+  const faults = Array.isArray(told) ? (told as ReadonlyArray<Record<string, string>>) : [];
+  assert.equal(faults.length, count);
+  for (const one of faults) assert.ok(one['row'] && one['column'] && one['message'] && one['remedy']);
+});
+
+Then('the current version is {int}', async function then(this: Story, version: number) {
+  const reply = await this.fleet.operate('GET', '/v1/sheet');
+  assert.equal(reply.status, 200, JSON.stringify(reply.body));
+  assert.equal((reply.body as { version: number }).version, version);
+});
+
+Then('both are acknowledged with different versions', function then(this: Story) {
+  const versions = this.replies.map((reply) => (reply.body as { version: number }).version);
+  assert.deepEqual(this.replies.map((reply) => reply.status), [200, 200]);
+  assert.equal(new Set(versions).size, 2);
+});
+
+Then('both can be read back by number', async function then(this: Story) {
+  for (const reply of this.replies) {
+    const version = (reply.body as { version: number }).version;
+    assert.equal((await this.fleet.operate('GET', `/v1/sheet?version=${version}`)).status, 200);
+  }
+});
+
+Then('within {int} s the session is denied as {string} or {string}', async function then(this: Story, seconds: number, first: string, second: string) {
+  await this.fleet.world.run(seconds * 1_000);
+  const reply = await this.fleet.ask(this.edge, 'POST', '/v1/services/bookings/statements', { kind: 'write', statements: [], transaction: 'commit' }, { 'x-stallstall-session': this.session });
+  within(reply, [first, second]);
+});
+
+Then('{string} is not kept in {string}', function then(this: Story, name: string, service: string) {
+  assert.equal(checks.logsOf(this.fleet).get(service)?.get(name), undefined);
+});
+
+async function write(story: Story, service: string, edge: string): Promise<HttpReply> {
+  return story.fleet.ask(edgeOf(story, edge), 'POST', `/v1/services/${service}/statements`, statement('write', 'put tried 1'));
+}
+
+Then('a write to {string} through {word} is denied as {string} or {string}', async function then(this: Story, service: string, edge: string, first: string, second: string) {
+  within(await write(this, service, edge), kindsOf(first, second));
+});
+
+Then('a write to {string} through {word} is denied as {string}', async function then(this: Story, service: string, edge: string, kind: string) {
+  within(await write(this, service, edge), kindsOf(kind));
+});
+
+Then('a write to {string} through {word} is served', async function then(this: Story, service: string, edge: string) {
+  within(await write(this, service, edge), ['served']);
+});
+
+Then('the first agent of {word} has stopped as {string}', function then(this: Story, _edge: string, kind: string) {
+  assert.equal(this.process?.alive(), false);
+  const reason = this.process?.stoppedBy() ?? Option.none;
+  assert.ok(Option.isSome(reason) && fault.kind(reason.value) === kind);
+});
+
+Then('{word} is not ready', async function then(this: Story, edge: string) {
+  assert.equal((await this.fleet.ask(edgeOf(this, edge), 'GET', '/ready')).status, 503);
+});
