--- a/packages/core/src/operators.ts
+++ b/packages/core/src/operators.ts
@@ -61,7 +61,7 @@
   function facts(sheet: Sheet | undefined, service: string): string {
     return JSON.stringify([
       sheet?.services.filter((one) => one.service === service) ?? [], sheet?.rows.filter((one) => one.service === service) ?? [],
-      sheet?.keys.filter((one) => one.services.includes(service)) ?? [],
+      sheet?.keys.filter((one) => one.services.includes(service)) ?? [], sheet?.mappings.filter((one) => one.service === service) ?? [],
     ]);
   }
   const names = new Set([...(before?.services ?? []), ...after.services].map((one) => one.service));
--- a/packages/operator/src/commands.ts
+++ b/packages/operator/src/commands.ts
@@ -1,3 +1,4 @@
+import { MappingsImport } from './mappings.js';
 import { RunAgent, RunCore, RunProxy } from './daemons.js';
 import {
   Audit, Drain, Elections, Health, Members, Metrics, OperatorPut, OperatorRemove, Operators, Remove, Retire, SheetCheck, SheetDiff, SheetGet, SheetSend,
@@ -23,6 +24,7 @@
   'sheet:get': SheetGet,
   'sheet:diff': SheetDiff,
   'sheet:versions': SheetVersions,
+  'mappings:import': MappingsImport,
   drain: Drain,
   remove: Remove,
   retire: Retire,
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -187,6 +187,18 @@
     return http.replied(outcome);
   }
 
+  /** A statement that the sheet names: the sender gives its parameters alone (design 8.7). */
+  async function mapped(request: HttpRequest): Promise<HttpReply> {
+    const named = request.query['mapping'] ?? '';
+    const mapping = Option.isSome(known.sheet) ? sheets.mapping(known.sheet.value, named) : undefined;
+    if (mapping === undefined) return http.denied(fault.create({ kind: 'not-found', message: `no sheet names a mapping ${named}`, remedy: 'check the name' }));
+    const { parameters, ...rest } = (typeof request.body === 'object' && request.body !== null ? request.body : {}) as Readonly<Record<string, unknown>>;
+    return statement({
+      ...request, query: { ...request.query, service: mapping.service },
+      body: { ...rest, kind: mapping.kind, statements: [{ text: mapping.text, ...(parameters === undefined ? {} : { parameters }) }] },
+    });
+  }
+
   async function openSession(request: HttpRequest): Promise<HttpReply> {
     const service = request.query['service'] ?? '';
     if (known.controlUntil <= kernel.clock.now()) {
@@ -227,6 +239,7 @@
 
   const routes: readonly HttpRoute[] = [
     { method: 'POST', path: '/v1/services/:service/statements', handle: statement },
+    { method: 'POST', path: '/v1/mappings/:mapping', handle: mapped },
     { method: 'POST', path: '/v1/services/:service/sessions', handle: openSession },
     { method: 'DELETE', path: '/v1/sessions/:session', handle: closeSession },
     { method: 'PUT', path: '/v1/sessions/:session/values/:name', handle: setValue },
--- a/packages/sheet/src/index.ts
+++ b/packages/sheet/src/index.ts
@@ -42,16 +42,26 @@
   kinds: z.array(z.enum(statementKinds)).min(1).default([...statementKinds]),
 });
 
+/** A named statement that senders call by its name alone (design 8.7). */
+const mappingSchema = z.strictObject({
+  mapping: name,
+  service: name,
+  kind: z.enum(statementKinds),
+  text: z.string().min(1).max(65_536),
+});
+
 const sheetSchema = z.strictObject({
   services: z.array(serviceSchema).max(500),
   rows: z.array(rowSchema).max(5_000),
   keys: z.array(keySchema).max(10_000),
+  mappings: z.array(mappingSchema).max(5_000).default([]),
 });
 
 export type Sheet = z.infer<typeof sheetSchema>;
 export type SheetService = Sheet['services'][number];
 export type SheetMember = SheetService['members'][number];
 export type SheetRow = Sheet['rows'][number];
+export type SheetMapping = Sheet['mappings'][number];
 export type SheetKey = Sheet['keys'][number];
 
 export type SheetFault = Readonly<{ row: string; column: string; message: string; remedy: string }>;
@@ -125,6 +135,12 @@
       if (!services.has(named)) add(`keys[${index}]`, 'services', `there is no service ${named}`, 'add it under services, or mend the name');
     }
   }
+  for (const twice of repeated(sheet.mappings.map((mapping) => mapping.mapping))) {
+    add('mappings', 'mapping', `${twice} stands twice`, 'give every mapping a name of its own');
+  }
+  for (const [index, mapping] of sheet.mappings.entries()) {
+    if (!services.has(mapping.service)) add(`mappings[${index}]`, 'service', `there is no service ${mapping.service}`, 'add it under services, or mend the name');
+  }
   return faults;
 }
 
@@ -163,6 +179,10 @@
   return sheet.rows.find((candidate) => candidate.service === named && candidate.area === area);
 }
 
+function mapping(sheet: Sheet, named: string): SheetMapping | undefined {
+  return sheet.mappings.find((candidate) => candidate.mapping === named);
+}
+
 function allows(sheet: Sheet, key: string, named: string, kind: StatementKind): boolean {
   return sheet.keys.some((candidate) => candidate.key === key && candidate.services.includes(named) && candidate.kinds.includes(kind));
 }
@@ -172,4 +192,4 @@
   return edges === 0 ? 0 : Math.max(0, Math.floor((limit - nodes) / edges));
 }
 
-export const sheets = { check, service, member, row, allows, share } as const;
+export const sheets = { check, service, member, row, mapping, allows, share } as const;
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -44,6 +44,8 @@
   at: (milliseconds: number, action: () => void) => void;
   logs: LogLine[];
   events: () => number;
+  /** Frames and bytes that each process has sent over links between nodes. */
+  sent: ReadonlyMap<string, Readonly<{ frames: number; bytes: number }>>;
 }>;
 
 type Event = Readonly<{ at: number; order: number; action: () => void }>;
@@ -124,6 +126,7 @@
   const listeners = new Map<string, Readonly<{ body: Body; greet: (link: Link) => void }>>();
   const servers = new Map<string, Readonly<{ body: Body; server: HttpServer }>>();
   const logs: LogLine[] = [];
+  const sent = new Map<string, Readonly<{ frames: number; bytes: number }>>();
   let now = 0;
   let order = 0;
   let count = 0;
@@ -163,6 +166,14 @@
     return value === undefined ? undefined : JSON.parse(JSON.stringify(value));
   }
 
+  /** A frame as it goes over a link: counted, and copied so that nobody shares what was sent. */
+  function frame(from: Body, message: unknown): unknown {
+    const text = JSON.stringify(message);
+    const before = sent.get(from.name) ?? { frames: 0, bytes: 0 };
+    sent.set(from.name, { frames: before.frames + 1, bytes: before.bytes + text.length });
+    return JSON.parse(text);
+  }
+
   // -- Links.
 
   type End = { readonly link: Link; readonly take: (message: unknown) => void; readonly broken: () => void };
@@ -241,12 +252,12 @@
       const back = lane(listener.body, body);
       const near: End = end((message) => {
         if (!body.alive) return;
-        const copy = freezeJson(message);
+        const copy = frame(body, message);
         there(() => far.take(copy));
       }, () => hangUp(there, far));
       const far: End = end((message) => {
         if (!listener.body.alive) return;
-        const copy = freezeJson(message);
+        const copy = frame(listener.body, message);
         back(() => near.take(copy));
       }, () => hangUp(back, near));
       function hangUp(put: (action: () => void) => void, other: End): void {
@@ -513,6 +524,7 @@
     run,
     at,
     logs,
+    sent,
     events: () => count,
   };
 }
--- a/packages/stories/src/steps.ts
+++ b/packages/stories/src/steps.ts
@@ -1,11 +1,12 @@
 // The steps of the stories: given-when-then over an in-memory fleet; virtual time alone passes.
 import assert from 'node:assert/strict';
+import { fileURLToPath } from 'node:url';
 import { Given, Then, When, setDefaultTimeout, setWorldConstructor } from '@cucumber/cucumber';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, identifiers, type Fault, type HttpReply } from '@stallstall/kernel';
 import { peer } from '@stallstall/peer';
-import { coreSettings, settings } from '@stallstall/operator';
+import { coreSettings, openapi, settings } from '@stallstall/operator';
 import { sheets } from '@stallstall/sheet';
 import { checks, fleet as fleets, fuzz, type CoreSlot, type EdgeSlot, type Fleet, type FleetOptions, type MemberSlot, type Process, world as worlds, type World } from '@stallstall/simulator';
 import { liveness } from '@stallstall/elect';
@@ -21,6 +22,7 @@
   crowd: Array<Readonly<{ reply: HttpReply; after: number }>>;
   spoilt: ReadonlyArray<readonly HttpReply[]>;
   stops: string[];
+  imported: Awaited<ReturnType<typeof openapi.read>>;
   key: string;
   checked: ReadonlyArray<Either.Either<Fault, unknown>>;
   senders: Readonly<{ stop: () => void }>;
@@ -661,3 +663,25 @@
   assert.deepEqual(failed.map((one) => one.check), [check]);
   assert.ok((failed[0]?.remedy ?? '').length > 0);
 });
+
+When('an operator imports mappings from {string} and sends the sheet', async function when(this: Story, file: string) {
+  this.imported = await openapi.read(fileURLToPath(new URL(`../fixtures/${file}`, import.meta.url)));
+  const reply = await this.fleet.operate('PUT', '/v1/sheet', { sheet: { ...this.fleet.sheet(), mappings: this.imported.mappings } });
+  assert.equal(reply.status, 200, JSON.stringify(reply.body));
+  await this.fleet.world.run(500);
+});
+
+Then('the import names {string} and {string} and leaves out {string}', function then(this: Story, first: string, second: string, out: string) {
+  assert.deepEqual(this.imported.mappings.map((mapping) => mapping.mapping).sort(), [first, second].sort());
+  assert.deepEqual(this.imported.leftOut, [out]);
+});
+
+Then('a sender that calls {string} with {string} and {int} is served', async function then(this: Story, mapping: string, seat: string, value: number) {
+  within(await this.fleet.ask(edgeOf(this, 'edge-1'), 'POST', `/v1/mappings/${mapping}`, { parameters: [seat, value] }), ['served']);
+});
+
+Then('a sender that calls {string} with {string} after {int} s is given {int}', async function then(this: Story, mapping: string, seat: string, seconds: number, value: number) {
+  await this.fleet.world.run(seconds * 1_000);
+  const reply = await this.fleet.ask(edgeOf(this, 'edge-2'), 'POST', `/v1/mappings/${mapping}`, { parameters: [seat] });
+  assert.deepEqual((reply.body as { results: unknown }).results, [value]);
+});
