A restarted agent takes nothing back; clocks of their own in the simulator

Cause: a restarted agent told its proxy what it knew, which was nothing: no terms, epoch 0, members unheard, no share. The proxy believed it, so writes in flight ended as outcome-unknown and others were denied for two seconds. Story 'A planned restart of an agent' failed before with outcome-unknown, read-only and no-target, and now every statement is served.

Ruled out: shortening the agent's start, which would only have narrowed the gap.

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -93,9 +93,11 @@
     const mayGrow = now - layoutSince >= termMilliseconds + marginMilliseconds && node.controlUntil() > now;
     for (const service of configuration.value.value.sheet.services) {
       const share = listed ? sheets.share(service.connectionLimit, table.seats.length, edges) : 0;
-      const current = caps.get(service.service) ?? 0;
+      // What a proxy holds already, its agent's predecessor had told the others: a restarted agent takes it over.
+      const current = Math.max(caps.get(service.service) ?? 0, Math.min(share, proxyOpen[service.service] ?? 0));
       if (share <= current) caps.set(service.service, share);
-      else if (mayGrow) {
+      else caps.set(service.service, current);
+      if (share > current && mayGrow) {
         const others = node.capsOfOthers().reduce((sum, told) => sum + (Option.isSome(told) ? (told.value[service.service] ?? 0) : share), 0);
         caps.set(service.service, Math.max(current, Math.min(share, service.connectionLimit - table.seats.length - others)));
       }
@@ -135,7 +137,7 @@
     const fresh = freshAt(service, epoch, applied);
     return {
       member,
-      alive: members.alive(member),
+      alive: !members.down(member),
       freshAgo: Option.isSome(fresh) ? kernel.clock.now() - fresh.value : -1,
       applied,
       follows: Option.isSome(state) ? state.value.epoch : 0,
--- a/packages/elect/src/liveness.ts
+++ b/packages/elect/src/liveness.ts
@@ -23,6 +23,8 @@
 export type Liveness = Readonly<{
   beat: (state: MemberState) => void;
   alive: (member: string) => boolean;
+  /** Silent for so long as to be DOWN; a process that has only begun to listen flags nobody yet. */
+  down: (member: string) => boolean;
   lastHeard: (member: string) => Option.Option<Instant>;
   state: (member: string) => Option.Option<MemberState>;
   /** Asks a member for its STATE over the one probe connection this node keeps to it. */
@@ -34,6 +36,7 @@
 type Probe = Readonly<{ address: string; connection: HttpConnection }>;
 
 function create(kernel: Kernel): Liveness {
+  const listeningSince = kernel.clock.now();
   const heardAt = new Map<string, Instant>();
   const states = new Map<string, MemberState>();
   const probes = new Map<string, Probe>();
@@ -49,6 +52,10 @@
     return heard !== undefined && kernel.clock.now() - heard < downAfterMilliseconds;
   }
 
+  function down(member: string): boolean {
+    return kernel.clock.now() - (heardAt.get(member) ?? listeningSince) >= downAfterMilliseconds;
+  }
+
   function connectionTo(member: string, address: string): HttpConnection {
     const held = probes.get(member);
     if (held !== undefined && held.address === address && !held.connection.closed()) return held.connection;
@@ -93,6 +100,7 @@
   return {
     beat,
     alive,
+    down,
     probe,
     keepOnly,
     lastHeard: function lastHeard(member) {
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -4,7 +4,7 @@
 import {
   fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpRequest, type HttpRoute, type Instant, type Kernel,
 } from '@stallstall/kernel';
-import { message, type Reply } from '@stallstall/message';
+import { message, type Reply, type ServiceFeed } from '@stallstall/message';
 import { peer } from '@stallstall/peer';
 import { sheets, statementKinds, type Sheet } from '@stallstall/sheet';
 import { verdicts, type KnownService } from '@stallstall/verdict';
@@ -49,6 +49,7 @@
 async function start(kernel: Kernel, settings: ProxySettings): Promise<Proxy> {
   let known: Known = { sheet: Option.none, version: 0, area: '', table: new Map(), controlUntil: never, fences: new Map(), draining: false };
   let feed: Option.Option<Reply<'feed'>> = Option.none;
+  let services: readonly KnownService[] = [];
   let drainingSince: Option.Option<Instant> = Option.none;
   let stopping = false;
   let stopped = false;
@@ -60,24 +61,45 @@
 
   // -- Fed by the agent: remaining terms are counted from this process's own send time (design 7.3).
 
-  function takeFeed(reply: Reply<'feed'>, sentAt: Instant): void {
-    const taken: Option.Option<Sheet> = reply.configuration === null ? known.sheet : Option.some(reply.configuration.sheet as Sheet);
-    const changed = reply.configurationVersion !== known.version;
-    if (changed && reply.configuration === null) return;
-    const services: readonly KnownService[] = reply.services.map((service) => ({
-      service: service.service, epoch: service.epoch, primary: service.primary, overdue: isOverdue(taken, service.primary),
-      targets: service.targets.map((target) => ({
+  function later(left: Instant, right: Instant): Instant {
+    return left > right ? left : right;
+  }
+
+  /** A term that was told stays true to its end, also when a restarted agent knows of none yet (design 3.4). */
+  function fenceOf(service: KnownService, reply: Reply<'feed'>, sentAt: Instant): Readonly<{ epoch: number; until: Instant }> {
+    const before = known.fences.get(service.service);
+    const told = reply.services.find((one) => one.service === service.service && one.epoch === service.epoch);
+    return {
+      epoch: service.epoch,
+      until: later(before?.epoch === service.epoch ? before.until : never, told === undefined ? never : identifiers.after(sentAt, told.fence)),
+    };
+  }
+
+  function serviceOf(told: ServiceFeed, sheet: Option.Option<Sheet>, sentAt: Instant): KnownService {
+    const before = services.find((one) => one.service === told.service);
+    if (before !== undefined && before.epoch > told.epoch) return before;
+    return {
+      service: told.service, epoch: told.epoch, primary: told.primary, overdue: isOverdue(sheet, told.primary),
+      targets: told.targets.map((target) => ({
         member: target.member, alive: target.alive, applied: target.applied, follows: target.follows,
         freshAt: target.freshAgo < 0 ? never : identifiers.after(sentAt, -target.freshAgo),
       })),
-    }));
+    };
+  }
+
+  function takeFeed(reply: Reply<'feed'>, sentAt: Instant): void {
+    const taken: Option.Option<Sheet> = reply.configuration === null ? known.sheet : Option.some(reply.configuration.sheet as Sheet);
+    const changed = reply.configurationVersion !== known.version;
+    // A restarted agent has not caught up yet: what it does not know takes nothing back, the terms told before run on.
+    if (reply.configurationVersion < known.version || (changed && reply.configuration === null)) return;
+    services = reply.services.map((told) => serviceOf(told, taken, sentAt));
     known = {
       sheet: taken,
       version: reply.configurationVersion,
       area: reply.area,
       table: Option.isSome(taken) ? verdicts.compile(taken.value, services, reply.area) : new Map(),
-      controlUntil: identifiers.after(sentAt, reply.term),
-      fences: new Map(reply.services.map((service) => [service.service, { epoch: service.epoch, until: identifiers.after(sentAt, service.fence) }])),
+      controlUntil: later(known.controlUntil, identifiers.after(sentAt, reply.term)),
+      fences: new Map(services.map((service) => [service.service, fenceOf(service, reply, sentAt)])),
       draining: known.draining,
     };
     feed = Option.some(reply);
--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -112,15 +112,16 @@
     const due = Math.max(0, ...acknowledged().filter((one) => one.at + obeyMilliseconds <= now).map((one) => one.version));
     const open = new Map<string, Map<number, string>>();
     for (const edge of fleet.edges) {
-      const running = edge.proxy.running;
-      if (running === undefined || edge.proxy.process?.alive() !== true || fleet.world.frozen(edge.proxy.process)) continue;
+      const { running, process } = edge.proxy;
+      if (running === undefined || process?.alive() !== true || fleet.world.frozen(process)) continue;
+      const moment = process.kernel.clock.now();
       const known = running.known();
       const before = last.get(running) ?? 0;
       if (known.version < before) add('configuration-back', `${edge.name} went from ${before} to ${known.version}`);
       last.set(running, known.version);
-      if (known.version < due && known.controlUntil > now) add('configuration-unobeyed', `${edge.name} lets in under ${known.version} when ${due} was acknowledged`);
+      if (known.version < due && known.controlUntil > moment) add('configuration-unobeyed', `${edge.name} lets in under ${known.version} when ${due} was acknowledged`);
       for (const [service, fence] of known.fences) {
-        if (fence.until <= now || known.controlUntil <= now) continue;
+        if (fence.until <= moment || known.controlUntil <= moment) continue;
         const epochs = open.get(service) ?? new Map<number, string>();
         epochs.set(fence.epoch, edge.name);
         open.set(service, epochs);
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -22,6 +22,9 @@
   readonly machine: string;
   alive: boolean;
   frozenUntil: number;
+  /** Each product process has a clock of its own: where it began, and how fast it goes. */
+  readonly clockOffset: number;
+  readonly clockRate: number;
   stoppedBy: Option.Option<Fault>;
   readonly closers: Set<() => void>;
 };
@@ -389,11 +392,11 @@
 
   function kernelOf(body: Body, disk: SimulatedDisk | undefined): Kernel {
     const clock = {
-      now: () => now as Instant,
+      now: () => (body.clockOffset + now * body.clockRate) as Instant,
       wall: () => identifiers.wallTime(wallStart + now),
       alarm: function alarm(milliseconds: number, action: () => void) {
         let live = true;
-        at(milliseconds, () => inside(body, () => {
+        at(milliseconds / body.clockRate, () => inside(body, () => {
           if (live) action();
         }));
         return {
@@ -403,7 +406,7 @@
         };
       },
       sleep: (milliseconds: number) => new Promise<void>((resolve) => {
-        at(milliseconds, () => inside(body, resolve));
+        at(milliseconds / body.clockRate, () => inside(body, resolve));
       }),
     };
 
@@ -476,8 +479,13 @@
     body.closers.clear();
   }
 
+  /** Clocks of the product differ by any span, and run up to 3 % apart; those of the stand-ins are the ledger's. */
   function spawn(name: string, machine: string, disk?: SimulatedDisk): Process {
-    const body: Body = { name, machine, alive: true, frozenUntil: 0, stoppedBy: Option.none, closers: new Set() };
+    const product = /^(core|edge)-/.test(name);
+    const body: Body = {
+      name, machine, alive: true, frozenUntil: 0,
+      clockOffset: product ? random() * 1e7 : 0, clockRate: product ? 0.985 + random() * 0.03 : 1, stoppedBy: Option.none, closers: new Set(),
+    };
     const process: Process = { name, machine, kernel: kernelOf(body, disk), alive: () => body.alive, stoppedBy: () => body.stoppedBy };
     bodies.set(process, body);
     return process;
--- a/packages/stories/features/leaving.feature
+++ b/packages/stories/features/leaving.feature
@@ -37,3 +37,11 @@
     And 10 s pass
     Then no reply was lost
     And the ledger is clean
+
+  Scenario: A planned restart of an agent alone is not felt by its proxy's senders
+    Given a fleet of Brightpath with its sheet obeyed and its primaries elected
+    And its senders are at work
+    When the agent of edge-3 is ended as planned and started again 700 ms later
+    And 8 s pass
+    Then every statement was served
+    And the ledger is clean
--- a/packages/stories/src/steps.ts
+++ b/packages/stories/src/steps.ts
@@ -685,3 +685,15 @@
   const reply = await this.fleet.ask(edgeOf(this, 'edge-2'), 'POST', `/v1/mappings/${mapping}`, { parameters: [seat] });
   assert.deepEqual((reply.body as { results: unknown }).results, [value]);
 });
+
+When('the agent of {word} is ended as planned and started again {int} ms later', async function when(this: Story, edge: string, milliseconds: number) {
+  const slot = edgeOf(this, edge);
+  void slot.agent.running?.stop();
+  this.fleet.stopSlot(slot.agent);
+  await this.fleet.world.run(milliseconds);
+  await this.fleet.startAgent(slot);
+});
+
+Then('every statement was served', function then(this: Story) {
+  assert.deepEqual([...this.fleet.ledger.reasons.keys()], ['served']);
+});
