Fix a usage window only once every edge has told of all of it

Cause: a window was fixed 1.5 s after its end. Agents now tell up to when they have told all, and the holder waits for every edge of the table, or 6 s at the most; after: exact, told several times with the same counts, in time. Ruled out: telling more often, since a cut edge tells nobody.

Mutations that nothing caught, and what was blind: 'turn taken at once' (the platform stand-in did not record the calls it denied), 'an older configuration obeyed' (now a story of changes out of order, which fails without the version test), 'open transaction given on' (no sender ever went quiet in a transaction; now one in a hundred does).

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -20,6 +20,7 @@
 const probeEveryMilliseconds = 250;
 const probeMilliseconds = 700;
 const tellMilliseconds = 500;
+const quietMilliseconds = 1_000;
 const samplesKept = 40;
 
 /** An edge has no disk: its votes live in the register, durable on a majority before any ACCEPT leaves (design 7.2). */
@@ -54,6 +55,7 @@
   const caps = new Map<string, number>();
   let proxyOpen: Readonly<Record<string, number>> = {};
   let usage: ReadonlyArray<Readonly<{ incarnation: string; window: number; counts: Readonly<Record<string, number>> }>> = [];
+  let fedAt: Option.Option<Readonly<{ now: Instant; wall: number }>> = Option.none;
   let layoutSince = kernel.clock.now();
   let stopped = false;
 
@@ -165,6 +167,7 @@
   function feed(ask: Ask<'feed'>): Reply<'feed'> {
     for (const [service, floor] of Object.entries(ask.floors)) proxyFloors.set(service, Math.max(floor, proxyFloors.get(service) ?? 0));
     proxyOpen = ask.open;
+    fedAt = Option.some({ now: kernel.clock.now(), wall: kernel.clock.wall() });
     const windows = new Set(ask.usage.map((told) => told.window));
     usage = [
       ...usage.filter((kept) => kept.incarnation !== ask.incarnation || !windows.has(kept.window)),
@@ -186,12 +189,17 @@
     };
   }
 
+  /** A proxy that has not asked for a while counts nothing more that could still be told. */
+  function toldThrough(): number {
+    const quiet = Option.isNone(fedAt) || kernel.clock.now() - fedAt.value.now > quietMilliseconds;
+    return quiet || Option.isNone(fedAt) ? kernel.clock.wall() - quietMilliseconds : fedAt.value.wall;
+  }
+
   function tellUsage(): void {
-    if (usage.length === 0) return;
     const reports = usage.map((told) => ({ node: settings.node, incarnation: told.incarnation, window: told.window, counts: { ...told.counts } }));
     for (const core of node.cores()) {
       const held = node.callPeer(core.node);
-      if (Option.isSome(held)) void held.value.call('usageTell', { reports }, tellMilliseconds);
+      if (Option.isSome(held)) void held.value.call('usageTell', { reports, through: { [settings.node]: toldThrough() } }, tellMilliseconds);
     }
   }
 
--- a/packages/bench/src/rehearse.ts
+++ b/packages/bench/src/rehearse.ts
@@ -1,5 +1,5 @@
 // Rehearsals with real processes: a deployment's load, failures by signal, the same checkers, ratios within one run (design 10.5).
-// `rehearse.js red-comun|brightpath load|kills [seconds] [base port]`
+// `rehearse.js red-comun|brightpath load|kills|stop [seconds] [base port]`
 import fs from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
@@ -131,6 +131,20 @@
   await step('proxy of edge-5 ended as planned', () => fleet.signal('edge-5-proxy', 'SIGTERM'), 4_000, () => fleet.restart('edge-5-proxy'));
 }
 
+/** Every product process is killed at once and started again a second later. */
+async function stopAll(kernel: Kernel, fleet: RealFleet, ledger: Ledger): Promise<void> {
+  const names = [...fleet.running.keys()].filter((running) => /^(core|edge)-/.test(running));
+  for (const running of names) fleet.signal(running, 'SIGKILL');
+  await kernel.clock.sleep(1_000);
+  for (const running of names) fleet.restart(running);
+  const at = kernel.clock.now();
+  await kernel.clock.sleep(15_000);
+  const quarter = deployment.requestsPerSecond / 4;
+  const second = [...ledger.bySecond].filter(([moment, slot]) => moment * 1_000 > at && slot.served >= quarter).map(([moment]) => moment).sort((left, right) => left - right)[0];
+  console.log(`all ${names.length} processes killed and started: a quarter of normal again ${second === undefined ? 'never' : `in the second that began ${(second - at / 1_000).toFixed(1)} s after the start`}`);
+  for (const service of deployment.services) console.log(`  first write of ${service} kept ${(gapAfter(ledger, service, at) / 1_000).toFixed(2)} s after the start`);
+}
+
 async function main(): Promise<void> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-'));
   const kernel = await machine.create('rehearsal', Option.none);
@@ -150,6 +164,7 @@
     const from = kernel.clock.now();
     const before = served(ledger);
     if (mode === 'kills') await kills(kernel, fleet, ledger);
+    else if (mode === 'stop') await stopAll(kernel, fleet, ledger);
     else await kernel.clock.sleep(seconds * 1_000);
     const rate = (served(ledger) - before) / ((kernel.clock.now() - from) / 1_000);
     senders.stop();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -372,10 +372,10 @@
     watch,
     join,
     usageTell: function told(ask) {
-      usage.tell(ask.reports);
+      usage.tell(ask);
       return {};
     },
-    usageLook: (ask) => ({ reports: [...usage.look(ask.window)] }),
+    usageLook: (ask) => usage.look(ask.window),
   };
 
   const administration = administrations.create(kernel, {
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -3,14 +3,17 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { Type, type Static } from '@sinclair/typebox';
 import { http, identifiers, type Kernel } from '@stallstall/kernel';
-import { message, type Entry, type UsageReport } from '@stallstall/message';
+import { message, type Entry, type Reply, type UsageReport } from '@stallstall/message';
 import { duty, type Holding } from '@stallstall/elect';
+import { quorum } from '@stallstall/quorum';
 import { registerService } from '@stallstall/register';
 import type { Node } from '@stallstall/node';
 
 export const windowMilliseconds = 5_000;
-/** How long after a window's end the last counts may still come in. */
-const graceMilliseconds = 1_500;
+/** A window is fixed once every edge has told of all of it, or so long after its end: what has not come by then is lost. */
+const graceMilliseconds = 6_000;
+/** How far the machines' wall clocks may differ. */
+const skewMilliseconds = 200;
 const sendMilliseconds = 900;
 /** Windows older than this are no longer sent: they could not arrive in time. */
 const keptWindows = 6;
@@ -25,9 +28,11 @@
 type Fixed = Readonly<Static<typeof FixedSchema>>;
 type FixedWindow = Fixed['windows'][number];
 
+type Told = Reply<'usageLook'>;
+
 export type Usage = Readonly<{
-  tell: (reports: readonly UsageReport[]) => void;
-  look: (window: number) => readonly UsageReport[];
+  tell: (told: Told) => void;
+  look: (window: number) => Told;
   start: () => void;
   stop: () => void;
   windows: () => Promise<Either.Either<unknown, readonly FixedWindow[]>>;
@@ -53,11 +58,13 @@
 function create(kernel: Kernel, node: Node): Usage {
   const register = kernel.services.find(registerService);
   const reports = new Map<number, Map<string, UsageReport>>();
+  const through = new Map<string, number>();
   let stopped = false;
 
-  function tell(told: readonly UsageReport[]): void {
+  function tell(told: Told): void {
+    for (const [edge, moment] of Object.entries(told.through)) through.set(edge, Math.max(moment, through.get(edge) ?? 0));
     const oldest = Math.floor(kernel.clock.wall() / windowMilliseconds) - keptWindows;
-    for (const report of told) {
+    for (const report of told.reports) {
       if (report.window < oldest) continue;
       const table = reports.get(report.window) ?? new Map<string, UsageReport>();
       reports.set(report.window, table);
@@ -68,19 +75,24 @@
     for (const window of reports.keys()) if (window < oldest) reports.delete(window);
   }
 
-  function look(window: number): readonly UsageReport[] {
-    return [...(reports.get(window)?.values() ?? [])];
+  function look(window: number): Told {
+    return { reports: [...(reports.get(window)?.values() ?? [])], through: Object.fromEntries(through) };
   }
 
-  async function gather(window: number): Promise<Readonly<Record<string, number>>> {
-    const answers = await Promise.all(node.cores().map(async function ask(core): Promise<readonly UsageReport[]> {
+  /** The counts of a window; none while an edge may still have some to tell. */
+  async function gather(window: number): Promise<Option.Option<Readonly<Record<string, number>>>> {
+    const answers = await Promise.all(node.cores().map(async function ask(core): Promise<Told> {
       if (core.node === node.settings.node) return look(window);
       const held = node.callPeer(core.node);
-      if (Option.isNone(held)) return [];
+      if (Option.isNone(held)) return { reports: [], through: {} };
       const reply = await held.value.call('usageLook', { window }, 500);
-      return Option.isSome(reply) ? reply.value.reports : [];
+      return Option.isSome(reply) ? reply.value : { reports: [], through: {} };
     }));
-    return add(answers.flat());
+    const end = (window + 1) * windowMilliseconds;
+    const edges = quorum.withRole(node.membership().value, 'edge');
+    const whole = edges.every((edge) => Math.max(...answers.map((answer) => answer.through[edge.node] ?? 0)) >= end + skewMilliseconds);
+    if (!whole && kernel.clock.wall() < end + graceMilliseconds) return Option.none;
+    return Option.some(add(answers.flatMap((answer) => answer.reports)));
   }
 
   /** Fixes the counts of a window once; whoever comes later finds them standing. */
@@ -112,12 +124,16 @@
 
   /** One round of the holder: fix every window that has ended, then send what has not been sent. */
   async function round(holding: Holding): Promise<void> {
-    const last = Math.floor((kernel.clock.wall() - graceMilliseconds) / windowMilliseconds) - 1;
+    const last = Math.floor((kernel.clock.wall() - skewMilliseconds) / windowMilliseconds) - 1;
     const read = await register.read('usage', 1_000);
     if (Either.isLeft(read)) return;
     const known = fixedOf(read.right).windows;
     const newest = known.at(-1)?.window ?? last - 1;
-    for (let window = Math.max(newest + 1, last - 1); window <= last; window += 1) await fix(window, await gather(window));
+    for (let window = Math.max(newest + 1, last - 1); window <= last; window += 1) {
+      const counts = await gather(window);
+      if (Option.isNone(counts)) break;
+      await fix(window, counts.value);
+    }
     const standing = await register.read('usage', 1_000);
     if (Either.isLeft(standing)) return;
     for (const fixed of fixedOf(standing.right).windows) {
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -117,7 +117,8 @@
   counts: ServiceCounts,
 });
 export type UsageReport = Readonly<Static<typeof UsageReportSchema>>;
-const UsageTell = Type.Object({ reports: Type.Array(UsageReportSchema, { maxItems: 100 }) });
+/** `through`: up to which wall time each edge has told all it counted. */
+const UsageTell = Type.Object({ reports: Type.Array(UsageReportSchema, { maxItems: 10_000 }), through: Type.Record(Type.String({ maxLength: 200 }), Moment) });
 const UsageLook = Type.Object({ window: Count });
 
 const StatusReply = Type.Object({ status: Type.Unknown() });
--- a/packages/stand-in/src/platform.ts
+++ b/packages/stand-in/src/platform.ts
@@ -6,7 +6,7 @@
 export type PlatformSettings = Readonly<{ address: string; members: readonly PlatformMember[] }>;
 
 export type PromotionCall = Readonly<{ at: number; service: string; member: string; epoch: number; turn: number; accepted: boolean }>;
-export type UsageCall = Readonly<{ at: number; window: number; endsAt: number; counts: Readonly<Record<string, number>>; turn: number; holder: string }>;
+export type UsageCall = Readonly<{ at: number; window: number; endsAt: number; counts: Readonly<Record<string, number>>; turn: number; holder: string; accepted: boolean }>;
 
 export type PlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean; refuses: boolean };
 export type PlatformStore = { promotions: PromotionCall[]; usage: UsageCall[]; leaders: Map<string, Readonly<{ member: string; epoch: number; turn: number }>>; usageTurn: number };
@@ -50,10 +50,11 @@
   async function usage(request: HttpRequest): Promise<HttpReply> {
     const down = await trouble();
     if (down !== undefined) return down;
-    const asked = request.body as Omit<UsageCall, 'at'>;
-    if (asked.turn < store.usageTurn) return { status: 409, body: { message: 'a later turn was here' } };
+    const asked = request.body as Omit<UsageCall, 'at' | 'accepted'>;
+    const accepted = asked.turn >= store.usageTurn;
+    store.usage.push({ at: kernel.clock.wall(), window: asked.window, endsAt: asked.endsAt, counts: asked.counts, turn: asked.turn, holder: asked.holder, accepted });
+    if (!accepted) return { status: 409, body: { message: 'a later turn was here' } };
     store.usageTurn = asked.turn;
-    store.usage.push({ at: kernel.clock.wall(), window: asked.window, endsAt: asked.endsAt, counts: asked.counts, turn: asked.turn, holder: asked.holder });
     return lost({ status: 200, body: { taken: true } });
   }
 
--- a/packages/stand-in/src/sender.ts
+++ b/packages/stand-in/src/sender.ts
@@ -30,6 +30,9 @@
 }>;
 
 const windowMilliseconds = 5_000;
+/** Some senders go quiet in the midst of a transaction; what they began must neither be kept nor met by another. */
+const abandonedShare = 0.01;
+const abandonedMilliseconds = 6_500;
 /** Definite: the system promises that nothing was kept. Everything else may have happened. */
 const definite = new Set([
   'bad-request', 'not-found', 'key-denied', 'read-only', 'no-target', 'stale-configuration', 'draining', 'overloaded', 'given-up',
@@ -127,6 +130,11 @@
       let reply: Either.Either<unknown, HttpReply>;
       if (transaction) {
         reply = await statement('write', puts.slice(0, 2), 'begin');
+        if (reasonOf(reply) === 'served' && kernel.randomness.fraction() < abandonedShare) {
+          ledger.writes.push({ name: record, session: index, sessionName: name, service, sequence, startedAt, endedAt: kernel.clock.now(), fate: 'nothing-kept', reason: 'abandoned' });
+          await kernel.clock.sleep(abandonedMilliseconds);
+          return 'session-lost';
+        }
         if (reasonOf(reply) === 'served') reply = await statement('write', puts.slice(2), 'commit');
         else if (Either.isLeft(reply)) {
           // Begun, its fate unknown, but never committed: nothing may be kept of it.
--- a/packages/stories/features/configuration.feature
+++ b/packages/stories/features/configuration.feature
@@ -23,3 +23,12 @@
     When an operator withdraws the senders' key
     Then within 3 s the session is denied as "key-denied" or "session-lost"
     And "ghost" is not kept in "bookings"
+
+  Scenario: Changes that arrive out of order never take a node back
+    Given a node that is handed changes by three cores
+    When a majority hands over version 4, and another majority version 3 afterwards
+    Then it obeys version 4
+    When one core alone hands over version 5
+    Then it obeys version 4
+    When a second core hands over the same version 5
+    Then it obeys version 5
--- a/packages/stories/features/fleet.feature
+++ b/packages/stories/features/fleet.feature
@@ -39,3 +39,11 @@
     And an operator marks the primary of "bookings" draining
     Then within 8 s another member of "bookings" is elected at a later epoch
     And a leader-read of "booking" in "bookings" through edge-2 gives 5
+
+  Scenario: Usage is told once for each window, also when an edge is cut off as the window ends
+    Given a fleet of Red Común with its sheet obeyed and its primaries elected
+    And its senders are at work
+    And a platform that takes usage but loses its replies
+    When edge-1 is cut off from the cores 2 s before a window ends, for 6 s
+    And 12 s pass
+    Then that window was told more than once, always with the same counts, in time, and as they were served
--- a/packages/stories/src/steps.ts
+++ b/packages/stories/src/steps.ts
@@ -7,6 +7,7 @@
 import { fault, identifiers, type Fault, type HttpReply } from '@stallstall/kernel';
 import { peer } from '@stallstall/peer';
 import { coreSettings, openapi, settings } from '@stallstall/operator';
+import { watcher, type Register, type Watcher } from '@stallstall/register';
 import { sheets } from '@stallstall/sheet';
 import { checks, fleet as fleets, fuzz, type CoreSlot, type EdgeSlot, type Fleet, type FleetOptions, type MemberSlot, type Process, world as worlds, type World } from '@stallstall/simulator';
 import { liveness } from '@stallstall/elect';
@@ -22,6 +23,8 @@
   crowd: Array<Readonly<{ reply: HttpReply; after: number }>>;
   spoilt: ReadonlyArray<readonly HttpReply[]>;
   stops: string[];
+  window: number;
+  watcher: Watcher;
   imported: Awaited<ReturnType<typeof openapi.read>>;
   key: string;
   checked: ReadonlyArray<Either.Either<Fault, unknown>>;
@@ -697,3 +700,62 @@
 Then('every statement was served', function then(this: Story) {
   assert.deepEqual([...this.fleet.ledger.reasons.keys()], ['served']);
 });
+
+function handOver(story: Story, core: string, version: number): void {
+  story.watcher.changed(core, { number: version, key: 'configuration', entry: { ballot: { counter: version * 10, node: 'x' }, version, value: `sheet ${version}` } });
+}
+
+Given('a node that is handed changes by three cores', function given(this: Story) {
+  this.world = worlds.create(4);
+  const { kernel } = this.world.spawn('node', 'node-machine');
+  const silent: Register = {
+    read: () => Promise.resolve(Either.right(Option.none)),
+    change: () => Promise.resolve(Either.right({ wrote: false, entry: Option.none })),
+  };
+  this.watcher = watcher.create(kernel, silent, () => 3, () => undefined);
+});
+
+When('a majority hands over version {int}, and another majority version {int} afterwards', function when(this: Story, newer: number, older: number) {
+  handOver(this, 'core-1', newer);
+  handOver(this, 'core-2', newer);
+  handOver(this, 'core-2', older);
+  handOver(this, 'core-3', older);
+});
+
+When('one core alone hands over version {int}', function when(this: Story, version: number) {
+  handOver(this, 'core-1', version);
+});
+
+When('a second core hands over the same version {int}', function when(this: Story, version: number) {
+  handOver(this, 'core-3', version);
+});
+
+Then('it obeys version {int}', function then(this: Story, version: number) {
+  const obeyed = this.watcher.obeyed('configuration');
+  assert.equal(Option.isSome(obeyed) ? obeyed.value.version : 0, version);
+});
+
+Given('a platform that takes usage but loses its replies', function given(this: Story) {
+  this.fleet.platform().knobs.losesReplies = true;
+});
+
+When('{word} is cut off from the cores {int} s before a window ends, for {int} s', async function when(this: Story, edge: string, before: number, seconds: number) {
+  const windowMilliseconds = 5_000;
+  await this.fleet.world.run(windowMilliseconds);
+  const wall = Math.round(1_800_000_000_000 + this.fleet.world.now());
+  this.window = Math.floor(wall / windowMilliseconds) + 1;
+  await this.fleet.world.run((this.window + 1) * windowMilliseconds - before * 1_000 - wall);
+  const machine = edgeOf(this, edge).machine;
+  for (const core of this.fleet.cores) {
+    this.fleet.world.cut(machine, core.machine);
+    this.fleet.world.cut(core.machine, machine);
+  }
+  await this.fleet.world.run(seconds * 1_000);
+  this.fleet.world.healAll();
+});
+
+Then('that window was told more than once, always with the same counts, in time, and as they were served', function then(this: Story) {
+  const told = this.fleet.platformStore.usage.filter((call) => call.window === this.window);
+  assert.ok(told.length > 1, `it was told ${told.length} times`);
+  assert.deepEqual(checks.usage({ usage: told }, this.fleet.ledger.usageByWindow, this.window, this.window), []);
+});
