--- a/packages/simulator/mutations.mjs
+++ b/packages/simulator/mutations.mjs
@@ -20,7 +20,7 @@
   { name: 'usage-forgets-an-edge', expect: 'usage-off', file: 'core/build/usage.js', from: 'for (const report of told.reports) {', to: "for (const report of told.reports) { if (report.node === 'edge-1') continue;" },
   { name: 'open-transaction-given-on', expect: 'session-crossed', file: 'proxy/build/sessions.js', from: 'pool.giveBack(pinned.value.connection, false)', to: 'pool.giveBack(pinned.value.connection, true)' },
   { name: 'keys-not-looked-at', expect: 'key-never-allowed', file: 'sheet/build/index.js', from: 'candidate.key === key &&', to: 'true &&' },
-  { name: 'nobody-stands', expect: 'recovery-late', file: 'elect/build/election.js', from: 'void run(service, standing);', to: 'if (settledEpoch(service.service) === 0) void run(service, standing);' },
+  { name: 'links-not-dialled-again', expect: 'recovery-late', file: 'peer/build/index.js', from: 'const redialMilliseconds = 150;', to: 'const redialMilliseconds = 9e9;' },
   { name: 'share-is-the-limit', expect: 'connection-limit', file: 'sheet/build/index.js', from: 'Math.floor((limit - nodes) / edges)', to: 'limit' },
 ];
 
