Stories of elections under trouble: a winner that dies, lost promotions, replicas behind

A winner killed between its majority and its call is followed by another; a promotion whose replies are lost is asked again under its own turn; replicas that lack acknowledged writes are not elected, the service says so at once, and the returned primary leads on with nothing missing.

--- a/packages/stories/src/steps.ts
+++ b/packages/stories/src/steps.ts
@@ -221,7 +221,7 @@
 
 Then('within {int} s another member of {string} is elected at a later epoch', async function then(this: Story, seconds: number, service: string) {
   function settled(story: Story): boolean {
-    return story.fleet.edges.every((slot) => {
+    return story.fleet.edges.filter((slot) => slot.agent.running !== undefined).every((slot) => {
       const current = slot.agent.running?.node.settled(service) ?? Option.none;
       return Option.isSome(current) && current.value.epoch > story.before.epoch && current.value.primary !== story.before.member;
     });
@@ -759,3 +759,51 @@
   assert.ok(told.length > 1, `it was told ${told.length} times`);
   assert.deepEqual(checks.usage({ usage: told }, this.fleet.ledger.usageByWindow, this.window, this.window), []);
 });
+
+function proposalOf(story: Story, service: string, since: number): string | undefined {
+  return story.fleet.world.logs.find((line) => line.at >= since && line.event === 'elect.propose' && line.fields['service'] === service)?.process;
+}
+
+When('the node that proposes for {string} is killed {int} s after its proposal', async function when(this: Story, service: string, seconds: number) {
+  const since = this.fleet.world.now();
+  assert.ok(await this.fleet.until(() => proposalOf(this, service, since) !== undefined, 9_000), 'nobody proposed');
+  await this.fleet.world.run(seconds * 1_000);
+  const proposer = proposalOf(this, service, since) as string;
+  const slots = [...this.fleet.cores.map((slot) => [slot.name, slot] as const), ...this.fleet.edges.map((slot) => [`${slot.name}/agent`, slot.agent] as const)];
+  const [, slot] = slots.find(([name]) => name === proposer) as (typeof slots)[number];
+  this.fleet.stopSlot(slot);
+  this.edge = this.fleet.edges.find((edge) => edge.agent === slot) ?? this.edge;
+});
+
+When('the platform loses its replies until {int} s after the first promotion', async function when(this: Story, seconds: number) {
+  const before = this.fleet.platformStore.promotions.length;
+  this.fleet.platform().knobs.losesReplies = true;
+  assert.ok(await this.fleet.until(() => this.fleet.platformStore.promotions.length > before, 12_000), 'no promotion was called');
+  await this.fleet.world.run(seconds * 1_000);
+  this.fleet.platform().knobs.losesReplies = false;
+});
+
+Given('replicas of {string} that stopped receiving, with a primary that waits for nobody', async function given(this: Story, service: string) {
+  this.fleet = await bringUp('Red Común', { synchronous: 0 });
+  const leads = primary(this, service);
+  for (const slot of this.fleet.members) if (slot.place.service === service && slot !== leads && slot.running !== undefined) slot.running.knobs.deaf = true;
+});
+
+When('the primary of {string} comes back', async function when(this: Story, service: string) {
+  await this.fleet.startMember(primary(this, service));
+});
+
+Then('the platform was called in order, no turn shared', function then(this: Story) {
+  assert.deepEqual(checks.promotions(this.fleet.platformStore), []);
+});
+
+Then('the promotion was called more than once, under one turn', function then(this: Story) {
+  const epochs = this.fleet.platformStore.promotions.filter((call) => call.epoch > this.before.epoch && call.service === 'bookings');
+  assert.ok(epochs.length > 1, `it was called ${epochs.length} times`);
+  assert.equal(new Set(epochs.map((call) => call.turn)).size, 1);
+});
+
+Then('within {int} s a {word} of {string} in {string} through {word} gives {int}', async function then(this: Story, seconds: number, kind: string, name: string, service: string, edge: string, value: number) {
+  await this.fleet.world.run(seconds * 1_000);
+  await readGives(this, kind, name, service, edgeOf(this, edge), value);
+});
