Ask isPinned where it stands already; usage windows tell typed faults

Found on rereading the change: the judge pass spelt out the test that isPinned makes, and the usage listing was cast because its fault had no type.

--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -321,7 +321,7 @@
     { method: 'GET', path: '/v1/fleet', handle: guarded('read', async () => ({ status: 200, body: fleetStatus() })) },
     { method: 'GET', path: '/v1/members', handle: guarded('read', async (request) => ({ status: 200, body: page(memberStatus(), request) })) },
     { method: 'GET', path: '/v1/elections', handle: guarded('read', async (request) => ({ status: 200, body: { node: node.settings.node, ...page(elections.describe(), request) } })) },
-    { method: 'GET', path: '/v1/usage', handle: guarded('read', async (request) => listed((await usage.windows()) as Either.Either<Fault, readonly unknown[]>, request)) },
+    { method: 'GET', path: '/v1/usage', handle: guarded('read', async (request) => listed(await usage.windows(), request)) },
     { method: 'GET', path: '/v1/audit', handle: guarded('read', async (request) => listed(Either.map((entries: readonly unknown[]) => [...entries].reverse())(await table.trail()), request)) },
     { method: 'GET', path: '/v1/operators', handle: guarded('operators', async (request) => listed(await table.list(), request)) },
     { method: 'PUT', path: '/v1/operators/:operator', handle: guarded('operators', putOperator) },
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { Type, type Static } from '@sinclair/typebox';
-import { http, identifiers, type Kernel } from '@stallstall/kernel';
+import { http, identifiers, type Fault, type Kernel } from '@stallstall/kernel';
 import { message, type Entry, type Reply, type UsageReport } from '@stallstall/message';
 import { duty, type Holding } from '@stallstall/elect';
 import { quorum } from '@stallstall/quorum';
@@ -35,7 +35,7 @@
   look: (window: number) => Told;
   start: () => void;
   stop: () => void;
-  windows: () => Promise<Either.Either<unknown, readonly FixedWindow[]>>;
+  windows: () => Promise<Either.Either<Fault, readonly FixedWindow[]>>;
 }>;
 
 function fixedOf(entry: Option.Option<Entry>): Fixed {
--- a/packages/proxy/src/requests.ts
+++ b/packages/proxy/src/requests.ts
@@ -152,7 +152,7 @@
 
   function judge(record: RequestRecord): RequestRecord {
     const { ask } = record;
-    if (ask.transaction === 'within' || ask.transaction === 'commit' || ask.transaction === 'rollback') return judgePinned(record);
+    if (isPinned(record)) return judgePinned(record);
     const session = sessionOf(record);
     const atLeast = ask.kind === 'own-read' ? Math.max(ask.atLeast, Option.isSome(session) ? session.value.lastCommit(ask.service) : 0) : 0;
     let without = record.without;
