--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -13,14 +13,14 @@
 import { Type } from '@sinclair/typebox';
 
 export type AgentSettings = NodeSettings & Readonly<{ feed: string }>;
-export type Agent = Readonly<{ node: Node; stop: () => Promise<void> }>;
+export type Agent = Readonly<{ node: Node; drain: () => Promise<void>; stop: () => Promise<void> }>;
 
 const VoteSchema = Type.Object({ epoch: Type.Integer({ minimum: 0 }), candidate: Type.String(), proposer: Type.String() });
 
 const probeEveryMilliseconds = 250;
 const probeMilliseconds = 700;
-const tellMilliseconds = 500;
-const quietMilliseconds = 1_000;
+const quietMilliseconds = 2_500;
+const graceMilliseconds = 2_000;
 const samplesKept = 40;
 
 /** An edge has no disk: its votes live in the register, durable on a majority before any ACCEPT leaves (design 7.2). */
@@ -51,11 +51,9 @@
 
 async function start(kernel: Kernel, settings: AgentSettings): Promise<Either.Either<Fault, Agent>> {
   if (settings.node === '') return Either.left(fault.create({ kind: 'bad-settings', message: 'the agent has no node id', remedy: 'name one with --node' }));
-  const proxyFloors = new Map<string, number>();
   const caps = new Map<string, number>();
   let proxyOpen: Readonly<Record<string, number>> = {};
-  let usage: ReadonlyArray<Readonly<{ incarnation: string; window: number; counts: Readonly<Record<string, number>> }>> = [];
-  let fedAt: Option.Option<Readonly<{ now: Instant; wall: number }>> = Option.none;
+  let proxyToldAt: Option.Option<Instant> = Option.none;
   let layoutSince = kernel.clock.now();
   let stopped = false;
 
@@ -63,7 +61,6 @@
     role: 'edge',
     votes: (register) => edgeVotes(register, settings.node),
     own: Option.none,
-    floor: (service) => proxyFloors.get(service) ?? 0,
     caps: toldCaps,
     onObeyed: function obeyed(key) {
       if (key === 'membership' || key === 'configuration') {
@@ -165,14 +162,7 @@
   }
 
   function feed(ask: Ask<'feed'>): Reply<'feed'> {
-    for (const [service, floor] of Object.entries(ask.floors)) proxyFloors.set(service, Math.max(floor, proxyFloors.get(service) ?? 0));
     proxyOpen = ask.open;
-    fedAt = Option.some({ now: kernel.clock.now(), wall: kernel.clock.wall() });
-    const windows = new Set(ask.usage.map((told) => told.window));
-    usage = [
-      ...usage.filter((kept) => kept.incarnation !== ask.incarnation || !windows.has(kept.window)),
-      ...ask.usage.map((told) => ({ incarnation: ask.incarnation, window: told.window, counts: told.counts })),
-    ].slice(-20);
     settleCaps();
     const configuration = node.configuration();
     const seat = quorum.seat(node.membership().value, settings.node);
@@ -189,38 +179,51 @@
     };
   }
 
-  /** A proxy that has not asked for a while counts nothing more that could still be told. */
-  function toldThrough(): number {
-    const quiet = Option.isNone(fedAt) || kernel.clock.now() - fedAt.value.now > quietMilliseconds;
-    return quiet || Option.isNone(fedAt) ? kernel.clock.wall() - quietMilliseconds : fedAt.value.wall;
+  // -- Notes: what the proxy must have on a majority of core disks before it replies (design 7.5, 8.6).
+
+  let telling = 0;
+
+  async function tell(ask: Ask<'tell'>): Promise<Reply<'tell'>> {
+    proxyToldAt = Option.some(kernel.clock.now());
+    telling += 1;
+    const noted = await node.notes.note({
+      floors: ask.floors, through: { [settings.node]: ask.through },
+      reports: ask.usage.map((told) => ({ node: settings.node, incarnation: ask.incarnation, number: ask.number, window: told.window, counts: { ...told.counts } })),
+    });
+    telling -= 1;
+    return { kept: Either.isRight(noted) };
   }
 
-  function tellUsage(): void {
-    const reports = usage.map((told) => ({ node: settings.node, incarnation: told.incarnation, window: told.window, counts: { ...told.counts } }));
-    for (const core of node.cores()) {
-      const held = node.callPeer(core.node);
-      if (Option.isSome(held)) void held.value.call('usageTell', { reports, through: { [settings.node]: toldThrough() } }, tellMilliseconds);
-    }
+  /** A proxy that has told nothing for a while serves nothing more that could still be told. */
+  function tellQuiet(): void {
+    const quiet = Option.isNone(proxyToldAt) || kernel.clock.now() - proxyToldAt.value > quietMilliseconds;
+    if (quiet && node.cores().length > 0) void node.notes.note({ floors: {}, reports: [], through: { [settings.node]: kernel.clock.wall() - quietMilliseconds } });
   }
 
   const handlers: Handlers = { ...node.handlers };
   const listening: readonly Listening[] = [
     await peer.listen(kernel, identifiers.address(settings.address), handlers),
-    await peer.listen(kernel, identifiers.address(settings.feed), { feed }),
+    await peer.listen(kernel, identifiers.address(settings.feed), { feed, tell }),
     await kernel.network.serve(identifiers.address(settings.outward), { routes: node.routes }),
   ];
   node.start();
   void kernels.every(kernel.clock, probeEveryMilliseconds, probeAll, () => !stopped);
-  void kernels.every(kernel.clock, tellMilliseconds, tellUsage, () => !stopped);
-
-  return Either.right({
-    node,
-    stop: async function stop() {
-      stopped = true;
-      node.stop();
-      for (const entry of listening) await entry.stop();
-    },
-  });
+  void kernels.every(kernel.clock, quietMilliseconds, tellQuiet, () => !stopped);
+
+  async function stop(): Promise<void> {
+    stopped = true;
+    node.stop();
+    for (const entry of listening) await entry.stop();
+  }
+
+  /** What is being noted is noted before this process ends (design 7.10). */
+  async function drain(): Promise<void> {
+    const horizon = identifiers.after(kernel.clock.now(), graceMilliseconds);
+    while (kernel.clock.now() < horizon && telling > 0) await kernel.clock.sleep(5);
+    await stop();
+  }
+
+  return Either.right({ node, stop, drain });
 }
 
 export const agent = { start } as const;
--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -5,14 +5,19 @@
 import { fault, http, type Fault, type HttpReply, type HttpRequest, type HttpRoute, type Kernel } from '@stallstall/kernel';
 import { message, type Entry, type Membership } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
-import { registerService } from '@stallstall/register';
+import { archivePrefix, registerService, usageWindowMilliseconds, type Changed } from '@stallstall/register';
 import { electionService, livenessService } from '@stallstall/elect';
 import type { Configuration, Node } from '@stallstall/node';
 import { sheets } from '@stallstall/sheet';
 import { operators, ScopeSchema, type Caller, type Scope } from './operators.js';
-import { windowMilliseconds, type Usage } from './usage.js';
+import type { Usage } from './usage.js';
 
-export const historyKept = 16;
+/** So many versions of the sheet are kept, each in a cell of its own that a version so many later takes over (design 5.4). */
+export const versionsKept = 10_000;
+/** The ids of so many sends are remembered, so that one whose fate was not known may be repeated. */
+const recentKept = 200;
+/** The health page speaks up before a core's disk is full of sheets. */
+const diskBytesMost = 2 * 1024 * 1024 * 1024;
 const pageLength = 100;
 const pageMost = 500;
 const usageLateMilliseconds = 10_000;
@@ -26,6 +31,7 @@
   usage: Usage;
   rootKey: string | undefined;
   ready: () => boolean;
+  diskBytes: () => number;
   versionOf: (key: string) => number;
   changeMembership: (next: (table: Membership) => Membership) => Promise<Either.Either<Fault, Membership>>;
   /** What each node that holds a link to this core has acknowledged to obey. */
@@ -35,6 +41,10 @@
 
 export type Administration = Readonly<{ routes: readonly HttpRoute[] }>;
 
+type SentVersion = Omit<Configuration, 'recent'>;
+type ArchivedVersion = SentVersion & Readonly<{ number: number }>;
+const mostShots = 20;
+
 type Need = 'read' | 'sheet' | 'nodes' | 'operators';
 
 /** One page of a listing: `limit` rows after the row whose place is `after`; `next` is missing on the last. */
@@ -74,6 +84,37 @@
     return Either.right(Option.map((entry: Entry) => ({ version: entry.version, value: entry.value as Configuration }))(read.right));
   }
 
+  function slotOf(version: number): string {
+    return `${archivePrefix}configuration/${version % versionsKept}`;
+  }
+
+  function oldestOf(latest: number): number {
+    return Math.max(1, latest - versionsKept + 1);
+  }
+
+  /** Keeps the current version under a key of its own; tells which it was. */
+  async function archiveCurrent(): Promise<Either.Either<Fault, number>> {
+    const read = await readConfiguration();
+    if (Either.isLeft(read)) return read;
+    if (Option.isNone(read.right)) return Either.right(0);
+    const { version, value } = read.right.value;
+    const { recent: _recent, ...kept } = value;
+    const written = await register.change(slotOf(version), function put(current) {
+      return Option.isSome(current) && (current.value.value as ArchivedVersion).number >= version ? Option.none : Option.some({ ...kept, number: version });
+    });
+    return Either.isLeft(written) ? written : Either.right(version);
+  }
+
+  /** A version by its number: the current one, or one of the archive. */
+  async function versionAt(wanted: number, current: SentVersion & Readonly<{ version: number }>): Promise<Either.Either<Fault, Option.Option<SentVersion>>> {
+    if (wanted === current.version) return Either.right(Option.some(current));
+    if (!Number.isInteger(wanted) || wanted > current.version || wanted < oldestOf(current.version)) return Either.right(Option.none);
+    const read = await register.read(slotOf(wanted));
+    if (Either.isLeft(read)) return read;
+    const kept = Option.isSome(read.right) ? (read.right.value.value as ArchivedVersion) : undefined;
+    return Either.right(kept?.number === wanted ? Option.some(kept) : Option.none);
+  }
+
   async function sendSheet(request: HttpRequest, caller: Caller): Promise<HttpReply> {
     const body = request.body;
     if (!message.fits(SendSchema, body)) {
@@ -83,35 +124,41 @@
     }
     const checked = sheets.check(body.sheet);
     if (Either.isLeft(checked)) return http.denied(checked.left);
+    const sheet = checked.right;
     const expected = request.headers['if-match'];
     if (expected !== undefined && !/^"?\d+"?$/.test(expected)) {
       return http.denied(fault.create({ kind: 'bad-request', message: 'If-Match names no version', remedy: 'give a version number, as in If-Match: 7' }));
     }
     const sendId = body.sendId ?? kernel.randomness.token();
-    const sent = { sheet: checked.right, sendId, sentBy: caller.operator === 'anyone' ? (body.sentBy ?? 'unnamed') : caller.operator, sentAt: kernel.clock.wall() };
+    const sent = { sheet, sendId, sentBy: caller.operator === 'anyone' ? (body.sentBy ?? 'unnamed') : caller.operator, sentAt: kernel.clock.wall() };
     let conflict: Option.Option<number> = Option.none;
     let beyond: Option.Option<Fault> = Option.none;
-    const changed = await register.change('configuration', function next(current) {
-      conflict = Option.none;
-      beyond = Option.none;
-      const allowed = operators.mayChange(caller, Option.isSome(current) ? (current.value.value as Configuration).sheet : undefined, checked.right);
-      if (Either.isLeft(allowed)) {
-        beyond = Option.some(allowed.left);
-        return Option.none;
-      }
-      if (Option.isNone(current)) {
-        if (expected !== undefined && Number(expected.replaceAll('"', '')) !== 0) conflict = Option.some(0);
-        return Option.isSome(conflict) ? Option.none : Option.some({ ...sent, history: [] });
-      }
-      const before = current.value.value as Configuration;
-      if (before.sendId === sendId || before.history.some((old) => old.sendId === sendId)) return Option.none;
-      if (expected !== undefined && Number(expected.replaceAll('"', '')) !== current.value.version) {
-        conflict = Option.some(current.value.version);
-        return Option.none;
-      }
-      const old = { version: current.value.version, sheet: before.sheet, sendId: before.sendId, sentBy: before.sentBy, sentAt: before.sentAt };
-      return Option.some({ ...sent, history: [...before.history, old].slice(-historyKept) });
-    });
+    let overtaken = false;
+    // What stands is archived before it is replaced, so that no version that was ever chosen is lost.
+    async function shot(): Promise<Either.Either<Fault, Changed>> {
+      overtaken = false;
+      const archived = await archiveCurrent();
+      if (Either.isLeft(archived)) return archived;
+      return register.change('configuration', function next(current) {
+        conflict = Option.none;
+        beyond = Option.none;
+        const version = Option.isSome(current) ? current.value.version : 0;
+        const before = Option.isSome(current) ? (current.value.value as Configuration) : undefined;
+        if (before?.recent.some((old) => old.sendId === sendId) === true) return Option.none;
+        const allowed = operators.mayChange(caller, before?.sheet, sheet);
+        if (Either.isLeft(allowed)) beyond = Option.some(allowed.left);
+        else if (expected !== undefined && Number(expected.replaceAll('"', '')) !== version) conflict = Option.some(version);
+        if (Option.isSome(beyond) || Option.isSome(conflict)) return Option.none;
+        overtaken = version !== archived.right;
+        if (overtaken) return Option.none;
+        return Option.some({ ...sent, recent: [...(before?.recent ?? []), { version: version + 1, sendId }].slice(-recentKept) });
+      });
+    }
+    let changed = await shot();
+    for (let shots = 1; overtaken && Either.isRight(changed) && shots < mostShots; shots += 1) changed = await shot();
+    if (overtaken && Either.isRight(changed)) {
+      return http.denied(fault.create({ kind: 'overloaded', message: 'other operators sent sheets all the while; nothing was changed', remedy: 'send it again', retryAfterSeconds: 1 }));
+    }
     if (Either.isLeft(changed)) {
       return http.denied(fault.create({
         kind: 'outcome-unknown', message: 'it is not known whether the sheet was taken: no majority of disks answered in time',
@@ -125,8 +172,7 @@
       }));
     }
     const entry = (changed.right.entry as Option.Some<Entry>).value;
-    const standing = entry.value as Configuration;
-    const version = standing.sendId === sendId ? entry.version : (standing.history.find((old) => old.sendId === sendId)?.version ?? entry.version);
+    const version = (entry.value as Configuration).recent.find((old) => old.sendId === sendId)?.version ?? entry.version;
     await table.note(sent.sentBy, 'sheet', `version ${version}`);
     return { status: 200, headers: { etag: `"${version}"` }, body: { version } };
   }
@@ -139,17 +185,16 @@
     }
     const { version, value } = read.right.value;
     const wanted = request.query['version'] === undefined ? version : Number(request.query['version']);
-    const found = wanted === version ? { version, ...value } : value.history.find((old) => old.version === wanted);
-    if (found === undefined) {
+    const found = await versionAt(wanted, { version, ...value });
+    if (Either.isLeft(found)) return http.denied(found.left);
+    if (Option.isNone(found.right)) {
       return http.denied(fault.create({
-        kind: wanted > version || !Number.isInteger(wanted) ? 'not-found' : 'version-forgotten',
-        message: `version ${request.query['version']} is not kept`, remedy: `ask for ${value.history[0]?.version ?? version} to ${version}`,
+        kind: wanted > version || !Number.isInteger(wanted) || wanted < 1 ? 'not-found' : 'version-forgotten',
+        message: `version ${request.query['version']} is not kept`, remedy: `ask for ${oldestOf(version)} to ${version}`,
       }));
     }
-    return {
-      status: 200, headers: { etag: `"${found.version}"` },
-      body: { version: found.version, sheet: found.sheet, sentBy: found.sentBy, sentAt: found.sentAt, kept: [...value.history.map((old) => old.version), version] },
-    };
+    const { sheet, sentBy, sentAt } = found.right.value;
+    return { status: 200, headers: { etag: `"${wanted}"` }, body: { version: wanted, sheet, sentBy, sentAt, oldest: oldestOf(version), latest: version } };
   }
 
   /** The nodes heard within a term, this one among them. */
@@ -273,10 +318,15 @@
   async function versions(request: HttpRequest): Promise<HttpReply> {
     const read = await readConfiguration();
     if (Either.isLeft(read)) return http.denied(read.left);
-    const rows = Option.isNone(read.right) ? [] : [
-      ...read.right.value.value.history, { version: read.right.value.version, ...read.right.value.value },
-    ].map((one) => ({ version: one.version, sentBy: one.sentBy, sentAt: one.sentAt }));
-    return { status: 200, body: page(rows, request) };
+    if (Option.isNone(read.right)) return { status: 200, body: page([], request) };
+    const current = { version: read.right.value.version, ...read.right.value.value };
+    const numbers = Array.from({ length: current.version - oldestOf(current.version) + 1 }, (_, index) => current.version - index);
+    const shown = page(numbers, request);
+    const rows = await Promise.all((shown.rows as readonly number[]).map(async function row(version) {
+      const found = await versionAt(version, current);
+      return Either.isRight(found) && Option.isSome(found.right) ? { version, sentBy: found.right.value.sentBy, sentAt: found.right.value.sentAt } : { version };
+    }));
+    return { status: 200, body: { ...shown, rows } };
   }
 
   /** Each check with its remedy; the page is 503 when one fails. */
@@ -294,13 +344,14 @@
       return Option.isNone(settled) || !members.alive(settled.value.primary);
     }).map((service) => service.service);
     const windows = await usage.windows();
-    const unsent = Either.isRight(windows) ? windows.right.filter((one) => !one.sent && (one.window + 1) * windowMilliseconds + usageLateMilliseconds < kernel.clock.wall()).map((one) => one.window) : [];
+    const unsent = Either.isRight(windows) ? windows.right.filter((one) => !one.sent && (one.window + 1) * usageWindowMilliseconds + usageLateMilliseconds < kernel.clock.wall()).map((one) => one.window) : [];
     const checks = [
       { check: 'cores', sound: coresHeard >= quorum.majority(node.cores().length), detail: `${coresHeard} of ${node.cores().length} heard`, remedy: 'bring a core back' },
       { check: 'nodes', sound: heard.length >= needed, detail: `${heard.length} of ${membership.seats.length} heard, ${needed} needed`, remedy: 'bring nodes back' },
       { check: 'configuration', sound: behind.length === 0, detail: behind.length === 0 ? `all obey ${version}` : `behind ${version}: ${behind.join(' ')}`, remedy: 'see whether these nodes reach a majority of cores' },
       { check: 'leaders', sound: leaderless.length === 0, detail: leaderless.length === 0 ? 'each service has one' : `none alive: ${leaderless.join(' ')}`, remedy: 'see stallstall elections and members' },
       { check: 'usage', sound: unsent.length === 0, detail: unsent.length === 0 ? 'sent in time' : `late windows: ${unsent.join(' ')}`, remedy: 'see whether the platform answers' },
+      { check: 'disk', sound: parts.diskBytes() < diskBytesMost, detail: `${Math.round(parts.diskBytes() / 1e6)} MB of ${Math.round(diskBytesMost / 1e6)} MB`, remedy: 'send smaller sheets: the last ten thousand are kept' },
     ];
     return { status: checks.every((one) => one.sound) ? 200 : 503, body: { core: node.settings.node, checks } };
   }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,14 +2,14 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, identifiers, owner, type Disk, type Fault, type Kernel, type Listening,
+  fault, http, identifiers, owner, type Disk, type Fault, type Kernel, type Listening,
 } from '@stallstall/kernel';
 import {
   MembershipSchema, message, SeatSchema, type Ask, type Entry, type Membership, type Reply, type Seat,
 } from '@stallstall/message';
 import { peer, type Caller, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { acceptor, registerService, watcher, type RegisterTarget } from '@stallstall/register';
+import { acceptor, coldPrefix, keeper, registerService, watcher, type RegisterTarget } from '@stallstall/register';
 import { node as nodes, beatMilliseconds, type Configuration, type Node, type NodeSettings } from '@stallstall/node';
 import type { Vote, VoteStore } from '@stallstall/elect';
 import { Type } from '@sinclair/typebox';
@@ -18,7 +18,7 @@
 
 export type CoreSettings = NodeSettings & Readonly<{ cores: number; operatorKey?: string | undefined }>;
 
-export type Core = Readonly<{ node: Node; open: () => boolean; stop: () => Promise<void> }>;
+export type Core = Readonly<{ node: Node; open: () => boolean; drain: () => Promise<void>; stop: () => Promise<void> }>;
 
 const FleetSchema = Type.Object({
   fleet: Type.String({ minLength: 1 }),
@@ -34,9 +34,9 @@
 
 type Watching = { node: string; number: number; acknowledged: number; obeyed: number; caller: Caller };
 
-/** What is pushed of the configuration leaves its history behind. */
+/** What is pushed of the configuration leaves the ids of earlier sends behind. */
 function forPush(key: string, entry: Entry): Entry {
-  return key === 'configuration' ? { ...entry, value: { ...(entry.value as Configuration), history: [] } } : entry;
+  return key === 'configuration' ? { ...entry, value: { ...(entry.value as Configuration), recent: [] } } : entry;
 }
 
 function diskFault(stored: ReadonlyMap<string, unknown>, settings: CoreSettings): Option.Option<Fault> {
@@ -65,6 +65,10 @@
   return Option.none;
 }
 
+const graceMilliseconds = 6_000;
+const releaseMilliseconds = 2_000;
+const drainLookMilliseconds = 20;
+
 type CoreVotes = VoteStore & Readonly<{ epochs: () => Promise<Readonly<Record<string, number>>> }>;
 
 function coreVotes(disk: Disk, stored: ReadonlyMap<string, unknown>): CoreVotes {
@@ -88,21 +92,25 @@
     return Either.left(fault.create({ kind: 'bad-settings', message: 'a core needs a data folder', remedy: 'name one with --data' }));
   }
   const disk = kernel.disk.value;
-  const stored = await disk.load();
+  const stored = await disk.load(coldPrefix);
   const broken = diskFault(stored, settings);
   if (Option.isSome(broken)) return Either.left(broken.value);
 
   let fleet: Option.Option<Fleet> = Option.fromNullable(stored.get('fleet') as Fleet | undefined);
   const watching = new Map<Caller, Watching>();
   let stopped = false;
+  let ending = false;
 
   const cells = acceptor.create(disk, stored, function push(key, entry) {
     if (!watcher.watched(key)) return;
     for (const [caller, entryOf] of watching) if (caller.open()) handOver(entryOf, key, entry);
     feedOwn();
-  }, function failed(error) {
+  }, diskFailed);
+  const notes = keeper.create(kernel, disk, stored.get('notes'), diskFailed);
+
+  function diskFailed(error: Fault): void {
     kernel.log('disk.failed', { reason: error.message });
-  });
+  }
 
   function handOver(to: Watching, key: string, entry: Entry): void {
     to.number += 1;
@@ -121,8 +129,7 @@
   const node: Node = nodes.create(kernel, settings, {
     role: 'core',
     votes: () => votes,
-    own: Option.some({ target: ownTarget, accepted: cells.accepted }),
-    floor: () => 0,
+    own: Option.some({ target: ownTarget, note: async (body) => Option.some(await notes.keep(body)), accepted: cells.accepted }),
     caps: () => ({}),
     onObeyed: () => undefined,
     onHello,
@@ -139,7 +146,7 @@
   }
 
   const register = kernel.services.find(registerService);
-  const usage = usages.create(kernel, node);
+  const usage = usages.create(kernel, node, notes);
 
   // -- Forming the fleet once, or coming back to it (design 4.3).
 
@@ -162,6 +169,7 @@
     node.setFleet(known.fleet);
     node.setCores(known.cores);
     cells.open();
+    notes.open();
     feedOwn();
     kernel.log('core.open', { fleet: known.fleet, cores: known.cores.length });
   }
@@ -190,6 +198,29 @@
     }
   }
 
+  /** All that another core holds, page after page; a page that did not arrive or did not sync is asked for again. */
+  async function copyPages(other: Seat, epochs: Record<string, number>): Promise<void> {
+    const dialled = peer.dial(kernel, identifiers.address(other.address));
+    for (let after = '', whole = false; !whole && !stopped; ) {
+      const reply = await dialled.call('copy', { after }, 2_000);
+      if (Option.isNone(reply) || !reply.value.ready) {
+        await kernel.clock.sleep(beatMilliseconds);
+        continue;
+      }
+      const { entries, votes: voted, notes: noted, next } = reply.value;
+      const merged = await Promise.all(entries.map((entry) => (acceptor.isCellState(entry.state) ? cells.merge(entry.key, entry.state) : false)));
+      await notes.keep(noted);
+      if (!merged.every(Boolean) || !notes.synced()) {
+        await kernel.clock.sleep(beatMilliseconds);
+        continue;
+      }
+      for (const [service, epoch] of Object.entries(voted)) epochs[service] = Math.max(epoch, epochs[service] ?? 0);
+      after = next;
+      whole = next === '';
+    }
+    dialled.close();
+  }
+
   /** A blank disk in a formed fleet has been lost: it answers no ballot before it holds what all the others hold. */
   async function copy(known: Fleet): Promise<void> {
     if (copyingStarted) return;
@@ -200,16 +231,7 @@
     const others = known.cores.filter((core) => core.node !== settings.node);
     const epochs: Record<string, number> = { ...(await votes.epochs()) };
     for (const other of others) {
-      const dialled = peer.dial(kernel, identifiers.address(other.address));
-      for (let copied = false; !copied && !stopped; ) {
-        const reply = await dialled.call('copy', {}, 2_000);
-        if (Option.isSome(reply) && reply.value.ready) {
-          const merged = await Promise.all(reply.value.entries.map((entry) => (acceptor.isCellState(entry.state) ? cells.merge(entry.key, entry.state) : false)));
-          copied = merged.every(Boolean);
-          for (const [service, epoch] of Object.entries(reply.value.votes)) epochs[service] = Math.max(epoch, epochs[service] ?? 0);
-        } else await kernel.clock.sleep(beatMilliseconds);
-      }
-      dialled.close();
+      await copyPages(other, epochs);
     }
     // What it voted is lost with the disk. An epoch it may have helped to win has other voters, and theirs were copied.
     for (const [service, epoch] of Object.entries(epochs)) {
@@ -365,32 +387,31 @@
       };
     },
     form: agree,
-    copy: async () => ({ ready: cells.ready(), votes: { ...(await votedEpochs()) }, entries: cells.cells().map((cell) => ({ key: cell.key, state: cell.state })) }),
+    copy: async (ask) => ({ ready: cells.ready(), votes: { ...(await votedEpochs()) }, notes: notes.all(), ...(await cells.page(ask.after)) }),
     prepare: cells.prepare,
     accept: cells.accept,
     look: cells.look,
     watch,
     join,
-    usageTell: function told(ask) {
-      usage.tell(ask);
-      return {};
-    },
-    usageLook: (ask) => usage.look(ask.window),
+    note: notes.keep,
+    usageLook: (ask) => notes.look(ask.window),
   };
 
   const administration = administrations.create(kernel, {
-    node, usage, rootKey: settings.operatorKey, ready: cells.ready, versionOf, changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
+    node, usage, rootKey: settings.operatorKey, ready: () => cells.ready() && !ending, versionOf, changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
     obeyed: () => new Map([...watching.values()].filter((entry) => entry.caller.open()).map((entry) => [entry.node, entry.obeyed])),
+    diskBytes: disk.size,
     metrics: () => ({
-      cells: cells.keys().length, puts: disk.puts(), watching: [...watching.keys()].filter((caller) => caller.open()).length,
+      cells: cells.keys().length, puts: disk.puts(), diskBytes: disk.size(), watching: [...watching.keys()].filter((caller) => caller.open()).length,
       pushed: [...watching.values()].reduce((sum, entry) => sum + entry.number, 0),
       unacknowledged: [...watching.values()].filter((entry) => entry.caller.open()).reduce((sum, entry) => sum + Math.max(0, entry.number - entry.acknowledged), 0),
     }),
   });
 
+  const pages = http.counted([...node.routes, ...administration.routes]);
   const listening: readonly Listening[] = [
     await peer.listen(kernel, identifiers.address(settings.address), handlers),
-    await kernel.network.serve(identifiers.address(settings.outward), { routes: [...node.routes, ...administration.routes] }),
+    await kernel.network.serve(identifiers.address(settings.outward), { routes: pages.routes }),
   ];
 
   node.start();
@@ -399,16 +420,23 @@
   else if (stage() === 'copying' && Option.isSome(fleet)) void copy(fleet.value);
   else void form();
 
-  return Either.right({
-    node,
-    open: cells.ready,
-    stop: async function stop() {
-      stopped = true;
-      usage.stop();
-      node.stop();
-      for (const entry of listening) await entry.stop();
-    },
-  });
+  async function stop(): Promise<void> {
+    stopped = true;
+    void usage.stop();
+    node.stop();
+    for (const entry of listening) await entry.stop();
+  }
+
+  /** Fails readiness, hands its duty on, answers what is in flight, then stops (design 7.10). */
+  async function drain(): Promise<void> {
+    ending = true;
+    const horizon = identifiers.after(kernel.clock.now(), graceMilliseconds);
+    await Promise.race([usage.stop(), kernel.clock.sleep(releaseMilliseconds)]);
+    while (kernel.clock.now() < horizon && pages.inFlight() > 0) await kernel.clock.sleep(drainLookMilliseconds);
+    await stop();
+  }
+
+  return Either.right({ node, open: cells.ready, stop, drain });
 }
 
 export const core = { start } as const;
--- a/packages/elect/src/duty.ts
+++ b/packages/elect/src/duty.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { Type, type Static } from '@sinclair/typebox';
-import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
+import { fault, identifiers, type Address, type Fault, type HttpAsk, type HttpReply, type Instant, type Kernel } from '@stallstall/kernel';
 import { message, type Entry } from '@stallstall/message';
 import { registerService } from '@stallstall/register';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
@@ -17,8 +17,11 @@
 
 export type Holding = Readonly<{
   turn: number;
-  /** Whether a call that may last so long would end within the term. */
-  covers: (milliseconds: number) => boolean;
+  /**
+   * One call under this turn. It leaves only while the term has room for its way; the duty is renewed beside it, and should the
+   * term run out all the same, the call is taken back.
+   */
+  act: (address: Address, ask: HttpAsk, milliseconds: number) => Promise<Either.Either<Fault, HttpReply>>;
   renew: () => Promise<boolean>;
   release: () => Promise<void>;
 }>;
@@ -28,7 +31,9 @@
   seek: () => Promise<Option.Option<Holding>>;
 }>;
 
-export const renewMilliseconds = 600;
+const renewMilliseconds = 500;
+/** What a call may take to reach whom it is for. */
+const wayMilliseconds = 400;
 
 function stateOf(entry: Option.Option<Entry>): Option.Option<DutyState> {
   return Option.isSome(entry) && message.fits(DutySchema, entry.value.value) ? Option.some(entry.value.value) : Option.none;
@@ -43,13 +48,23 @@
 
   function hold(turn: number, from: Instant): Holding {
     let until = identifiers.after(from, termMilliseconds);
+    let renewing: Promise<boolean> | undefined;
+    let released = false;
 
-    async function replace(released: boolean): Promise<boolean> {
+    /** Who asks while a renewal is under way shares it. */
+    function renew(): Promise<boolean> {
+      renewing ??= replace(false).finally(() => {
+        renewing = undefined;
+      });
+      return renewing;
+    }
+
+    async function replace(lastTime: boolean): Promise<boolean> {
       const sentAt = kernel.clock.now();
       const changed = await register.change(key, function next(entry) {
         const state = stateOf(entry);
         return Option.isSome(state) && state.value.holder === holder && state.value.turn === turn && !state.value.released
-          ? Option.some({ ...state.value, renewals: state.value.renewals + 1, released })
+          ? Option.some({ ...state.value, renewals: state.value.renewals + 1, released: lastTime })
           : Option.none;
       }, 1_000);
       const kept = Either.isRight(changed) && changed.right.wrote;
@@ -57,15 +72,39 @@
       return kept;
     }
 
+    function left(): number {
+      return until - kernel.clock.now();
+    }
+
+    async function act(address: Address, ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
+      if (left() < termMilliseconds / 2) await renew();
+      if (left() < wayMilliseconds) {
+        return Either.left(fault.create({ kind: 'superseded', message: `the term of ${name} under turn ${turn} has no room for a call`, remedy: 'who holds the duty next makes it' }));
+      }
+      const connection = kernel.network.connect(address);
+      let under = true;
+      function guard(): void {
+        if (!under) return;
+        if (left() <= 0) connection.close();
+        else kernel.clock.alarm(left(), guard);
+      }
+      async function renewBeside(): Promise<void> {
+        for (await kernel.clock.sleep(renewMilliseconds); under; await kernel.clock.sleep(renewMilliseconds)) await renew();
+      }
+      guard();
+      void renewBeside();
+      const reply = await connection.exchange(ask, milliseconds);
+      under = false;
+      connection.close();
+      return reply;
+    }
+
     return {
       turn,
-      covers: function covers(milliseconds) {
-        return kernel.clock.now() + milliseconds <= until;
-      },
-      renew: function renew() {
-        return replace(false);
-      },
+      act,
+      renew,
       release: async function release() {
+        released = true;
         until = kernel.clock.now();
         await replace(true);
       },
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -2,12 +2,12 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, identifiers, kernel as kernels, type Fault, type Instant, type Kernel } from '@stallstall/kernel';
-import type { Ask, Entry, Membership, Reply, Settled } from '@stallstall/message';
+import type { Ask, Entry, Floor, Membership, Reply, Settled } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
-import { registerService } from '@stallstall/register';
+import { notesService, registerService } from '@stallstall/register';
 import { fenceService, marginMilliseconds, termMilliseconds } from '@stallstall/fence';
 import { sheets, type Sheet, type SheetMember, type SheetService } from '@stallstall/sheet';
-import { duty, renewMilliseconds, type Holding } from './duty.js';
+import { duty, type Holding } from './duty.js';
 import { downAfterMilliseconds, livenessService, type MemberState } from './liveness.js';
 
 /** The paper's election timeout. */
@@ -22,17 +22,14 @@
   record: (service: string, vote: Vote) => Promise<boolean>;
 }>;
 
-export type Platform = Readonly<{
-  promote: (order: Readonly<{ service: string; member: string; epoch: number; turn: number }>, milliseconds: number) => Promise<Either.Either<Fault, unknown>>;
-}>;
-
 export type ElectionView = Readonly<{
   self: string;
   membership: () => Membership;
   membershipVersion: () => number;
   sheet: () => Option.Option<Sheet>;
   settled: (service: string) => Option.Option<Settled>;
-  floor: (service: string) => number;
+  /** Where the platform is, asked at each call. */
+  platform: () => string;
   propose: (node: string, ask: Ask<'propose'>) => Promise<Option.Option<Reply<'propose'>>>;
 }>;
 
@@ -48,7 +45,10 @@
 const patienceMilliseconds = termMilliseconds + marginMilliseconds + electionTimeoutMilliseconds;
 const rankMilliseconds = 120;
 const probeMilliseconds = 800;
-const promoteMilliseconds = 900;
+/** A platform may take its time: the duty is renewed beside the call, and the candidate's own STATE is looked at meanwhile. */
+const promoteMilliseconds = 8_000;
+const promotedLookMilliseconds = 300;
+const orderMilliseconds = 12_000;
 const catchUpMilliseconds = 5_000;
 
 type Standing = {
@@ -70,8 +70,14 @@
   return left.member.member < right.member.member ? -1 : 1;
 }
 
-function create(kernel: Kernel, view: ElectionView, votes: VoteStore, platform: Platform): Election {
+/** Whether a member holds all that was acknowledged: a later epoch began with all of it (design 7.5). */
+function reaches(state: MemberState, floor: Floor): boolean {
+  return state.epoch > floor.epoch || (state.epoch === floor.epoch && state.received >= floor.position);
+}
+
+function create(kernel: Kernel, view: ElectionView, votes: VoteStore): Election {
   const register = kernel.services.find(registerService);
+  const notes = kernel.services.find(notesService);
   const liveness = kernel.services.find(livenessService);
   const terms = kernel.services.find(fenceService);
   const standings = new Map<string, Standing>();
@@ -142,7 +148,6 @@
     if (candidate === undefined || candidate.state !== 'serving') return Option.some('the candidate is not serving');
     const primary = livePrimary(service);
     if (primary !== undefined && primary.member !== ask.candidate) return Option.some('the primary is alive');
-    if (view.floor(ask.service) > ask.position) return Option.some('the candidate lacks acknowledged writes');
     return Option.none;
   }
 
@@ -171,15 +176,20 @@
     return answers.flatMap((answer) => (Option.isSome(answer) ? [answer.value] : []));
   }
 
+  /** What was acknowledged up to now, read from a majority of core disks; none while no majority answers. */
+  async function floorOf(service: string): Promise<Option.Option<Floor>> {
+    const floors = await notes.floors();
+    return Either.isRight(floors) ? Option.some(floors.right[service] ?? { epoch: 0, position: 0 }) : Option.none;
+  }
+
   /** Highest received position among the eligible, lowest id on ties; never below the floor (design 7.5). */
-  function choose(service: SheetService, found: readonly Found[]): Option.Option<Found> {
+  function choose(service: SheetService, found: readonly Found[], floor: Floor): Option.Option<Found> {
     const primary = livePrimary(service);
-    const floor = view.floor(service.service);
     const eligible = found.filter((one) =>
       one.member.state === 'serving' &&
       (primary === undefined || one.member.member === primary.member) &&
       one.state.epoch >= settledEpoch(service.service) &&
-      one.state.received >= floor);
+      reaches(one.state, floor));
     return Option.fromNullable([...eligible].sort(better)[0]);
   }
 
@@ -216,11 +226,12 @@
     const horizon = identifiers.after(kernel.clock.now(), catchUpMilliseconds);
     const before = primaryOf(service);
     while (kernel.clock.now() < horizon && !outvoted(service.service, epoch)) {
-      const found = await states(service);
+      // Read after the wait: what any edge has acknowledged under the older epoch is on a majority of disks by now.
+      const [found, floor] = await Promise.all([states(service), floorOf(service.service)]);
       const candidate = found.find((one) => one.member.member === chosen.member.member);
       const old = found.find((one) => one.member.member === before?.member && one.state.epoch === chosen.state.epoch);
-      const target = Math.max(view.floor(service.service), old === undefined || old === candidate ? 0 : old.state.received);
-      if (candidate !== undefined && candidate.state.received >= target) return true;
+      const target = old === undefined || old === candidate ? 0 : old.state.received;
+      if (candidate !== undefined && Option.isSome(floor) && reaches(candidate.state, floor.value) && candidate.state.received >= target) return true;
       await kernel.clock.sleep(100);
     }
     return false;
@@ -237,15 +248,41 @@
     return Option.none;
   }
 
+  /** Only this turn's call can have told a member this epoch, so its own STATE is proof that the call took effect. */
+  async function isPromoted(member: SheetMember, epoch: number): Promise<boolean> {
+    const state = await liveness.probe(member.member, member.address, probeMilliseconds);
+    return Either.isRight(state) && state.right.state.role === 'primary' && state.right.state.epoch === epoch;
+  }
+
+  async function call(service: SheetService, member: SheetMember, epoch: number, holding: Holding): Promise<Either.Either<Fault, null>> {
+    const reply = await holding.act(
+      identifiers.address(view.platform()), { method: 'POST', path: '/v1/promotions', body: { service: service.service, member: member.member, epoch, turn: holding.turn } }, promoteMilliseconds,
+    );
+    if (Either.isLeft(reply)) return reply;
+    if (reply.right.status === 200) return Either.right(null);
+    const over = reply.right.status === 409;
+    return Either.left(fault.create({
+      kind: over ? 'superseded' : 'unreachable', message: `the platform answered a promotion with ${reply.right.status}`, remedy: over ? 'a later turn is known there; this one is over' : 'it is asked again',
+    }));
+  }
+
   async function order(service: SheetService, chosen: Found, epoch: number, holding: Holding): Promise<Either.Either<string, null>> {
-    const horizon = identifiers.after(kernel.clock.now(), catchUpMilliseconds);
+    const horizon = identifiers.after(kernel.clock.now(), orderMilliseconds);
     let last = 'no call was made';
     while (kernel.clock.now() < horizon) {
       if (outvoted(service.service, epoch)) return Either.left('a later epoch was voted');
-      if (!holding.covers(promoteMilliseconds + renewMilliseconds) && !(await holding.renew())) return Either.left('the promotion duty was lost');
-      if (!holding.covers(promoteMilliseconds)) continue;
-      const reply = await platform.promote({ service: service.service, member: chosen.member.member, epoch, turn: holding.turn }, promoteMilliseconds);
-      if (Either.isRight(reply)) return Either.right(null);
+      let answered: Option.Option<Either.Either<Fault, null>> = Option.none;
+      const calling = call(service, chosen.member, epoch, holding).then((reply) => {
+        answered = Option.some(reply);
+      });
+      while (Option.isNone(answered)) {
+        await Promise.race([calling, kernel.clock.sleep(promotedLookMilliseconds)]);
+        if (Option.isSome(answered)) break;
+        if (await isPromoted(chosen.member, epoch)) return Either.right(null);
+        if (outvoted(service.service, epoch)) return Either.left('a later epoch was voted');
+      }
+      const reply = (answered as Option.Some<Either.Either<Fault, null>>).value;
+      if (Either.isRight(reply) || (await isPromoted(chosen.member, epoch))) return Either.right(null);
       last = reply.left.message;
       if (fault.kind(reply.left) === 'superseded') return Either.left(last);
       await kernel.clock.sleep(200);
@@ -263,8 +300,9 @@
 
   /** One candidacy, written straight down: STATE, PROPOSE, the wait, the promotion, the settled epoch. */
   async function stand(service: SheetService): Promise<string> {
-    const found = await states(service);
-    const chosen = choose(service, found);
+    const [found, floor] = await Promise.all([states(service), floorOf(service.service)]);
+    if (Option.isNone(floor)) return 'what was acknowledged cannot be read: no majority of cores answers';
+    const chosen = choose(service, found, floor.value);
     if (Option.isNone(chosen)) return 'no eligible replica: each is out of reach or lacks acknowledged writes';
     const standing = standingOf(service.service);
     const epoch = 1 + Math.max(settledEpoch(service.service), votedEpoch(service.service, standing), ...found.map((one) => one.state.epoch));
--- a/packages/kernel/src/http.ts
+++ b/packages/kernel/src/http.ts
@@ -53,6 +53,25 @@
   );
 }
 
+/** The same routes, and how many of their requests are without an answer. */
+function counted(routes: readonly HttpRoute[]): Readonly<{ routes: readonly HttpRoute[]; inFlight: () => number }> {
+  let count = 0;
+  return {
+    inFlight: () => count,
+    routes: routes.map((one) => ({
+      ...one,
+      handle: async function handle(request) {
+        count += 1;
+        try {
+          return await one.handle(request);
+        } finally {
+          count -= 1;
+        }
+      },
+    })),
+  };
+}
+
 /** One exchange on a connection of its own. */
 async function once(kernel: Kernel, address: Address, ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
   const connection = kernel.network.connect(address);
@@ -61,4 +80,4 @@
   return reply;
 }
 
-export const http = { matchPath, denied, replied, route, once } as const;
+export const http = { matchPath, denied, replied, route, counted, once } as const;
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -81,8 +81,13 @@
 }>;
 
 export type Disk = Readonly<{
-  /** Every key and value, as last synced. */
-  load: () => Promise<ReadonlyMap<string, unknown>>;
+  /** Every key and value, as last synced, but those under a prefix that is read only when asked for. */
+  load: (without: string) => Promise<ReadonlyMap<string, unknown>>;
+  read: (key: string) => Promise<Option.Option<unknown>>;
+  /** Entries under a prefix in the order of their keys, after one of them, until so many bytes are reached. */
+  page: (prefix: string, after: string, bytes: number) => Promise<ReadonlyArray<readonly [string, unknown]>>;
+  /** What the data folder takes up, in bytes. */
+  size: () => number;
   /** Right only once the value would survive the loss of power; after a left it may stand there or not. */
   put: (key: string, value: unknown) => Promise<Either.Either<Fault, null>>;
   /** How many puts this disk has taken in its life; kept with each of them, so that an old copy tells itself. */
--- a/packages/machine/src/disk.ts
+++ b/packages/machine/src/disk.ts
@@ -3,29 +3,35 @@
 import path from 'node:path';
 import { open as openDatabase } from 'lmdb';
 import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
 import { fault, type Disk, type Fault } from '@stallstall/kernel';
 
 const putsKey = '#puts';
 
-function runs(identifier: number): boolean {
+/** A process id alone comes again, so a holder is told by its id, the boot of its machine, and the tick it started at. */
+function lifeOf(identifier: number): string {
   try {
-    process.kill(identifier, 0);
-    return true;
+    const boot = fs.readFileSync('/proc/sys/kernel/random/boot_id', 'utf8').trim();
+    const stat = fs.readFileSync(`/proc/${identifier}/stat`, 'utf8');
+    // The name in parentheses may hold anything; the start time is the twentieth field behind it.
+    return `${identifier} ${boot} ${stat.slice(stat.lastIndexOf(')') + 2).split(' ')[19] ?? ''}`;
   } catch {
-    return false;
+    return '';
   }
 }
 
-/** One process for each folder: the holder's process id stands in a file beside the data. */
+/** One process for each folder: which one holds it stands in a file beside the data. */
 function claim(folder: string): Either.Either<Fault, null> {
   const file = path.join(folder, 'holder');
-  const holder = fs.existsSync(file) ? Number(fs.readFileSync(file, 'utf8')) : 0;
-  if (holder > 0 && holder !== process.pid && runs(holder)) {
+  const holder = fs.existsSync(file) ? fs.readFileSync(file, 'utf8').trim() : '';
+  const identifier = Number(holder.split(' ')[0]);
+  const life = lifeOf(process.pid);
+  if (holder !== '' && holder !== life && holder === lifeOf(identifier)) {
     return Either.left(fault.create({
-      kind: 'foreign-disk', message: `the data folder is held by process ${holder}`, remedy: 'stop that process first, or use another folder',
+      kind: 'foreign-disk', message: `the data folder is held by process ${identifier}`, remedy: 'stop that process first, or use another folder',
     }));
   }
-  fs.writeFileSync(file, String(process.pid));
+  fs.writeFileSync(file, life);
   return Either.right(null);
 }
 
@@ -34,16 +40,32 @@
     fs.mkdirSync(folder, { recursive: true });
     const claimed = claim(folder);
     if (Either.isLeft(claimed)) return claimed;
-    const database = openDatabase<unknown, string>({ path: path.join(folder, 'register.lmdb'), encoding: 'json', overlappingSync: false, noSubdir: true });
+    const file = path.join(folder, 'register.lmdb');
+    const database = openDatabase<unknown, string>({ path: file, encoding: 'json', overlappingSync: false, noSubdir: true });
     const stored = database.get(putsKey);
     let count = typeof stored === 'number' ? stored : 0;
     return Either.right({
       puts: () => count,
-      load: async function load() {
+      load: async function load(without) {
         const entries = new Map<string, unknown>();
-        for (const { key, value } of database.getRange({})) if (key !== putsKey) entries.set(key, value);
+        // '0' follows '/': all keys before the prefix, then all keys after it, without a look at what lies between.
+        for (const { key, value } of database.getRange({ end: without })) if (key !== putsKey) entries.set(key, value);
+        for (const { key, value } of database.getRange({ start: `${without.slice(0, -1)}0` })) entries.set(key, value);
         return entries;
       },
+      read: (key) => Promise.resolve(Option.fromNullable(database.get(key))),
+      page: async function page(prefix, after, bytes) {
+        const found: Array<readonly [string, unknown]> = [];
+        let left = bytes;
+        for (const { key, value } of database.getRange({ start: after > prefix ? after : prefix })) {
+          if (!key.startsWith(prefix) || left <= 0) break;
+          if (key === after) continue;
+          found.push([key, value]);
+          left -= JSON.stringify(value).length;
+        }
+        return found;
+      },
+      size: () => fs.statSync(file).size,
       put: async function put(key, value) {
         try {
           count += 1;
@@ -65,4 +87,4 @@
   }
 }
 
-export const disk = { open } as const;
+export const disk = { open, claim, lifeOf } as const;
--- a/packages/machine/src/network.ts
+++ b/packages/machine/src/network.ts
@@ -1,7 +1,7 @@
 // The network of a real machine: TCP by IP numbers, HTTP through fastify and undici (design 2.2).
 import net from 'node:net';
 import fastify, { type FastifyInstance } from 'fastify';
-import { Client } from 'undici';
+import { buildConnector, Client } from 'undici';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
@@ -162,13 +162,26 @@
 }
 
 function connect(address: Address): HttpConnection {
-  const client = new Client(`http://${address}`, { pipelining: 1, connect: { timeout: connectMilliseconds }, keepAliveTimeout: keepMilliseconds, keepAliveMaxTimeout: keepMilliseconds, headersTimeout: 0, bodyTimeout: 0 });
+  const connector = buildConnector({ timeout: connectMilliseconds });
+  let socket: net.Socket | undefined;
+  const client = new Client(`http://${address}`, { pipelining: 1, connect: reach, keepAliveTimeout: keepMilliseconds, keepAliveMaxTimeout: keepMilliseconds, headersTimeout: 0, bodyTimeout: 0 });
   let connected = false;
   let closed = false;
+  let under = false;
 
+  function reach(options: buildConnector.Options, callback: buildConnector.Callback): void {
+    connector(options, function reached(...result) {
+      const [, opened] = result;
+      socket = opened ?? undefined;
+      callback(...result);
+    });
+  }
+
+  /** Under an exchange by a reset, so that what the machine has not sent yet is not sent any more. */
   function close(): void {
     if (closed) return;
     closed = true;
+    if (under) socket?.resetAndDestroy();
     client.destroy(() => undefined);
   }
 
@@ -182,6 +195,7 @@
     const timer = setTimeout(close, milliseconds);
     try {
       if (closed) throw new Error('the connection is closed');
+      under = true;
       const reply = await client.request({
         method: ask.method as 'GET', path: ask.path, signal: null,
         headers: { ...(ask.body === undefined ? {} : { 'content-type': 'application/json' }), ...ask.headers },
@@ -197,6 +211,7 @@
         kind: 'reply-lost', message: `the reply of ${address} was lost`, remedy: 'see whether it runs and can be reached', cause: error as Error,
       }));
     } finally {
+      under = false;
       clearTimeout(timer);
     }
   }
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -60,11 +60,36 @@
 });
 const FormReply = Type.Object({ agreed: Type.Boolean() });
 
+/** How far a service's acknowledged commits reach: the highest epoch goes first, then the highest position (design 7.5). */
+export const FloorSchema = Type.Object({ epoch: Count, position: Count });
+export type Floor = Readonly<Static<typeof FloorSchema>>;
+const Floors = Type.Record(Type.String({ maxLength: 200 }), FloorSchema);
+export type Floors = Readonly<Record<string, Floor>>;
+
+export const UsageReportSchema = Type.Object({
+  node: Name,
+  /** The proxy process that counted: a restart counts from nothing, under another name. */
+  incarnation: Name,
+  /** Of two tellings of one process the later goes. */
+  number: Count,
+  window: Count,
+  counts: ServiceCounts,
+});
+export type UsageReport = Readonly<Static<typeof UsageReportSchema>>;
+
+/** What an edge has a core's disk keep before it replies (design 7.5, 8.6). `through`: up to which wall time each edge has told all it counted. */
+const NoteAsk = Type.Object({ floors: Floors, reports: Type.Array(UsageReportSchema, { maxItems: 10_000 }), through: Type.Record(Type.String({ maxLength: 200 }), Moment) });
+const NoteReply = Type.Object({ ready: Type.Boolean(), floors: Floors });
+
+/** A page of what a disk holds, after the key that ended the page before it; `next` is empty on the last (design 4.3). */
+const CopyAsk = Type.Object({ after: Type.String({ maxLength: 400 }) });
 const CopyReply = Type.Object({
   ready: Type.Boolean(),
   /** The highest epoch for each service that this core, or any edge by its cells, has voted for. */
   votes: ServiceCounts,
+  notes: NoteAsk,
   entries: Type.Array(Type.Object({ key: Name, state: Type.Unknown() })),
+  next: Type.String({ maxLength: 400 }),
 });
 
 const JoinAsk = Type.Object({ seat: SeatSchema });
@@ -74,11 +99,10 @@
   node: Name,
   incarnation: Count,
   epochs: ServiceCounts,
-  floors: ServiceCounts,
   caps: ServiceCounts,
   membership: Count,
 });
-const BeatReply = Type.Object({ epochs: ServiceCounts, floors: ServiceCounts, caps: ServiceCounts, membership: Count, superseded: Type.Boolean() });
+const BeatReply = Type.Object({ epochs: ServiceCounts, caps: ServiceCounts, membership: Count, superseded: Type.Boolean() });
 
 const ProposeAsk = Type.Object({
   service: Name,
@@ -109,17 +133,8 @@
   superseded: Type.Boolean(),
 });
 
-export const UsageReportSchema = Type.Object({
-  node: Name,
-  /** The proxy process that counted: a restart counts from nothing, under another name. */
-  incarnation: Name,
-  window: Count,
-  counts: ServiceCounts,
-});
-export type UsageReport = Readonly<Static<typeof UsageReportSchema>>;
-/** `through`: up to which wall time each edge has told all it counted. */
-const UsageTell = Type.Object({ reports: Type.Array(UsageReportSchema, { maxItems: 10_000 }), through: Type.Record(Type.String({ maxLength: 200 }), Moment) });
 const UsageLook = Type.Object({ window: Count });
+const UsageLookReply = Type.Object({ ready: Type.Boolean(), reports: NoteAsk.properties.reports, through: NoteAsk.properties.through });
 
 const StatusReply = Type.Object({ status: Type.Unknown() });
 const Empty = Type.Object({});
@@ -146,12 +161,19 @@
 
 const FeedAsk = Type.Object({
   configuration: Count,
-  floors: ServiceCounts,
-  usage: Type.Array(Type.Object({ window: Count, counts: ServiceCounts }), { maxItems: 20 }),
   /** The most connections this proxy holds to any one member of a service. */
   open: ServiceCounts,
+});
+/** What a proxy has its agent note on the core disks; `kept` once a majority of them has synced it. */
+const TellAsk = Type.Object({
+  number: Count,
+  floors: Floors,
+  usage: Type.Array(Type.Object({ window: Count, counts: ServiceCounts }), { maxItems: 20 }),
+  /** The wall time of this machine at which `usage` held all that was counted. */
+  through: Moment,
   incarnation: Name,
 });
+const TellReply = Type.Object({ kept: Type.Boolean() });
 const FeedReply = Type.Object({
   configuration: Type.Union([Type.Object({ version: Count, sheet: Type.Unknown() }), Type.Null()]),
   configurationVersion: Count,
@@ -168,7 +190,7 @@
 export const messages = {
   hello: { ask: HelloAsk, reply: HelloReply },
   form: { ask: FormAsk, reply: FormReply },
-  copy: { ask: Empty, reply: CopyReply },
+  copy: { ask: CopyAsk, reply: CopyReply },
   join: { ask: JoinAsk, reply: JoinReply },
   beat: { ask: BeatAsk, reply: BeatReply },
   propose: { ask: ProposeAsk, reply: ProposeReply },
@@ -176,8 +198,9 @@
   accept: { ask: AcceptAsk, reply: RegisterReply },
   look: { ask: Type.Object({ key: Name }), reply: RegisterReply },
   watch: { ask: WatchAsk, reply: WatchReply },
-  usageTell: { ask: UsageTell, reply: Empty },
-  usageLook: { ask: UsageLook, reply: UsageTell },
+  note: { ask: NoteAsk, reply: NoteReply },
+  usageLook: { ask: UsageLook, reply: UsageLookReply },
+  tell: { ask: TellAsk, reply: TellReply },
   status: { ask: Empty, reply: StatusReply },
   feed: { ask: FeedAsk, reply: FeedReply },
 } as const;
@@ -219,6 +242,20 @@
   return left.node === right.node ? 0 : left.node < right.node ? -1 : 1;
 }
 
+/** The epoch first, then the position. */
+function compareFloors(left: Floor, right: Floor): number {
+  return left.epoch === right.epoch ? left.position - right.position : left.epoch - right.epoch;
+}
+
+function higherFloors(left: Floors, right: Floors): Floors {
+  const merged: Record<string, Floor> = { ...left };
+  for (const [service, floor] of Object.entries(right)) {
+    const known = merged[service];
+    if (known === undefined || compareFloors(known, floor) < 0) merged[service] = floor;
+  }
+  return merged;
+}
+
 export const ballotZero: Ballot = { counter: 0, node: '' };
 
-export const message = { fits, isKind, compareBallots } as const;
+export const message = { fits, isKind, compareBallots, compareFloors, higherFloors } as const;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -9,9 +9,9 @@
 } from '@stallstall/message';
 import { peer, type Handlers, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { proposer, registerService, watcher, type Register, type RegisterTarget } from '@stallstall/register';
+import { notes, notesService, proposer, registerService, watcher, type Notes, type NoteTarget, type Register, type RegisterTarget } from '@stallstall/register';
 import { fence, fenceService, termMilliseconds, type Fence } from '@stallstall/fence';
-import { election, electionService, liveness, livenessService, MemberStateSchema, type Platform, type VoteStore } from '@stallstall/elect';
+import { election, electionService, liveness, livenessService, MemberStateSchema, type VoteStore } from '@stallstall/elect';
 import { sheets, type Sheet } from '@stallstall/sheet';
 
 export const beatMilliseconds = 200;
@@ -33,7 +33,8 @@
   sendId: string;
   sentBy: string;
   sentAt: number;
-  history: ReadonlyArray<Readonly<{ version: number; sheet: Sheet; sendId: string; sentBy: string; sentAt: number }>>;
+  /** The ids of the latest sends, so that none is taken twice; not pushed. */
+  recent: ReadonlyArray<Readonly<{ version: number; sendId: string }>>;
 }>;
 
 export type Obeyed<Value> = Readonly<{ version: number; value: Value }>;
@@ -43,8 +44,7 @@
   role: NodeRole;
   votes: (register: Register) => VoteStore;
   /** A core's own disk, which it asks without a link. */
-  own: Option.Option<Readonly<{ target: RegisterTarget; accepted: (key: string) => Option.Option<Entry> }>>;
-  floor: (service: string) => number;
+  own: Option.Option<Readonly<{ target: RegisterTarget; note: NoteTarget; accepted: (key: string) => Option.Option<Entry> }>>;
   /** The most connections to any one member that this edge holds or may hold, by service (design 8.3). */
   caps: () => Readonly<Record<string, number>>;
   onObeyed: (key: string) => void;
@@ -61,9 +61,7 @@
   /** When the majority of cores last confirmed that nothing newer than what is obeyed here is acknowledged, plus a term. */
   controlUntil: () => Instant;
   fenceUntil: (service: string) => Instant;
-  floors: () => Readonly<Record<string, number>>;
-  /** Highest floor each peer told of, merged with this node's own. */
-  raiseFloor: (service: string, position: number) => void;
+  notes: Notes;
   /** What every other edge last told of its caps; none for one that has told nothing yet. */
   capsOfOthers: () => ReadonlyArray<Option.Option<Readonly<Record<string, number>>>>;
   stances: () => ReadonlyArray<Readonly<{ node: string; membership: number; epochs: Readonly<Record<string, number>> }>>;
@@ -75,7 +73,6 @@
   seat: () => Seat;
   fleet: () => string;
   setFleet: (fleet: string) => void;
-  platform: Platform;
   /** Takes what a core's own disk accepted, as if it had been pushed. */
   changed: (core: string, change: Change) => void;
   isStale: (node: string, incarnation: number) => boolean;
@@ -85,21 +82,6 @@
 
 type Told = Readonly<{ membership: number; epochs: Readonly<Record<string, number>>; caps: Readonly<Record<string, number>>; at: Instant }>;
 
-function platformAt(kernel: Kernel, address: () => string): Platform {
-  return {
-    promote: async function promote(order, milliseconds) {
-      const reply = await http.once(kernel, identifiers.address(address()), { method: 'POST', path: '/v1/promotions', body: order }, milliseconds);
-      if (Either.isLeft(reply)) return reply;
-      if (reply.right.status === 200) return Either.right(reply.right.body);
-      return Either.left(fault.create({
-        kind: reply.right.status === 409 ? 'superseded' : 'unreachable',
-        message: `the platform answered a promotion with ${reply.right.status}`,
-        remedy: reply.right.status === 409 ? 'a later turn is known there; this one is over' : 'it is asked again',
-      }));
-    },
-  };
-}
-
 function create(kernel: Kernel, settings: NodeSettings, parts: NodeParts): Node {
   const ownSeat: Seat = {
     node: settings.node, role: parts.role, area: settings.area, address: settings.address, outward: settings.outward, draining: false,
@@ -111,7 +93,6 @@
   const incarnations = new Map<string, number>();
   const confirmations = new Map<string, Readonly<{ sentAt: Instant; configuration: number; membership: number }>>();
   const acknowledged = new Map<string, number>();
-  const floors = new Map<string, number>();
   const puts = new Map<string, number>();
   let cores: readonly Seat[] = [];
   let fleetName = '';
@@ -134,7 +115,17 @@
     return Option.isSome(parts.own) ? [parts.own.value.target, ...remote] : remote;
   }
 
+  function noteTargets(): readonly NoteTarget[] {
+    const remote = cores.filter((core) => core.node !== settings.node).map((core): NoteTarget => (body, milliseconds) => {
+      const held = peers.get(core.node);
+      return held === undefined ? Promise.resolve(Option.none) : held.peer.call('note', body, milliseconds);
+    });
+    return Option.isSome(parts.own) ? [parts.own.value.note, ...remote] : remote;
+  }
+
   const register = proposer.create(kernel, settings.node, targets, () => cores.length);
+  const noted = notes.create(noteTargets, () => cores.length);
+  kernel.services.offer(notesService, noted);
   kernel.services.offer(registerService, register);
   kernel.services.offer(livenessService, members);
   kernel.services.offer(fenceService, terms);
@@ -244,29 +235,15 @@
     return stances;
   }
 
-  function ownFloors(): Readonly<Record<string, number>> {
-    const current = sheet();
-    return Option.isNone(current) ? {} : Object.fromEntries(current.value.services.map((service) => [service.service, floorOf(service.service)]));
-  }
-
-  function floorOf(service: string): number {
-    return Math.max(floors.get(service) ?? 0, parts.floor(service));
-  }
-
-  function raiseFloor(service: string, position: number): void {
-    if (position > (floors.get(service) ?? 0)) floors.set(service, position);
-  }
-
-  function takeTold(node: string, body: Readonly<{ epochs: Record<string, number>; floors: Record<string, number>; caps: Record<string, number>; membership: number }>): void {
+  function takeTold(node: string, body: Readonly<{ epochs: Record<string, number>; caps: Record<string, number>; membership: number }>): void {
     told.set(node, { membership: body.membership, epochs: body.epochs, caps: body.caps, at: kernel.clock.now() });
-    for (const [service, position] of Object.entries(body.floors)) raiseFloor(service, position);
   }
 
   async function beat(node: string, to: Peer): Promise<void> {
     if (incarnation === 0 || !to.connected()) return;
     const sentAt = kernel.clock.now();
     const reply = await to.call('beat', {
-      node: settings.node, incarnation, epochs: epochs(), floors: ownFloors(), caps: parts.caps(), membership: membership().version,
+      node: settings.node, incarnation, epochs: epochs(), caps: parts.caps(), membership: membership().version,
     }, callMilliseconds);
     if (Option.isNone(reply) || peers.get(node)?.peer !== to) return;
     if (reply.value.superseded) return superseded();
@@ -319,7 +296,6 @@
     return identifiers.instant(Math.min(until, controlUntil()));
   }
 
-  const platform = platformAt(kernel, settings.platform);
   const elections = election.create(
     kernel,
     {
@@ -328,13 +304,13 @@
       membershipVersion: () => membership().version,
       sheet,
       settled,
-      floor: floorOf,
+      platform: settings.platform,
       propose: function propose(node, ask) {
         const held = peers.get(node);
         return held === undefined ? Promise.resolve(Option.none) : held.peer.call('propose', ask, 2_900);
       },
     },
-    parts.votes(register), platform,
+    parts.votes(register),
   );
   kernel.services.offer(electionService, elections);
 
@@ -413,7 +389,7 @@
     beat: function heard(ask): Reply<'beat'> {
       const stale = isStale(ask.node, ask.incarnation);
       if (!stale) takeTold(ask.node, ask);
-      return { epochs: epochs(), floors: ownFloors(), caps: parts.caps(), membership: membership().version, superseded: stale };
+      return { epochs: epochs(), caps: parts.caps(), membership: membership().version, superseded: stale };
     },
     propose: function propose(ask: Ask<'propose'>) {
       return elections.consider(ask);
@@ -473,7 +449,7 @@
 
   return {
     settings, handlers, routes, configuration, membership, settled, controlUntil, fenceUntil,
-    floors: ownFloors, raiseFloor, platform, start, stop, setCores, isStale,
+    notes: noted, start, stop, setCores, isStale,
     changed: watch.changed,
     capsOfOthers: function capsOfOthers() {
       return quorum.withRole(membership().value, 'edge').filter((seat) => seat.node !== settings.node)
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -10,6 +10,7 @@
 import { verdicts, type KnownService } from '@stallstall/verdict';
 import { pools, type MemberWish } from '@stallstall/pool';
 import { Type, type Static } from '@sinclair/typebox';
+import { notes as noteTables } from './notes.js';
 import { requests as requestTables, type Known } from './requests.js';
 import { sessions as sessionTables, type Session } from './sessions.js';
 
@@ -29,6 +30,8 @@
 const defaultHorizonMilliseconds = 4_000;
 /** A draining primary serves until another is elected, but no longer than this after the news (design 7.9). */
 const handoverMilliseconds = 5_000;
+/** How long an open transaction may go on through an edge that drains. */
+const openMilliseconds = 5_500;
 /** The platform goes on sending for a moment after readiness fails. */
 const lameMilliseconds = 1_500;
 export const graceMilliseconds = 6_000;
@@ -47,17 +50,19 @@
 const never = identifiers.instant(Number.NEGATIVE_INFINITY);
 
 async function start(kernel: Kernel, settings: ProxySettings): Promise<Proxy> {
-  let known: Known = { sheet: Option.none, version: 0, area: '', table: new Map(), controlUntil: never, fences: new Map(), draining: false };
+  let known: Known = { sheet: Option.none, version: 0, area: '', table: new Map(), controlUntil: never, fences: new Map(), draining: false, overdue: () => false };
   let feed: Option.Option<Reply<'feed'>> = Option.none;
   let services: readonly KnownService[] = [];
   let drainingSince: Option.Option<Instant> = Option.none;
+  let termSeen = false;
   let stopping = false;
   let stopped = false;
   const self = kernel.randomness.token();
   const pool = pools.create(kernel, () => requests.sweep());
   const sessions = sessionTables.create(kernel, pool);
-  const requests = requestTables.create(kernel, () => known, pool, sessions);
   const agent = peer.dial(kernel, identifiers.address(settings.feed));
+  const notes = noteTables.create(kernel, agent, self, () => requests.counts(), () => requests.sweep());
+  const requests = requestTables.create(kernel, () => known, pool, sessions, notes);
 
   // -- Fed by the agent: remaining terms are counted from this process's own send time (design 7.3).
 
@@ -75,11 +80,11 @@
     };
   }
 
-  function serviceOf(told: ServiceFeed, sheet: Option.Option<Sheet>, sentAt: Instant): KnownService {
+  function serviceOf(told: ServiceFeed, sentAt: Instant): KnownService {
     const before = services.find((one) => one.service === told.service);
     if (before !== undefined && before.epoch > told.epoch) return before;
     return {
-      service: told.service, epoch: told.epoch, primary: told.primary, overdue: isOverdue(sheet, told.primary),
+      service: told.service, epoch: told.epoch, primary: told.primary, overdue: isOverdue(told.primary),
       targets: told.targets.map((target) => ({
         member: target.member, alive: target.alive, applied: target.applied, follows: target.follows,
         freshAt: target.freshAgo < 0 ? never : identifiers.after(sentAt, -target.freshAgo),
@@ -92,7 +97,8 @@
     const changed = reply.configurationVersion !== known.version;
     // A restarted agent has not caught up yet: what it does not know takes nothing back, the terms told before run on.
     if (reply.configurationVersion < known.version || (changed && reply.configuration === null)) return;
-    services = reply.services.map((told) => serviceOf(told, taken, sentAt));
+    if (changed && Option.isSome(taken)) noteGoing(taken.value);
+    services = reply.services.map((told) => serviceOf(told, sentAt));
     known = {
       sheet: taken,
       version: reply.configurationVersion,
@@ -101,25 +107,47 @@
       controlUntil: later(known.controlUntil, identifiers.after(sentAt, reply.term)),
       fences: new Map(services.map((service) => [service.service, fenceOf(service, reply, sentAt)])),
       draining: known.draining,
+      overdue: isGone,
     };
-    feed = Option.some(reply);
-    noteDraining();
+    // Without a term the agent has not caught up with the table: what it says of this edge is not yet so.
+    const caughtUp = reply.term > 0;
+    const first = !termSeen && caughtUp;
+    termSeen ||= caughtUp;
+    feed = Option.some(caughtUp || Option.isNone(feed) ? reply : { ...reply, draining: feed.value.draining });
+    noteDraining(first);
     if (changed) cutWithdrawn();
     pool.wish(wishes());
     requests.sweep();
   }
 
-  const drainingMembers = new Map<string, Instant>();
+  /** Members that are to go, draining or in no sheet any more, and since when this process has known. */
+  const goingSince = new Map<string, Instant>();
+
+  /** What the first sheet of this process says is no news to its edge: those members have had their time. */
+  function noteGoing(sheet: Sheet): void {
+    const first = Option.isNone(known.sheet);
+    const named = [...(Option.isSome(known.sheet) ? known.sheet.value.services : []), ...sheet.services].flatMap((service) => service.members.map((member) => member.member));
+    for (const member of named) {
+      if (sheets.member(sheet, member)?.state === 'serving') goingSince.delete(member);
+      else if (!goingSince.has(member)) goingSince.set(member, first ? never : kernel.clock.now());
+    }
+  }
+
+  function isOverdue(member: string): boolean {
+    const since = goingSince.get(member);
+    return since !== undefined && kernel.clock.now() >= identifiers.after(since, handoverMilliseconds);
+  }
+
+  /** Not even an open transaction goes on, neither at a member that is overdue nor through an edge that is. */
+  function isGone(member: string): boolean {
+    return isOverdue(member) || (Option.isSome(drainingSince) && kernel.clock.now() >= identifiers.after(drainingSince.value, openMilliseconds));
+  }
 
-  function isOverdue(sheet: Option.Option<Sheet>, named: string): boolean {
-    const member = Option.isSome(sheet) ? sheets.member(sheet.value, named) : undefined;
-    if (member?.state !== 'draining') {
-      drainingMembers.delete(named);
-      return false;
+  function endOverdue(): void {
+    for (const session of sessions.all()) {
+      const pinned = session.pinned();
+      if (Option.isSome(pinned) && isGone(pinned.value.choice.member)) sessions.endTransaction(session);
     }
-    const since = drainingMembers.get(named) ?? kernel.clock.now();
-    drainingMembers.set(named, since);
-    return kernel.clock.now() >= identifiers.after(since, handoverMilliseconds);
   }
 
   function wishes(): readonly MemberWish[] {
@@ -144,17 +172,16 @@
   async function askFeed(): Promise<void> {
     const sentAt = kernel.clock.now();
     const reply = await agent.call('feed', {
-      configuration: known.version, floors: { ...requests.floors() }, open: { ...pool.open() }, incarnation: self,
-      usage: requests.counts().map((window) => ({ window: window.window, counts: { ...window.counts } })),
+      configuration: known.version, open: { ...pool.open() },
     }, 800);
     if (Option.isSome(reply)) takeFeed(reply.value, sentAt);
   }
 
-  /** `known.draining` denies new work; it follows the asking for a drain by the lame moment. */
-  function noteDraining(): void {
+  /** `known.draining` denies new work; it follows the asking for a drain by the lame moment, unless that was no news to the edge. */
+  function noteDraining(first = false): void {
     const asked = stopping || (Option.isSome(feed) && feed.value.draining);
     if (!asked) drainingSince = Option.none;
-    else if (Option.isNone(drainingSince)) drainingSince = Option.some(kernel.clock.now());
+    else if (Option.isNone(drainingSince)) drainingSince = Option.some(first ? never : kernel.clock.now());
     const since = drainingSince;
     known = { ...known, draining: Option.isSome(since) && kernel.clock.now() >= identifiers.after(since.value, lameMilliseconds) };
   }
@@ -270,7 +297,7 @@
     { method: 'GET', path: '/ready', handle: async () => ({ status: ready() ? 200 : 503, body: { ready: ready(), configuration: known.version } }) },
     {
       method: 'GET', path: '/v1/state',
-      handle: async () => ({ status: 200, body: { configuration: known.version, inFlight: requests.inFlight(), connections: pool.describe(), totals: requests.totals() } }),
+      handle: async () => ({ status: 200, body: { configuration: known.version, inFlight: requests.inFlight(), connections: pool.describe(), totals: { ...requests.totals(), ...notes.totals() } } }),
     },
   ];
 
@@ -278,7 +305,9 @@
 
   function tick(): void {
     noteDraining();
+    endOverdue();
     sessions.expire();
+    notes.tick();
     requests.sweep();
   }
 
@@ -300,7 +329,7 @@
     while (kernel.clock.now() < horizon && (requests.inFlight() > 0 || sessions.all().some((session) => Option.isSome(session.pinned())))) {
       await kernel.clock.sleep(sweepMilliseconds);
     }
-    await askFeed();
+    await notes.flush();
     await stop();
   }
 
--- /dev/null
+++ b/packages/proxy/src/notes.ts
@@ -0,0 +1,78 @@
+// What must be on a majority of core disks before a reply leaves: how far commits reach, and what was served (design 7.5, 8.6).
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
+import { message, type Floor, type Floors } from '@stallstall/message';
+import type { Peer } from '@stallstall/peer';
+
+export type Counts = ReadonlyArray<Readonly<{ window: number; counts: Readonly<Record<string, number>> }>>;
+
+export type Notes = Readonly<{
+  /** Has a position noted with all that is counted by now; the number of the telling that will hold it. */
+  note: (service: string, floor: Option.Option<Floor>) => number;
+  /** Whether that telling, or a later one, is on a majority of disks. */
+  noted: (number: number) => boolean;
+  /** Tells what was counted since, and that this proxy still counts. */
+  tick: () => void;
+  flush: () => Promise<void>;
+  /** The agent can be reached, so that what is sent now can be noted. */
+  sound: () => boolean;
+  /** How many tellings there were, and how long they took in all. */
+  totals: () => Readonly<{ notes: number; noteMilliseconds: number }>;
+}>;
+
+const tickMilliseconds = 200;
+const tellMilliseconds = 1_000;
+
+function create(kernel: Kernel, agent: Peer, incarnation: string, counts: () => Counts, onNoted: () => void): Notes {
+  let floors: Floors = {};
+  let started = 0;
+  let kept = 0;
+  let toldAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
+  let telling = false;
+  let wanted = 0;
+  let asked = 0;
+  let spent = 0;
+
+  async function shot(): Promise<boolean> {
+    started += 1;
+    const number = started;
+    const startedAt = kernel.clock.now();
+    const usage = counts().map((one) => ({ window: one.window, counts: { ...one.counts } }));
+    const reply = await agent.call('tell', { number, floors: { ...floors }, usage, through: kernel.clock.wall(), incarnation }, tellMilliseconds);
+    asked += 1;
+    spent += kernel.clock.now() - startedAt;
+    if (Option.isNone(reply) || !reply.value.kept) return false;
+    kept = number;
+    toldAt = startedAt;
+    return true;
+  }
+
+  /** One telling at a time; whoever comes meanwhile is in the next. */
+  async function tell(): Promise<void> {
+    if (telling) return;
+    telling = true;
+    do {
+      if (!(await shot())) break;
+      onNoted();
+    } while (kept < wanted);
+    telling = false;
+  }
+
+  return {
+    note: function note(service, floor) {
+      if (Option.isSome(floor)) floors = message.higherFloors(floors, { [service]: floor.value });
+      wanted = started + 1;
+      void tell();
+      return wanted;
+    },
+    noted: (number) => kept >= number,
+    tick: function tick() {
+      if (kept < wanted || kernel.clock.now() - toldAt >= tickMilliseconds) void tell();
+    },
+    flush: tell,
+    sound: agent.connected,
+    totals: () => ({ notes: asked, noteMilliseconds: Math.round(spent) }),
+  };
+}
+
+export const notes = { create } as const;
--- a/packages/proxy/src/requests.ts
+++ b/packages/proxy/src/requests.ts
@@ -5,6 +5,7 @@
 import { sheets, type Sheet, type StatementKind } from '@stallstall/sheet';
 import { verdicts, type Choice, type VerdictTable } from '@stallstall/verdict';
 import type { MemberConnection, Pool } from '@stallstall/pool';
+import type { Notes } from './notes.js';
 import type { Session, Sessions } from './sessions.js';
 
 export type Statement = Readonly<{ text: string; parameters: readonly unknown[] }>;
@@ -24,7 +25,7 @@
 export type RequestRecord = Readonly<{
   id: number;
   ask: Ask;
-  stage: 'arrived' | 'waiting' | 'sent' | 'replied';
+  stage: 'arrived' | 'waiting' | 'sent' | 'noting' | 'replied';
   horizon: Instant;
   shots: number;
   without: ReadonlySet<string>;
@@ -43,14 +44,21 @@
   controlUntil: Instant;
   fences: ReadonlyMap<string, Readonly<{ epoch: number; until: Instant }>>;
   draining: boolean;
+  /** A member, or this whole edge, that has been told to go so long ago that nothing more may be sent. */
+  overdue: (member: string) => boolean;
 }>;
 
+/** A reply that has come and waits for its note. */
+type Noting = Readonly<{ record: RequestRecord; choice: Choice; epoch: number; session: Option.Option<Session>; number: number; window: number; outcome: Outcome }>;
+
+/** What a member says of a statement that it ran; anything else of status 200 is no reply at all. */
+type Told = Readonly<{ results: readonly unknown[]; position: number }>;
+
 export type Requests = Readonly<{
   ask: (ask: Ask) => Promise<Outcome>;
   /** Runs the passes over every record; called when a connection is freed, the feed changes, or time has passed. */
   sweep: () => void;
   inFlight: () => number;
-  floors: () => Readonly<Record<string, number>>;
   counts: () => ReadonlyArray<Readonly<{ window: number; counts: Readonly<Record<string, number>> }>>;
   totals: () => Readonly<Record<string, number>>;
 }>;
@@ -66,10 +74,29 @@
   });
 }
 
-function create(kernel: Kernel, known: () => Known, pool: Pool, sessions: Sessions): Requests {
+function bodyOf(reply: HttpReply): Readonly<Record<string, unknown>> {
+  return typeof reply.body === 'object' && reply.body !== null ? (reply.body as Record<string, unknown>) : {};
+}
+
+function isPosition(value: unknown): value is number {
+  return typeof value === 'number' && Number.isSafeInteger(value) && value >= 0;
+}
+
+function toldOf(reply: HttpReply): Option.Option<Told> {
+  const { results, position } = bodyOf(reply);
+  return reply.status === 200 && Array.isArray(results) && isPosition(position) ? Option.some({ results, position }) : Option.none;
+}
+
+/** A member's own denial is 409 or 503 with a text and its position: then nothing was kept (design 8.2). Whatever else came is not certain. */
+function isDenial(reply: HttpReply): boolean {
+  const { message, position } = bodyOf(reply);
+  return (reply.status === 409 || reply.status === 503) && typeof message === 'string' && isPosition(position);
+}
+
+function create(kernel: Kernel, known: () => Known, pool: Pool, sessions: Sessions, notes: Notes): Requests {
   const table = new Map<number, RequestRecord>();
   const answers = new Map<number, (outcome: Outcome) => void>();
-  const floors = new Map<string, number>();
+  const noting = new Map<number, Noting>();
   const usage = new Map<number, Map<string, number>>();
   const totals = new Map<string, number>();
   let lastId = 0;
@@ -168,6 +195,13 @@
   function judgePinned(record: RequestRecord): RequestRecord {
     const session = sessionOf(record);
     const pinned = Option.isSome(session) ? session.value.pinned() : Option.none;
+    if (Option.isSome(pinned) && known().overdue(pinned.value.choice.member)) {
+      endTransaction(session);
+      return deny(record, fault.create({
+        kind: 'transaction-ended', message: `${pinned.value.choice.member} or this edge is to go and waits no longer; nothing of the transaction was kept`,
+        remedy: 'begin it again from its first statement', retryAfterSeconds,
+      }));
+    }
     if (Option.isNone(pinned)) {
       return deny(record, fault.create({
         kind: 'transaction-ended', message: 'no transaction is open in this session; nothing of it was kept', remedy: 'begin it again from its first statement', retryAfterSeconds,
@@ -179,7 +213,10 @@
   function place(record: RequestRecord): RequestRecord {
     const session = sessionOf(record);
     if (Option.isSome(session) && session.value.busy()) return record;
-    if (Option.isSome(record.connection) || Option.isNone(record.target)) return record;
+    if (Option.isNone(record.target)) return record;
+    // While the agent is away nothing could be noted, so nothing is sent: it waits, or the term runs out.
+    if (!notes.sound()) return { ...record, connection: Option.none };
+    if (Option.isSome(record.connection)) return record;
     return { ...record, connection: pool.take(record.target.value.choice.member) };
   }
 
@@ -221,7 +258,7 @@
   function run(record: RequestRecord): void {
     let current = record;
     for (const pass of passes) {
-      if (current.stage === 'sent' || current.stage === 'replied') return;
+      if (current.stage !== 'arrived' && current.stage !== 'waiting') return;
       current = pass(current);
     }
     // What was not sent keeps no connection and no verdict: both are looked up afresh at the next sweep.
@@ -231,6 +268,7 @@
   }
 
   function sweepOnce(): void {
+    for (const one of [...noting.values()]) finish(one);
     for (const record of [...table.values()]) if (record.stage === 'waiting' && table.has(record.id)) run(record);
   }
 
@@ -278,10 +316,12 @@
     record: RequestRecord, connection: MemberConnection, choice: Choice, epoch: number, session: Option.Option<Session>, result: Either.Either<Fault, HttpReply>,
   ): void {
     if (Either.isLeft(result)) return settleLost(record, connection, choice, session, result.left);
-    const { status, body } = result.right;
-    const told = (typeof body === 'object' && body !== null ? body : {}) as Readonly<{ results?: unknown; position?: unknown; message?: unknown }>;
-    if (status !== 200) return settleDenied(record, connection, session, status, told.message);
-    settleSound(record, connection, choice, epoch, session, told);
+    const told = toldOf(result.right);
+    if (Option.isSome(told)) return settleSound(record, connection, choice, epoch, session, told.value);
+    if (isDenial(result.right)) return settleDenied(record, connection, session, result.right);
+    settleLost(record, connection, choice, session, fault.create({
+      kind: 'reply-lost', message: `${choice.member} answered ${result.right.status} with nothing that can be read`, remedy: 'see what stands between this edge and the member',
+    }));
   }
 
   function commits(record: RequestRecord): boolean {
@@ -311,12 +351,13 @@
   }
 
   /** The member itself said no: nothing was kept, and an open transaction is over. */
-  function settleDenied(record: RequestRecord, connection: MemberConnection, session: Option.Option<Session>, status: number, told: unknown): void {
+  function settleDenied(record: RequestRecord, connection: MemberConnection, session: Option.Option<Session>, reply: HttpReply): void {
+    const { status } = reply;
     if (isPinned(record)) endTransaction(session);
-    else pool.giveBack(connection, status < 500);
+    else pool.giveBack(connection, status === 409);
     deny(record, fault.create({
       kind: status === 503 ? 'read-only' : 'statement-denied',
-      message: `the member denied it: ${typeof told === 'string' ? told.slice(0, 300) : status}`,
+      message: `the member denied it: ${String(bodyOf(reply)['message']).slice(0, 300)}`,
       remedy: status === 503 ? 'try again shortly' : 'mend the statement',
       ...(status === 503 ? { retryAfterSeconds } : {}),
     }));
@@ -324,19 +365,10 @@
 
   function settleSound(
     record: RequestRecord, connection: MemberConnection, choice: Choice, epoch: number, session: Option.Option<Session>,
-    told: Readonly<{ results?: unknown; position?: unknown }>,
+    told: Told,
   ): void {
     const { ask } = record;
-    const position = typeof told.position === 'number' ? told.position : 0;
-    // The second check, before the reply: what a fenced edge was told by an older primary is not passed on (7.3).
-    const fenced = choice.leader ? fenceFault(ask.service, epoch, true) : Option.none;
-    if (Option.isSome(fenced)) {
-      if (isPinned(record)) endTransaction(session);
-      else pool.giveBack(connection, false);
-      if (commits(record)) deny(record, outcomeUnknown('this edge was fenced before the reply could be passed on'));
-      else deny(record, fenced.value);
-      return;
-    }
+    const { position, results } = told;
     if (ask.transaction === 'begin' && Option.isSome(session)) {
       if (session.value.ended()) {
         pool.giveBack(connection, false);
@@ -350,20 +382,50 @@
         pool.giveBack(connection, true);
       }
     } else pool.giveBack(connection, true);
-    if (commits(record)) {
-      floors.set(ask.service, Math.max(position, floors.get(ask.service) ?? 0));
-      if (Option.isSome(session)) session.value.committed(ask.service, position);
+    if (commits(record) && Option.isSome(session)) session.value.committed(ask.service, position);
+    const window = countUsage(ask.service);
+    const waits: Noting = {
+      record: { ...record, stage: 'noting' }, choice, epoch, session, window,
+      number: notes.note(ask.service, choice.leader ? Option.some({ epoch, position }) : Option.none),
+      outcome: Either.right({ results, position, member: choice.member, verdict: choice.here ? 'run' : 'relay' }),
+    };
+    noting.set(record.id, waits);
+    table.set(record.id, waits.record);
+  }
+
+  /**
+   * The reply leaves once it is noted how far it reaches (design 7.5) and that it was served (design 8.6), and after the second check: what a fenced edge was told
+   * by an older primary is not passed on (7.3). Whichever cannot come any more is not waited for.
+   */
+  function finish(waits: Noting): void {
+    const { record, choice, epoch, session, number, outcome } = waits;
+    const fenced = fenceFault(record.ask.service, epoch, choice.leader);
+    const late = kernel.clock.now() >= record.horizon;
+    if (Option.isNone(fenced) && !late && !notes.noted(number)) return;
+    noting.delete(record.id);
+    if (Option.isNone(fenced) && notes.noted(number)) {
+      reply(record, outcome);
+      return;
     }
-    countUsage(ask.service);
-    reply(record, Either.right({ results: told.results ?? [], position, member: choice.member, verdict: choice.here ? 'run' : 'relay' }));
+    uncount(record.ask.service, waits.window);
+    if (record.ask.transaction === 'begin' || record.ask.transaction === 'within') endTransaction(session);
+    if (commits(record)) deny(record, outcomeUnknown(Option.isSome(fenced) ? 'this edge was fenced before the reply could be passed on' : 'the cores did not note in time how far it reaches'));
+    else deny(record, Option.isSome(fenced) ? fenced.value : fault.create({ kind: 'given-up', message: 'the cores did not note in time what was read', remedy: 'try again shortly', retryAfterSeconds }));
   }
 
-  function countUsage(service: string): void {
+  function countUsage(service: string): number {
     const window = Math.floor(kernel.clock.wall() / windowMilliseconds);
     const counts = usage.get(window) ?? new Map<string, number>();
     usage.set(window, counts);
     counts.set(service, (counts.get(service) ?? 0) + 1);
     for (const old of usage.keys()) if (old <= window - windowsKept) usage.delete(old);
+    return window;
+  }
+
+  /** What was counted before its reply, and then had to be denied. */
+  function uncount(service: string, window: number): void {
+    const counts = usage.get(window);
+    if (counts !== undefined) counts.set(service, (counts.get(service) ?? 0) - 1);
   }
 
   function ask(asked: Ask): Promise<Outcome> {
@@ -382,7 +444,6 @@
     ask,
     sweep,
     inFlight: () => answers.size,
-    floors: () => Object.fromEntries(floors),
     counts: () => [...usage].map(([window, counts]) => ({ window, counts: Object.fromEntries(counts) })),
     totals: () => Object.fromEntries(totals),
   };
--- a/packages/proxy/src/sessions.ts
+++ b/packages/proxy/src/sessions.ts
@@ -31,6 +31,8 @@
   open: (key: string, service: string) => Session;
   find: (id: string) => Option.Option<Session>;
   close: (session: Session) => void;
+  /** Lets go of an open transaction, unless a statement of it is under way. */
+  endTransaction: (session: Session) => void;
   all: () => readonly Session[];
   /** Ends idle sessions, and transactions whose sender has gone quiet. */
   expire: () => void;
@@ -117,6 +119,7 @@
   return {
     open,
     close,
+    endTransaction,
     expire,
     find: (id) => Option.fromNullable(table.get(id)),
     all: () => [...table.values()],
--- a/packages/register/src/acceptor.ts
+++ b/packages/register/src/acceptor.ts
@@ -1,7 +1,7 @@
 // The disk half of the register: promises and accepted entries, each synced before its answer leaves (design 5.1).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { owner, type Disk, type Fault, type Owner } from '@stallstall/kernel';
+import { fault, owner, type Disk, type Fault, type Owner } from '@stallstall/kernel';
 import { ballotZero, EntrySchema, BallotSchema, message, type Ask, type Ballot, type Entry, type Reply } from '@stallstall/message';
 
 export type CellState = Readonly<{ promised: Ballot; accepted: Entry | null }>;
@@ -15,6 +15,8 @@
   accepted: (key: string) => Option.Option<Entry>;
   keys: () => readonly string[];
   cells: () => ReadonlyArray<Readonly<{ key: string; state: CellState }>>;
+  /** A page of all cells as they stand on the disk, the archive among them. */
+  page: (after: string) => Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>>;
   /** Takes over what another disk holds, never going back (design 4.3). */
   merge: (key: string, state: CellState) => Promise<boolean>;
   open: () => void;
@@ -22,6 +24,11 @@
 }>;
 
 const prefix = 'register/';
+/** Cells that are read from the disk when asked for: they are many, and nobody waits for them (design 5.4). */
+export const archivePrefix = 'archive/';
+export const coldPrefix = `${prefix}${archivePrefix}`;
+const pageBytes = 256 * 1024;
+const archiveOwners = 32;
 const unborn: CellState = { promised: ballotZero, accepted: null };
 const unanswered: Reply<'prepare'> = { ready: false, agreed: false, promised: ballotZero, accepted: null };
 
@@ -43,6 +50,8 @@
 function create(disk: Disk, stored: ReadonlyMap<string, unknown>, onAccepted: (key: string, entry: Entry) => void, onDiskFailed: (error: Fault) => void): Acceptor {
   const cells = new Map<string, Owner<Cell>>();
   const states = new Map<string, CellState>();
+  // The archive's cells share a few owners, so that a copy of many need not wait for one disk after another.
+  const archives = Array.from({ length: archiveOwners }, (_, index) => owner.create(`archive ${index}`, null));
   let open = false;
 
   for (const [key, value] of stored) {
@@ -60,6 +69,19 @@
     return cells.get(key) ?? place(key, unborn);
   }
 
+  /** Runs a command on a cell, fetched first if it is of the archive; one that cannot be read gives no answer. */
+  function on<Outcome>(key: string, unread: Outcome, command: (cell: Cell) => Promise<Outcome> | Outcome): Promise<Outcome> {
+    if (!key.startsWith(archivePrefix)) return cellOf(key).ask(command);
+    const archive = archives[Number(/\d+$/.exec(key)?.[0] ?? 0) % archiveOwners] as Owner<null>;
+    return archive.ask(async function fetched() {
+      const stored = await disk.read(prefix + key);
+      if (Option.isNone(stored)) return command({ state: unborn });
+      if (isCellState(stored.value)) return command({ state: stored.value });
+      onDiskFailed(fault.create({ kind: 'disk-failed', message: `the entry ${key} cannot be read`, remedy: 'start this core with an empty folder, so that it copies the others' }));
+      return unread;
+    });
+  }
+
   /** False when the disk did not sync: then this core gives no answer, whatever the disk may hold. */
   async function keep(key: string, cell: Cell, state: CellState): Promise<boolean> {
     const kept = await disk.put(prefix + key, state);
@@ -68,7 +90,7 @@
       return false;
     }
     cell.state = state;
-    states.set(key, state);
+    if (!key.startsWith(archivePrefix)) states.set(key, state);
     return true;
   }
 
@@ -77,7 +99,7 @@
   }
 
   function prepare(ask: Ask<'prepare'>): Promise<Reply<'prepare'>> {
-    return cellOf(ask.key).ask(async function promise(cell) {
+    return on(ask.key, unanswered, async function promise(cell) {
       if (!open) return unanswered;
       if (message.compareBallots(ask.ballot, cell.state.promised) <= 0) return reply(cell.state, false);
       if (!(await keep(ask.key, cell, { promised: ask.ballot, accepted: cell.state.accepted }))) return unanswered;
@@ -88,7 +110,7 @@
   // Only a ballot this very disk has promised is accepted: a promise that was lost with an earlier disk counts for
   // nothing (design 5.1).
   function accept(ask: Ask<'accept'>): Promise<Reply<'accept'>> {
-    return cellOf(ask.key).ask(async function take(cell) {
+    return on(ask.key, unanswered, async function take(cell) {
       if (!open) return unanswered;
       if (message.compareBallots(ask.entry.ballot, cell.state.promised) !== 0) return reply(cell.state, false);
       if (!(await keep(ask.key, cell, { promised: ask.entry.ballot, accepted: ask.entry }))) return unanswered;
@@ -98,13 +120,19 @@
   }
 
   function look(ask: Ask<'look'>): Promise<Reply<'look'>> {
-    return Promise.resolve(open ? reply(states.get(ask.key) ?? unborn, true) : unanswered);
+    if (!open) return Promise.resolve(unanswered);
+    if (ask.key.startsWith(archivePrefix)) return on(ask.key, unanswered, (cell) => reply(cell.state, true));
+    return Promise.resolve(reply(states.get(ask.key) ?? unborn, true));
   }
 
   function merge(key: string, state: CellState): Promise<boolean> {
-    return cellOf(key).ask(async function join(cell) {
-      return keep(key, cell, higher(cell.state, state));
-    });
+    return on(key, false, (cell) => keep(key, cell, higher(cell.state, state)));
+  }
+
+  async function page(after: string): Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>> {
+    const found = await disk.page(prefix, after === '' ? '' : prefix + after, pageBytes);
+    const entries = found.map(([key, state]) => ({ key: key.slice(prefix.length), state }));
+    return { entries, next: entries.at(-1)?.key ?? '' };
   }
 
   return {
@@ -112,6 +140,7 @@
     accept,
     look,
     merge,
+    page,
     accepted: function accepted(key) {
       return Option.fromNullable(states.get(key)?.accepted);
     },
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -1,3 +1,5 @@
 export * from './acceptor.js';
 export * from './proposer.js';
 export * from './watcher.js';
+export * from './keeper.js';
+export * from './notes.js';
--- /dev/null
+++ b/packages/register/src/notes.ts
@@ -0,0 +1,54 @@
+// The asking half of the notes: told to a majority of disks, read from a majority, the highest wins (design 5.5).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, kernel as kernels, type Fault } from '@stallstall/kernel';
+import { message, type Ask, type Floors, type Reply } from '@stallstall/message';
+import { quorum } from '@stallstall/quorum';
+
+export type NoteTarget = (body: Ask<'note'>, milliseconds: number) => Promise<Option.Option<Reply<'note'>>>;
+
+export type Notes = Readonly<{
+  /** Right once a majority of disks has synced what was told: all floors that any majority had before are among these. */
+  note: (body: Ask<'note'>) => Promise<Either.Either<Fault, Floors>>;
+  floors: () => Promise<Either.Either<Fault, Floors>>;
+}>;
+
+const noteMilliseconds = 800;
+const nothing: Ask<'note'> = { floors: {}, reports: [], through: {} };
+
+function create(targets: () => readonly NoteTarget[], total: () => number): Notes {
+  function note(body: Ask<'note'>): Promise<Either.Either<Fault, Floors>> {
+    return new Promise(function collect(resolve) {
+      const asked = targets();
+      const needed = quorum.majority(total());
+      let left = asked.length;
+      let kept = 0;
+      let floors: Floors = {};
+      function settle(): void {
+        if (total() > 0 && kept >= needed) resolve(Either.right(floors));
+        else if (left === 0) {
+          resolve(Either.left(fault.create({
+            kind: 'no-majority', message: `only ${kept} of ${total()} core disks have noted it`, remedy: 'bring cores back, or mend their disks', retryAfterSeconds: 1,
+          })));
+        }
+      }
+      async function ask(target: NoteTarget): Promise<void> {
+        const reply = await target(body, noteMilliseconds);
+        left -= 1;
+        if (Option.isSome(reply) && reply.value.ready) {
+          kept += 1;
+          floors = message.higherFloors(floors, reply.value.floors);
+        }
+        settle();
+      }
+      if (left === 0) settle();
+      for (const target of asked) void ask(target);
+    });
+  }
+
+  return { note, floors: () => note(nothing) };
+}
+
+export const notesService = kernels.serviceName<Notes>('notes');
+
+export const notes = { create } as const;
--- a/packages/simulator/src/fleet.ts
+++ b/packages/simulator/src/fleet.ts
@@ -13,7 +13,8 @@
 
 export type CoreSlot = Slot<Core> & { readonly name: string; readonly machine: string; disk: SimulatedDisk };
 export type EdgeSlot = { readonly name: string; readonly machine: string; readonly area: string; readonly agent: Slot<Agent>; readonly proxy: Slot<Proxy> };
-export type MemberSlot = Slot<Member> & { readonly place: MemberPlace; readonly machine: string; store: MemberStore };
+/** `gone`: taken out for good. */
+export type MemberSlot = Slot<Member> & { readonly place: MemberPlace; readonly machine: string; store: MemberStore; gone?: boolean };
 
 export type FleetOptions = Readonly<{ edges?: number; synchronous?: number; replicateMilliseconds?: number; runMilliseconds?: number; spareEdge?: boolean; operatorKey?: string }>;
 
@@ -24,7 +25,10 @@
   edges: readonly EdgeSlot[];
   /** An edge that no process runs as yet. */
   spare: EdgeSlot | undefined;
-  members: readonly MemberSlot[];
+  /** Grows when a member is replaced: the platform and whoever writes a sheet see the same table. */
+  members: MemberSlot[];
+  /** Another member for a service, at an address of its own, with an empty store; no sheet names it yet. */
+  addMember: (service: string, area: string) => MemberSlot;
   platformStore: PlatformStore;
   platform: () => Platform;
   ledger: Ledger;
@@ -43,10 +47,14 @@
   send: (sheet: unknown, coreIndex: number) => Promise<HttpReply>;
   /** An operator's step without waiting for virtual time to pass. */
   command: (method: string, path: string, coreIndex: number) => Promise<HttpReply>;
+  /** Two cores and the platform work and hear each other: so much the brief lets a fleet count on. */
+  able: () => boolean;
+  /** Everything runs again as it should: no process is dead or frozen, no knob turned. */
+  sound: () => boolean;
   /** A sender's POST without waiting for virtual time to pass. */
   post: (edge: EdgeSlot, path: string, body: unknown) => Promise<HttpReply>;
   ask: (edge: EdgeSlot, method: string, path: string, body?: unknown, headers?: Readonly<Record<string, string>>) => Promise<HttpReply>;
-  startSenders: (rate?: number, sessions?: number) => Readonly<{ stop: () => void }>;
+  startSenders: (hastyShare?: number) => Readonly<{ stop: () => void }>;
   primaryOf: (service: string) => MemberSlot | undefined;
   /** Runs until a condition holds; false when it has not within so many virtual milliseconds. */
   until: (condition: () => boolean, milliseconds: number) => Promise<boolean>;
@@ -73,8 +81,10 @@
     place: { service, member: `${service}-${index + 1}`, area, address: `10.3.${serviceIndex}.${index + 1}:5000`, control: `10.3.${serviceIndex}.${index + 1}:5001` },
     machine: `member-machine-${service}-${index + 1}`, store: member.emptyStore(false), process: undefined, running: undefined,
   })));
+  const platformMembers = members.map((slot) => ({ service: slot.place.service, member: slot.place.member, control: slot.place.control }));
   const platformStore = platform.emptyStore();
   const platformAddress = '10.4.0.1:9000';
+  const platformMachine = 'platform-machine';
   const ledger = sender.emptyLedger();
   const operator = world.spawn('operator', 'operator-machine');
   const senders = world.spawn('senders', 'sender-machine');
@@ -117,6 +127,16 @@
     slot.proxy.running = await proxy.start(spawned.kernel, { address, feed });
   }
 
+  function addMember(service: string, area: string): MemberSlot {
+    const number = members.filter((slot) => slot.place.service === service).length + 1;
+    const host = `10.3.${deployment.services.indexOf(service)}.${number}`;
+    const place: MemberPlace = { service, member: `${service}-${number}`, area, address: `${host}:5000`, control: `${host}:5001` };
+    const slot: MemberSlot = { place, machine: `member-machine-${service}-${number}`, store: member.emptyStore(false), process: undefined, running: undefined };
+    members.push(slot);
+    platformMembers.push({ service, member: place.member, control: place.control });
+    return slot;
+  }
+
   async function startMember(slot: MemberSlot): Promise<void> {
     const spawned = world.spawn(slot.place.member, slot.machine);
     slot.process = spawned;
@@ -129,8 +149,8 @@
   }
 
   async function startAll(): Promise<void> {
-    platformSlot = await platform.start(world.spawn('platform', 'platform-machine').kernel, {
-      address: platformAddress, members: members.map((slot) => ({ service: slot.place.service, member: slot.place.member, control: slot.place.control })),
+    platformSlot = await platform.start(world.spawn('platform', platformMachine).kernel, {
+      address: platformAddress, members: platformMembers,
     }, platformStore);
     for (const slot of members) await startMember(slot);
     for (const slot of cores) await startCore(slot);
@@ -184,9 +204,9 @@
     return exchanged(await drive(http.once(senders.kernel, address, { method, path, body, headers: { 'x-stallstall-key': senderKey, ...headers } }, 10_000)));
   }
 
-  function startSenders(rate = deployment.requestsPerSecond, sessions = deployment.sessions): Readonly<{ stop: () => void }> {
+  function startSenders(hastyShare = 0): Readonly<{ stop: () => void }> {
     return sender.start(senders.kernel, {
-      deployment, key: senderKey, sessions, requestsPerSecond: rate, horizonMilliseconds: 3_000, tag: 's',
+      deployment, key: senderKey, sessions: deployment.sessions, requestsPerSecond: deployment.requestsPerSecond, hastyShare, horizonMilliseconds: 3_000, tag: 's',
       edges: () => everyEdge.filter((slot) => slot.proxy.process?.alive() === true).map((slot) => edgeAddresses(slot).proxy),
     }, ledger);
   }
@@ -196,6 +216,25 @@
     return members.find((slot) => slot.place.member === leader?.member);
   }
 
+  function able(): boolean {
+    const sane = cores.filter((slot) => slot.process?.alive() === true && !world.frozen(slot.process) && slot.running?.open() === true && !slot.disk.trouble.failing && slot.disk.trouble.slowMilliseconds < 300);
+    const takes = platformSlot !== undefined && !platformSlot.knobs.down && !platformSlot.knobs.refuses;
+    return takes && sane.some((one, index) => sane.slice(index + 1).some((other) => (
+      world.joined(one.machine, other.machine) && (world.joined(one.machine, platformMachine) || world.joined(other.machine, platformMachine))
+    )));
+  }
+
+  function sound(): boolean {
+    const processes = [
+      ...cores.map((slot) => slot.process), ...edges.flatMap((slot) => [slot.agent.process, slot.proxy.process]),
+      ...members.filter((slot) => !slot.gone).map((slot) => slot.process),
+    ];
+    const running = platformSlot;
+    return processes.every((one) => one?.alive() === true && !world.frozen(one)) && cores.every((slot) => slot.running !== undefined && !slot.disk.trouble.failing && slot.disk.trouble.slowMilliseconds === 0) &&
+      running !== undefined && !running.knobs.down && !running.knobs.refuses && !running.knobs.losesReplies && !running.knobs.garbles &&
+      members.every((slot) => slot.gone || Object.values(slot.running?.knobs ?? {}).every((knob) => !knob));
+  }
+
   async function until(condition: () => boolean, milliseconds: number): Promise<boolean> {
     for (let spent = 0; spent < milliseconds; spent += 50) {
       if (condition()) return true;
@@ -205,9 +244,9 @@
   }
 
   return {
-    world, deployment, cores, edges, spare, members, platformStore, platform: () => platformSlot as Platform, ledger, key: senderKey,
+    world, deployment, cores, edges, spare, members, addMember, able, sound, platformStore, platform: () => platformSlot as Platform, ledger, key: senderKey,
     startAll, startCore, startAgent, startProxy, startMember, stopSlot, operate, send, command, post, ask, startSenders, primaryOf, until, place, edgeAddresses,
-    sheet: () => structuredClone(deployments.sheet(deployment, members.map((slot) => slot.place), senderKey)) as Record<string, unknown>,
+    sheet: () => structuredClone(deployments.sheet(deployment, members.filter((slot) => slot.gone !== true).map((slot) => slot.place), senderKey)) as Record<string, unknown>,
   };
 }
 
--- a/packages/stand-in/src/member.ts
+++ b/packages/stand-in/src/member.ts
@@ -2,7 +2,8 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import { http, identifiers, kernel as kernels, type HttpConnection, type HttpReply, type HttpRequest, type Kernel, type Listening } from '@stallstall/kernel';
 
-export type Change = Readonly<{ name: string; value: unknown }>;
+/** A change that raises never lowers what stands when it commits. */
+export type Change = Readonly<{ name: string; value: unknown; raises?: true }>;
 export type Commit = Readonly<{ position: number; epoch: number; changes: readonly Change[] }>;
 
 export type MemberSettings = Readonly<{
@@ -19,12 +20,17 @@
   synchronous: number;
 }>;
 
+/** A statement as it arrived: what the checkers hold against the sheets of that moment. */
+export type Ran = Readonly<{ at: number; connection: string; opens: boolean; readOnly: boolean; role: 'primary' | 'replica' }>;
+
 /** What of a member outlives its process. */
-export type MemberStore = { epoch: number; role: 'primary' | 'replica'; primary: string; log: Commit[]; applied: number };
+export type MemberStore = { epoch: number; role: 'primary' | 'replica'; primary: string; log: Commit[]; applied: number; readonly ran: Ran[] };
 
 export type MemberKnobs = {
   /** Replies to commits that are done are not sent. */
   loseReplies: boolean;
+  /** Commits that are done are answered by what a broken member or a box between would say. */
+  garbles: boolean;
   /** Stops receiving from the primary. */
   deaf: boolean;
   /** Does not beat. */
@@ -36,6 +42,7 @@
   store: MemberStore;
   knobs: MemberKnobs;
   peakConnections: () => number;
+  connections: () => number;
   crossings: () => number;
 }>;
 
@@ -54,14 +61,14 @@
 const beatMilliseconds = 250;
 
 function emptyStore(primary: boolean): MemberStore {
-  return { epoch: 0, role: primary ? 'primary' : 'replica', primary: '', log: [], applied: 0 };
+  return { epoch: 0, role: primary ? 'primary' : 'replica', primary: '', log: [], applied: 0, ran: [] };
 }
 
 async function start(kernel: Kernel, settings: MemberSettings, store: MemberStore): Promise<Member> {
   const rows = new Map<string, unknown>();
   const connections = new Map<string, ConnectionState>();
   const receivedBy = new Map<string, number>();
-  const knobs: MemberKnobs = { loseReplies: false, deaf: false, dark: false };
+  const knobs: MemberKnobs = { loseReplies: false, garbles: false, deaf: false, dark: false };
   let peak = 0;
   let crossings = 0;
   let stopped = false;
@@ -119,7 +126,7 @@
       const standing = readRow({ changes: [...(state.transaction?.changes ?? []), ...changes] }, name);
       // What the network held back for long must not undo what came after it.
       if (verb === 'raise' && typeof standing === 'number' && standing >= Number(parameters[1])) return false;
-      changes.push({ name, value: parameters[1] ?? rest[1] ?? null });
+      changes.push({ name, value: parameters[1] ?? rest[1] ?? null, ...(verb === 'raise' ? { raises: true } : {}) });
       return true;
     }
     throw new Error(`unknown statement ${verb}`);
@@ -127,7 +134,8 @@
 
   async function commit(changes: readonly Change[]): Promise<number> {
     const position = received() + 1;
-    const done: Commit = { position, epoch: store.epoch, changes };
+    const kept = changes.filter((change) => !(change.raises === true && Number(rows.get(change.name) ?? -1) >= Number(change.value)));
+    const done: Commit = { position, epoch: store.epoch, changes: kept };
     store.log.push(done);
     store.applied = position;
     applyRows(done);
@@ -139,10 +147,20 @@
     return position;
   }
 
+  /** Each says nothing certain of the commit; none is a member's own denial. */
+  function garbled(): HttpReply {
+    const replies: readonly HttpReply[] = [
+      { status: 500, body: { message: 'internal' } }, { status: 502, body: '<html>bad gateway</html>' }, { status: 503, body: null }, { status: 504, body: { message: 'timeout' } },
+      { status: 200, body: null }, { status: 200, body: { results: [true, true, ''] } }, { status: 200, body: { results: 'x', position: -1 } }, { status: 404, body: {} },
+    ];
+    return replies[Math.floor(kernel.randomness.fraction() * replies.length)] as HttpReply;
+  }
+
   async function run(request: HttpRequest): Promise<HttpReply> {
     const state = connectionOf(request);
     if (state === undefined) return deniedWith(503, 'too many connections');
     const body = request.body as RunBody;
+    store.ran.push({ at: kernel.clock.now(), connection: request.connection, opens: body.transaction === 'none' || body.transaction === 'begin', readOnly: body.readOnly, role: store.role });
     if (body.reset) {
       if (state.transaction !== null) crossings += 1;
       state.values = {};
@@ -174,6 +192,7 @@
       if (all.length > 0) {
         position = await commit(all);
         if (store.role !== 'primary' || knobs.loseReplies) return new Promise(() => undefined);
+        if (knobs.garbles) return garbled();
       }
     }
     return { status: 200, body: { results, position } };
@@ -287,6 +306,7 @@
     store,
     knobs,
     peakConnections: () => peak,
+    connections: () => connections.size,
     crossings: () => crossings,
     stop: async function stop() {
       stopped = true;
--- a/packages/stand-in/src/platform.ts
+++ b/packages/stand-in/src/platform.ts
@@ -5,10 +5,11 @@
 export type PlatformMember = Readonly<{ service: string; member: string; control: string }>;
 export type PlatformSettings = Readonly<{ address: string; members: readonly PlatformMember[] }>;
 
+/** `at` is when a call arrived, however long the platform then took over it. */
 export type PromotionCall = Readonly<{ at: number; service: string; member: string; epoch: number; turn: number; accepted: boolean }>;
 export type UsageCall = Readonly<{ at: number; window: number; endsAt: number; counts: Readonly<Record<string, number>>; turn: number; holder: string; accepted: boolean }>;
 
-export type PlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean; refuses: boolean };
+export type PlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean; refuses: boolean; garbles: boolean };
 export type PlatformStore = { promotions: PromotionCall[]; usage: UsageCall[]; leaders: Map<string, Readonly<{ member: string; epoch: number; turn: number }>>; usageTurn: number };
 
 export type Platform = Readonly<{ stop: () => Promise<void>; knobs: PlatformKnobs; store: PlatformStore }>;
@@ -17,8 +18,10 @@
   return { promotions: [], usage: [], leaders: new Map(), usageTurn: 0 };
 }
 
+const garbled: readonly HttpReply[] = [{ status: 500, body: null }, { status: 200, body: '' }, { status: 502, body: '<html>' }, { status: 302, body: {} }, { status: 204, body: null }];
+
 async function start(kernel: Kernel, settings: PlatformSettings, store: PlatformStore): Promise<Platform> {
-  const knobs: PlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false, refuses: false };
+  const knobs: PlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false, refuses: false, garbles: false };
   let stopped = false;
 
   async function trouble(): Promise<HttpReply | undefined> {
@@ -26,17 +29,20 @@
     return knobs.down || knobs.refuses ? { status: 503, body: { message: 'the platform is down' } } : undefined;
   }
 
+  /** What reaches the caller of a call that was taken. */
   function lost(reply: HttpReply): Promise<HttpReply> {
-    return knobs.losesReplies ? new Promise(() => undefined) : Promise.resolve(reply);
+    if (knobs.losesReplies) return new Promise(() => undefined);
+    return Promise.resolve(knobs.garbles ? (garbled[Math.floor(kernel.randomness.fraction() * garbled.length)] as HttpReply) : reply);
   }
 
   async function promote(request: HttpRequest): Promise<HttpReply> {
+    const at = kernel.clock.wall();
+    const asked = request.body as Readonly<{ service: string; member: string; epoch: number; turn: number }>;
     const down = await trouble();
     if (down !== undefined) return down;
-    const asked = request.body as Readonly<{ service: string; member: string; epoch: number; turn: number }>;
     const known = store.leaders.get(asked.service);
     const accepted = known === undefined || asked.turn > known.turn || (asked.turn === known.turn && asked.member === known.member && asked.epoch === known.epoch);
-    store.promotions.push({ at: kernel.clock.wall(), service: asked.service, member: asked.member, epoch: asked.epoch, turn: asked.turn, accepted });
+    store.promotions.push({ at, service: asked.service, member: asked.member, epoch: asked.epoch, turn: asked.turn, accepted });
     if (!accepted) return { status: 409, body: { message: 'a later turn was here' } };
     const target = settings.members.find((one) => one.member === asked.member && one.service === asked.service);
     if (target === undefined) return { status: 404, body: { message: 'no such member' } };
@@ -48,11 +54,12 @@
   }
 
   async function usage(request: HttpRequest): Promise<HttpReply> {
+    const at = kernel.clock.wall();
     const down = await trouble();
     if (down !== undefined) return down;
     const asked = request.body as Omit<UsageCall, 'at' | 'accepted'>;
     const accepted = asked.turn >= store.usageTurn;
-    store.usage.push({ at: kernel.clock.wall(), window: asked.window, endsAt: asked.endsAt, counts: asked.counts, turn: asked.turn, holder: asked.holder, accepted });
+    store.usage.push({ at, window: asked.window, endsAt: asked.endsAt, counts: asked.counts, turn: asked.turn, holder: asked.holder, accepted });
     if (!accepted) return { status: 409, body: { message: 'a later turn was here' } };
     store.usageTurn = asked.turn;
     return lost({ status: 200, body: { taken: true } });
