--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,7 +1,7 @@
 // The agent beside each proxy: keeps the link to the control plane and feeds its proxy over loopback (design 3.4).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { fault, identifiers, kernel as kernels, type Fault, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
+import { fault, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpMapping, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
 import { message, type Ask, type Reply, type ServiceFeed, type Target } from '@stallstall/message';
 import { peer, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
@@ -54,6 +54,8 @@
   const caps = new Map<string, number>();
   let proxyOpen: Readonly<Record<string, number>> = {};
   let proxyToldAt: Option.Option<Instant> = Option.none;
+  let proxyAskedAt: Option.Option<Instant> = Option.none;
+  let proxyMetrics: Readonly<Record<string, number>> = {};
   let layoutSince = kernel.clock.now();
   let stopped = false;
 
@@ -163,6 +165,8 @@
 
   function feed(ask: Ask<'feed'>): Reply<'feed'> {
     proxyOpen = ask.open;
+    proxyMetrics = ask.metrics;
+    proxyAskedAt = Option.some(kernel.clock.now());
     settleCaps();
     const configuration = node.configuration();
     const seat = quorum.seat(node.membership().value, settings.node);
@@ -200,11 +204,59 @@
     if (quiet && node.cores().length > 0) void node.notes.note({ floors: {}, reports: [], through: { [settings.node]: kernel.clock.wall() - quietMilliseconds } });
   }
 
+  // -- Pages in the shape of the cores' own (design 9.5).
+
+  function fenced(): readonly string[] {
+    const configuration = node.configuration();
+    const services = Option.isSome(configuration) ? configuration.value.value.sheet.services.map((one) => one.service) : [];
+    return services.filter((service) => node.fenceUntil(service) <= kernel.clock.now());
+  }
+
+  function heard(): number {
+    return 1 + node.membership().value.seats.filter((seat) => {
+      const at = node.heardAt(seat.node);
+      return Option.isSome(at) && kernel.clock.now() - at.value < termMilliseconds;
+    }).length;
+  }
+
+  async function metrics(): Promise<HttpReply> {
+    const now = kernel.clock.now();
+    const configuration = node.configuration();
+    return {
+      status: 200,
+      body: {
+        nodes: node.membership().value.seats.length, heard: heard(), configuration: Option.isSome(configuration) ? configuration.value.version : 0,
+        membership: node.membership().version, controlTermMilliseconds: Math.round(within(node.controlUntil() - now)), fencedServices: fenced().length,
+        ...Object.fromEntries(Object.entries(proxyMetrics).map(([name, count]) => [`proxy.${name}`, count])),
+      },
+    };
+  }
+
+  async function soundness(): Promise<HttpReply> {
+    const now = kernel.clock.now();
+    const table = node.membership().value;
+    const shut = fenced();
+    const controlled = node.controlUntil() > now;
+    const fed = Option.isSome(proxyAskedAt) && now - proxyAskedAt.value < quietMilliseconds;
+    const checks = [
+      { check: 'control', sound: controlled, detail: controlled ? 'a majority of cores confirms this edge' : 'no majority of cores has confirmed this edge within its term', remedy: 'see whether this machine reaches the cores' },
+      { check: 'nodes', sound: heard() >= quorum.majority(table.seats.length), detail: `${heard()} of ${table.seats.length} heard`, remedy: 'see whether this machine reaches the others' },
+      { check: 'fence', sound: shut.length === 0, detail: shut.length === 0 ? 'open for every service' : `shut for ${shut.join(' ')}`, remedy: 'see stallstall elections' },
+      { check: 'proxy', sound: fed, detail: fed ? 'the proxy asks' : 'the proxy does not ask', remedy: 'start the proxy of this edge, with the feed address of this agent' },
+    ];
+    return { status: checks.every((one) => one.sound) ? 200 : 503, body: { node: settings.node, checks } };
+  }
+
+  const pages: readonly HttpMapping[] = [
+    { method: 'GET', path: '/v1/metrics', handle: metrics },
+    { method: 'GET', path: '/v1/liveness', handle: soundness },
+  ];
+
   const handlers: Handlers = { ...node.handlers };
   const listening: readonly Listening[] = [
     await peer.listen(kernel, identifiers.address(settings.address), handlers),
     await peer.listen(kernel, identifiers.address(settings.feed), { feed, tell }),
-    await kernel.network.serve(identifiers.address(settings.outward), { routes: node.routes }),
+    await kernel.network.serve(identifiers.address(settings.outward), { mappings: [...node.mappings, ...pages] }),
   ];
   node.start();
   void kernels.every(kernel.clock, probeEveryMilliseconds, probeAll, () => !stopped);
--- a/packages/bench/src/rehearse.ts
+++ b/packages/bench/src/rehearse.ts
@@ -1,5 +1,5 @@
 // Rehearsals with real processes: a deployment's load, failures by signal, the same checkers, ratios within one run (design 10.5).
-// `rehearse.js red-comun|brightpath load|kills|stop [seconds] [base port]`
+// `rehearse.js red-comun|brightpath load|kills|stop|turn|freeze [seconds] [base port]`
 import fs from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
@@ -7,7 +7,7 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { http, identifiers, type HttpReply, type Kernel } from '@stallstall/kernel';
 import { machine } from '@stallstall/machine';
-import { checks } from '@stallstall/simulator';
+import { checks, type Violation } from '@stallstall/simulator';
 import { brightpath, redComun, sender, type Deployment, type Ledger } from '@stallstall/stand-in';
 import { realFleet, type RealFleet } from './real-fleet.js';
 
@@ -15,8 +15,8 @@
 const deployment: Deployment = name === 'brightpath' ? brightpath : redComun;
 const seconds = Number(secondsText);
 
-async function get(kernel: Kernel, address: string, route: string): Promise<HttpReply> {
-  const reply = await http.once(kernel, identifiers.address(address), { method: 'GET', path: route }, 5_000);
+async function get(kernel: Kernel, address: string, page: string): Promise<HttpReply> {
+  const reply = await http.once(kernel, identifiers.address(address), { method: 'GET', path: page }, 5_000);
   return Either.isRight(reply) ? reply.right : { status: 0, body: null };
 }
 
@@ -28,6 +28,19 @@
   throw new Error(`${what} did not come about within 30 s`);
 }
 
+/** Where statements spend their time, as the proxies counted it: milliseconds for each statement served. */
+async function showWaits(kernel: Kernel, fleet: RealFleet): Promise<void> {
+  const totals: Record<string, number> = {};
+  for (const proxy of fleet.proxies) {
+    const told = ((await get(kernel, proxy, '/v1/state')).body as { totals: Record<string, number> } | null)?.totals ?? {};
+    for (const [name, count] of Object.entries(told)) totals[name] = (totals[name] ?? 0) + count;
+  }
+  function each(name: string, of: string): string {
+    return ((totals[name] ?? 0) / Math.max(1, totals[of] ?? 0)).toFixed(1);
+  }
+  console.log(`mean ms of a statement: in the line ${each('waitMilliseconds', 'exchanges')}, at the member ${each('exchangeMilliseconds', 'exchanges')}, for its note ${each('notingMilliseconds', 'served')}; of a note ${each('noteMilliseconds', 'notes')}, notes ${totals['notes']}, served ${totals['served']}`);
+}
+
 async function leaders(kernel: Kernel, fleet: RealFleet): Promise<ReadonlyMap<string, string>> {
   for (const core of fleet.cores) {
     const reply = await get(kernel, core, '/v1/elections');
@@ -73,7 +86,9 @@
   return taken;
 }
 
-async function verdict(kernel: Kernel, fleet: RealFleet, ledger: Ledger): Promise<readonly string[]> {
+type Windows = Readonly<{ from: number; until: number; wallOffset: number }>;
+
+async function verdict(kernel: Kernel, fleet: RealFleet, ledger: Ledger, sends: readonly SentSheet[], windows: Windows): Promise<readonly string[]> {
   const led = await leaders(kernel, fleet);
   const logs = new Map<string, ReadonlyMap<string, number>>();
   for (const [service, member] of led) {
@@ -91,10 +106,18 @@
     if (told.peak > told.limit) peaks.push('OVER');
   }
   const record = (await get(kernel, fleet.platform, '/v1/record')).body as { promotions: never[]; usage: never[] };
-  const violations = [
+  const violations: Violation[] = [
     ...checks.writes(ledger, logs), ...checks.reads(ledger), ...checks.sessions(ledger, crossings), ...checks.promotions(record),
-    ...checks.usage(record, ledger.usageByWindow, Number.POSITIVE_INFINITY, 0),
+    ...checks.usage(record, ledger.usageByWindow, windows.from, windows.until, checks.unknownFates(ledger.exchanges, (moment) => moment + windows.wallOffset)),
   ];
+  for (const sent of sends) {
+    for (const core of fleet.cores) {
+      const reply = await get(kernel, core, `/v1/sheet?version=${sent.version}`);
+      const keys = (reply.body as { sheet?: { keys: ReadonlyArray<{ key: string }> } } | null)?.sheet?.keys;
+      if (reply.status !== 200 || keys?.at(-1)?.key !== sent.mark) violations.push({ check: 'configuration-missing', detail: `version ${sent.version} read back through ${core} as ${reply.status}` });
+    }
+  }
+  console.log(`sheets sent=${sends.length} usage windows held=${Math.max(0, windows.until - windows.from + 1)}`);
   console.log(`peaks of connections: ${peaks.join(' ')}`);
   console.log(`promotions=${record.promotions.length} usage-windows=${record.usage.length}`);
   return violations.map((violation) => `${violation.check}: ${violation.detail}`);
@@ -131,6 +154,68 @@
   await step('proxy of edge-5 ended as planned', () => fleet.signal('edge-5-proxy', 'SIGTERM'), 4_000, () => fleet.restart('edge-5-proxy'));
 }
 
+type SentSheet = Readonly<{ version: number; mark: string }>;
+
+/**
+ * Sends a sheet with a mark of its own every few seconds. The mark is probed at every edge: within three seconds it is let in, and
+ * the mark before it is not.
+ */
+async function sendAndProbe(kernel: Kernel, fleet: RealFleet, sends: SentSheet[], faults: string[], goesOn: () => boolean): Promise<void> {
+  const sheet = JSON.parse(fs.readFileSync(fleet.sheetFile, 'utf8')) as { keys: unknown[] };
+  for (let number = 0; goesOn(); number += 1) {
+    const mark = `mark-of-${number}`;
+    const body = { sheet: { ...sheet, keys: [...sheet.keys, { key: mark, services: [deployment.services[0]], kinds: ['leader-read'] }] }, sentBy: 'rehearsal' };
+    const reply = await http.once(kernel, identifiers.address(fleet.cores[number % 3] as string), { method: 'PUT', path: '/v1/sheet', body }, 8_000);
+    if (Either.isLeft(reply) || reply.right.status !== 200) {
+      await kernel.clock.sleep(500);
+      continue;
+    }
+    const before = sends.at(-1);
+    sends.push({ version: (reply.right.body as { version: number }).version, mark });
+    await kernel.clock.sleep(3_000);
+    for (const proxy of fleet.proxies) {
+      const now = await probe(kernel, proxy, mark);
+      const old = before === undefined ? '' : await probe(kernel, proxy, before.mark);
+      if (now === 'key-denied') faults.push(`configuration-unobeyed: ${mark} at ${proxy} three seconds after it was acknowledged`);
+      if (old === 'served') faults.push(`never-allowed: ${before?.mark} at ${proxy} three seconds after a later sheet`);
+    }
+  }
+}
+
+async function probe(kernel: Kernel, proxy: string, key: string): Promise<string> {
+  const reply = await http.once(kernel, identifiers.address(proxy), {
+    method: 'POST', path: `/v1/services/${deployment.services[0]}/statements`, headers: { 'x-stallstall-key': key }, body: { kind: 'leader-read', statements: [{ text: 'get any' }], horizonMilliseconds: 1_000 },
+  }, 1_500);
+  return Either.isLeft(reply) ? reply.left.name : reply.right.status === 200 ? 'served' : String((reply.right.body as { error?: unknown } | null)?.error);
+}
+
+/** Every machine in turn: cores and edges are killed one after another, each back before the next goes. */
+async function inTurn(kernel: Kernel, fleet: RealFleet): Promise<void> {
+  for (const core of ['core-1', 'core-2', 'core-3']) {
+    fleet.signal(core, 'SIGKILL');
+    await kernel.clock.sleep(1_000);
+    fleet.restart(core);
+    await kernel.clock.sleep(3_000);
+  }
+  for (let edge = 1; edge <= 6; edge += 1) {
+    for (const part of [`edge-${edge}`, `edge-${edge}-proxy`]) fleet.signal(part, 'SIGKILL');
+    await kernel.clock.sleep(700);
+    for (const part of [`edge-${edge}`, `edge-${edge}-proxy`]) fleet.restart(part);
+    await kernel.clock.sleep(2_500);
+  }
+}
+
+/** SIGSTOP is silence without a closed connection: a core, an agent, a proxy and a primary, each for a while. */
+async function freezes(kernel: Kernel, fleet: RealFleet): Promise<void> {
+  const primary = (await leaders(kernel, fleet)).get(deployment.services[0] as string) as string;
+  for (const [name, milliseconds] of [['core-2', 4_000], ['edge-3', 4_000], ['edge-5-proxy', 3_000], [primary, 9_000], ['core-1', 6_000]] as const) {
+    fleet.signal(name, 'SIGSTOP');
+    await kernel.clock.sleep(milliseconds);
+    fleet.signal(name, 'SIGCONT');
+    await kernel.clock.sleep(4_000);
+  }
+}
+
 /** Every product process is killed at once and started again a second later. */
 async function stopAll(kernel: Kernel, fleet: RealFleet, ledger: Ledger): Promise<void> {
   const names = [...fleet.running.keys()].filter((running) => /^(core|edge)-/.test(running));
@@ -162,14 +247,24 @@
     }, ledger);
     await kernel.clock.sleep(2_000);
     const from = kernel.clock.now();
+    const sends: SentSheet[] = [];
+    const probed: string[] = [];
+    let sending = true;
+    const operating = sendAndProbe(kernel, fleet, sends, probed, () => sending);
     const before = served(ledger);
     if (mode === 'kills') await kills(kernel, fleet, ledger);
     else if (mode === 'stop') await stopAll(kernel, fleet, ledger);
+    else if (mode === 'turn') await inTurn(kernel, fleet);
+    else if (mode === 'freeze') await freezes(kernel, fleet);
     else await kernel.clock.sleep(seconds * 1_000);
     const rate = (served(ledger) - before) / ((kernel.clock.now() - from) / 1_000);
+    sending = false;
+    await operating;
+    const stoppedAt = kernel.clock.wall();
     senders.stop();
     await kernel.clock.sleep(2_000);
-    const pooled = [...ledger.writes.filter((write) => write.fate === 'kept'), ...ledger.reads.filter((read) => read.ok)].filter((one) => one.startedAt >= from).map((one) => one.endedAt - one.startedAt);
+    const pooled = ledger.exchanges.filter((one) => one.reason === 'served' && one.startedAt >= from && one.path.endsWith('/statements')).map((one) => one.endedAt - one.startedAt);
+    await showWaits(kernel, fleet);
     console.log(`${deployment.name} ${mode}: ${rate.toFixed(0)} served a second; through the pooler in ms: ${spread(pooled)}`);
     console.log(`outcomes: ${[...ledger.reasons].map(([reason, count]) => `${reason}=${count}`).join(' ')}`);
     if (mode === 'load') {
@@ -180,7 +275,11 @@
       const straight = await direct(kernel, fleet, () => going);
       console.log(`straight at the members in ms: ${spread(straight)}; ratio of p50 ${(percentile(pooled, 0.5) / percentile(straight, 0.5)).toFixed(2)}, of p99 ${(percentile(pooled, 0.99) / percentile(straight, 0.99)).toFixed(2)}`);
     }
-    const violations = await verdict(kernel, fleet, ledger);
+    // Windows arrive up to ten seconds after they end.
+    await kernel.clock.sleep(Math.max(0, stoppedAt + 11_000 - kernel.clock.wall()));
+    const wallOffset = kernel.clock.wall() - kernel.clock.now();
+    const windows = { from: Math.floor((from + wallOffset) / 5_000) + 1, until: Math.floor(stoppedAt / 5_000) - 1, wallOffset };
+    const violations = [...probed, ...(await verdict(kernel, fleet, ledger, sends, windows))];
     console.log(violations.length === 0 ? 'checkers: clean' : `checkers: ${violations.length} violations\n  ${violations.slice(0, 8).join('\n  ')}`);
     if (violations.length > 0) process.exitCode = 1;
   } finally {
--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -2,8 +2,9 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { Type } from '@sinclair/typebox';
-import { fault, http, type Fault, type HttpReply, type HttpRequest, type HttpRoute, type Kernel } from '@stallstall/kernel';
+import { fault, http, type Fault, type HttpReply, type HttpRequest, type HttpMapping, type Kernel } from '@stallstall/kernel';
 import { message, type Entry, type Membership } from '@stallstall/message';
+import type { Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
 import { archivePrefix, registerService, usageWindowMilliseconds, type Changed } from '@stallstall/register';
 import { electionService, livenessService } from '@stallstall/elect';
@@ -39,12 +40,17 @@
   metrics: () => Readonly<Record<string, number>>;
 }>;
 
-export type Administration = Readonly<{ routes: readonly HttpRoute[] }>;
+export type Administration = Readonly<{ mappings: readonly HttpMapping[] }>;
 
-type SentVersion = Omit<Configuration, 'recent'>;
+type SentVersion = Omit<Configuration, 'recent' | 'history'>;
 type ArchivedVersion = SentVersion & Readonly<{ number: number }>;
 const mostShots = 20;
 
+/** A disk of format 1 has the ids of earlier sends in its history. */
+function recentOf(configuration: Configuration): Configuration['recent'] {
+  return (configuration as Partial<Configuration>).recent ?? configuration.history ?? [];
+}
+
 type Need = 'read' | 'sheet' | 'nodes' | 'operators';
 
 /** One page of a listing: `limit` rows after the row whose place is `after`; `next` is missing on the last. */
@@ -67,7 +73,7 @@
   }
 
   /** A page that only who may is let in to; what a sheet changes is checked where it is taken. */
-  function guarded(need: Need, handle: (request: HttpRequest, caller: Caller) => Promise<HttpReply>): HttpRoute['handle'] {
+  function guarded(need: Need, handle: (request: HttpRequest, caller: Caller) => Promise<HttpReply>): HttpMapping['handle'] {
     return async function guardedPage(request) {
       const caller = await table.caller(request);
       if (Either.isLeft(caller)) return http.denied(caller.left);
@@ -98,21 +104,29 @@
     if (Either.isLeft(read)) return read;
     if (Option.isNone(read.right)) return Either.right(0);
     const { version, value } = read.right.value;
-    const { recent: _recent, ...kept } = value;
-    const written = await register.change(slotOf(version), function put(current) {
-      return Option.isSome(current) && (current.value.value as ArchivedVersion).number >= version ? Option.none : Option.some({ ...kept, number: version });
-    });
+    const { recent: _recent, history, ...kept } = value;
+    for (const { version: number, ...old } of history ?? []) {
+      const written = await archive({ ...old, number });
+      if (Either.isLeft(written)) return written;
+    }
+    const written = await archive({ ...kept, number: version });
     return Either.isLeft(written) ? written : Either.right(version);
   }
 
+  function archive(kept: ArchivedVersion): Promise<Either.Either<Fault, Changed>> {
+    return register.change(slotOf(kept.number), function put(current) {
+      return Option.isSome(current) && (current.value.value as ArchivedVersion).number >= kept.number ? Option.none : Option.some(kept);
+    });
+  }
+
   /** A version by its number: the current one, or one of the archive. */
-  async function versionAt(wanted: number, current: SentVersion & Readonly<{ version: number }>): Promise<Either.Either<Fault, Option.Option<SentVersion>>> {
+  async function versionAt(wanted: number, current: Omit<Configuration, 'recent'> & Readonly<{ version: number }>): Promise<Either.Either<Fault, Option.Option<SentVersion>>> {
     if (wanted === current.version) return Either.right(Option.some(current));
     if (!Number.isInteger(wanted) || wanted > current.version || wanted < oldestOf(current.version)) return Either.right(Option.none);
     const read = await register.read(slotOf(wanted));
     if (Either.isLeft(read)) return read;
     const kept = Option.isSome(read.right) ? (read.right.value.value as ArchivedVersion) : undefined;
-    return Either.right(kept?.number === wanted ? Option.some(kept) : Option.none);
+    return Either.right(kept?.number === wanted ? Option.some(kept) : Option.fromNullable(current.history?.find((old) => old.version === wanted)));
   }
 
   async function sendSheet(request: HttpRequest, caller: Caller): Promise<HttpReply> {
@@ -144,14 +158,14 @@
         beyond = Option.none;
         const version = Option.isSome(current) ? current.value.version : 0;
         const before = Option.isSome(current) ? (current.value.value as Configuration) : undefined;
-        if (before?.recent.some((old) => old.sendId === sendId) === true) return Option.none;
+        if (before !== undefined && recentOf(before).some((old) => old.sendId === sendId)) return Option.none;
         const allowed = operators.mayChange(caller, before?.sheet, sheet);
         if (Either.isLeft(allowed)) beyond = Option.some(allowed.left);
         else if (expected !== undefined && Number(expected.replaceAll('"', '')) !== version) conflict = Option.some(version);
         if (Option.isSome(beyond) || Option.isSome(conflict)) return Option.none;
         overtaken = version !== archived.right;
         if (overtaken) return Option.none;
-        return Option.some({ ...sent, recent: [...(before?.recent ?? []), { version: version + 1, sendId }].slice(-recentKept) });
+        return Option.some({ ...sent, recent: [...(before === undefined ? [] : recentOf(before)), { version: version + 1, sendId }].slice(-recentKept) });
       });
     }
     let changed = await shot();
@@ -172,7 +186,7 @@
       }));
     }
     const entry = (changed.right.entry as Option.Some<Entry>).value;
-    const version = (entry.value as Configuration).recent.find((old) => old.sendId === sendId)?.version ?? entry.version;
+    const version = recentOf(entry.value as Configuration).find((old) => old.sendId === sendId)?.version ?? entry.version;
     await table.note(sent.sentBy, 'sheet', `version ${version}`);
     return { status: 200, headers: { etag: `"${version}"` }, body: { version } };
   }
@@ -226,6 +240,7 @@
         return {
           node: seat.node, role: seat.role, area: seat.area, address: seat.address, outward: seat.outward, draining: seat.draining,
           heardMilliseconds: seat.node === node.settings.node ? 0 : Option.isSome(heard) ? Math.round(now - heard.value) : -1,
+          protocol: seat.node === node.settings.node ? kernel.protocols.to : Option.getOrElse(() => 0)(Option.map((held: Peer) => held.protocol())(node.callPeer(seat.node))),
           obeys: seat.node === node.settings.node ? (Option.isSome(configuration) ? configuration.value.version : 0) : (acknowledged ?? -1),
         };
       }),
@@ -330,7 +345,7 @@
   }
 
   /** Each check with its remedy; the page is 503 when one fails. */
-  async function health(): Promise<HttpReply> {
+  async function liveness(): Promise<HttpReply> {
     const { value: membership } = node.membership();
     const heard = reachable();
     const needed = quorum.majority(membership.seats.length);
@@ -365,9 +380,9 @@
     return http.replied(Either.map(() => ({ sound: true }))(sheets.check((request.body as { sheet?: unknown } | null)?.sheet)));
   }
 
-  const routes: readonly HttpRoute[] = [
+  const mappings: readonly HttpMapping[] = [
     { method: 'GET', path: '/ready', handle: async () => ({ status: parts.ready() ? 200 : 503, body: { node: node.settings.node, ready: parts.ready() } }) },
-    { method: 'GET', path: '/v1/health', handle: health },
+    { method: 'GET', path: '/v1/liveness', handle: liveness },
     { method: 'GET', path: '/v1/metrics', handle: beaten },
     { method: 'GET', path: '/v1/fleet', handle: guarded('read', async () => ({ status: 200, body: fleetStatus() })) },
     { method: 'GET', path: '/v1/members', handle: guarded('read', async (request) => ({ status: 200, body: page(memberStatus(), request) })) },
@@ -386,7 +401,7 @@
     { method: 'DELETE', path: '/v1/nodes/:node', handle: guarded('nodes', remove) },
   ];
 
-  return { routes };
+  return { mappings };
 }
 
 export const administration = { create } as const;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,14 +20,18 @@
 
 export type Core = Readonly<{ node: Node; open: () => boolean; drain: () => Promise<void>; stop: () => Promise<void> }>;
 
+/** Of what lies in a data folder. 1: the sheet's history inside its cell, no notes; 2: an archive and notes (design 4.6). */
+const diskFormat = 2;
+
 const FleetSchema = Type.Object({
+  format: Type.Optional(Type.Integer({ minimum: 1 })),
   fleet: Type.String({ minLength: 1 }),
   node: Type.String({ minLength: 1 }),
   cores: Type.Array(SeatSchema),
   /** founding: agreed to, not yet formed; copying: a blank disk in a formed fleet; formed: answers ballots. */
   stage: Type.Union([Type.Literal('founding'), Type.Literal('copying'), Type.Literal('formed')]),
 });
-type Fleet = Readonly<{ fleet: string; node: string; cores: readonly Seat[]; stage: 'founding' | 'copying' | 'formed' }>;
+type Fleet = Readonly<{ format?: number; fleet: string; node: string; cores: readonly Seat[]; stage: 'founding' | 'copying' | 'formed' }>;
 
 /** A vote for nobody: all it does is deny that epoch and those before it. */
 const abstained = { candidate: '', proposer: '' } as const;
@@ -54,6 +58,12 @@
       remedy: `point --data at the folder of ${settings.node}, or start with an empty one`,
     }));
   }
+  if ((fleet.format ?? 1) > diskFormat) {
+    return Option.some(fault.create({
+      kind: 'foreign-disk', message: `the data folder has format ${fleet.format}, this version knows ${diskFormat} and those before it`,
+      remedy: 'run the version that wrote it or a later one, or start with an empty folder, so that this core copies the others',
+    }));
+  }
   for (const [key, value] of stored) {
     if (key.startsWith('register/') && !acceptor.isCellState(value)) {
       return Option.some(fault.create({
@@ -159,8 +169,9 @@
   }
 
   async function keepFleet(next: Fleet): Promise<boolean> {
-    const kept = await disk.put('fleet', next);
-    if (Either.isRight(kept)) fleet = Option.some(next);
+    const written: Fleet = { ...next, format: diskFormat };
+    const kept = await disk.put('fleet', written);
+    if (Either.isRight(kept)) fleet = Option.some(written);
     else kernel.log('disk.failed', { reason: kept.left.message });
     return Either.isRight(kept);
   }
@@ -253,8 +264,11 @@
         kernel.log('core.old-disk', { puts: disk.puts(), known: knownPuts });
         return copy({ ...known, stage: 'copying' });
       }
-      if ([...met.values()].filter((core) => core.fleet === known.fleet).length >= others) open(known);
-      else await kernel.clock.sleep(beatMilliseconds / 4);
+      if ([...met.values()].filter((core) => core.fleet === known.fleet).length >= others) {
+        if (known.format === diskFormat) open(known);
+        else await becomeFormed(known);
+      }
+      if (!cells.ready()) await kernel.clock.sleep(beatMilliseconds / 4);
     }
   }
 
@@ -273,14 +287,14 @@
   }
 
   async function ask(known: Fleet, step: 'propose' | 'formed'): Promise<boolean> {
-    const answers = await Promise.all(known.cores.filter((core) => core.node !== settings.node).map(async function one(core) {
+    const replies = await Promise.all(known.cores.filter((core) => core.node !== settings.node).map(async function one(core) {
       const dialled = peer.dial(kernel, identifiers.address(core.address));
       await kernel.clock.sleep(50);
       const reply = await dialled.call('form', { step, fleet: known.fleet, cores: [...known.cores] }, 1_000);
       dialled.close();
       return Option.isSome(reply) && reply.value.agreed;
     }));
-    return answers.every(Boolean);
+    return replies.every(Boolean);
   }
 
   async function agree(told: Ask<'form'>): Promise<Reply<'form'>> {
@@ -408,10 +422,10 @@
     }),
   });
 
-  const pages = http.counted([...node.routes, ...administration.routes]);
+  const pages = http.counted([...node.mappings, ...administration.mappings]);
   const listening: readonly Listening[] = [
     await peer.listen(kernel, identifiers.address(settings.address), handlers),
-    await kernel.network.serve(identifiers.address(settings.outward), { routes: pages.routes }),
+    await kernel.network.serve(identifiers.address(settings.outward), { mappings: pages.mappings }),
   ];
 
   node.start();
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -53,18 +53,18 @@
 
   /** The counts of a window as a majority of disks holds them; none while an edge may still have some to tell. */
   async function gather(window: number): Promise<Option.Option<Readonly<Record<string, number>>>> {
-    const answers = (await Promise.all(node.cores().map(async function ask(core): Promise<readonly Told[]> {
+    const replies = (await Promise.all(node.cores().map(async function ask(core): Promise<readonly Told[]> {
       if (core.node === node.settings.node) return [notes.look(window)];
       const held = node.callPeer(core.node);
       const reply = Option.isNone(held) ? Option.none : await held.value.call('usageLook', { window }, 500);
       return Option.isSome(reply) ? [reply.value] : [];
     }))).flat().filter((told) => told.ready);
-    if (answers.length < quorum.majority(node.cores().length)) return Option.none;
+    if (replies.length < quorum.majority(node.cores().length)) return Option.none;
     const end = (window + 1) * usageWindowMilliseconds;
     const edges = quorum.withRole(node.membership().value, 'edge');
-    const whole = edges.every((edge) => Math.max(...answers.map((answer) => answer.through[edge.node] ?? 0)) >= end + skewMilliseconds);
+    const whole = edges.every((edge) => Math.max(...replies.map((one) => one.through[edge.node] ?? 0)) >= end + skewMilliseconds);
     if (!whole && kernel.clock.wall() < end + graceMilliseconds) return Option.none;
-    return Option.some(keeper.add(answers.flatMap((answer) => answer.reports)));
+    return Option.some(keeper.add(replies.flatMap((one) => one.reports)));
   }
 
   /** Fixes the counts of a window once; whoever comes later finds them standing. */
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -137,7 +137,7 @@
     return primary !== undefined && primary.state === 'serving' && liveness.alive(primary.member) ? primary : undefined;
   }
 
-  function refusal(ask: Ask<'propose'>, standing: Standing): Option.Option<string> {
+  function denial(ask: Ask<'propose'>, standing: Standing): Option.Option<string> {
     const service = serviceOf(ask.service);
     if (service === undefined) return Option.some('no such service in the sheet obeyed here');
     if (!standing.loaded) return Option.some('own vote not yet read back');
@@ -154,7 +154,7 @@
   async function consider(ask: Ask<'propose'>): Promise<Reply<'propose'>> {
     const standing = standingOf(ask.service);
     await load(ask.service, standing);
-    const denied = refusal(ask, standing);
+    const denied = denial(ask, standing);
     if (Option.isSome(denied)) {
       return { accepted: false, reason: denied.value, epoch: Math.max(settledEpoch(ask.service), votedEpoch(ask.service, standing)) };
     }
@@ -167,16 +167,16 @@
   }
 
   async function states(service: SheetService): Promise<readonly Found[]> {
-    const answers = await Promise.all(
+    const replies = await Promise.all(
       service.members.map(async function ask(member): Promise<Option.Option<Found>> {
         const state = await liveness.probe(member.member, member.address, probeMilliseconds);
         return Either.isRight(state) ? Option.some({ member, state: state.right.state }) : Option.none;
       }),
     );
-    return answers.flatMap((answer) => (Option.isSome(answer) ? [answer.value] : []));
+    return replies.flatMap((one) => (Option.isSome(one) ? [one.value] : []));
   }
 
-  /** What was acknowledged up to now, read from a majority of core disks; none while no majority answers. */
+  /** What was acknowledged up to now, read from a majority of core disks; none while no majority replies. */
   async function floorOf(service: string): Promise<Option.Option<Floor>> {
     const floors = await notes.floors();
     return Either.isRight(floors) ? Option.some(floors.right[service] ?? { epoch: 0, position: 0 }) : Option.none;
@@ -262,7 +262,7 @@
     if (reply.right.status === 200) return Either.right(null);
     const over = reply.right.status === 409;
     return Either.left(fault.create({
-      kind: over ? 'superseded' : 'unreachable', message: `the platform answered a promotion with ${reply.right.status}`, remedy: over ? 'a later turn is known there; this one is over' : 'it is asked again',
+      kind: over ? 'superseded' : 'unreachable', message: `the platform replied a promotion with ${reply.right.status}`, remedy: over ? 'a later turn is known there; this one is over' : 'it is asked again',
     }));
   }
 
@@ -271,17 +271,17 @@
     let last = 'no call was made';
     while (kernel.clock.now() < horizon) {
       if (outvoted(service.service, epoch)) return Either.left('a later epoch was voted');
-      let answered: Option.Option<Either.Either<Fault, null>> = Option.none;
+      let replied: Option.Option<Either.Either<Fault, null>> = Option.none;
       const calling = call(service, chosen.member, epoch, holding).then((reply) => {
-        answered = Option.some(reply);
+        replied = Option.some(reply);
       });
-      while (Option.isNone(answered)) {
+      while (Option.isNone(replied)) {
         await Promise.race([calling, kernel.clock.sleep(promotedLookMilliseconds)]);
-        if (Option.isSome(answered)) break;
+        if (Option.isSome(replied)) break;
         if (await isPromoted(chosen.member, epoch)) return Either.right(null);
         if (outvoted(service.service, epoch)) return Either.left('a later epoch was voted');
       }
-      const reply = (answered as Option.Some<Either.Either<Fault, null>>).value;
+      const reply = (replied as Option.Some<Either.Either<Fault, null>>).value;
       if (Either.isRight(reply) || (await isPromoted(chosen.member, epoch))) return Either.right(null);
       last = reply.left.message;
       if (fault.kind(reply.left) === 'superseded') return Either.left(last);
@@ -301,7 +301,7 @@
   /** One candidacy, written straight down: STATE, PROPOSE, the wait, the promotion, the settled epoch. */
   async function stand(service: SheetService): Promise<string> {
     const [found, floor] = await Promise.all([states(service), floorOf(service.service)]);
-    if (Option.isNone(floor)) return 'what was acknowledged cannot be read: no majority of cores answers';
+    if (Option.isNone(floor)) return 'what was acknowledged cannot be read: no majority of cores replies';
     const chosen = choose(service, found, floor.value);
     if (Option.isNone(chosen)) return 'no eligible replica: each is out of reach or lacks acknowledged writes';
     const standing = standingOf(service.service);
--- a/packages/kernel/src/http.ts
+++ b/packages/kernel/src/http.ts
@@ -1,8 +1,8 @@
-// What every HTTP boundary shares: matching a route, answering a fault (design 9.1).
+// What every HTTP boundary shares: matching a mapping, answering a fault (design 9.1).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, type Fault } from './fault.js';
-import type { HttpAsk, HttpReply, HttpRequest, HttpRoute, Kernel } from './kernel.js';
+import type { HttpAsk, HttpReply, HttpRequest, HttpMapping, Kernel } from './kernel.js';
 import type { Address } from './identifiers.js';
 
 function matchPath(pattern: string, path: string): Option.Option<Readonly<Record<string, string>>> {
@@ -26,9 +26,9 @@
   return Either.isLeft(result) ? denied(result.left) : { status, body: result.right };
 }
 
-/** Finds the route and runs it; a thrown error becomes an honest 500, never the end of the process. */
-async function route(routes: readonly HttpRoute[], request: HttpRequest): Promise<HttpReply> {
-  for (const candidate of routes) {
+/** Finds the mapping and runs it; a thrown error becomes an honest 500, never the end of the process. */
+async function mapped(mappings: readonly HttpMapping[], request: HttpRequest): Promise<HttpReply> {
+  for (const candidate of mappings) {
     if (candidate.method !== request.method) continue;
     const parameters = matchPath(candidate.path, request.path);
     if (Option.isNone(parameters)) continue;
@@ -53,12 +53,12 @@
   );
 }
 
-/** The same routes, and how many of their requests are without an answer. */
-function counted(routes: readonly HttpRoute[]): Readonly<{ routes: readonly HttpRoute[]; inFlight: () => number }> {
+/** The same mappings, and how many of their requests are without an answer. */
+function counted(mappings: readonly HttpMapping[]): Readonly<{ mappings: readonly HttpMapping[]; inFlight: () => number }> {
   let count = 0;
   return {
     inFlight: () => count,
-    routes: routes.map((one) => ({
+    mappings: mappings.map((one) => ({
       ...one,
       handle: async function handle(request) {
         count += 1;
@@ -80,4 +80,4 @@
   return reply;
 }
 
-export const http = { matchPath, denied, replied, route, counted, once } as const;
+export const http = { matchPath, denied, replied, mapped, counted, once } as const;
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -42,7 +42,7 @@
   body: unknown;
 }>;
 
-export type HttpRoute = Readonly<{
+export type HttpMapping = Readonly<{
   method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Segments that begin with a colon are parameters, handed over in the query. */
   path: string;
@@ -50,7 +50,7 @@
 }>;
 
 export type HttpServer = Readonly<{
-  routes: readonly HttpRoute[];
+  mappings: readonly HttpMapping[];
   connectionClosed?: (connection: string) => void;
 }>;
 
@@ -105,7 +105,12 @@
   find: <Service>(name: ServiceName<Service>) => Service;
 }>;
 
+/** The versions of what processes say to each other that this build speaks (design 3.5). */
+export type Protocols = Readonly<{ from: number; to: number }>;
+export const protocolsSpoken: Protocols = { from: 2, to: 2 };
+
 export type Kernel = Readonly<{
+  protocols: Protocols;
   clock: Clock;
   network: Network;
   disk: Option.Option<Disk>;
--- a/packages/machine/src/index.ts
+++ b/packages/machine/src/index.ts
@@ -1,15 +1,15 @@
 // The kernel services of a real machine (design 2.2).
 import { randomBytes } from 'node:crypto';
 import * as Option from 'fp-ts/lib/Option.js';
-import { identifiers, kernel as kernels, type Clock, type Disk, type Fault, type Kernel, type Log, type LogFields } from '@stallstall/kernel';
+import { identifiers, kernel as kernels, protocolsSpoken, type Clock, type Disk, type Fault, type Kernel, type Log, type LogFields } from '@stallstall/kernel';
 import { network } from './network.js';
 
 const clock: Clock = {
   now: () => identifiers.instant(performance.now()),
   wall: () => identifiers.wallTime(Date.now()),
   alarm: function alarm(milliseconds, action) {
-    const timer = setTimeout(action, milliseconds);
-    return { cancel: () => clearTimeout(timer) };
+    const alarm = setTimeout(action, milliseconds);
+    return { cancel: () => clearTimeout(alarm) };
   },
   sleep: (milliseconds) => new Promise((resolve) => {
     setTimeout(resolve, milliseconds);
@@ -42,6 +42,7 @@
 async function create(program: string, disk: Option.Option<Disk>): Promise<Kernel> {
   const say = await log(program);
   return {
+    protocols: protocolsSpoken,
     clock,
     network,
     disk,
--- a/packages/machine/src/network.ts
+++ b/packages/machine/src/network.ts
@@ -123,6 +123,7 @@
 async function serve(address: Address, server: HttpServer): Promise<Listening> {
   const names = new WeakMap<net.Socket, string>();
   let lastName = 0;
+  // eslint-disable-next-line no-restricted-syntax -- the library's own name
   const app: FastifyInstance = fastify({ bodyLimit: longestBody, keepAliveTimeout: keepMilliseconds, forceCloseConnections: true, routerOptions: { maxParamLength: 300 } });
 
   function nameOf(socket: net.Socket): string {
@@ -140,20 +141,20 @@
     await reply.status(typed.status).send(typed.body);
   });
   app.setNotFoundHandler(async (request, reply) => {
-    const missing = await http.route([], { method: request.method, path: request.url, query: {}, headers: {}, body: null, connection: '' });
+    const missing = await http.mapped([], { method: request.method, path: request.url, query: {}, headers: {}, body: null, connection: '' });
     await reply.status(missing.status).send(missing.body);
   });
-  for (const route of server.routes) {
+  for (const mapping of server.mappings) {
     app.route({
-      method: route.method,
-      url: route.path,
-      handler: async (request, reply) => {
-        const answered = await http.route([{ ...route, path: '' }], {
+      method: mapping.method,
+      url: mapping.path,
+      handler: async (request, response) => {
+        const reply = await http.mapped([{ ...mapping, path: '' }], {
           method: request.method, path: '', body: request.body ?? null, connection: nameOf(request.raw.socket),
           query: { ...(request.query as Record<string, string>), ...(request.params as Record<string, string>) },
           headers: request.headers as Record<string, string>,
         });
-        await reply.status(answered.status).headers(answered.headers ?? {}).send(answered.body);
+        await response.status(reply.status).headers(reply.headers ?? {}).send(reply.body);
       },
     });
   }
@@ -164,7 +165,7 @@
 function connect(address: Address): HttpConnection {
   const connector = buildConnector({ timeout: connectMilliseconds });
   let socket: net.Socket | undefined;
-  const client = new Client(`http://${address}`, { pipelining: 1, connect: reach, keepAliveTimeout: keepMilliseconds, keepAliveMaxTimeout: keepMilliseconds, headersTimeout: 0, bodyTimeout: 0 });
+  const held = new Client(`http://${address}`, { pipelining: 1, connect: reach, keepAliveTimeout: keepMilliseconds, keepAliveMaxTimeout: keepMilliseconds, headersTimeout: 0, bodyTimeout: 0 });
   let connected = false;
   let closed = false;
   let under = false;
@@ -182,21 +183,21 @@
     if (closed) return;
     closed = true;
     if (under) socket?.resetAndDestroy();
-    client.destroy(() => undefined);
+    held.destroy(() => undefined);
   }
 
-  client.on('connect', () => {
+  held.on('connect', () => {
     connected = true;
   });
   // Once lost, this connection never comes back by itself: a member would not know the session on it.
-  client.on('disconnect', close);
+  held.on('disconnect', close);
 
   async function exchange(ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
-    const timer = setTimeout(close, milliseconds);
+    const alarm = setTimeout(close, milliseconds);
     try {
       if (closed) throw new Error('the connection is closed');
       under = true;
-      const reply = await client.request({
+      const reply = await held.request({
         method: ask.method as 'GET', path: ask.path, signal: null,
         headers: { ...(ask.body === undefined ? {} : { 'content-type': 'application/json' }), ...ask.headers },
         ...(ask.body === undefined ? {} : { body: JSON.stringify(ask.body) }),
@@ -212,7 +213,7 @@
       }));
     } finally {
       under = false;
-      clearTimeout(timer);
+      clearTimeout(alarm);
     }
   }
 
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -163,6 +163,8 @@
   configuration: Count,
   /** The most connections this proxy holds to any one member of a service. */
   open: ServiceCounts,
+  /** What this proxy has counted since it began, for whoever asks its agent. */
+  metrics: Type.Record(Type.String({ maxLength: 100 }), Type.Number()),
 });
 /** What a proxy has its agent note on the core disks; `kept` once a majority of them has synced it. */
 const TellAsk = Type.Object({
@@ -213,6 +215,9 @@
 export const ChangeSchema = Type.Object({ number: Count, key: Name, entry: EntrySchema });
 export type Change = Readonly<Static<typeof ChangeSchema>>;
 
+/** The first frame of each side: the versions it speaks; the highest that both speak is used (design 3.5). */
+export const GreetSchema = Type.Object({ greet: Type.Object({ from: Count, to: Count }) });
+
 export const FrameSchema = Type.Union([
   Type.Object({ call: Count, kind: Name, body: Type.Unknown() }),
   Type.Object({ reply: Count, body: Type.Unknown() }),
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpRoute, type Instant, type Kernel,
+  fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpMapping, type Instant, type Kernel,
 } from '@stallstall/kernel';
 import {
   MembershipSchema, message, SettledSchema, type Ask, type Change, type Entry, type Membership, type NodeRole, type Reply, type Seat, type Settled,
@@ -23,7 +23,8 @@
   /** Where other nodes reach this one, and where members and operators do. */
   address: string;
   outward: string;
-  seeds: readonly string[];
+  /** Asked at each greeting, since the settings file may change while the process runs. */
+  seeds: () => readonly string[];
   /** Asked at each call, since the settings file may change while the process runs. */
   platform: () => string;
 }>;
@@ -35,6 +36,8 @@
   sentAt: number;
   /** The ids of the latest sends, so that none is taken twice; not pushed. */
   recent: ReadonlyArray<Readonly<{ version: number; sendId: string }>>;
+  /** Versions before this one, on disks of format 1 alone; archived at the next send. */
+  history?: ReadonlyArray<Readonly<{ version: number; sheet: Sheet; sendId: string; sentBy: string; sentAt: number }>>;
 }>;
 
 export type Obeyed<Value> = Readonly<{ version: number; value: Value }>;
@@ -54,7 +57,7 @@
 export type Node = Readonly<{
   settings: NodeSettings;
   handlers: Handlers;
-  routes: readonly HttpRoute[];
+  mappings: readonly HttpMapping[];
   configuration: () => Option.Option<Obeyed<Configuration>>;
   membership: () => Obeyed<Membership>;
   settled: (service: string) => Option.Option<Settled>;
@@ -94,6 +97,7 @@
   const confirmations = new Map<string, Readonly<{ sentAt: Instant; configuration: number; membership: number }>>();
   const acknowledged = new Map<string, number>();
   const puts = new Map<string, number>();
+  const greeting = new Set<string>();
   let cores: readonly Seat[] = [];
   let fleetName = '';
   let incarnation = 0;
@@ -332,8 +336,19 @@
         fleetName = reply.value.fleet;
         setCores(reply.value.cores);
       }
-    }, () => goesOn() && !(cores.length > 0 && joined()));
+    }, () => goesOn() && settings.seeds().includes(address) && !(cores.length > 0 && joined()));
     dialled.close();
+    greeting.delete(address);
+  }
+
+  /** Until this node is part of a fleet, every seed that the settings name by now is greeted. */
+  function greetSeeds(): void {
+    if (cores.length > 0 && joined()) return;
+    for (const address of settings.seeds()) {
+      if (address === settings.address || greeting.has(address)) continue;
+      greeting.add(address);
+      void seed(address);
+    }
   }
 
   function joined(): boolean {
@@ -396,7 +411,7 @@
     },
   };
 
-  const routes: readonly HttpRoute[] = [
+  const mappings: readonly HttpMapping[] = [
     {
       method: 'POST',
       path: '/v1/members/:member/beat',
@@ -435,7 +450,7 @@
   }
 
   function start(): void {
-    for (const address of settings.seeds) if (address !== settings.address) void seed(address);
+    void kernels.every(kernel.clock, beatMilliseconds, greetSeeds, goesOn);
     void takeIncarnation();
     void join();
     void kernels.every(kernel.clock, beatMilliseconds, tick, goesOn);
@@ -448,7 +463,7 @@
   }
 
   return {
-    settings, handlers, routes, configuration, membership, settled, controlUntil, fenceUntil,
+    settings, handlers, mappings, configuration, membership, settled, controlUntil, fenceUntil,
     notes: noted, start, stop, setCores, isStale,
     changed: watch.changed,
     capsOfOthers: function capsOfOthers() {
--- a/packages/operator/src/commands.ts
+++ b/packages/operator/src/commands.ts
@@ -1,7 +1,7 @@
 import { MappingsImport } from './mappings.js';
 import { RunAgent, RunCore, RunProxy } from './daemons.js';
 import {
-  Audit, Drain, Elections, Health, Members, Metrics, OperatorPut, OperatorRemove, Operators, Remove, Retire, SheetCheck, SheetDiff, SheetGet, SheetSend,
+  Audit, Drain, Elections, Liveness, Members, Metrics, OperatorPut, OperatorRemove, Operators, Remove, Retire, SheetCheck, SheetDiff, SheetGet, SheetSend,
   SheetVersions, Status, Usage,
 } from './operator.js';
 
@@ -10,7 +10,7 @@
   'run:agent': RunAgent,
   'run:proxy': RunProxy,
   status: Status,
-  health: Health,
+  liveness: Liveness,
   metrics: Metrics,
   audit: Audit,
   operators: Operators,
--- a/packages/operator/src/daemons.ts
+++ b/packages/operator/src/daemons.ts
@@ -1,4 +1,5 @@
 // The daemons. oclif asks for classes; they are the forced exception of design 2.6.
+import fs from 'node:fs';
 import { Command, Flags } from '@oclif/core';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
@@ -7,7 +8,7 @@
 import { core } from '@stallstall/core';
 import { agent } from '@stallstall/agent';
 import { proxy } from '@stallstall/proxy';
-import { agentSettings, coreSettings, proxySettings, settings } from './settings.js';
+import { agentSettings, coreSettings, proxySettings, settings, type Changes } from './settings.js';
 
 const shared = {
   settings: Flags.string({ description: 'a JSON settings file; flags go before it' }),
@@ -22,6 +23,14 @@
   platform: Flags.string({ description: 'the address of the platform' }),
 };
 
+/** What tells that a settings file is to be read again: SIGHUP, or a change of the file itself. */
+const changes: Changes = {
+  watch: function watch(file, again) {
+    process.on('SIGHUP', again);
+    fs.watchFile(file, { interval: 1_000 }, again);
+  },
+};
+
 function given(flags: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
   const { settings: _file, json: _json, seeds, ...rest } = flags;
   return { ...rest, ...(typeof seeds === 'string' ? { seeds: seeds.split(',') } : {}) };
@@ -53,8 +62,8 @@
     const { flags } = await this.parse(RunCore);
     const first = orFail(this, settings.read(coreSettings, flags.settings, given(flags)));
     const kernel = await machine.create('core', Option.some(orFail(this, disk.open(first.data))));
-    const current = settings.follow(kernel, coreSettings, flags.settings, given(flags), first);
-    const started = orFail(this, await core.start(kernel, { ...first, platform: () => current().platform }));
+    const current = settings.follow(kernel, changes, coreSettings, flags.settings, given(flags), first);
+    const started = orFail(this, await core.start(kernel, { ...first, seeds: () => current().seeds, platform: () => current().platform }));
     endWith(kernel, started.stop);
     kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
   }
@@ -68,8 +77,8 @@
     const { flags } = await this.parse(RunAgent);
     const first = orFail(this, settings.read(agentSettings, flags.settings, given(flags)));
     const kernel = await machine.create('agent', Option.none);
-    const current = settings.follow(kernel, agentSettings, flags.settings, given(flags), first);
-    const started = orFail(this, await agent.start(kernel, { ...first, platform: () => current().platform }));
+    const current = settings.follow(kernel, changes, agentSettings, flags.settings, given(flags), first);
+    const started = orFail(this, await agent.start(kernel, { ...first, seeds: () => current().seeds, platform: () => current().platform }));
     endWith(kernel, started.stop);
     kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
   }
@@ -83,6 +92,7 @@
     const { flags } = await this.parse(RunProxy);
     const first = orFail(this, settings.read(proxySettings, flags.settings, given(flags)));
     const kernel = await machine.create('proxy', Option.none);
+    settings.follow(kernel, changes, proxySettings, flags.settings, given(flags), first);
     const started = await proxy.start(kernel, first);
     endWith(kernel, started.drain);
     kernel.log('process.runs', { address: first.address });
--- a/packages/operator/src/operator.ts
+++ b/packages/operator/src/operator.ts
@@ -88,7 +88,7 @@
     const { flags } = await this.parse(Status);
     const status = await replyOf(this, flags, { method: 'GET', path: '/v1/fleet' }) as Row & { nodes: readonly Row[] };
     this.log(`fleet ${status['fleet']}: ${status['size']} nodes, ${status['heard']} heard, quorum ${status['quorum']}, ${status['spare']} to spare, membership ${status['membership']}, configuration ${status['configuration']}`);
-    this.log(table(status.nodes, ['node', 'role', 'area', 'heardMilliseconds', 'obeys', 'draining', 'address', 'outward']));
+    this.log(table(status.nodes, ['node', 'role', 'area', 'heardMilliseconds', 'obeys', 'protocol', 'draining', 'address', 'outward']));
     return status;
   }
 }
@@ -195,32 +195,49 @@
   }
 }
 
-export class Health extends Command {
+const fleetFlags = { ...coreFlags, fleet: Flags.boolean({ description: 'ask every node of the membership table, not one core alone' }) };
+
+type Asked = Readonly<{ node: string; reply: Either.Either<Fault, HttpReply> }>;
+
+/** The same page of one core, or of every node that the table names. */
+async function askNodes(command: Command, flags: CoreFlags & Readonly<{ fleet: boolean }>, path: string): Promise<readonly Asked[]> {
+  if (!flags.fleet) return [{ node: '', reply: await askAny(flags.core, { method: 'GET', path }) }];
+  const status = await replyOf(command, flags, { method: 'GET', path: '/v1/fleet' }) as Readonly<{ nodes: ReadonlyArray<Readonly<{ node: string; outward: string }>> }>;
+  return Promise.all(status.nodes.map(async (one) => ({ node: one.node, reply: await askAny(one.outward, { method: 'GET', path }) })));
+}
+
+export class Liveness extends Command {
   static override description = 'What is sound and what is not, each with its remedy; exit code 1 when a check fails.';
   static override enableJsonFlag = true;
-  static override flags = coreFlags;
+  static override flags = fleetFlags;
 
   async run(): Promise<unknown> {
-    const { flags } = await this.parse(Health);
-    const reply = await askAny(flags.core, { method: 'GET', path: '/v1/health' });
-    if (Either.isLeft(reply)) return this.error(reply.left.message, { exit: exits.unreachable });
-    const { checks } = reply.right.body as Readonly<{ checks: readonly Row[] }>;
-    this.log(table(checks.map((check) => (check['sound'] === true ? { ...check, remedy: '' } : check)), ['check', 'sound', 'detail', 'remedy']));
-    if (reply.right.status !== 200) process.exitCode = exits.denied;
-    return reply.right.body;
+    const { flags } = await this.parse(Liveness);
+    const asked = await askNodes(this, flags, '/v1/liveness');
+    if (!flags.fleet && asked.some((one) => Either.isLeft(one.reply))) return this.error('no core was reached; see --core', { exit: exits.unreachable });
+    const rows = asked.flatMap((one): readonly Row[] => {
+      if (Either.isLeft(one.reply)) return [{ node: one.node, check: 'reached', sound: false, detail: one.reply.left.message, remedy: 'see whether it runs' }];
+      const { checks, ...page } = one.reply.right.body as Readonly<{ checks: readonly Row[] }> & Row;
+      return checks.map((check) => ({ node: page['node'] ?? page['core'], ...check, ...(check['sound'] === true ? { remedy: '' } : {}) }));
+    });
+    this.log(table(rows, ['node', 'check', 'sound', 'detail', 'remedy']));
+    if (rows.some((row) => row['sound'] !== true)) process.exitCode = exits.denied;
+    return rows;
   }
 }
 
 export class Metrics extends Command {
-  static override description = 'Counts of the core asked: cells, puts, links, pushes.';
+  static override description = 'Counts of the core asked, or of every node and its proxy.';
   static override enableJsonFlag = true;
-  static override flags = coreFlags;
+  static override flags = fleetFlags;
 
   async run(): Promise<unknown> {
     const { flags } = await this.parse(Metrics);
-    const reply = await replyOf(this, flags, { method: 'GET', path: '/v1/metrics' }) as Row;
-    this.log(table(Object.entries(reply).map(([metric, value]) => ({ metric, value })), ['metric', 'value']));
-    return reply;
+    const asked = await askNodes(this, flags, '/v1/metrics');
+    if (!flags.fleet && asked.some((one) => Either.isLeft(one.reply))) return this.error('no core was reached; see --core', { exit: exits.unreachable });
+    const rows = asked.flatMap((one) => (Either.isLeft(one.reply) ? [] : Object.entries(one.reply.right.body as Row).map(([metric, value]) => ({ node: one.node, metric, value }))));
+    this.log(table(rows, flags.fleet ? ['node', 'metric', 'value'] : ['metric', 'value']));
+    return rows;
   }
 }
 
--- a/packages/operator/src/settings.ts
+++ b/packages/operator/src/settings.ts
@@ -14,7 +14,9 @@
 export const proxySettings = z.strictObject({ address, feed: address });
 
 /** What may change while the process runs; anything else waits for a restart. */
-const changeable = new Set(['platform']);
+const changeable = new Set(['platform', 'seeds']);
+
+export type Changes = Readonly<{ watch: (file: string, again: () => void) => void }>;
 
 function readFile(file: string | undefined): Either.Either<Fault, Readonly<Record<string, unknown>>> {
   if (file === undefined) return Either.right({});
@@ -41,9 +43,9 @@
   }));
 }
 
-/** Reads the file again on SIGHUP and whenever it changes; an invalid one keeps the old and logs the remedy. */
+/** Reads the file again whenever it is told to; an invalid or half-written one keeps the old settings and logs the remedy. */
 function follow<Schema extends z.ZodType<Readonly<Record<string, unknown>>>>(
-  kernel: Kernel, schema: Schema, file: string | undefined, flags: Readonly<Record<string, unknown>>, first: z.infer<Schema>,
+  kernel: Kernel, changes: Changes, schema: Schema, file: string | undefined, flags: Readonly<Record<string, unknown>>, first: z.infer<Schema>,
 ): () => z.infer<Schema> {
   let current = first;
 
@@ -57,13 +59,10 @@
     if (changed.length === 0) return;
     for (const column of changed) if (!changeable.has(column)) kernel.log('settings.waits', { column, remedy: 'restart the process to obey it' });
     current = { ...current, ...Object.fromEntries(changed.filter((column) => changeable.has(column)).map((column) => [column, next.right[column]])) };
-    kernel.log('settings.obeyed', { columns: changed.filter((column) => changeable.has(column)).join(',') });
+    if (changed.some((column) => changeable.has(column))) kernel.log('settings.obeyed', { columns: changed.filter((column) => changeable.has(column)).join(',') });
   }
 
-  if (file !== undefined) {
-    process.on('SIGHUP', again);
-    fs.watchFile(file, { interval: 1_000 }, again);
-  }
+  if (file !== undefined) changes.watch(file, again);
   return () => current;
 }
 
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,13 +1,15 @@
 // Calls between nodes over held links: one task for each peer and each connection (design 3.2).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import type { Address, Alarm, Kernel, Link, Listening } from '@stallstall/kernel';
-import { ChangeSchema, FrameSchema, message, messages, type Ask, type Change, type MessageKind, type Reply } from '@stallstall/message';
+import type { Address, Alarm, Kernel, Link, Listening, Protocols } from '@stallstall/kernel';
+import { ChangeSchema, FrameSchema, GreetSchema, message, messages, type Ask, type Change, type MessageKind, type Reply } from '@stallstall/message';
 
 export type Peer = Readonly<{
   address: Address;
   call: <Kind extends MessageKind>(kind: Kind, body: Ask<Kind>, milliseconds: number) => Promise<Option.Option<Reply<Kind>>>;
   connected: () => boolean;
+  /** The version agreed on with who serves the link; 0 while there is none. */
+  protocol: () => number;
   close: () => void;
 }>;
 
@@ -29,11 +31,31 @@
 const redialMilliseconds = 150;
 /** So many calls in a row without an answer, and the link is taken for half open and dialled anew. */
 const silentCalls = 5;
+const greetMilliseconds = 2_000;
+
+/** The highest version that both speak; 0 when there is none. */
+function agreed(own: Protocols, other: Protocols): number {
+  const highest = Math.min(own.to, other.to);
+  return highest >= Math.max(own.from, other.from) ? highest : 0;
+}
+
+function strange(own: Protocols, other: Protocols): string {
+  return `it speaks protocols ${other.from} to ${other.to}, this process ${own.from} to ${own.to}; run versions of stallstall at most one step apart, upgrading one process at a time`;
+}
+
+/** Greets the other side and waits for its greeting. */
+async function greet(kernel: Kernel, link: Link): Promise<Option.Option<Protocols>> {
+  link.send({ greet: kernel.protocols });
+  const frame = await link.receive();
+  return Option.isSome(frame) && message.fits(GreetSchema, frame.value) ? Option.some(frame.value.greet) : Option.none;
+}
 
 function dial(kernel: Kernel, address: Address, events: PeerEvents = {}): Peer {
   const waiting = new Map<number, Waiting>();
   let lastCall = 0;
   let current: Option.Option<Link> = Option.none;
+  let version = 0;
+  let lastStrange = '';
   let closed = false;
   let silent = 0;
 
@@ -72,6 +94,17 @@
   }
 
   async function hold(link: Link): Promise<void> {
+    const alarm = kernel.clock.alarm(greetMilliseconds, link.close);
+    const greeted = await greet(kernel, link);
+    alarm.cancel();
+    version = Option.isSome(greeted) ? agreed(kernel.protocols, greeted.value) : 0;
+    if (version === 0 || closed) {
+      const reason = Option.isSome(greeted) ? strange(kernel.protocols, greeted.value) : '';
+      if (reason !== '' && reason !== lastStrange) kernel.log('peer.strange', { address, reason });
+      lastStrange = reason;
+      link.close();
+      return;
+    }
     current = Option.some(link);
     silent = 0;
     events.connected?.();
@@ -84,6 +117,7 @@
       }
     }
     current = Option.none;
+    version = 0;
     link.close();
     settleAll();
   }
@@ -127,10 +161,10 @@
   }
 
   void task();
-  return { address, call, connected, close };
+  return { address, call, connected, close, protocol: () => version };
 }
 
-async function answer(link: Link, caller: Caller, handlers: Handlers, frame: Readonly<{ call: number; kind: string; body: unknown }>): Promise<void> {
+async function replyTo(link: Link, caller: Caller, handlers: Handlers, frame: Readonly<{ call: number; kind: string; body: unknown }>): Promise<void> {
   const handler = message.isKind(frame.kind) ? handlers[frame.kind] : undefined;
   if (handler === undefined || !message.isKind(frame.kind)) {
     link.send({ deny: frame.call, reason: `no handler for ${frame.kind}` });
@@ -150,6 +184,14 @@
 
 function listen(kernel: Kernel, address: Address, handlers: Handlers): Promise<Listening> {
   async function task(link: Link): Promise<void> {
+    const alarm = kernel.clock.alarm(greetMilliseconds, link.close);
+    const greeted = await greet(kernel, link);
+    alarm.cancel();
+    if (Option.isNone(greeted) || agreed(kernel.protocols, greeted.value) === 0) {
+      kernel.log('peer.strange', { address, reason: Option.isSome(greeted) ? strange(kernel.protocols, greeted.value) : 'it sent no greeting' });
+      link.close();
+      return;
+    }
     let open = true;
     const caller: Caller = {
       change: function change(body) {
@@ -166,7 +208,7 @@
         kernel.log('peer.malformed', { address });
         break;
       }
-      void answer(link, caller, handlers, frame.value);
+      void replyTo(link, caller, handlers, frame.value);
     }
     open = false;
     link.close();
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpRequest, type HttpRoute, type Instant, type Kernel,
+  fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpRequest, type HttpMapping, type Instant, type Kernel,
 } from '@stallstall/kernel';
 import { message, type Reply, type ServiceFeed } from '@stallstall/message';
 import { peer } from '@stallstall/peer';
@@ -61,7 +61,7 @@
   const pool = pools.create(kernel, () => requests.sweep());
   const sessions = sessionTables.create(kernel, pool);
   const agent = peer.dial(kernel, identifiers.address(settings.feed));
-  const notes = noteTables.create(kernel, agent, self, () => requests.counts(), () => requests.sweep());
+  const notes = noteTables.create(kernel, agent, self, (window) => requests.counts(window), () => requests.sweep());
   const requests = requestTables.create(kernel, () => known, pool, sessions, notes);
 
   // -- Fed by the agent: remaining terms are counted from this process's own send time (design 7.3).
@@ -169,10 +169,14 @@
     return statementKinds.some((kind) => sheets.allows(sheet, key, service, kind));
   }
 
+  function counted(): Readonly<Record<string, number>> {
+    return { ...requests.totals(), ...notes.totals(), inFlight: requests.inFlight(), sessions: sessions.all().length };
+  }
+
   async function askFeed(): Promise<void> {
     const sentAt = kernel.clock.now();
     const reply = await agent.call('feed', {
-      configuration: known.version, open: { ...pool.open() },
+      configuration: known.version, open: { ...pool.open() }, metrics: { ...counted() },
     }, 800);
     if (Option.isSome(reply)) takeFeed(reply.value, sentAt);
   }
@@ -286,7 +290,7 @@
     return { status: 200, body: { prepared: true } };
   }
 
-  const routes: readonly HttpRoute[] = [
+  const mappings: readonly HttpMapping[] = [
     { method: 'POST', path: '/v1/services/:service/statements', handle: statement },
     { method: 'POST', path: '/v1/mappings/:mapping', handle: mapped },
     { method: 'POST', path: '/v1/services/:service/sessions', handle: openSession },
@@ -297,11 +301,28 @@
     { method: 'GET', path: '/ready', handle: async () => ({ status: ready() ? 200 : 503, body: { ready: ready(), configuration: known.version } }) },
     {
       method: 'GET', path: '/v1/state',
-      handle: async () => ({ status: 200, body: { configuration: known.version, inFlight: requests.inFlight(), connections: pool.describe(), totals: { ...requests.totals(), ...notes.totals() } } }),
+      handle: async () => ({ status: 200, body: { configuration: known.version, inFlight: requests.inFlight(), connections: pool.describe(), totals: counted() } }),
     },
   ];
 
-  const listening = await kernel.network.serve(identifiers.address(settings.address), { routes });
+  // -- Who is connected: a planned end waits until each has been turned away (design 7.10).
+
+  const connected = new Set<string>();
+
+  function noted(mapping: HttpMapping): HttpMapping {
+    return {
+      ...mapping,
+      handle: async function handle(request) {
+        connected.add(request.connection);
+        const reply = await mapping.handle(request);
+        return known.draining ? { ...reply, headers: { ...reply.headers, connection: 'close' } } : reply;
+      },
+    };
+  }
+
+  const listening = await kernel.network.serve(identifiers.address(settings.address), {
+    mappings: mappings.map(noted), connectionClosed: (connection) => void connected.delete(connection),
+  });
 
   function tick(): void {
     noteDraining();
@@ -326,7 +347,7 @@
     noteDraining();
     const horizon = identifiers.after(kernel.clock.now(), graceMilliseconds);
     await kernel.clock.sleep(lameMilliseconds);
-    while (kernel.clock.now() < horizon && (requests.inFlight() > 0 || sessions.all().some((session) => Option.isSome(session.pinned())))) {
+    while (kernel.clock.now() < horizon && (connected.size > 0 || requests.inFlight() > 0 || sessions.all().some((session) => Option.isSome(session.pinned())))) {
       await kernel.clock.sleep(sweepMilliseconds);
     }
     await notes.flush();
--- a/packages/proxy/src/notes.ts
+++ b/packages/proxy/src/notes.ts
@@ -11,6 +11,8 @@
   note: (service: string, floor: Option.Option<Floor>) => number;
   /** Whether that telling, or a later one, is on a majority of disks. */
   noted: (number: number) => boolean;
+  /** The usage window of the latest telling that is: what it let go was served then. */
+  window: () => number;
   /** Tells what was counted since, and that this proxy still counts. */
   tick: () => void;
   flush: () => Promise<void>;
@@ -21,12 +23,14 @@
 }>;
 
 const tickMilliseconds = 200;
+const windowMilliseconds = 5_000;
 const tellMilliseconds = 1_000;
 
-function create(kernel: Kernel, agent: Peer, incarnation: string, counts: () => Counts, onNoted: () => void): Notes {
+function create(kernel: Kernel, agent: Peer, incarnation: string, counts: (window: number) => Counts, onNoted: () => void): Notes {
   let floors: Floors = {};
   let started = 0;
   let kept = 0;
+  let keptWindow = 0;
   let toldAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
   let telling = false;
   let wanted = 0;
@@ -37,12 +41,15 @@
     started += 1;
     const number = started;
     const startedAt = kernel.clock.now();
-    const usage = counts().map((one) => ({ window: one.window, counts: { ...one.counts } }));
-    const reply = await agent.call('tell', { number, floors: { ...floors }, usage, through: kernel.clock.wall(), incarnation }, tellMilliseconds);
+    const wall = kernel.clock.wall();
+    const window = Math.floor(wall / windowMilliseconds);
+    const usage = counts(window).map((one) => ({ window: one.window, counts: { ...one.counts } }));
+    const reply = await agent.call('tell', { number, floors: { ...floors }, usage, through: wall, incarnation }, tellMilliseconds);
     asked += 1;
     spent += kernel.clock.now() - startedAt;
     if (Option.isNone(reply) || !reply.value.kept) return false;
     kept = number;
+    keptWindow = window;
     toldAt = startedAt;
     return true;
   }
@@ -66,6 +73,7 @@
       return wanted;
     },
     noted: (number) => kept >= number,
+    window: () => keptWindow,
     tick: function tick() {
       if (kept < wanted || kernel.clock.now() - toldAt >= tickMilliseconds) void tell();
     },
--- a/packages/proxy/src/requests.ts
+++ b/packages/proxy/src/requests.ts
@@ -26,6 +26,7 @@
   id: number;
   ask: Ask;
   stage: 'arrived' | 'waiting' | 'sent' | 'noting' | 'replied';
+  arrivedAt: Instant;
   horizon: Instant;
   shots: number;
   without: ReadonlySet<string>;
@@ -49,7 +50,7 @@
 }>;
 
 /** A reply that has come and waits for its note. */
-type Noting = Readonly<{ record: RequestRecord; choice: Choice; epoch: number; session: Option.Option<Session>; number: number; window: number; outcome: Outcome }>;
+type Noting = Readonly<{ record: RequestRecord; choice: Choice; epoch: number; session: Option.Option<Session>; number: number; since: Instant; outcome: Outcome }>;
 
 /** What a member says of a statement that it ran; anything else of status 200 is no reply at all. */
 type Told = Readonly<{ results: readonly unknown[]; position: number }>;
@@ -59,12 +60,12 @@
   /** Runs the passes over every record; called when a connection is freed, the feed changes, or time has passed. */
   sweep: () => void;
   inFlight: () => number;
-  counts: () => ReadonlyArray<Readonly<{ window: number; counts: Readonly<Record<string, number>> }>>;
+  /** What was served, by window; what waits for its note is reckoned to the window named. */
+  counts: (window: number) => ReadonlyArray<Readonly<{ window: number; counts: Readonly<Record<string, number>> }>>;
   totals: () => Readonly<Record<string, number>>;
 }>;
 
 const mostShots = 3;
-const windowMilliseconds = 5_000;
 const windowsKept = 4;
 const retryAfterSeconds = 1;
 
@@ -95,7 +96,7 @@
 
 function create(kernel: Kernel, known: () => Known, pool: Pool, sessions: Sessions, notes: Notes): Requests {
   const table = new Map<number, RequestRecord>();
-  const answers = new Map<number, (outcome: Outcome) => void>();
+  const repliers = new Map<number, (outcome: Outcome) => void>();
   const noting = new Map<number, Noting>();
   const usage = new Map<number, Map<string, number>>();
   const totals = new Map<string, number>();
@@ -103,16 +104,16 @@
   let working = false;
   let again = false;
 
-  function count(name: string): void {
-    totals.set(name, (totals.get(name) ?? 0) + 1);
+  function count(name: string, by = 1): void {
+    totals.set(name, (totals.get(name) ?? 0) + by);
   }
 
   function reply(record: RequestRecord, outcome: Outcome): RequestRecord {
-    const answer = answers.get(record.id);
-    answers.delete(record.id);
+    const replier = repliers.get(record.id);
+    repliers.delete(record.id);
     table.delete(record.id);
     count(Either.isRight(outcome) ? 'served' : fault.kind(outcome.left));
-    answer?.(outcome);
+    replier?.(outcome);
     return { ...record, stage: 'replied' };
   }
 
@@ -292,7 +293,10 @@
 
   async function exchange(record: RequestRecord, connection: MemberConnection, choice: Choice, epoch: number, session: Option.Option<Session>): Promise<void> {
     const { ask } = record;
-    const left = Math.max(1, record.horizon - kernel.clock.now());
+    const sentAt = kernel.clock.now();
+    count('exchanges');
+    count('waitMilliseconds', sentAt - record.arrivedAt);
+    const left = Math.max(1, record.horizon - sentAt);
     const result = await connection.exchange({
       method: 'POST', path: '/run',
       body: {
@@ -305,6 +309,7 @@
         statements: ask.statements,
       },
     }, left);
+    count('exchangeMilliseconds', kernel.clock.now() - sentAt);
     if (Option.isSome(session)) session.value.setBusy(false);
     settle(record, connection, choice, epoch, session, result);
     // Its key may have been withdrawn while the statement was under way (design 6.4).
@@ -383,9 +388,8 @@
       }
     } else pool.giveBack(connection, true);
     if (commits(record) && Option.isSome(session)) session.value.committed(ask.service, position);
-    const window = countUsage(ask.service);
     const waits: Noting = {
-      record: { ...record, stage: 'noting' }, choice, epoch, session, window,
+      record: { ...record, stage: 'noting' }, choice, epoch, session, since: kernel.clock.now(),
       number: notes.note(ask.service, choice.leader ? Option.some({ epoch, position }) : Option.none),
       outcome: Either.right({ results, position, member: choice.member, verdict: choice.here ? 'run' : 'relay' }),
     };
@@ -404,36 +408,37 @@
     if (Option.isNone(fenced) && !late && !notes.noted(number)) return;
     noting.delete(record.id);
     if (Option.isNone(fenced) && notes.noted(number)) {
+      countUsage(record.ask.service, notes.window());
+      count('notingMilliseconds', kernel.clock.now() - waits.since);
       reply(record, outcome);
       return;
     }
-    uncount(record.ask.service, waits.window);
     if (record.ask.transaction === 'begin' || record.ask.transaction === 'within') endTransaction(session);
     if (commits(record)) deny(record, outcomeUnknown(Option.isSome(fenced) ? 'this edge was fenced before the reply could be passed on' : 'the cores did not note in time how far it reaches'));
     else deny(record, Option.isSome(fenced) ? fenced.value : fault.create({ kind: 'given-up', message: 'the cores did not note in time what was read', remedy: 'try again shortly', retryAfterSeconds }));
   }
 
-  function countUsage(service: string): number {
-    const window = Math.floor(kernel.clock.wall() / windowMilliseconds);
+  function countUsage(service: string, window: number): void {
     const counts = usage.get(window) ?? new Map<string, number>();
     usage.set(window, counts);
     counts.set(service, (counts.get(service) ?? 0) + 1);
     for (const old of usage.keys()) if (old <= window - windowsKept) usage.delete(old);
-    return window;
   }
 
-  /** What was counted before its reply, and then had to be denied. */
-  function uncount(service: string, window: number): void {
-    const counts = usage.get(window);
-    if (counts !== undefined) counts.set(service, (counts.get(service) ?? 0) - 1);
+  function counts(window: number): ReadonlyArray<Readonly<{ window: number; counts: Readonly<Record<string, number>> }>> {
+    const all = new Map([...usage].map(([known, services]) => [known, new Map(services)]));
+    const current = all.get(window) ?? new Map<string, number>();
+    all.set(window, current);
+    for (const { record } of noting.values()) current.set(record.ask.service, (current.get(record.ask.service) ?? 0) + 1);
+    return [...all].map(([known, services]) => ({ window: known, counts: Object.fromEntries(services) }));
   }
 
   function ask(asked: Ask): Promise<Outcome> {
     return new Promise(function wait(resolve) {
       lastId += 1;
-      answers.set(lastId, resolve);
+      repliers.set(lastId, resolve);
       const record: RequestRecord = {
-        id: lastId, ask: asked, stage: 'arrived', horizon: identifiers.after(kernel.clock.now(), asked.horizonMilliseconds), shots: 0,
+        id: lastId, ask: asked, stage: 'arrived', arrivedAt: kernel.clock.now(), horizon: identifiers.after(kernel.clock.now(), asked.horizonMilliseconds), shots: 0,
         without: new Set(), target: Option.none, connection: Option.none,
       };
       alone(() => run(record));
@@ -443,9 +448,9 @@
   return {
     ask,
     sweep,
-    inFlight: () => answers.size,
-    counts: () => [...usage].map(([window, counts]) => ({ window, counts: Object.fromEntries(counts) })),
-    totals: () => Object.fromEntries(totals),
+    inFlight: () => repliers.size,
+    counts,
+    totals: () => Object.fromEntries([...totals].map(([name, total]) => [name, Math.round(total)])),
   };
 }
 
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -28,45 +28,45 @@
 const defaultHorizonMilliseconds = 4_000;
 const backoffMilliseconds = 20;
 
-type Answered = Readonly<{ target: RegisterTarget; reply: Reply<'prepare'> }>;
+type Replied = Readonly<{ target: RegisterTarget; reply: Reply<'prepare'> }>;
 
 /** Asks every target and settles as soon as `enough` holds, or all have answered or fallen silent. */
 function gather<Kind extends RegisterKind>(
-  targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (answers: readonly Answered[]) => boolean,
-): Promise<readonly Answered[]> {
+  targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean,
+): Promise<readonly Replied[]> {
   return new Promise(function collect(resolve) {
-    const answers: Answered[] = [];
+    const replies: Replied[] = [];
     let left = targets.length;
-    if (left === 0) resolve(answers);
+    if (left === 0) resolve(replies);
     async function ask(target: RegisterTarget): Promise<void> {
       const reply = await target.ask(kind, body, milliseconds);
       left -= 1;
-      if (Option.isSome(reply) && reply.value.ready) answers.push({ target, reply: reply.value as Reply<'prepare'> });
-      if (left === 0 || enough(answers)) resolve([...answers]);
+      if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value as Reply<'prepare'> });
+      if (left === 0 || enough(replies)) resolve([...replies]);
     }
     for (const target of targets) void ask(target);
   });
 }
 
-function agreed(answers: readonly Answered[]): readonly Answered[] {
-  return answers.filter(function yes(answer) {
-    return answer.reply.agreed;
+function agreed(replies: readonly Replied[]): readonly Replied[] {
+  return replies.filter(function yes(one) {
+    return one.reply.agreed;
   });
 }
 
-function highestEntry(answers: readonly Answered[]): Option.Option<Entry> {
+function highestEntry(replies: readonly Replied[]): Option.Option<Entry> {
   let highest: Entry | null = null;
-  for (const answer of answers) {
-    const entry = answer.reply.accepted;
+  for (const one of replies) {
+    const entry = one.reply.accepted;
     if (entry !== null && (highest === null || message.compareBallots(entry.ballot, highest.ballot) > 0)) highest = entry;
   }
   return Option.fromNullable(highest);
 }
 
-function sameEverywhere(answers: readonly Answered[]): boolean {
-  const first = answers[0]?.reply.accepted?.ballot ?? ballotZero;
-  return answers.every(function same(answer) {
-    return message.compareBallots(answer.reply.accepted?.ballot ?? ballotZero, first) === 0;
+function sameEverywhere(replies: readonly Replied[]): boolean {
+  const first = replies[0]?.reply.accepted?.ballot ?? ballotZero;
+  return replies.every(function same(one) {
+    return message.compareBallots(one.reply.accepted?.ballot ?? ballotZero, first) === 0;
   });
 }
 
@@ -88,18 +88,18 @@
     return { counter, node: proposer };
   }
 
-  function learn(answers: readonly Answered[]): void {
-    for (const answer of answers) counter = Math.max(counter, answer.reply.promised.counter);
+  function learn(replies: readonly Replied[]): void {
+    for (const one of replies) counter = Math.max(counter, one.reply.promised.counter);
   }
 
-  function majorityOf(answers: readonly Answered[]): boolean {
-    return total() > 0 && answers.length >= quorum.majority(total());
+  function majorityOf(replies: readonly Replied[]): boolean {
+    return total() > 0 && replies.length >= quorum.majority(total());
   }
 
   async function shot(key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>): Promise<Option.Option<Changed>> {
     const ballot = nextBallot();
-    const promised = await gather(targets(), 'prepare', { key, ballot }, callMilliseconds, function enough(answers) {
-      return majorityOf(agreed(answers));
+    const promised = await gather(targets(), 'prepare', { key, ballot }, callMilliseconds, function enough(replies) {
+      return majorityOf(agreed(replies));
     });
     learn(promised);
     const promises = agreed(promised);
@@ -112,12 +112,12 @@
       : { ...(current as Option.Some<Entry>).value, ballot };
     // Only those whose promises were counted are asked to accept (design 5.1).
     const accepted = await gather(
-      promises.map(function target(answer) {
-        return answer.target;
+      promises.map(function target(one) {
+        return one.target;
       }),
       'accept', { key, entry }, callMilliseconds,
-      function enough(answers) {
-        return majorityOf(agreed(answers));
+      function enough(replies) {
+        return majorityOf(agreed(replies));
       },
     );
     learn(accepted);
@@ -142,8 +142,8 @@
   }
 
   async function read(key: string, milliseconds = defaultHorizonMilliseconds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
-    const answers = await gather(targets(), 'look', { key }, callMilliseconds, majorityOf);
-    if (majorityOf(answers) && sameEverywhere(answers)) return Either.right(highestEntry(answers));
+    const replies = await gather(targets(), 'look', { key }, callMilliseconds, majorityOf);
+    if (majorityOf(replies) && sameEverywhere(replies)) return Either.right(highestEntry(replies));
     const completed = await change(key, keep, milliseconds);
     return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
   }
--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -8,7 +8,7 @@
 export type Violation = Readonly<{ check: string; detail: string }>;
 
 /** A sheet that an operator sent; version 0 and no moment until it is acknowledged. */
-export type Sent = { readonly sentAt: number; readonly core: string; readonly sheet: Sheet; readonly mark: string; version: number; acknowledgedAt: number; endedAt: number; answered: boolean };
+export type Sent = { readonly sentAt: number; readonly core: string; readonly sheet: Sheet; readonly mark: string; version: number; acknowledgedAt: number; endedAt: number; replied: boolean };
 
 /** What a stranger's statement came to, asked at one edge. */
 export type Probe = Readonly<{ startedAt: number; endedAt: number; key: string; service: string; kind: StatementKind; area: string; edge: string; reason: string }>;
@@ -356,7 +356,7 @@
       (one.startedAt > end.at && one.startedAt <= end.endedAt && one.reason === 'reply-lost') ||
       (one.openSince <= end.at && one.startedAt > end.at && one.startedAt <= end.at + graceMilliseconds && turnedAway.has(one.reason))
     )).map((one) => ({ check: 'request-dropped', detail: `${end.name} ended as planned at ${Math.round(end.at)} ms: ${one.reason}, ${Math.round(one.startedAt)}-${Math.round(one.endedAt)} ms` })),
-    ...sends.filter((sent) => sent.core === end.name && sent.sentAt <= end.at && sent.endedAt > end.at && !sent.answered)
+    ...sends.filter((sent) => sent.core === end.name && sent.sentAt <= end.at && sent.endedAt > end.at && !sent.replied)
       .map((sent) => ({ check: 'request-dropped', detail: `${end.name} ended as planned at ${Math.round(end.at)} ms with a sheet in flight since ${Math.round(sent.sentAt)} ms` })),
   ]);
 }
--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -25,6 +25,8 @@
   limit: number;
   readonly ownReads: Set<string>;
   readonly weightless: Set<string>;
+  /** The senders' own key is out of the sheet. */
+  keyless: boolean;
   hunt: Hunt | undefined;
   busy: boolean;
   replacing: boolean;
@@ -37,7 +39,7 @@
 function create(fleet: Fleet): Storm {
   return {
     sends: [], told: [], peaks: new Map(), drains: [], ends: [], struck: new Set(), blanking: false, draining: new Set(), crossings: 0, second: undefined,
-    limit: fleet.deployment.connectionLimit, ownReads: new Set(), weightless: new Set(), hunt: undefined, busy: false, replacing: false,
+    limit: fleet.deployment.connectionLimit, ownReads: new Set(), weightless: new Set(), keyless: false, hunt: undefined, busy: false, replacing: false,
   };
 }
 
@@ -115,6 +117,7 @@
     for (const member of Object.keys(row.weights)) row.weights[member] = storm.weightless.has(`${member}|${row.area}`) ? 0 : Math.floor(between(fleet, 1, 6));
     if (ownReadsVary && !storm.ownReads.has(`${row.service}|${row.area}`)) delete row.serves['own-read'];
   }
+  if (storm.keyless) sheet.keys.splice(0);
   if (storm.second !== undefined) sheet.keys.push({ key: secondKey, ...storm.second });
   sheet.keys.push({ key: mark, services: [fleet.deployment.services[0]], kinds: ['leader-read'] });
   const checked = sheets.check(sheet);
@@ -122,18 +125,24 @@
   return { sheet: checked.right, mark };
 }
 
-export async function send(fleet: Fleet, storm: Storm, coreIndex: number): Promise<void> {
+export async function send(fleet: Fleet, storm: Storm, coreIndex: number): Promise<boolean> {
   const { sheet, mark } = wanted(fleet, storm);
   const sent: Sent = {
-    sentAt: fleet.world.now(), core: `core-${coreIndex + 1}`, sheet, mark, version: 0, acknowledgedAt: Number.POSITIVE_INFINITY, endedAt: Number.POSITIVE_INFINITY, answered: false,
+    sentAt: fleet.world.now(), core: `core-${coreIndex + 1}`, sheet, mark, version: 0, acknowledgedAt: Number.POSITIVE_INFINITY, endedAt: Number.POSITIVE_INFINITY, replied: false,
   };
   storm.sends.push(sent);
   const reply = await fleet.send(sheet, coreIndex);
   sent.endedAt = fleet.world.now();
-  sent.answered = reply.status !== 0;
-  if (reply.status !== 200) return;
+  sent.replied = reply.status !== 0;
+  if (reply.status !== 200) return false;
   sent.version = (reply.body as { version: number }).version;
   sent.acknowledgedAt = fleet.world.now();
+  return true;
+}
+
+/** An operator who goes on, through one core after another, until the sheet is taken. */
+async function sendUntilTaken(fleet: Fleet, storm: Storm): Promise<void> {
+  for (let shot = 0; !(await send(fleet, storm, shot % 3)); shot += 1) await new Promise<void>((resolve) => fleet.world.at(500, resolve));
 }
 
 /** Draws anew what probes and members can see: who the second key may reach, own reads by row, weights of nought, the limit. */
@@ -407,7 +416,7 @@
     });
   } },
   { name: 'platform-trouble', run: (fleet) => {
-    const knob = pick(fleet, ['down', 'losesReplies', 'refuses', 'garbles'] as const);
+    const knob = pick(fleet, ['down', 'losesReplies', 'denies', 'garbles'] as const);
     fleet.platform().knobs[knob] = true;
     fleet.world.at(between(fleet, 500, 4_000), () => {
       fleet.platform().knobs[knob] = false;
@@ -445,6 +454,15 @@
     else storm.second = undefined;
     void send(fleet, storm, 0);
   } },
+  { name: 'senders-key-withdrawn', run: (fleet, storm) => {
+    // Sessions and the transactions that are open in them are under this key.
+    storm.keyless = true;
+    void send(fleet, storm, 0);
+    fleet.world.at(between(fleet, 500, 3_500), () => {
+      storm.keyless = false;
+      void sendUntilTaken(fleet, storm);
+    });
+  } },
   { name: 'replies-garbled', run: (fleet) => {
     const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
     if (slot !== undefined) turnKnob(fleet, slot, 'garbles', between(fleet, 100, 1_500));
--- a/packages/simulator/src/fleet.ts
+++ b/packages/simulator/src/fleet.ts
@@ -1,6 +1,6 @@
 // An in-memory fleet: 3 cores, 6 edges in 3 areas, 3 services of 3 members, the platform, senders, operators (design 10.4).
 import * as Either from 'fp-ts/lib/Either.js';
-import { fault, http, identifiers, type Fault, type HttpReply } from '@stallstall/kernel';
+import { fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type Protocols } from '@stallstall/kernel';
 import { core, type Core } from '@stallstall/core';
 import { agent, type Agent } from '@stallstall/agent';
 import { proxy, type Proxy } from '@stallstall/proxy';
@@ -11,8 +11,9 @@
 
 type Slot<Running> = { process: Process | undefined; running: Running | undefined };
 
-export type CoreSlot = Slot<Core> & { readonly name: string; readonly machine: string; disk: SimulatedDisk };
-export type EdgeSlot = { readonly name: string; readonly machine: string; readonly area: string; readonly agent: Slot<Agent>; readonly proxy: Slot<Proxy> };
+export type CoreSlot = Slot<Core> & { protocols?: Protocols; readonly name: string; readonly machine: string; disk: SimulatedDisk };
+/** `seeds` and `protocols`: what its settings and its build say, where they differ from the rest of the fleet. */
+export type EdgeSlot = { seeds?: readonly string[]; protocols?: Protocols; readonly name: string; readonly machine: string; readonly area: string; readonly agent: Slot<Agent>; readonly proxy: Slot<Proxy> };
 /** `gone`: taken out for good. */
 export type MemberSlot = Slot<Member> & { readonly place: MemberPlace; readonly machine: string; store: MemberStore; gone?: boolean };
 
@@ -63,6 +64,7 @@
 }>;
 
 const senderKey = 'sender-key-0001';
+const readyMilliseconds = 400;
 
 function create(seed: number, deployment: Deployment, options: FleetOptions = {}): Fleet {
   const world = worlds.create(seed);
@@ -88,6 +90,7 @@
   const ledger = sender.emptyLedger();
   const operator = world.spawn('operator', 'operator-machine');
   const senders = world.spawn('senders', 'sender-machine');
+  const chooser = world.spawn('chooser', 'platform-chooser-machine');
   let platformSlot: Platform | undefined;
 
   function place(slot: CoreSlot): { address: string; outward: string } {
@@ -103,25 +106,25 @@
   const seeds = cores.map((slot) => place(slot).address);
 
   async function startCore(slot: CoreSlot, elsewhere?: string): Promise<void> {
-    const spawned = world.spawn(slot.name, slot.machine, slot.disk);
+    const spawned = world.spawn(slot.name, slot.machine, slot.disk, slot.protocols);
     const { address, outward } = elsewhere === undefined ? place(slot) : { address: `${elsewhere}:7000`, outward: `${elsewhere}:7001` };
     slot.process = spawned;
     const area = areas[cores.indexOf(slot)] as string;
-    const started = await core.start(spawned.kernel, { node: slot.name, area, address, outward, seeds, platform: () => platformAddress, cores: 3, operatorKey: options.operatorKey });
+    const started = await core.start(spawned.kernel, { node: slot.name, area, address, outward, seeds: () => seeds, platform: () => platformAddress, cores: 3, operatorKey: options.operatorKey });
     if (Either.isLeft(started)) spawned.kernel.stop(started.left);
     else slot.running = started.right;
   }
 
   async function startAgent(slot: EdgeSlot): Promise<void> {
-    const spawned = world.spawn(`${slot.name}/agent`, slot.machine);
+    const spawned = world.spawn(`${slot.name}/agent`, slot.machine, undefined, slot.protocols);
     slot.agent.process = spawned;
     const { address, outward, feed } = edgeAddresses(slot);
-    const started = await agent.start(spawned.kernel, { node: slot.name, area: slot.area, address, outward, feed, seeds, platform: () => platformAddress });
+    const started = await agent.start(spawned.kernel, { node: slot.name, area: slot.area, address, outward, feed, seeds: () => slot.seeds ?? seeds, platform: () => platformAddress });
     if (Either.isRight(started)) slot.agent.running = started.right;
   }
 
   async function startProxy(slot: EdgeSlot): Promise<void> {
-    const spawned = world.spawn(`${slot.name}/proxy`, slot.machine);
+    const spawned = world.spawn(`${slot.name}/proxy`, slot.machine, undefined, slot.protocols);
     slot.proxy.process = spawned;
     const { feed, proxy: address } = edgeAddresses(slot);
     slot.proxy.running = await proxy.start(spawned.kernel, { address, feed });
@@ -204,10 +207,20 @@
     return exchanged(await drive(http.once(senders.kernel, address, { method, path, body, headers: { 'x-stallstall-key': senderKey, ...headers } }, 10_000)));
   }
 
+  const ready = new Set<EdgeSlot>();
+
+  /** The platform sends senders only to edges whose readiness it has found. */
+  async function probeReadiness(edge: EdgeSlot): Promise<void> {
+    const reply = await http.once(chooser.kernel, identifiers.address(edgeAddresses(edge).proxy), { method: 'GET', path: '/ready' }, readyMilliseconds);
+    if (Either.isRight(reply) && reply.right.status === 200) ready.add(edge);
+    else ready.delete(edge);
+  }
+
   function startSenders(hastyShare = 0): Readonly<{ stop: () => void }> {
+    for (const edge of everyEdge) void kernels.every(chooser.kernel.clock, readyMilliseconds, () => probeReadiness(edge), () => true);
     return sender.start(senders.kernel, {
       deployment, key: senderKey, sessions: deployment.sessions, requestsPerSecond: deployment.requestsPerSecond, hastyShare, horizonMilliseconds: 3_000, tag: 's',
-      edges: () => everyEdge.filter((slot) => slot.proxy.process?.alive() === true).map((slot) => edgeAddresses(slot).proxy),
+      edges: () => [...ready].map((slot) => edgeAddresses(slot).proxy),
     }, ledger);
   }
 
@@ -218,7 +231,7 @@
 
   function able(): boolean {
     const sane = cores.filter((slot) => slot.process?.alive() === true && !world.frozen(slot.process) && slot.running?.open() === true && !slot.disk.trouble.failing && slot.disk.trouble.slowMilliseconds < 300);
-    const takes = platformSlot !== undefined && !platformSlot.knobs.down && !platformSlot.knobs.refuses;
+    const takes = platformSlot !== undefined && !platformSlot.knobs.down && !platformSlot.knobs.denies;
     return takes && sane.some((one, index) => sane.slice(index + 1).some((other) => (
       world.joined(one.machine, other.machine) && (world.joined(one.machine, platformMachine) || world.joined(other.machine, platformMachine))
     )));
@@ -231,7 +244,7 @@
     ];
     const running = platformSlot;
     return processes.every((one) => one?.alive() === true && !world.frozen(one)) && cores.every((slot) => slot.running !== undefined && !slot.disk.trouble.failing && slot.disk.trouble.slowMilliseconds === 0) &&
-      running !== undefined && !running.knobs.down && !running.knobs.refuses && !running.knobs.losesReplies && !running.knobs.garbles &&
+      running !== undefined && !running.knobs.down && !running.knobs.denies && !running.knobs.losesReplies && !running.knobs.garbles &&
       members.every((slot) => slot.gone || Object.values(slot.running?.knobs ?? {}).every((knob) => !knob));
   }
 
--- a/packages/simulator/src/fuzz.ts
+++ b/packages/simulator/src/fuzz.ts
@@ -30,16 +30,19 @@
 const wrongCalls: ReadonlyArray<Readonly<{ kind: string; body: Readonly<Record<string, unknown>> }>> = [
   { kind: 'hello', body: { seat: { node: 'x' }, incarnation: 1, fleet: '' } },
   { kind: 'join', body: { seat: { node: 'stranger', role: 'king', area: 'north', address: 'a', outward: 'b', draining: false } } },
-  { kind: 'beat', body: { node: 'edge-1', incarnation: 'late', epochs: {}, floors: {}, caps: {}, membership: 1 } },
-  { kind: 'beat', body: { node: 'edge-1', incarnation: 1, epochs: { bookings: -4 }, floors: {}, caps: {}, membership: 1 } },
+  { kind: 'beat', body: { node: 'edge-1', incarnation: 'late', epochs: {}, caps: {}, membership: 1 } },
+  { kind: 'beat', body: { node: 'edge-1', incarnation: 1, epochs: { bookings: -4 }, caps: {}, membership: 1 } },
   { kind: 'propose', body: { service: 'bookings', epoch: 1.5, candidate: 'bookings-2', position: 0, node: 'edge-1', membership: 9 } },
   { kind: 'prepare', body: { key: 'configuration', ballot: { counter: '9', node: 'x' } } },
   { kind: 'accept', body: { key: 'configuration', entry: { ballot: { counter: 1e9, node: 'x' }, version: -1, value: {} } } },
   { kind: 'look', body: { key: '' } },
   { kind: 'watch', body: { node: 'edge-1', incarnation: 1, acknowledged: null, obeyed: 0 } },
-  { kind: 'usageTell', body: { reports: [{ node: 'edge-1', incarnation: 'a', window: 1, counts: { bookings: 1e999 } }] } },
+  { kind: 'note', body: { floors: { bookings: { epoch: 1, position: -1 } }, reports: [], through: {} } },
+  { kind: 'note', body: { floors: {}, reports: [{ node: 'edge-1', incarnation: 'a', number: 1, window: 1, counts: { bookings: 1e999 } }], through: {} } },
+  { kind: 'tell', body: { number: 1, floors: { bookings: 7 }, usage: [], through: 0, incarnation: 'x' } },
+  { kind: 'copy', body: { after: 9 } },
   { kind: 'usageLook', body: {} },
-  { kind: 'feed', body: { configuration: 0, floors: { bookings: 'all' }, usage: [], open: {}, incarnation: 'x' } },
+  { kind: 'feed', body: { configuration: 0, open: { bookings: 'all' } } },
   { kind: 'shutdown', body: {} },
   { kind: '__proto__', body: {} },
 ];
@@ -51,13 +54,16 @@
   for (const wrong of wrongCalls) {
     const link = await stranger.network.open(identifiers.address(address));
     if (Either.isLeft(link)) continue;
+    link.right.send({ greet: stranger.protocols });
     link.right.send({ call: 1, ...wrong });
     await stranger.clock.sleep(5);
     link.right.close();
   }
-  for (const frame of frames) {
+  for (const [index, frame] of frames.entries()) {
     const link = await stranger.network.open(identifiers.address(address));
     if (Either.isLeft(link)) continue;
+    // Every other one instead of a greeting.
+    if (index % 2 === 0) link.right.send({ greet: stranger.protocols });
     link.right.send(frame);
     await stranger.clock.sleep(5);
     link.right.close();
--- a/packages/simulator/src/storm.ts
+++ b/packages/simulator/src/storm.ts
@@ -39,7 +39,7 @@
   const prober = fleet.world.spawn('prober', 'prober-machine').kernel;
   for (let shot = 0; goesOn(); shot += 1) {
     const marks = storm.sends.map((sent) => sent.mark);
-    const key = [marks.at(-1) ?? secondKey, secondKey, pick(fleet, [...marks, 'never-given-key'])][shot % 3] as string;
+    const key = [marks.at(-1) ?? secondKey, secondKey, pick(fleet, [...marks, 'never-given-key', fleet.key])][shot % 3] as string;
     const service = key === marks.at(-1) ? (fleet.deployment.services[0] as string) : pick(fleet, fleet.deployment.services);
     const kind = key === marks.at(-1) ? 'leader-read' : pick(fleet, statementKinds);
     const startedAt = fleet.world.now();
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -4,8 +4,8 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, kernel as kernels, type Disk, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Instant,
-  type Kernel, type Link, type Listening, type LogFields,
+  fault, http, identifiers, kernel as kernels, protocolsSpoken, type Disk, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Instant,
+  type Kernel, type Link, type Listening, type LogFields, type Protocols,
 } from '@stallstall/kernel';
 
 export type DiskTrouble = { failing: boolean; slowMilliseconds: number };
@@ -29,6 +29,8 @@
   readonly clockRate: number;
   stoppedBy: Option.Option<Fault>;
   readonly closers: Set<() => void>;
+  /** Puts under way: whether one stands when its process is killed, only the disk knows. */
+  readonly puts: Set<() => void>;
 };
 
 export type LogLine = Readonly<{ at: number; process: string; event: string; fields: LogFields }>;
@@ -36,7 +38,7 @@
 export type World = Readonly<{
   now: () => number;
   fraction: () => number;
-  spawn: (name: string, machine: string, disk?: SimulatedDisk) => Process;
+  spawn: (name: string, machine: string, disk?: SimulatedDisk, protocols?: Protocols) => Process;
   kill: (process: Process) => void;
   /** A machine that goes dark: whoever was connected to its processes hears nothing, until it is lit and closes them. */
   darken: (machine: string) => void;
@@ -392,12 +394,15 @@
           const [path, query] = ask.path.split('?');
           const copy = freezeJson(ask.body);
           carry(body, far, latency(), () => {
-            void http.route(server.routes, {
+            void http.mapped(server.mappings, {
               method: ask.method, path: path ?? '', query: Object.fromEntries(new URLSearchParams(query ?? '')), headers: ask.headers ?? {}, body: copy, connection: id,
             }).then((reply) => {
               if (!far.alive) return;
-              const answer = { ...reply, body: freezeJson(reply.body) };
-              carry(far, body, latency(), () => settle(Either.right(answer)));
+              const copied = { ...reply, body: freezeJson(reply.body) };
+              carry(far, body, latency(), () => {
+                settle(Either.right(copied));
+                if (reply.headers?.['connection'] === 'close') close();
+              });
             });
           }, () => closed);
         });
@@ -407,7 +412,7 @@
     return { exchange, close, closed: () => closed };
   }
 
-  function kernelOf(body: Body, disk: SimulatedDisk | undefined): Kernel {
+  function kernelOf(body: Body, disk: SimulatedDisk | undefined, protocols: Protocols): Kernel {
     const clock = {
       now: () => (body.clockOffset + now * body.clockRate) as Instant,
       wall: () => identifiers.wallTime(wallStart + now),
@@ -436,41 +441,47 @@
       };
     }
 
-    const stored: Option.Option<Disk> = disk === undefined ? Option.none : Option.some({
-      puts: () => Number(disk.entries.get(putsKey) ?? 0),
+    const stored: Option.Option<Disk> = Option.map((kept: SimulatedDisk): Disk => ({
+      puts: () => Number(kept.entries.get(putsKey) ?? 0),
       load: (without) => Promise.resolve(new Map(
-        [...disk.entries].filter(([key]) => key !== putsKey && !key.startsWith(without)).map(([key, value]) => [key, JSON.parse(value) as unknown]),
+        [...kept.entries].filter(([key]) => key !== putsKey && !key.startsWith(without)).map(([key, value]) => [key, JSON.parse(value) as unknown]),
       )),
-      read: (key) => Promise.resolve(Option.map((text: string) => JSON.parse(text) as unknown)(Option.fromNullable(disk.entries.get(key)))),
+      read: (key) => Promise.resolve(Option.map((text: string) => JSON.parse(text) as unknown)(Option.fromNullable(kept.entries.get(key)))),
       page: function page(prefix, after, bytes) {
         const found: Array<readonly [string, unknown]> = [];
         let left = bytes;
-        for (const key of [...disk.entries.keys()].filter((one) => one.startsWith(prefix) && one > after).sort()) {
+        for (const key of [...kept.entries.keys()].filter((one) => one.startsWith(prefix) && one > after).sort()) {
           if (left <= 0) break;
-          const text = disk.entries.get(key) as string;
+          const text = kept.entries.get(key) as string;
           found.push([key, JSON.parse(text)]);
           left -= text.length;
         }
         return Promise.resolve(found);
       },
-      size: () => [...disk.entries].reduce((sum, [key, value]) => sum + key.length + value.length, 0),
+      size: () => [...kept.entries].reduce((sum, [key, value]) => sum + key.length + value.length, 0),
       put: (key: string, value: unknown) => new Promise<Either.Either<Fault, null>>((resolve) => {
         const text = JSON.stringify(value);
-        at(0.5 + random() * 2 + disk.trouble.slowMilliseconds, () => {
+        function write(): void {
+          kept.entries.set(key, text);
+          kept.entries.set(putsKey, String(Number(kept.entries.get(putsKey) ?? 0) + 1));
+        }
+        body.puts.add(write);
+        at(0.5 + random() * 2 + kept.trouble.slowMilliseconds, () => {
           if (!body.alive) return;
-          if (disk.trouble.failing) {
+          body.puts.delete(write);
+          if (kept.trouble.failing) {
             inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error('the disk is set to fail')))));
             return;
           }
-          disk.entries.set(key, text);
-          disk.entries.set(putsKey, String(Number(disk.entries.get(putsKey) ?? 0) + 1));
+          write();
           inside(body, () => resolve(Either.right(null)));
         });
       }),
-    });
+    }))(Option.fromNullable(disk));
 
     return {
       clock,
+      protocols,
       disk: stored,
       randomness: {
         fraction: random,
@@ -509,11 +520,20 @@
     body.alive = false;
     for (const close of body.closers) close();
     body.closers.clear();
+    endPuts(body);
+  }
+
+  function endPuts(body: Body): void {
+    for (const write of body.puts) if (random() < 0.5) write();
+    body.puts.clear();
   }
 
   function darken(machine: string): void {
     const lost = [...bodies.values()].filter((body) => body.machine === machine && body.alive);
-    for (const body of lost) body.alive = false;
+    for (const body of lost) {
+      body.alive = false;
+      endPuts(body);
+    }
     dark.set(machine, lost);
   }
 
@@ -528,13 +548,13 @@
   }
 
   /** Clocks of the product differ by any span, and run up to 3 % apart; those of the stand-ins are the ledger's. */
-  function spawn(name: string, machine: string, disk?: SimulatedDisk): Process {
+  function spawn(name: string, machine: string, disk?: SimulatedDisk, protocols: Protocols = protocolsSpoken): Process {
     const product = /^(core|edge)-/.test(name);
     const body: Body = {
       name, machine, alive: true, frozenUntil: 0,
-      clockOffset: product ? random() * 1e7 : 0, clockRate: product ? 0.985 + random() * 0.03 : 1, stoppedBy: Option.none, closers: new Set(),
+      clockOffset: product ? random() * 1e7 : 0, clockRate: product ? 0.985 + random() * 0.03 : 1, stoppedBy: Option.none, closers: new Set(), puts: new Set(),
     };
-    const process: Process = { name, machine, kernel: kernelOf(body, disk), alive: () => body.alive, stoppedBy: () => body.stoppedBy };
+    const process: Process = { name, machine, kernel: kernelOf(body, disk, protocols), alive: () => body.alive, stoppedBy: () => body.stoppedBy };
     bodies.set(process, body);
     return process;
   }
--- a/packages/stand-in/src/member.ts
+++ b/packages/stand-in/src/member.ts
@@ -268,7 +268,7 @@
 
   const listening: readonly Listening[] = [
     await kernel.network.serve(identifiers.address(settings.address), {
-      routes: [
+      mappings: [
         { method: 'POST', path: '/open', handle: async (request) => (connectionOf(request) === undefined ? deniedWith(503, 'too many connections') : { status: 200, body: { open: true } }) },
         { method: 'POST', path: '/run', handle: run },
         { method: 'GET', path: '/state', handle: async (request) => stateReply(request) },
@@ -276,7 +276,7 @@
       connectionClosed: (connection) => void connections.delete(connection),
     }),
     await kernel.network.serve(identifiers.address(settings.control), {
-      routes: [
+      mappings: [
         { method: 'POST', path: '/replicate', handle: replicate },
         { method: 'POST', path: '/promote', handle: promote },
         { method: 'POST', path: '/follow', handle: follow },
--- a/packages/stand-in/src/platform.ts
+++ b/packages/stand-in/src/platform.ts
@@ -9,7 +9,7 @@
 export type PromotionCall = Readonly<{ at: number; service: string; member: string; epoch: number; turn: number; accepted: boolean }>;
 export type UsageCall = Readonly<{ at: number; window: number; endsAt: number; counts: Readonly<Record<string, number>>; turn: number; holder: string; accepted: boolean }>;
 
-export type PlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean; refuses: boolean; garbles: boolean };
+export type PlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean; denies: boolean; garbles: boolean };
 export type PlatformStore = { promotions: PromotionCall[]; usage: UsageCall[]; leaders: Map<string, Readonly<{ member: string; epoch: number; turn: number }>>; usageTurn: number };
 
 export type Platform = Readonly<{ stop: () => Promise<void>; knobs: PlatformKnobs; store: PlatformStore }>;
@@ -21,12 +21,12 @@
 const garbled: readonly HttpReply[] = [{ status: 500, body: null }, { status: 200, body: '' }, { status: 502, body: '<html>' }, { status: 302, body: {} }, { status: 204, body: null }];
 
 async function start(kernel: Kernel, settings: PlatformSettings, store: PlatformStore): Promise<Platform> {
-  const knobs: PlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false, refuses: false, garbles: false };
+  const knobs: PlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false, denies: false, garbles: false };
   let stopped = false;
 
   async function trouble(): Promise<HttpReply | undefined> {
     if (knobs.slowMilliseconds > 0) await kernel.clock.sleep(knobs.slowMilliseconds);
-    return knobs.down || knobs.refuses ? { status: 503, body: { message: 'the platform is down' } } : undefined;
+    return knobs.down || knobs.denies ? { status: 503, body: { message: 'the platform is down' } } : undefined;
   }
 
   /** What reaches the caller of a call that was taken. */
@@ -76,7 +76,7 @@
   }
 
   const listening: Listening = await kernel.network.serve(identifiers.address(settings.address), {
-    routes: [
+    mappings: [
       { method: 'POST', path: '/v1/promotions', handle: promote },
       { method: 'POST', path: '/v1/usage', handle: usage },
       { method: 'GET', path: '/v1/record', handle: async () => ({ status: 200, body: { promotions: store.promotions, usage: store.usage } }) },
--- a/packages/stand-in/src/sender.ts
+++ b/packages/stand-in/src/sender.ts
@@ -9,7 +9,7 @@
 export type ReadRecord = Readonly<{ shared: SharedMark; service: string; kind: string; session: number; sessionName: string; startedAt: number; endedAt: number; sequence: number; ok: boolean; reason: string; through: string }>;
 
 /** One exchange with a proxy; `open` when it goes on with a transaction that began at `openSince`. */
-export type ExchangeRecord = Readonly<{ edge: string; startedAt: number; endedAt: number; reason: string; openSince: number }>;
+export type ExchangeRecord = Readonly<{ edge: string; path: string; startedAt: number; endedAt: number; reason: string; openSince: number }>;
 
 export type Ledger = {
   readonly writes: WriteRecord[];
@@ -109,7 +109,7 @@
         method, path, body,
         headers: { 'x-stallstall-key': settings.key, ...(name === '' || path.endsWith('/sessions') ? {} : { 'x-stallstall-session': name }) },
       }, settings.horizonMilliseconds + 3_000);
-      ledger.exchanges.push({ edge: at, startedAt, endedAt: kernel.clock.now(), reason: reasonOf(reply), openSince });
+      ledger.exchanges.push({ edge: at, path, startedAt, endedAt: kernel.clock.now(), reason: reasonOf(reply), openSince });
       return reply;
     }
 
--- a/packages/stories/src/steps.ts
+++ b/packages/stories/src/steps.ts
@@ -277,7 +277,7 @@
   this.world = worlds.create(3);
   const served = this.world.spawn('member', 'member-machine');
   await served.kernel.network.serve(identifiers.address('10.3.0.1:5000'), {
-    routes: [{
+    mappings: [{
       method: 'GET', path: '/state',
       handle: async function state() {
         await served.kernel.clock.sleep(milliseconds);
@@ -402,7 +402,7 @@
       return { status: random() < 0.5 ? 200 : 500, body: fuzz.spoil({ member: slot.place.member, role: 'primary', epoch: 99, received: 5, applied: 5, results: [1], position: 1 }, random) };
     }
     await nonsense.network.serve(identifiers.address(slot.place.address), {
-      routes: [{ method: 'GET', path: '/state', handle }, { method: 'POST', path: '/run', handle }, { method: 'POST', path: '/open', handle }],
+      mappings: [{ method: 'GET', path: '/state', handle }, { method: 'POST', path: '/run', handle }, { method: 'POST', path: '/open', handle }],
     });
   }
 });
@@ -595,12 +595,12 @@
 });
 
 Then('the health page is sound', async function then(this: Story) {
-  const reply = await this.fleet.operate('GET', '/v1/health');
+  const reply = await this.fleet.operate('GET', '/v1/liveness');
   assert.equal(reply.status, 200, JSON.stringify(reply.body));
 });
 
 Then('the health page fails {string} with a remedy', async function then(this: Story, check: string) {
-  const reply = await this.fleet.operate('GET', '/v1/health');
+  const reply = await this.fleet.operate('GET', '/v1/liveness');
   assert.equal(reply.status, 503);
   const failed = (reply.body as { checks: ReadonlyArray<{ check: string; sound: boolean; remedy: string }> }).checks.filter((one) => !one.sound);
   assert.deepEqual(failed.map((one) => one.check), [check]);
--- a/packages/stories/src/story.ts
+++ b/packages/stories/src/story.ts
@@ -24,6 +24,8 @@
   checked: ReadonlyArray<Either.Either<Fault, unknown>>;
   senders: Readonly<{ stop: () => void }>;
   folder: string;
+  followed: () => unknown;
+  again: () => void;
   world: World;
   probes: Array<Readonly<{ asked: number; sentAt: number }>>;
 };
