--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -6,8 +6,8 @@
 import { message, type Entry, type Membership } from '@stallstall/message';
 import type { Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { archivePrefix, registerService, usageWindowMilliseconds, type Changed } from '@stallstall/register';
-import { electionService, livenessService } from '@stallstall/elect';
+import { archivePrefix, notesService, registerService, usageWindowMilliseconds, type Changed } from '@stallstall/register';
+import { electionService, livenessService, waivedKey } from '@stallstall/elect';
 import type { Configuration, Node } from '@stallstall/node';
 import { sheets } from '@stallstall/sheet';
 import { operators, ScopeSchema, type Caller, type Scope } from './operators.js';
@@ -64,6 +64,7 @@
 function create(kernel: Kernel, parts: AdministrationParts): Administration {
   const { node, usage } = parts;
   const register = kernel.services.find(registerService);
+  const notes = kernel.services.find(notesService);
   const members = kernel.services.find(livenessService);
   const elections = kernel.services.find(electionService);
   const table = operators.create(kernel, parts.rootKey);
@@ -266,6 +267,37 @@
     }));
   }
 
+  /** Each service with its floor: what any candidate must hold (design 7.5). */
+  async function electionRows(): Promise<Either.Either<Fault, readonly unknown[]>> {
+    const floors = await notes.floors();
+    if (Either.isLeft(floors)) return floors;
+    return Either.right(elections.describe().map((one) => {
+      const floor = floors.right[String(one['service'])] ?? { epoch: 0, position: 0 };
+      return { ...one, floor: `${floor.epoch}/${floor.position}` };
+    }));
+  }
+
+  /** The word of an operator that commits up to the floor of this moment may be lost, if their primary never comes back (design 7.11). */
+  async function acceptLoss(request: HttpRequest, caller: Caller): Promise<HttpReply> {
+    const named = request.query['service'] ?? '';
+    const configuration = node.configuration();
+    if (Option.isNone(configuration) || sheets.service(configuration.value.value.sheet, named) === undefined) {
+      return http.denied(fault.create({ kind: 'not-found', message: `no sheet names a service ${named}`, remedy: 'see stallstall elections' }));
+    }
+    if (!operators.covers(caller.scope, named)) return http.denied(operators.denied(`${caller.operator} may not change ${named}`));
+    const settled = node.settled(named);
+    if (Option.isSome(settled) && members.alive(settled.value.primary)) {
+      return http.denied(fault.create({ kind: 'unsafe-step', message: `${settled.value.primary} leads ${named} and is alive: nothing needs to be lost`, remedy: 'leave it, or retire that member' }));
+    }
+    const floors = await notes.floors();
+    if (Either.isLeft(floors)) return http.denied(floors.left);
+    const floor = floors.right[named] ?? { epoch: 0, position: 0 };
+    const written = await register.change(waivedKey(named), () => Option.some(floor));
+    if (Either.isLeft(written)) return http.denied(written.left);
+    await table.note(caller.operator, 'accept-loss', `${named} up to ${floor.epoch}/${floor.position}`);
+    return { status: 200, body: { service: named, floor } };
+  }
+
   async function drain(request: HttpRequest, caller: Caller, draining: boolean): Promise<HttpReply> {
     const named = request.query['node'] ?? '';
     const seat = quorum.seat(node.membership().value, named);
@@ -386,7 +418,8 @@
     { method: 'GET', path: '/v1/metrics', handle: beaten },
     { method: 'GET', path: '/v1/fleet', handle: guarded('read', async () => ({ status: 200, body: fleetStatus() })) },
     { method: 'GET', path: '/v1/members', handle: guarded('read', async (request) => ({ status: 200, body: page(memberStatus(), request) })) },
-    { method: 'GET', path: '/v1/elections', handle: guarded('read', async (request) => ({ status: 200, body: { node: node.settings.node, ...page(elections.describe(), request) } })) },
+    { method: 'GET', path: '/v1/elections', handle: guarded('read', async (request) => listed(await electionRows(), request)) },
+    { method: 'POST', path: '/v1/services/:service/accept-loss', handle: guarded('read', acceptLoss) },
     { method: 'GET', path: '/v1/usage', handle: guarded('read', async (request) => listed(await usage.windows(), request)) },
     { method: 'GET', path: '/v1/audit', handle: guarded('read', async (request) => listed(Either.map((entries: readonly unknown[]) => [...entries].reverse())(await table.trail()), request)) },
     { method: 'GET', path: '/v1/operators', handle: guarded('operators', async (request) => listed(await table.list(), request)) },
--- a/packages/core/src/operators.ts
+++ b/packages/core/src/operators.ts
@@ -144,4 +144,4 @@
   };
 }
 
-export const operators = { create, mayChange, denied } as const;
+export const operators = { create, mayChange, covers, denied } as const;
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, identifiers, kernel as kernels, type Fault, type Instant, type Kernel } from '@stallstall/kernel';
-import type { Ask, Entry, Floor, Membership, Reply, Settled } from '@stallstall/message';
+import { FloorSchema, message, type Ask, type Entry, type Floor, type Membership, type Reply, type Settled } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
 import { notesService, registerService } from '@stallstall/register';
 import { fenceService, marginMilliseconds, termMilliseconds } from '@stallstall/fence';
@@ -70,6 +70,13 @@
   return left.member.member < right.member.member ? -1 : 1;
 }
 
+const nothing: Floor = { epoch: 0, position: 0 };
+
+/** Where an operator's word stands that a loss is accepted. */
+export function waivedKey(service: string): string {
+  return `waived/${service}`;
+}
+
 /** Whether a member holds all that was acknowledged: a later epoch began with all of it (design 7.5). */
 function reaches(state: MemberState, floor: Floor): boolean {
   return state.epoch > floor.epoch || (state.epoch === floor.epoch && state.received >= floor.position);
@@ -178,8 +185,12 @@
 
   /** What was acknowledged up to now, read from a majority of core disks; none while no majority replies. */
   async function floorOf(service: string): Promise<Option.Option<Floor>> {
-    const floors = await notes.floors();
-    return Either.isRight(floors) ? Option.some(floors.right[service] ?? { epoch: 0, position: 0 }) : Option.none;
+    const [floors, waived] = await Promise.all([notes.floors(), register.read(waivedKey(service), 1_500)]);
+    if (Either.isLeft(floors) || Either.isLeft(waived)) return Option.none;
+    const floor = floors.right[service] ?? nothing;
+    // An operator has given up all that was acknowledged up to here (design 7.11).
+    const given = Option.isSome(waived.right) && message.fits(FloorSchema, waived.right.value.value) ? waived.right.value.value : nothing;
+    return Option.some(message.compareFloors(floor, given) <= 0 ? nothing : floor);
   }
 
   /** Highest received position among the eligible, lowest id on ties; never below the floor (design 7.5). */
--- a/packages/operator/src/commands.ts
+++ b/packages/operator/src/commands.ts
@@ -1,7 +1,7 @@
 import { MappingsImport } from './mappings.js';
 import { RunAgent, RunCore, RunProxy } from './daemons.js';
 import {
-  Audit, Drain, Elections, Liveness, Members, Metrics, OperatorPut, OperatorRemove, Operators, Remove, Retire, SheetCheck, SheetDiff, SheetGet, SheetSend,
+  AcceptLoss, Audit, Drain, Elections, Liveness, Members, Metrics, OperatorPut, OperatorRemove, Operators, Remove, Retire, SheetCheck, SheetDiff, SheetGet, SheetSend,
   SheetVersions, Status, Usage,
 } from './operator.js';
 
@@ -28,4 +28,5 @@
   drain: Drain,
   remove: Remove,
   retire: Retire,
+  'accept-loss': AcceptLoss,
 };
--- a/packages/operator/src/operator.ts
+++ b/packages/operator/src/operator.ts
@@ -111,7 +111,7 @@
 
   async run(): Promise<unknown> {
     const { flags } = await this.parse(Elections);
-    return showPage(this, flags, '/v1/elections', ['service', 'epoch', 'primary', 'voted', 'outcome']);
+    return showPage(this, flags, '/v1/elections', ['service', 'epoch', 'primary', 'voted', 'floor', 'outcome']);
   }
 }
 
@@ -348,6 +348,21 @@
   }
 }
 
+export class AcceptLoss extends Command {
+  static override description = 'Give up the acknowledged commits that only a lost primary has, so that a service can lead on without them.';
+  static override enableJsonFlag = true;
+  static override flags = { ...coreFlags, yes: Flags.boolean({ description: 'meant: commits that senders were told of will be gone', default: false }) };
+  static override args = { service: Args.string({ required: true, description: 'the service' }) };
+
+  async run(): Promise<unknown> {
+    const { flags, args } = await this.parse(AcceptLoss);
+    if (!flags.yes) return this.error(`commits of ${args.service} that senders were told of will be gone; look at stallstall members and elections, then repeat it with --yes`, { exit: exits.wrong });
+    const reply = await replyOf(this, flags, { method: 'POST', path: `/v1/services/${encodeURIComponent(args.service)}/accept-loss`, body: {} }) as Readonly<{ floor: Readonly<{ epoch: number; position: number }> }>;
+    this.log(`${args.service} may lead on without what was acknowledged up to ${reply.floor.epoch}/${reply.floor.position}`);
+    return reply;
+  }
+}
+
 export class Retire extends Command {
   static override description = 'Mark a member draining (or serving again) in the sheet and send it whole; a primary hands over as planned.';
   static override enableJsonFlag = true;
--- a/packages/simulator/src/fleet.ts
+++ b/packages/simulator/src/fleet.ts
@@ -17,6 +17,9 @@
 /** `gone`: taken out for good. */
 export type MemberSlot = Slot<Member> & { readonly place: MemberPlace; readonly machine: string; store: MemberStore; gone?: boolean };
 
+/** `factor` times the deployment's sessions and rate; `crowded`: the share of sessions that all go to one edge. */
+export type SenderWishes = Readonly<{ hastyShare?: number; factor?: number; crowded?: number }>;
+
 export type FleetOptions = Readonly<{ edges?: number; synchronous?: number; replicateMilliseconds?: number; runMilliseconds?: number; spareEdge?: boolean; operatorKey?: string; weighing?: boolean }>;
 
 export type Fleet = Readonly<{
@@ -55,7 +58,7 @@
   /** A sender's POST without waiting for virtual time to pass. */
   post: (edge: EdgeSlot, path: string, body: unknown) => Promise<HttpReply>;
   ask: (edge: EdgeSlot, method: string, path: string, body?: unknown, headers?: Readonly<Record<string, string>>) => Promise<HttpReply>;
-  startSenders: (hastyShare?: number) => Readonly<{ stop: () => void }>;
+  startSenders: (wishes?: SenderWishes) => Readonly<{ stop: () => void }>;
   primaryOf: (service: string) => MemberSlot | undefined;
   /** Runs until a condition holds; false when it has not within so many virtual milliseconds. */
   until: (condition: () => boolean, milliseconds: number) => Promise<boolean>;
@@ -216,11 +219,16 @@
     else ready.delete(edge);
   }
 
-  function startSenders(hastyShare = 0): Readonly<{ stop: () => void }> {
+  function startSenders(wishes: SenderWishes = {}): Readonly<{ stop: () => void }> {
     for (const edge of everyEdge) void kernels.every(chooser.kernel.clock, readyMilliseconds, () => probeReadiness(edge), () => true);
     return sender.start(senders.kernel, {
-      deployment, key: senderKey, sessions: deployment.sessions, requestsPerSecond: deployment.requestsPerSecond, hastyShare, horizonMilliseconds: 3_000, tag: 's',
-      edges: () => [...ready].map((slot) => edgeAddresses(slot).proxy),
+      deployment, key: senderKey, sessions: deployment.sessions * (wishes.factor ?? 1), requestsPerSecond: deployment.requestsPerSecond * (wishes.factor ?? 1), hastyShare: wishes.hastyShare ?? 0,
+      horizonMilliseconds: 3_000, tag: 's',
+      edges: function edgesReady() {
+        const known = [...ready].map((slot) => edgeAddresses(slot).proxy);
+        const favourite = known[0];
+        return favourite !== undefined && world.fraction() < (wishes.crowded ?? 0) ? [favourite] : known;
+      },
     }, ledger);
   }
 
--- a/packages/simulator/src/storm.ts
+++ b/packages/simulator/src/storm.ts
@@ -110,7 +110,7 @@
   if (seed % 5 === 0) fleet.platform().knobs.slowMilliseconds = 1_000 + fleet.world.fraction() * 1_500;
   await fleet.until(() => fleet.deployment.services.every((service) => fleet.primaryOf(service) !== undefined), 20_000);
   await fleet.world.run(3_000);
-  const senders = fleet.startSenders(hastyShare);
+  const senders = fleet.startSenders({ hastyShare });
   const startedAt = fleet.world.now();
   const watch = checks.watch(fleet, storm.sends);
   const count = options.faults ?? (options.long === true ? 2 + Math.floor(fleet.world.fraction() * 24) : 8);
--- a/packages/stories/features/guarantees.feature
+++ b/packages/stories/features/guarantees.feature
@@ -61,3 +61,16 @@
     Given a fleet of Red Común with its sheet obeyed and its primaries elected
     When an operator sends a sheet through core-1, which is ended as planned before it has answered
     Then the sheet was acknowledged and reads back
+
+  Scenario: What only a lost primary has is given up by an operator's word, and by nothing else
+    Given a fleet of Red Común with its sheet obeyed and its primaries elected
+    And replicas of "bookings" that stopped receiving, with a primary that waits for nobody
+    When a sender puts "lone" as 3 in "bookings" through edge-1
+    Then an operator may not accept the loss of "bookings" while its primary is alive
+    When the primary of "bookings" is killed
+    And 20 s pass
+    Then a write to "bookings" through edge-2 is denied as "read-only" or "no-target"
+    When an operator accepts the loss of "bookings"
+    Then within 20 s another member of "bookings" is elected at a later epoch
+    And a write to "bookings" through edge-2 is served
+    And the trail tells of the loss that was accepted
--- a/packages/stories/src/guarantees.ts
+++ b/packages/stories/src/guarantees.ts
@@ -172,3 +172,18 @@
   const read = await this.fleet.operate('GET', `/v1/sheet?version=${(reply?.body as { version: number }).version}`, undefined, {}, 1);
   assert.equal(read.status, 200);
 });
+
+Then('an operator may not accept the loss of {string} while its primary is alive', async function then(this: Story, service: string) {
+  within(await this.fleet.operate('POST', `/v1/services/${service}/accept-loss`, {}), ['unsafe-step']);
+});
+
+When('an operator accepts the loss of {string}', async function when(this: Story, service: string) {
+  const reply = await this.fleet.operate('POST', `/v1/services/${service}/accept-loss`, {});
+  assert.equal(reply.status, 200, JSON.stringify(reply.body));
+  assert.ok((reply.body as { floor: { position: number } }).floor.position > 0);
+});
+
+Then('the trail tells of the loss that was accepted', async function then(this: Story) {
+  const { rows } = (await this.fleet.operate('GET', '/v1/audit')).body as { rows: ReadonlyArray<{ action: string; detail: string }> };
+  assert.ok(rows.some((row) => row.action === 'accept-loss' && row.detail.startsWith('bookings up to')));
+});
