A core and an agent that reply with nothing readable: a story; the simulator names what it uses

Impostors greet as they should and answer every call with a reply spoilt in one place. Each such link is closed and dialled again, nobody else ends, writes go on with the other two cores, and the edge whose agent it was is fenced. Passed on the code as it was: every reply was checked already.

--- a/packages/simulator/src/fuzz.ts
+++ b/packages/simulator/src/fuzz.ts
@@ -1,7 +1,9 @@
 // Malformed input from a seed, for every boundary (design 10.4): valid examples with one place spoilt, and plain junk.
 import type { HttpReply } from '@stallstall/kernel';
-import { http, identifiers } from '@stallstall/kernel';
+import { http, identifiers, type Kernel, type Link } from '@stallstall/kernel';
+import { message, messages, type MessageKind } from '@stallstall/message';
 import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
 import type { Fleet } from './fleet.js';
 
 const junk: readonly unknown[] = [
@@ -70,6 +72,48 @@
   }
 }
 
+const seat = { node: 'core-3', role: 'core', area: 'south', address: '10.1.0.3:7000', outward: '10.1.0.3:7001', draining: false };
+const ballot = { counter: 9, node: 'core-3#x' };
+const registerReply = { ready: true, agreed: true, promised: ballot, accepted: { ballot, version: 1, value: {} } };
+/** A sound reply of every kind, to be spoilt. */
+const replies: Readonly<Record<MessageKind, unknown>> = {
+  hello: { node: 'core-3', role: 'core', incarnation: 1, fleet: 'f', founding: '', cores: [seat], knownPuts: 1, superseded: false },
+  form: { agreed: true }, join: { joined: true, reason: '' }, propose: { accepted: true, reason: '', epoch: 2 },
+  copy: { ready: true, votes: { bookings: 1 }, notes: { floors: {}, reports: [], through: {} }, entries: [{ key: 'configuration', state: {} }], next: '' },
+  beat: { epochs: { bookings: 1 }, caps: {}, membership: 1, superseded: false },
+  prepare: registerReply, accept: registerReply, look: registerReply,
+  watch: { ready: true, number: 1, configuration: 1, membership: 1, puts: 1, superseded: false },
+  note: { ready: true, floors: { bookings: { epoch: 1, position: 4 } } },
+  usageLook: { ready: true, reports: [], through: {} },
+  tell: { kept: true }, status: { status: {} },
+  feed: { configuration: null, configurationVersion: 1, term: 900, services: [], shares: {}, draining: false, area: 'north', node: 'edge-1' },
+};
+
+/** Stands where a process stood, greets as it would, and replies to every call with what cannot be read; tells how often it did. */
+async function impostor(kernel: Kernel, address: string, random: () => number): Promise<() => number> {
+  let count = 0;
+
+  function spoilt(kind: MessageKind): unknown {
+    for (;;) {
+      const body = spoil(replies[kind], random);
+      if (!message.fits(messages[kind].reply, body)) return body;
+    }
+  }
+
+  async function serve(link: Link): Promise<void> {
+    link.send({ greet: kernel.protocols });
+    for (let frame = await link.receive(); Option.isSome(frame); frame = await link.receive()) {
+      const { call, kind } = frame.value as { call?: number; kind?: string };
+      if (call === undefined || kind === undefined || !message.isKind(kind)) continue;
+      count += 1;
+      link.send({ reply: call, body: spoilt(kind) });
+    }
+  }
+
+  await kernel.network.listen(identifiers.address(address), (link) => void serve(link));
+  return () => count;
+}
+
 const statement = { kind: 'write', statements: [{ text: 'put', parameters: ['fuzz', 1] }], transaction: 'none', horizonMilliseconds: 500 };
 const beat = { member: 'bookings-1', role: 'replica', epoch: 1, received: 3, applied: 3 };
 
@@ -86,4 +130,4 @@
   return replies;
 }
 
-export const fuzz = { spoil, peers, pages, statement, beat } as const;
+export const fuzz = { spoil, peers, pages, impostor, statement, beat } as const;
--- a/packages/stories/features/input.feature
+++ b/packages/stories/features/input.feature
@@ -26,3 +26,11 @@
     When core-3 is started 40 times on a disk with one entry spoilt
     Then each start was refused as "foreign-disk" or went on
     And the current version is 1
+
+  Scenario: A core and an agent that reply with nothing readable are as good as away, and no more
+    Given a fleet of Red Común with its sheet obeyed and its primaries elected
+    When impostors stand where core-3 and the agent of edge-6 stood, and 12 s pass
+    Then both were asked again and again, and every other process still runs
+    And a write to "bookings" through edge-1 is served
+    And a write to "bookings" through edge-6 is denied as "read-only" or "stale-configuration"
+    And core-2 takes a sheet
--- a/packages/stories/src/guarantees.ts
+++ b/packages/stories/src/guarantees.ts
@@ -8,7 +8,7 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, type HttpReply } from '@stallstall/kernel';
 import { disk } from '@stallstall/machine';
-import { checks } from '@stallstall/simulator';
+import { checks, fuzz } from '@stallstall/simulator';
 import { coreOf, edgeOf, errorOf, primary, statement, within, type Story } from './story.js';
 
 const wallStart = 1_800_000_000_000;
@@ -187,3 +187,22 @@
   const { rows } = (await this.fleet.operate('GET', '/v1/audit')).body as { rows: ReadonlyArray<{ action: string; detail: string }> };
   assert.ok(rows.some((row) => row.action === 'accept-loss' && row.detail.startsWith('bookings up to')));
 });
+
+When('impostors stand where {word} and the agent of {word} stood, and {int} s pass', async function when(this: Story, core: string, edge: string, seconds: number) {
+  const slot = coreOf(this, core);
+  const places = [this.fleet.place(slot).address, this.fleet.edgeAddresses(edgeOf(this, edge)).address, this.fleet.edgeAddresses(edgeOf(this, edge)).feed];
+  this.fleet.stopSlot(slot);
+  this.fleet.stopSlot(edgeOf(this, edge).agent);
+  this.asked = [];
+  for (const place of places) this.asked.push(await fuzz.impostor(this.fleet.world.spawn('impostor', 'impostor-machine').kernel, place, this.fleet.world.fraction));
+  await this.fleet.world.run(seconds * 1_000);
+});
+
+Then('both were asked again and again, and every other process still runs', function then(this: Story) {
+  for (const count of this.asked) assert.ok(count() > 20, `asked ${count()} times`);
+  for (const slot of this.fleet.cores.slice(0, 2)) assert.equal(slot.process?.alive(), true, slot.name);
+  for (const slot of this.fleet.edges) {
+    if (slot.name !== 'edge-6') assert.equal(slot.agent.process?.alive(), true, slot.name);
+    assert.equal(slot.proxy.process?.alive(), true, slot.name);
+  }
+});
--- a/packages/stories/src/story.ts
+++ b/packages/stories/src/story.ts
@@ -25,6 +25,7 @@
   senders: Readonly<{ stop: () => void }>;
   folder: string;
   followed: () => unknown;
+  asked: Array<() => number>;
   again: () => void;
   world: World;
   probes: Array<Readonly<{ asked: number; sentAt: number }>>;
