--- a/packages/bench/src/real-fleet.ts
+++ b/packages/bench/src/real-fleet.ts
@@ -27,18 +27,18 @@
 const standIn = path.resolve(here, 'stand-in-main.js');
 const senderKey = 'sender-key-0001';
 
-function create(deployment: Deployment, folder: string, base = 17_000): RealFleet {
+function create(deployment: Deployment, folder: string, base = 17_000, edgeCount = 6): RealFleet {
   fs.mkdirSync(folder, { recursive: true });
   const running = new Map<string, Running>();
   const cores = [0, 1, 2].map((index) => ({ node: `core-${index + 1}`, address: `127.0.0.1:${base + index * 10}`, outward: `127.0.0.1:${base + index * 10 + 1}`, area: areas[index] as string }));
-  const edges = Array.from({ length: 6 }, (_, index) => ({
+  const edges = Array.from({ length: edgeCount }, (_, index) => ({
     node: `edge-${index + 1}`, area: areas[index % 3] as string, address: `127.0.0.1:${base + 100 + index * 10}`, outward: `127.0.0.1:${base + 100 + index * 10 + 1}`,
     feed: `127.0.0.1:${base + 100 + index * 10 + 2}`, proxy: `127.0.0.1:${base + 100 + index * 10 + 3}`,
   }));
   const members: readonly MemberPlace[] = deployment.services.flatMap((service, serviceIndex) => areas.map((area, index) => ({
-    service, member: `${service}-${index + 1}`, area, address: `127.0.0.1:${base + 300 + serviceIndex * 30 + index * 10}`, control: `127.0.0.1:${base + 300 + serviceIndex * 30 + index * 10 + 1}`,
+    service, member: `${service}-${index + 1}`, area, address: `127.0.0.1:${base + 1_000 + serviceIndex * 30 + index * 10}`, control: `127.0.0.1:${base + 1_000 + serviceIndex * 30 + index * 10 + 1}`,
   })));
-  const platform = `127.0.0.1:${base + 500}`;
+  const platform = `127.0.0.1:${base + 1_500}`;
   const seeds = cores.map((core) => core.address);
 
   function launch(name: string, file: string, words: readonly string[]): Running {
--- a/packages/operator/src/daemons.ts
+++ b/packages/operator/src/daemons.ts
@@ -64,7 +64,7 @@
     const kernel = await machine.create('core', Option.some(orFail(this, disk.open(first.data))));
     const current = settings.follow(kernel, changes, coreSettings, flags.settings, given(flags), first);
     const started = orFail(this, await core.start(kernel, { ...first, seeds: () => current().seeds, platform: () => current().platform }));
-    endWith(kernel, started.stop);
+    endWith(kernel, started.drain);
     kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
   }
 }
@@ -79,7 +79,7 @@
     const kernel = await machine.create('agent', Option.none);
     const current = settings.follow(kernel, changes, agentSettings, flags.settings, given(flags), first);
     const started = orFail(this, await agent.start(kernel, { ...first, seeds: () => current().seeds, platform: () => current().platform }));
-    endWith(kernel, started.stop);
+    endWith(kernel, started.drain);
     kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
   }
 }
