The probes' checker reckons for itself what a sheet lets in

Cause: the mutation kinds-not-looked-at was caught by nothing, since the checker asked the product's own function, guard taken out and all. It now reads keys and rows of the sheet itself.

--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -285,8 +285,10 @@
   return largest;
 }
 
+/** Reckoned here and not by the product's own function, which is what is judged. */
 function letsIn(sheet: Sheet, probe: Probe): boolean {
-  return sheets.allows(sheet, probe.key, probe.service, probe.kind) && sheets.row(sheet, probe.service, probe.area)?.serves[probe.kind] !== undefined;
+  const given = sheet.keys.some((one) => one.key === probe.key && one.services.includes(probe.service) && one.kinds.includes(probe.kind));
+  return given && sheet.rows.some((row) => row.service === probe.service && row.area === probe.area && row.serves[probe.kind] !== undefined);
 }
 
 /** Nothing served that no sheet of the moment lets in; nothing called forbidden that every sheet of the moment lets in. */
