One start of the wall clocks and one window length in the simulator

Found on rereading the change: the start of the virtual wall clock stood in three modules and the window's length was wrapped in an object for one reader.

--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -4,6 +4,7 @@
 import { sheets, type Sheet, type StatementKind } from '@stallstall/sheet';
 import type { Ledger, PlatformStore, ReadRecord, WriteRecord } from '@stallstall/stand-in';
 import type { CoreSlot, Fleet } from './fleet.js';
+import { wallStart } from './world.js';
 
 export type Violation = Readonly<{ check: string; detail: string }>;
 
@@ -18,13 +19,12 @@
 
 export type EdgeDrain = { readonly edge: string; readonly sentAt: number; acknowledgedAt: number; undoneAt: number };
 
-const wallStart = 1_800_000_000_000;
 const boundMilliseconds = 1_500;
 const obeyMilliseconds = 3_000;
 const outOfOrderMilliseconds = 3_000;
 const usageLateMilliseconds = 10_000;
 const usageTolerance = 0.05;
-const windowMilliseconds = 5_000;
+export const windowMilliseconds = 5_000;
 const goingMilliseconds = 7_000;
 const graceMilliseconds = 5_000;
 const recoverySeconds = 12;
@@ -425,6 +425,4 @@
   return [...peaks].filter(([, peak]) => peak > fleet.deployment.connectionLimit).map(([member, peak]) => ({ check: 'connection-limit', detail: `${member} held ${peak} of ${fleet.deployment.connectionLimit}` }));
 }
 
-export const windowOf = { milliseconds: windowMilliseconds } as const;
-
 export const checks = { writes, reads, sessions, promotions, usage, uncertain, untellable, watch, obeying, weights, draining, plannedEnds, logsOf, readBack, recovery, limits } as const;
--- a/packages/simulator/src/storm.ts
+++ b/packages/simulator/src/storm.ts
@@ -3,9 +3,10 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import { statementKinds } from '@stallstall/sheet';
 import { brightpath, redComun } from '@stallstall/stand-in';
-import { checks, windowOf, type Probe, type Violation } from './checks.js';
+import { checks, windowMilliseconds, type Probe, type Violation } from './checks.js';
 import { faults, followHunt, notePeaks, pick, secondKey, send, type Storm } from './faults.js';
 import { fleet as fleets, type EdgeSlot, type Fleet } from './fleet.js';
+import { wallStart } from './world.js';
 
 export type StormResult = Readonly<{
   seed: number;
@@ -29,7 +30,6 @@
 const usageArrivesMilliseconds = 11_000;
 const hastyShare = 0.02;
 const sampleMilliseconds = 10;
-const wallStart = 1_800_000_000_000;
 
 function clearBlanking(fleet: Fleet, storm: Storm): void {
   if (storm.blanking && fleet.cores.every((slot) => slot.process?.alive() === true && slot.running !== undefined && slot.running.open())) storm.blanking = false;
@@ -51,7 +51,7 @@
     const reason = Either.isLeft(reply) ? reply.left.name : reply.right.status === 200 ? 'served' : String((reply.right.body as { error?: unknown } | null)?.error ?? reply.right.status);
     probes.push({ startedAt, endedAt: fleet.world.now(), key, service, kind, area: edge.area, edge: edge.name, reason });
     if (reason === 'served') {
-      const window = `${Math.floor(prober.clock.wall() / windowOf.milliseconds)}|${service}`;
+      const window = `${Math.floor(prober.clock.wall() / windowMilliseconds)}|${service}`;
       fleet.ledger.usageByWindow.set(window, (fleet.ledger.usageByWindow.get(window) ?? 0) + 1);
     }
     await prober.clock.sleep(300);
@@ -149,9 +149,9 @@
   sampling = false;
   // What is under way ends before the members' logs are read.
   await fleet.world.run(5_000);
-  const windowFrom = Math.floor((wallStart + startedAt) / windowOf.milliseconds) + 1;
+  const windowFrom = Math.floor((wallStart + startedAt) / windowMilliseconds) + 1;
   // The last of them have not come yet.
-  const windowUntil = Math.floor((wallStart + until - usageArrivesMilliseconds) / windowOf.milliseconds) - 1;
+  const windowUntil = Math.floor((wallStart + until - usageArrivesMilliseconds) / windowMilliseconds) - 1;
   function wallOf(moment: number): number {
     return wallStart + moment;
   }
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -126,7 +126,8 @@
 const settlePromises = vm.runInThisContext('(function settlePromises() { %PerformMicrotaskCheckpoint(); })') as () => void;
 
 const putsKey = '#puts';
-const wallStart = 1_800_000_000_000;
+/** What the wall clocks show as a run begins. */
+export const wallStart = 1_800_000_000_000;
 const leastLatency = 0.2;
 const latencySpread = 0.8;
 const connectMilliseconds = 3_000;
