--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -279,3 +279,4 @@
 }
 
 export const agent = { start } as const;
+export * from './lessee-agent.js';
--- /dev/null
+++ b/packages/agent/src/lessee-agent.ts
@@ -0,0 +1,160 @@
+// The agent of an edge that holds leases: no vote, no seat in the table; it feeds its proxy with placement (design 7.12, 8.10).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
+import type { Ask, LogPosition, Placement, Reply } from '@stallstall/message';
+import { peer } from '@stallstall/peer';
+import { lessee as lessees } from '@stallstall/lease';
+import { termMilliseconds } from '@stallstall/fence';
+
+export type LesseeAgentSettings = Readonly<{ node: string; area: string; feed: string; seeds: () => readonly string[] }>;
+export type LesseeAgent = Readonly<{ drain: () => Promise<void>; stop: () => Promise<void> }>;
+
+/** A proxy that has been silent for so long is gone, or has nothing under way that could still be told. */
+const proxyQuietMilliseconds = 1_200;
+const graceMilliseconds = 5_600;
+const drainLookMilliseconds = 50;
+const drainLeastMilliseconds = 300;
+
+async function start(kernel: Kernel, settings: LesseeAgentSettings): Promise<LesseeAgent> {
+  const token = kernel.randomness.token();
+  const waiting = new Set<() => void>();
+  let number = 1;
+  let gathering = false;
+  let released: Readonly<Record<string, number>> = {};
+  let positions: Readonly<Record<string, LogPosition>> = {};
+  let refused: readonly string[] = [];
+  let askedAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
+  let said = '';
+  let rosterAt = -1;
+  let rosterNumber = 0;
+  let telling = 0;
+  let ending = false;
+  /** What the proxy would see: a change of it wakes whoever waits. */
+  let seenBefore = '';
+
+  const lessee = lessees.create(kernel, { node: settings.node, area: settings.area, seeds: settings.seeds }, {
+    released: () => released,
+    positions: () => positions,
+    refused: () => refused,
+    onChange: changed,
+  });
+
+  function placements(): readonly Placement[] {
+    const now = kernel.clock.now();
+    return lessee.services().map((service): Placement => {
+      const settled = lessee.settled(service);
+      return {
+        service,
+        epoch: Option.isSome(settled) ? settled.value.epoch : 0,
+        primary: Option.isSome(settled) ? settled.value.primary : '',
+        left: Math.max(0, Math.min(lessee.leaseUntil(service) - now, termMilliseconds)),
+        release: lessee.release(service),
+      };
+    });
+  }
+
+  function wake(): void {
+    gathering = false;
+    number += 1;
+    const resolvers = [...waiting];
+    waiting.clear();
+    for (const resolve of resolvers) resolve();
+  }
+
+  /** Renewed leases are no news: whoever asks is told them anyway. */
+  function changed(): void {
+    const configuration = lessee.configuration();
+    const seen = [
+      Option.isSome(configuration) ? configuration.value.version : 0, lessee.rosterNumber(), lessee.edges(),
+      ...placements().map((one) => `${one.epoch}/${one.release}/${one.left > 0 ? 1 : 0}`),
+    ].join(' ');
+    if (seen === seenBefore) return;
+    seenBefore = seen;
+    if (rosterAt !== lessee.rosterNumber()) {
+      rosterAt = lessee.rosterNumber();
+      rosterNumber = number + 1;
+    }
+    if (gathering) return;
+    gathering = true;
+    kernel.clock.alarm(1, wake);
+  }
+
+  function hold(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const alarm = kernel.clock.alarm(milliseconds, over);
+      function over(): void {
+        alarm.cancel();
+        waiting.delete(over);
+        resolve();
+      }
+      waiting.add(over);
+    });
+  }
+
+  /** What a proxy lets go of, or is refused by, the cores hear at once. */
+  function take(ask: Ask<'placement'>): void {
+    askedAt = kernel.clock.now();
+    released = ask.released;
+    positions = ask.positions;
+    refused = ask.refused;
+    const now = `${JSON.stringify(released)}${refused.join(' ')}`;
+    if (now === said) return;
+    said = now;
+    lessee.tell();
+  }
+
+  async function placement(ask: Ask<'placement'>): Promise<Reply<'placement'>> {
+    take(ask);
+    if (ask.token === token && ask.seen === number && ask.hold > 0 && !ending) await hold(ask.hold);
+    const configuration = lessee.configuration();
+    const version = Option.isSome(configuration) ? configuration.value.version : 0;
+    const known = ask.token === token && ask.seen >= rosterNumber;
+    return {
+      token,
+      number,
+      configuration: Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
+      configurationVersion: version,
+      services: [...placements()],
+      roster: known ? null : [...lessee.roster()],
+      edges: lessee.edges(),
+      area: settings.area,
+      node: settings.node,
+    };
+  }
+
+  /** Counts of usage, on a majority of core disks before the proxy hears that they are kept (design 8.6). */
+  async function tell(ask: Ask<'tell'>): Promise<Reply<'tell'>> {
+    telling += 1;
+    const noted = await lessee.notes.note({
+      floors: ask.floors, through: { [settings.node]: ask.through },
+      reports: ask.usage.map((one) => ({ node: settings.node, incarnation: ask.incarnation, number: ask.number, window: one.window, counts: { ...one.counts } })),
+    });
+    telling -= 1;
+    return { kept: Either.isRight(noted) };
+  }
+
+  const listening: Listening = await peer.listen(kernel, identifiers.address(settings.feed), { placement, tell });
+  lessee.start();
+
+  async function stop(): Promise<void> {
+    lessee.stop();
+    await listening.stop();
+  }
+
+  /** It stays for as long as its proxy asks: a proxy that ends needs its leases for what is under way (design 7.10). */
+  async function drain(): Promise<void> {
+    ending = true;
+    const began = kernel.clock.now();
+    const horizon = identifiers.after(began, graceMilliseconds);
+    function proxyAsks(): boolean {
+      return kernel.clock.now() - askedAt < proxyQuietMilliseconds;
+    }
+    while (kernel.clock.now() < horizon && (telling > 0 || proxyAsks() || kernel.clock.now() - began < drainLeastMilliseconds)) await kernel.clock.sleep(drainLookMilliseconds);
+    await stop();
+  }
+
+  return { drain, stop };
+}
+
+export const lesseeAgent = { start } as const;
--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -9,7 +9,7 @@
 import { archivePrefix, notesService, registerService, usageWindowMilliseconds, type Changed } from '@stallstall/register';
 import { electionService, livenessService, waivedKey } from '@stallstall/elect';
 import type { Configuration, Node } from '@stallstall/node';
-import { sheets } from '@stallstall/sheet';
+import { sheets, type Sheet } from '@stallstall/sheet';
 import { operators, ScopeSchema, type Caller, type Scope } from './operators.js';
 import type { Usage } from './usage.js';
 
@@ -22,6 +22,8 @@
 const pageLength = 100;
 const pageMost = 500;
 const usageLateMilliseconds = 10_000;
+/** An operator that hears nothing for a second turns to another core. */
+const configureMilliseconds = 850;
 
 const SendSchema = Type.Object({
   sheet: Type.Unknown(), sentBy: Type.Optional(Type.String({ maxLength: 200 })), sendId: Type.Optional(Type.String({ maxLength: 200 })),
@@ -40,7 +42,15 @@
   metrics: () => Readonly<Record<string, number>>;
 }>;
 
-export type Administration = Readonly<{ mappings: readonly HttpMapping[] }>;
+/** A version that the sender counts itself, with the text as sent: it is read back unchanged (design 6.5). */
+export type ExternalVersion = Readonly<{ version: number; source: string }>;
+
+export type Administration = Readonly<{
+  mappings: readonly HttpMapping[];
+  /** Of two external versions the higher stands; a lower one, or the same again, changes nothing and is right all the same. */
+  configure: (external: ExternalVersion, sheet: Sheet) => Promise<Either.Either<Fault, Readonly<{ version: number }>>>;
+  source: () => Promise<Either.Either<Fault, string>>;
+}>;
 
 type SentVersion = Omit<Configuration, 'recent' | 'history'>;
 type ArchivedVersion = SentVersion & Readonly<{ number: number }>;
@@ -192,6 +202,39 @@
     return { status: 200, headers: { etag: `"${version}"` }, body: { version } };
   }
 
+  async function configure(external: ExternalVersion, sheet: Sheet): Promise<Either.Either<Fault, Readonly<{ version: number }>>> {
+    const horizon = kernel.clock.now() + configureMilliseconds;
+    while (kernel.clock.now() < horizon) {
+      const archived = await archiveCurrent();
+      if (Either.isLeft(archived)) return archived;
+      let overtaken = false;
+      const changed = await register.change('configuration', function next(current) {
+        overtaken = false;
+        const before = Option.isSome(current) ? (current.value.value as Configuration) : undefined;
+        if (before?.external !== undefined && before.external.version >= external.version) return Option.none;
+        overtaken = (Option.isSome(current) ? current.value.version : 0) !== archived.right;
+        if (overtaken) return Option.none;
+        return Option.some({ sheet, sendId: `external ${external.version}`, sentBy: 'external', sentAt: kernel.clock.wall(), recent: before === undefined ? [] : recentOf(before), external });
+      }, configureMilliseconds);
+      if (Either.isLeft(changed)) return changed;
+      if (!overtaken) {
+        const standing = Option.isSome(changed.right.entry) ? (changed.right.entry.value.value as Configuration) : undefined;
+        kernel.log('configuration.taken', { external: external.version, standing: standing?.external?.version ?? 0, wrote: changed.right.wrote });
+        return Either.right({ version: standing?.external?.version ?? 0 });
+      }
+    }
+    return Either.left(fault.create({ kind: 'no-majority', message: 'the configuration was not settled in time', remedy: 'send it again unchanged', retryAfterSeconds: 1 }));
+  }
+
+  async function source(): Promise<Either.Either<Fault, string>> {
+    const read = await readConfiguration();
+    if (Either.isLeft(read)) return read;
+    const external = Option.isSome(read.right) ? read.right.value.value.external : undefined;
+    return external === undefined
+      ? Either.left(fault.create({ kind: 'not-found', message: 'no configuration has been sent yet', remedy: 'send one' }))
+      : Either.right(external.source);
+  }
+
   async function getSheet(request: HttpRequest): Promise<HttpReply> {
     const read = await readConfiguration();
     if (Either.isLeft(read)) return http.denied(read.left);
@@ -434,7 +477,7 @@
     { method: 'DELETE', path: '/v1/nodes/:node', handle: guarded('nodes', remove) },
   ];
 
-  return { mappings };
+  return { mappings, configure, source };
 }
 
 export const administration = { create } as const;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, owner, type Disk, type Fault, type Kernel, type Listening,
+  fault, http, identifiers, kernel as kernels, owner, type Disk, type Fault, type HttpMapping, type Kernel, type Listening,
 } from '@stallstall/kernel';
 import {
   MembershipSchema, message, SeatSchema, type Ask, type Entry, type Membership, type Reply, type Seat,
@@ -11,13 +11,38 @@
 import { quorum } from '@stallstall/quorum';
 import { acceptor, coldPrefix, keeper, registerService, watcher, type RegisterTarget } from '@stallstall/register';
 import { node as nodes, beatMilliseconds, type Configuration, type Node, type NodeSettings } from '@stallstall/node';
-import type { Vote, VoteStore } from '@stallstall/elect';
+import { livenessService, type MemberProbe, type PlatformCalls, type Vote, type VoteStore } from '@stallstall/elect';
+import { lessor as lessors, lessorService, type Lessor } from '@stallstall/lease';
+import { roster as rosters, rosterService, type Registration, type Roster } from '@stallstall/roster';
+import { sheets, type SheetMember } from '@stallstall/sheet';
 import { Type } from '@sinclair/typebox';
-import { administration as administrations } from './administration.js';
+import { administration as administrations, type ExternalVersion } from './administration.js';
 import { usage as usages } from './usage.js';
 
 export type CoreSettings = NodeSettings & Readonly<{ cores: number; operatorKey?: string | undefined }>;
 
+/** What another platform's pages are served from: decisions stay here, words there (design 9.6). */
+export type Door = Readonly<{
+  ready: () => boolean;
+  /** Takes a whole sheet under its sender's own version; of two the higher stands, and a lower one changes nothing. */
+  configure: (external: ExternalVersion, sheet: unknown) => Promise<Either.Either<Fault, Readonly<{ version: number }>>>;
+  /** The newest configuration as its sender wrote it. */
+  source: () => Promise<Either.Either<Fault, string>>;
+  beat: (registration: Registration) => boolean;
+  leave: (member: string) => void;
+}>;
+
+/** How a fleet runs where members register, edges hold leases, and the platform has words of its own (design 9.6). */
+export type CoreParts = Readonly<{
+  calls: PlatformCalls;
+  probe: MemberProbe;
+  pages: (door: Door) => readonly HttpMapping[];
+  /** Where these pages are served. */
+  door: string;
+  /** Whether this core may form a fleet: only at the very first start of all. */
+  founds: boolean;
+}>;
+
 export type Core = Readonly<{ node: Node; open: () => boolean; drain: () => Promise<void>; stop: () => Promise<void> }>;
 
 /** Of what lies in a data folder. 1: the sheet's history inside its cell, no notes; 2: an archive and notes (design 4.6). */
@@ -40,7 +65,9 @@
 
 /** What is pushed of the configuration leaves the ids of earlier sends behind. */
 function forPush(key: string, entry: Entry): Entry {
-  return key === 'configuration' ? { ...entry, value: { ...(entry.value as Configuration), recent: [] } } : entry;
+  if (key !== 'configuration') return entry;
+  const { external: _external, ...pushed } = entry.value as Configuration;
+  return { ...entry, value: { ...pushed, recent: [] } };
 }
 
 function diskFault(stored: ReadonlyMap<string, unknown>, settings: CoreSettings): Option.Option<Fault> {
@@ -78,6 +105,13 @@
 const graceMilliseconds = 6_000;
 const releaseMilliseconds = 2_000;
 const drainLookMilliseconds = 20;
+/** An edge that held a lease so lately may still have counts to tell. */
+const edgeMemoryMilliseconds = 12_000;
+const spreadMilliseconds = 100;
+const spreadHorizonMilliseconds = 1_000;
+/** Who leads is looked at so often over this core's own connection. */
+const lookMilliseconds = 1_000;
+const lookHorizonMilliseconds = 800;
 
 type CoreVotes = VoteStore & Readonly<{ epochs: () => Promise<Readonly<Record<string, number>>> }>;
 
@@ -97,7 +131,7 @@
   };
 }
 
-async function start(kernel: Kernel, settings: CoreSettings): Promise<Either.Either<Fault, Core>> {
+async function start(kernel: Kernel, settings: CoreSettings, parts: Option.Option<CoreParts> = Option.none): Promise<Either.Either<Fault, Core>> {
   if (Option.isNone(kernel.disk)) {
     return Either.left(fault.create({ kind: 'bad-settings', message: 'a core needs a data folder', remedy: 'name one with --data' }));
   }
@@ -111,8 +145,16 @@
   let stopped = false;
   let ending = false;
 
+  let lessor: Option.Option<Lessor> = Option.none;
+  let roster: Option.Option<Roster> = Option.none;
+
+  function news(): void {
+    if (Option.isSome(lessor)) lessor.value.changed();
+  }
+
   const cells = acceptor.create(disk, stored, function push(key, entry) {
     if (!watcher.watched(key)) return;
+    news();
     for (const [caller, entryOf] of watching) if (caller.open()) handOver(entryOf, key, entry);
     feedOwn();
   }, diskFailed);
@@ -141,10 +183,29 @@
     votes: () => votes,
     own: Option.some({ target: ownTarget, note: async (body) => Option.some(await notes.keep(body)), accepted: cells.accepted }),
     caps: () => ({}),
-    onObeyed: () => undefined,
+    onObeyed: news,
     onHello,
+    ...(Option.isNone(parts) ? {} : {
+      registered: {
+        calls: parts.value.calls,
+        probe: parts.value.probe,
+        membersOf,
+        lessees: () => (Option.isSome(lessor) ? lessor.value.lessees() : []),
+        released: (service, epoch, lessees) => Option.isSome(lessor) && lessor.value.released(service, epoch, lessees),
+        onStance: news,
+      },
+    }),
   });
 
+  /** A primary that no beat has named yet is not gone: liveness tells whether it is DOWN (design 7.1). */
+  function membersOf(service: string): readonly SheetMember[] {
+    if (Option.isNone(roster)) return [];
+    const members = roster.value.membersOf(service);
+    const settled = node.settled(service);
+    if (Option.isNone(settled) || Option.isSome(roster.value.entryOf(settled.value.primary))) return members;
+    return [...members, { member: settled.value.primary, area: '-', address: '', state: 'serving' }];
+  }
+
   let ownNumber = 0;
   function feedOwn(): void {
     for (const key of cells.keys()) {
@@ -156,7 +217,10 @@
   }
 
   const register = kernel.services.find(registerService);
-  const usage = usages.create(kernel, node, notes);
+  const usage = usages.create(kernel, node, notes, Option.isNone(parts) ? Option.none : Option.some({
+    calls: parts.value.calls,
+    edges: () => (Option.isSome(lessor) ? lessor.value.recent(edgeMemoryMilliseconds) : []),
+  }));
 
   // -- Forming the fleet once, or coming back to it (design 4.3).
 
@@ -357,10 +421,11 @@
     return Option.isSome(entry) ? entry.value.version : 0;
   }
 
-  function watch(ask: Ask<'watch'>, caller: Caller): Reply<'watch'> {
+  /** Whoever asks over a held link is pushed what is watched from then on, and its acknowledgements are kept. */
+  function enlist(named: string, acknowledged: number, obeyed: number, caller: Caller): Watching | undefined {
     let entry = watching.get(caller);
     if (cells.ready() && entry === undefined) {
-      entry = { node: ask.node, number: 0, acknowledged: 0, obeyed: 0, caller };
+      entry = { node: named, number: 0, acknowledged: 0, obeyed: 0, caller };
       watching.set(caller, entry);
       for (const key of cells.keys()) {
         const accepted = cells.accepted(key);
@@ -369,9 +434,14 @@
     }
     for (const known of watching.keys()) if (!known.open()) watching.delete(known);
     if (entry !== undefined) {
-      entry.acknowledged = ask.acknowledged;
-      entry.obeyed = ask.obeyed;
+      entry.acknowledged = acknowledged;
+      entry.obeyed = obeyed;
     }
+    return entry;
+  }
+
+  function watch(ask: Ask<'watch'>, caller: Caller): Reply<'watch'> {
+    const entry = enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
     return {
       ready: cells.ready(), number: entry?.number ?? 0, configuration: versionOf('configuration'), membership: versionOf('membership'), puts: disk.puts(),
       superseded: ask.incarnation > 0 && node.isStale(ask.node, ask.incarnation),
@@ -409,6 +479,16 @@
     join,
     note: notes.keep,
     usageLook: (ask) => notes.look(ask.window),
+    spread: function spread(ask) {
+      if (Option.isSome(roster)) roster.value.take(ask.beats);
+      return { taken: true };
+    },
+    lease: function lease(ask, caller) {
+      const granting = lessor;
+      if (Option.isNone(granting)) throw new Error('this fleet holds no leases');
+      enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
+      return granting.value.lease(ask);
+    },
   };
 
   const administration = administrations.create(kernel, {
@@ -422,20 +502,94 @@
     }),
   });
 
-  const pages = http.counted([...node.mappings, ...administration.mappings]);
+  // -- Members that register, and edges that hold leases (design 4.7, 7.12).
+
+  if (Option.isSome(parts)) {
+    const kept = rosters.create(kernel, rosterChanged);
+    roster = Option.some(kept);
+    kernel.services.offer(rosterService, kept);
+    const granting = lessors.create(kernel, {
+      ready: () => cells.ready() && !ending, stances: node.epochs, configuration: () => versionOf('configuration'), membership: () => versionOf('membership'), puts: disk.puts,
+      roster: kept, onRefused: lookAt,
+    });
+    lessor = Option.some(granting);
+    kernel.services.offer(lessorService, granting);
+  }
+
+  let spreading = false;
+
+  /** Beats taken here go to the other cores, several at a time; a change at once. */
+  function spreadBeats(): void {
+    if (Option.isNone(roster) || stopped) return;
+    const beats = roster.value.spread();
+    if (beats.length === 0) return;
+    for (const other of node.cores()) {
+      const held = node.callPeer(other.node);
+      if (other.node !== settings.node && Option.isSome(held)) void held.value.call('spread', { beats: [...beats] }, spreadHorizonMilliseconds);
+    }
+  }
+
+  function rosterChanged(): void {
+    news();
+    if (spreading) return;
+    spreading = true;
+    kernel.clock.alarm(1, function now() {
+      spreading = false;
+      spreadBeats();
+    });
+  }
+
+  /** A look of this core's own at a member, whose outcome liveness keeps. */
+  function lookAt(member: string): void {
+    const entry = Option.isSome(roster) ? roster.value.entryOf(member) : Option.none;
+    if (Option.isSome(entry) && !entry.value.gone) void kernel.services.find(livenessService).probe(member, entry.value.address, lookHorizonMilliseconds, entry.value.service);
+  }
+
+  function lookAtPrimaries(): void {
+    const current = node.configuration();
+    if (Option.isNone(current)) return;
+    for (const service of current.value.value.sheet.services) {
+      const settled = node.settled(service.service);
+      if (service.registered && Option.isSome(settled)) lookAt(settled.value.primary);
+    }
+  }
+
+  const door: Door = {
+    ready: () => cells.ready() && !ending,
+    configure: async function configure(external, sheet) {
+      const checked = sheets.check(sheet);
+      return Either.isLeft(checked) ? checked : administration.configure(external, checked.right);
+    },
+    source: administration.source,
+    beat: (registration) => Option.isSome(roster) && roster.value.beat(registration),
+    leave: (member) => (Option.isSome(roster) ? roster.value.leave(member) : undefined),
+  };
+
+  if (Option.isSome(parts)) {
+    void kernels.every(kernel.clock, spreadMilliseconds, function round() {
+      if (Option.isSome(roster)) roster.value.step();
+      spreadBeats();
+    }, () => !stopped);
+    void kernels.every(kernel.clock, lookMilliseconds, lookAtPrimaries, () => !stopped);
+  }
+
+  const pages = http.counted([...node.mappings, ...administration.mappings, ...(Option.isSome(parts) ? parts.value.pages(door) : [])]);
+  const doorPages = Option.isSome(parts) ? new Set(parts.value.pages(door).map((one) => `${one.method} ${one.path}`)) : new Set<string>();
   const listening: readonly Listening[] = [
     await peer.listen(kernel, identifiers.address(settings.address), handlers),
-    await kernel.network.serve(identifiers.address(settings.outward), { mappings: pages.mappings }),
+    await kernel.network.serve(identifiers.address(settings.outward), { mappings: pages.mappings.filter((one) => !doorPages.has(`${one.method} ${one.path}`)) }),
+    ...(Option.isSome(parts) ? [await kernel.network.serve(identifiers.address(parts.value.door), { mappings: pages.mappings.filter((one) => doorPages.has(`${one.method} ${one.path}`)) })] : []),
   ];
 
   node.start();
   usage.start();
   if (stage() === 'formed' && Option.isSome(fleet)) void reopen(fleet.value);
   else if (stage() === 'copying' && Option.isSome(fleet)) void copy(fleet.value);
-  else void form();
+  else if (Option.isNone(parts) || parts.value.founds) void form();
 
   async function stop(): Promise<void> {
     stopped = true;
+    if (Option.isSome(lessor)) lessor.value.stop();
     void usage.stop();
     node.stop();
     for (const entry of listening) await entry.stop();
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -2,9 +2,9 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { Type, type Static } from '@sinclair/typebox';
-import { identifiers, type Fault, type Kernel } from '@stallstall/kernel';
+import { identifiers, type Fault, type HttpAsk, type Kernel } from '@stallstall/kernel';
 import { message, type Entry, type Reply } from '@stallstall/message';
-import { duty, type Holding } from '@stallstall/elect';
+import { duty, type Holding, type PlatformCalls } from '@stallstall/elect';
 import { quorum } from '@stallstall/quorum';
 import { keeper, keptWindows, registerService, usageWindowMilliseconds, type Keeper } from '@stallstall/register';
 import type { Node } from '@stallstall/node';
@@ -44,7 +44,10 @@
   return Option.isSome(entry) && message.fits(FixedSchema, entry.value.value) ? entry.value.value : { windows: [] };
 }
 
-function create(kernel: Kernel, node: Node, notes: Keeper): Usage {
+/** Where edges hold leases, and the platform is told in words of its own (design 9.6). */
+export type UsageParts = Readonly<{ calls: PlatformCalls; edges: () => readonly string[] }>;
+
+function create(kernel: Kernel, node: Node, notes: Keeper, parts: Option.Option<UsageParts> = Option.none): Usage {
   const register = kernel.services.find(registerService);
   // Windows on their way to the platform: one that it is slow over holds up none of the others.
   const sending = new Set<number>();
@@ -61,8 +64,8 @@
     }))).flat().filter((told) => told.ready);
     if (replies.length < quorum.majority(node.cores().length)) return Option.none;
     const end = (window + 1) * usageWindowMilliseconds;
-    const edges = quorum.withRole(node.membership().value, 'edge');
-    const whole = edges.every((edge) => Math.max(...replies.map((one) => one.through[edge.node] ?? 0)) >= end + skewMilliseconds);
+    const edges = Option.isSome(parts) ? parts.value.edges() : quorum.withRole(node.membership().value, 'edge').map((edge) => edge.node);
+    const whole = edges.every((edge) => Math.max(...replies.map((one) => one.through[edge] ?? 0)) >= end + skewMilliseconds);
     if (!whole && kernel.clock.wall() < end + graceMilliseconds) return Option.none;
     return Option.some(keeper.add(replies.flatMap((one) => one.reports)));
   }
@@ -82,10 +85,13 @@
   async function send(fixed: FixedWindow, holding: Holding): Promise<void> {
     if (sending.has(fixed.window)) return;
     sending.add(fixed.window);
-    const reply = await holding.act(identifiers.address(node.settings.platform()), {
-      method: 'POST', path: '/v1/usage',
-      body: { window: fixed.window, endsAt: (fixed.window + 1) * usageWindowMilliseconds, counts: fixed.counts, turn: holding.turn, holder: node.settings.node },
-    }, sendMilliseconds);
+    const ask: HttpAsk = Option.isSome(parts)
+      ? parts.value.calls.usage({ window: fixed.window, counts: fixed.counts, turn: holding.turn, holder: node.settings.node })
+      : {
+        method: 'POST', path: '/v1/usage',
+        body: { window: fixed.window, endsAt: (fixed.window + 1) * usageWindowMilliseconds, counts: fixed.counts, turn: holding.turn, holder: node.settings.node },
+      };
+    const reply = await holding.act(identifiers.address(node.settings.platform()), ask, sendMilliseconds);
     sending.delete(fixed.window);
     if (Either.isLeft(reply) || reply.right.status !== 200) return;
     await register.change('usage', function mark(current) {
@@ -125,7 +131,7 @@
   }
 
   async function task(): Promise<void> {
-    const seeking = duty.create(kernel, 'usage', node.settings.node);
+    const seeking = duty.create(kernel, 'usage', node.settings.node, Option.isSome(parts) ? parts.value.calls.restMilliseconds : 0);
     while (!stopped) {
       if (node.incarnation() > 0) {
         const holding = await seeking.seek();
--- a/packages/elect/src/duty.ts
+++ b/packages/elect/src/duty.ts
@@ -39,11 +39,16 @@
   return Option.isSome(entry) && message.fits(DutySchema, entry.value.value) ? Option.some(entry.value.value) : Option.none;
 }
 
-function create(kernel: Kernel, name: string, self: string): Duty {
+/**
+ * `restMilliseconds`: should another have held the duty since this holder acted last, it does not take it back before so
+ * long after that act, so that no platform sees the same two holders in turns (design 7.6).
+ */
+function create(kernel: Kernel, name: string, self: string, restMilliseconds = 0): Duty {
   const register = kernel.services.find(registerService);
   const key = `duty/${name}`;
   // A restarted process is another holder: what its predecessor began is not its own.
   const holder = `${self}#${kernel.randomness.token()}`;
+  let acted: Option.Option<Readonly<{ turn: number; at: Instant }>> = Option.none;
   let seen: Option.Option<Readonly<{ state: DutyState; since: Instant }>> = Option.none;
 
   function hold(turn: number, from: Instant): Holding {
@@ -93,7 +98,9 @@
       }
       guard();
       void renewBeside();
+      acted = Option.some({ turn, at: kernel.clock.now() });
       const reply = await connection.exchange(ask, milliseconds);
+      acted = Option.some({ turn, at: kernel.clock.now() });
       under = false;
       connection.close();
       return reply;
@@ -112,6 +119,7 @@
   }
 
   function mayTake(state: DutyState): boolean {
+    if (Option.isSome(acted) && state.turn !== acted.value.turn && kernel.clock.now() - acted.value.at < restMilliseconds) return false;
     if (state.released) return true;
     if (Option.isNone(seen)) return false;
     const known = seen.value;
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -1,13 +1,13 @@
 // The election that runs inside every node and decides each service's primary (design 7).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { fault, identifiers, kernel as kernels, type Fault, type Instant, type Kernel } from '@stallstall/kernel';
+import { fault, identifiers, kernel as kernels, type Fault, type HttpAsk, type Instant, type Kernel } from '@stallstall/kernel';
 import { FloorSchema, message, type Ask, type Entry, type Floor, type Membership, type Reply, type Settled } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
 import { notesService, registerService } from '@stallstall/register';
 import { fenceService, marginMilliseconds, termMilliseconds } from '@stallstall/fence';
 import { sheets, type Sheet, type SheetMember, type SheetService } from '@stallstall/sheet';
-import { duty, type Holding } from './duty.js';
+import { duty, type Duty, type Holding } from './duty.js';
 import { downAfterMilliseconds, livenessService, type MemberState } from './liveness.js';
 
 /** The paper's election timeout. */
@@ -22,7 +22,23 @@
   record: (service: string, vote: Vote) => Promise<boolean>;
 }>;
 
+/** How the platform is called and what members understand, where it is not this product's own HTTP (design 7.13). */
+export type PlatformCalls = Readonly<{
+  promotion: (call: Readonly<{ service: string; member: string; epoch: number; turn: number; holder: string }>) => HttpAsk;
+  usage: (call: Readonly<{ window: number; counts: Readonly<Record<string, number>>; turn: number; holder: string }>) => HttpAsk;
+  /** Milliseconds that a holder which has acted leaves before it acts again, should another have acted in between. */
+  restMilliseconds: number;
+}>;
+
 export type ElectionView = Readonly<{
+  /** None: members are told epochs over this product's own HTTP. */
+  calls: Option.Option<PlatformCalls>;
+  /** Edges that were granted a lease by this node within a term and its margin. */
+  lessees: () => readonly string[];
+  /** Whether these edges have told that nothing of theirs is under way below an epoch (design 7.12). */
+  released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
+  /** Told once this node stands at another epoch. */
+  onStance: () => void;
   self: string;
   membership: () => Membership;
   membershipVersion: () => number;
@@ -50,6 +66,8 @@
 const promotedLookMilliseconds = 300;
 const orderMilliseconds = 12_000;
 const catchUpMilliseconds = 5_000;
+const releaseLookMilliseconds = 10;
+const catchUpLookMilliseconds = 20;
 
 type Standing = {
   voted: Option.Option<Vote>;
@@ -62,11 +80,16 @@
   lastOutcome: string;
 };
 
+/** When the majority of ACCEPTs was complete, and which edges its voters had granted leases. */
+type Majority = Readonly<{ at: Instant; lessees: readonly string[] }>;
+
 type Found = Readonly<{ member: SheetMember; state: MemberState }>;
 
 function better(left: Found, right: Found): number {
   if (left.state.epoch !== right.state.epoch) return right.state.epoch - left.state.epoch;
   if (left.state.received !== right.state.received) return right.state.received - left.state.received;
+  // Who leads already need not be promoted.
+  if (left.state.role !== right.state.role) return left.state.role === 'primary' ? -1 : 1;
   return left.member.member < right.member.member ? -1 : 1;
 }
 
@@ -169,14 +192,15 @@
     const vote: Vote = { epoch: ask.epoch, candidate: ask.candidate, proposer: ask.node };
     standing.voted = Option.some(vote);
     standing.votedAt = kernel.clock.now();
+    view.onStance();
     const durable = await votes.record(ask.service, vote);
-    return { accepted: durable, reason: durable ? 'accepted' : 'the vote did not become durable', epoch: ask.epoch };
+    return { accepted: durable, reason: durable ? 'accepted' : 'the vote did not become durable', epoch: ask.epoch, lessees: [...view.lessees()] };
   }
 
   async function states(service: SheetService): Promise<readonly Found[]> {
     const replies = await Promise.all(
       service.members.map(async function ask(member): Promise<Option.Option<Found>> {
-        const state = await liveness.probe(member.member, member.address, probeMilliseconds);
+        const state = await liveness.probe(member.member, member.address, probeMilliseconds, service.service);
         return Either.isRight(state) ? Option.some({ member, state: state.right.state }) : Option.none;
       }),
     );
@@ -199,27 +223,30 @@
     const eligible = found.filter((one) =>
       one.member.state === 'serving' &&
       (primary === undefined || one.member.member === primary.member) &&
-      one.state.epoch >= settledEpoch(service.service) &&
+      (Option.isSome(view.calls) || one.state.epoch >= settledEpoch(service.service)) &&
       reaches(one.state, floor));
     return Option.fromNullable([...eligible].sort(better)[0]);
   }
 
-  function collectAccepts(ask: Ask<'propose'>): Promise<Either.Either<string, Instant>> {
+  function collectAccepts(ask: Ask<'propose'>): Promise<Either.Either<string, Majority>> {
     const nodes = view.membership().seats.map((seat) => seat.node);
     const needed = quorum.majority(nodes.length);
     return new Promise(function count(resolve) {
       let accepts = 0;
       let left = nodes.length;
       let lastReason = 'no answer';
+      const lessees = new Set<string>();
       kernel.clock.alarm(electionTimeoutMilliseconds, function late() {
         resolve(Either.left(`${accepts} of ${needed} ACCEPTs in time; ${lastReason}`));
       });
       async function askNode(node: string): Promise<void> {
         const reply = node === view.self ? Option.some(await consider(ask)) : await view.propose(node, ask);
         left -= 1;
-        if (Option.isSome(reply) && reply.value.accepted) accepts += 1;
-        else if (Option.isSome(reply)) lastReason = reply.value.reason;
-        if (accepts >= needed) resolve(Either.right(kernel.clock.now()));
+        if (Option.isSome(reply) && reply.value.accepted) {
+          accepts += 1;
+          for (const lessee of reply.value.lessees ?? []) lessees.add(lessee);
+        } else if (Option.isSome(reply)) lastReason = reply.value.reason;
+        if (accepts >= needed) resolve(Either.right({ at: kernel.clock.now(), lessees: [...lessees] }));
         else if (left === 0) resolve(Either.left(`${accepts} of ${needed} ACCEPTs; ${lastReason}`));
       }
       for (const node of nodes) void askNode(node);
@@ -231,9 +258,12 @@
   }
 
   /** Waits until nobody can act on the older epoch, and until the candidate holds all that was acknowledged under it. */
-  async function waitOut(service: SheetService, chosen: Found, epoch: number, majorityAt: Instant): Promise<boolean> {
-    const opensAt = identifiers.after(majorityAt, termMilliseconds + marginMilliseconds);
-    await kernel.clock.sleep(Math.max(0, opensAt - kernel.clock.now()));
+  async function waitOut(service: SheetService, chosen: Found, epoch: number, majority: Majority): Promise<boolean> {
+    const opensAt = identifiers.after(majority.at, termMilliseconds + marginMilliseconds);
+    // Where every edge that any of these voters granted a lease has let go of it, nobody is left to be waited out (design 7.12).
+    while (kernel.clock.now() < opensAt && !(Option.isSome(view.calls) && view.released(service.service, epoch, majority.lessees))) {
+      await kernel.clock.sleep(Option.isSome(view.calls) ? Math.min(releaseLookMilliseconds, opensAt - kernel.clock.now()) : opensAt - kernel.clock.now());
+    }
     const horizon = identifiers.after(kernel.clock.now(), catchUpMilliseconds);
     const before = primaryOf(service);
     while (kernel.clock.now() < horizon && !outvoted(service.service, epoch)) {
@@ -243,13 +273,22 @@
       const old = found.find((one) => one.member.member === before?.member && one.state.epoch === chosen.state.epoch);
       const target = old === undefined || old === candidate ? 0 : old.state.received;
       if (candidate !== undefined && Option.isSome(floor) && reaches(candidate.state, floor.value) && candidate.state.received >= target) return true;
-      await kernel.clock.sleep(100);
+      await kernel.clock.sleep(Option.isSome(view.calls) ? catchUpLookMilliseconds : 100);
     }
     return false;
   }
 
+  /** One for each service and process: it remembers when it acted last. */
+  const duties = new Map<string, Duty>();
+
+  function dutyOf(service: string): Duty {
+    const known = duties.get(service) ?? duty.create(kernel, `promotion/${service}`, view.self, Option.isSome(view.calls) ? view.calls.value.restMilliseconds : 0);
+    duties.set(service, known);
+    return known;
+  }
+
   async function seekDuty(service: string, epoch: number): Promise<Option.Option<Holding>> {
-    const promotion = duty.create(kernel, `promotion/${service}`, view.self);
+    const promotion = dutyOf(service);
     const horizon = identifiers.after(kernel.clock.now(), 2 * (termMilliseconds + marginMilliseconds));
     while (kernel.clock.now() < horizon && !outvoted(service, epoch)) {
       const holding = await promotion.seek();
@@ -260,15 +299,20 @@
   }
 
   /** Only this turn's call can have told a member this epoch, so its own STATE is proof that the call took effect. */
-  async function isPromoted(member: SheetMember, epoch: number): Promise<boolean> {
-    const state = await liveness.probe(member.member, member.address, probeMilliseconds);
-    return Either.isRight(state) && state.right.state.role === 'primary' && state.right.state.epoch === epoch;
+  async function isPromoted(service: string, chosen: Found, epoch: number): Promise<boolean> {
+    const { member } = chosen;
+    const state = await liveness.probe(member.member, member.address, probeMilliseconds, service);
+    if (Either.isLeft(state) || state.right.state.role !== 'primary') return false;
+    if (Option.isNone(view.calls)) return state.right.state.epoch === epoch;
+    // Members count terms of their own: only a promotion that this candidacy asked for can have raised it.
+    return chosen.state.role === 'primary' || (state.right.state.term ?? 0) > (chosen.state.term ?? 0);
   }
 
   async function call(service: SheetService, member: SheetMember, epoch: number, holding: Holding): Promise<Either.Either<Fault, null>> {
-    const reply = await holding.act(
-      identifiers.address(view.platform()), { method: 'POST', path: '/v1/promotions', body: { service: service.service, member: member.member, epoch, turn: holding.turn } }, promoteMilliseconds,
-    );
+    const ask: HttpAsk = Option.isSome(view.calls)
+      ? view.calls.value.promotion({ service: service.service, member: member.member, epoch, turn: holding.turn, holder: view.self })
+      : { method: 'POST', path: '/v1/promotions', body: { service: service.service, member: member.member, epoch, turn: holding.turn } };
+    const reply = await holding.act(identifiers.address(view.platform()), ask, promoteMilliseconds);
     if (Either.isLeft(reply)) return reply;
     if (reply.right.status === 200) return Either.right(null);
     const over = reply.right.status === 409;
@@ -289,11 +333,11 @@
       while (Option.isNone(replied)) {
         await Promise.race([calling, kernel.clock.sleep(promotedLookMilliseconds)]);
         if (Option.isSome(replied)) break;
-        if (await isPromoted(chosen.member, epoch)) return Either.right(null);
+        if (await isPromoted(service.service, chosen, epoch)) return Either.right(null);
         if (outvoted(service.service, epoch)) return Either.left('a later epoch was voted');
       }
       const reply = (replied as Option.Some<Either.Either<Fault, null>>).value;
-      if (Either.isRight(reply) || (await isPromoted(chosen.member, epoch))) return Either.right(null);
+      if (Either.isRight(reply) || (await isPromoted(service.service, chosen, epoch))) return Either.right(null);
       last = reply.left.message;
       if (fault.kind(reply.left) === 'superseded') return Either.left(last);
       await kernel.clock.sleep(200);
--- a/packages/elect/src/liveness.ts
+++ b/packages/elect/src/liveness.ts
@@ -14,32 +14,47 @@
   epoch: Type.Integer({ minimum: 0 }),
   received: Type.Integer({ minimum: 0 }),
   applied: Type.Integer({ minimum: 0 }),
+  /** The term at which it stands, where members keep terms of their own beside the epochs of this fleet. */
+  term: Type.Optional(Type.Integer({ minimum: 0 })),
 });
 export type MemberState = Readonly<Static<typeof MemberStateSchema>>;
 
 /** `sentAt` is when the question left, also for whoever joined a question that was under way. */
 export type Probed = Readonly<{ sentAt: Instant; state: MemberState }>;
 
+/** How a member is asked for its STATE, where it is not this product's own HTTP. */
+export type MemberProbe = (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, MemberState>>;
+
 export type Liveness = Readonly<{
   beat: (state: MemberState) => void;
+  /** A beat without a state, taken here or by another node so long ago. */
+  heard: (member: string, agoMilliseconds: number) => void;
+  /** Its machine says that nothing listens there: more than silence tells, until the member is heard again. */
+  refused: (member: string) => void;
   alive: (member: string) => boolean;
   /** Silent for so long as to be DOWN; a process that has only begun to listen flags nobody yet. */
   down: (member: string) => boolean;
   lastHeard: (member: string) => Option.Option<Instant>;
   state: (member: string) => Option.Option<MemberState>;
   /** Asks a member for its STATE over the one probe connection this node keeps to it. */
-  probe: (member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, Probed>>;
+  probe: (member: string, address: string, milliseconds: number, service?: string) => Promise<Either.Either<Fault, Probed>>;
   /** Closes probes to members that no configuration names any more. */
   keepOnly: (members: ReadonlySet<string>) => void;
 }>;
 
 type Probe = Readonly<{ address: string; connection: HttpConnection }>;
 
-function create(kernel: Kernel): Liveness {
+/** So many refusals in a row, none of them followed by a beat, flag a member DOWN before its silence does. */
+const refusalsDown = 2;
+/** A beat this young says that a member runs, whoever was refused before. */
+const freshMilliseconds = 500;
+
+function create(kernel: Kernel, memberProbe: Option.Option<MemberProbe> = Option.none): Liveness {
   const listeningSince = kernel.clock.now();
   const heardAt = new Map<string, Instant>();
   const states = new Map<string, MemberState>();
   const probes = new Map<string, Probe>();
+  const refusals = new Map<string, number>();
   const asking = new Map<string, Promise<Either.Either<Fault, Probed>>>();
 
   function beat(state: MemberState): void {
@@ -47,13 +62,28 @@
     states.set(state.member, state);
   }
 
+  function heardAgo(member: string, agoMilliseconds: number): void {
+    const at = kernel.clock.now() - agoMilliseconds;
+    if (at > (heardAt.get(member) ?? Number.NEGATIVE_INFINITY)) heardAt.set(member, at as Instant);
+    if (agoMilliseconds < freshMilliseconds) refusals.delete(member);
+  }
+
+  function refused(member: string): void {
+    refusals.set(member, (refusals.get(member) ?? 0) + 1);
+  }
+
+  function isRefused(member: string): boolean {
+    return (refusals.get(member) ?? 0) >= refusalsDown;
+  }
+
   function alive(member: string): boolean {
     const heard = heardAt.get(member);
+    if (isRefused(member)) return false;
     return heard !== undefined && kernel.clock.now() - heard < downAfterMilliseconds;
   }
 
   function down(member: string): boolean {
-    return kernel.clock.now() - (heardAt.get(member) ?? listeningSince) >= downAfterMilliseconds;
+    return isRefused(member) || kernel.clock.now() - (heardAt.get(member) ?? listeningSince) >= downAfterMilliseconds;
   }
 
   function connectionTo(member: string, address: string): HttpConnection {
@@ -65,6 +95,19 @@
     return connection;
   }
 
+  async function askLine(way: MemberProbe, service: string, member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, Probed>> {
+    const sentAt = kernel.clock.now();
+    const state = await way(service, member, address, milliseconds);
+    asking.delete(member);
+    if (Either.isLeft(state)) {
+      if (fault.kind(state.left) === 'not-listening') refused(member);
+      return state;
+    }
+    refusals.delete(member);
+    beat(state.right);
+    return Either.right({ sentAt, state: state.right });
+  }
+
   async function ask(member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, Probed>> {
     const sentAt = kernel.clock.now();
     const reply = await connectionTo(member, address).exchange({ method: 'GET', path: '/state' }, milliseconds);
@@ -81,10 +124,10 @@
     return Either.right({ sentAt, state: reply.right.body });
   }
 
-  function probe(member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, Probed>> {
+  function probe(member: string, address: string, milliseconds: number, service = ''): Promise<Either.Either<Fault, Probed>> {
     const current = asking.get(member);
     if (current !== undefined) return current;
-    const started = ask(member, address, milliseconds);
+    const started = Option.isSome(memberProbe) ? askLine(memberProbe.value, service, member, address, milliseconds) : ask(member, address, milliseconds);
     asking.set(member, started);
     return started;
   }
@@ -99,6 +142,8 @@
 
   return {
     beat,
+    heard: heardAgo,
+    refused,
     alive,
     down,
     probe,
--- a/packages/fence/src/index.ts
+++ b/packages/fence/src/index.ts
@@ -11,8 +11,11 @@
 export type Fence = Readonly<{
   heard: (peer: string, echo: Echo) => void;
   forget: (peer: string) => void;
-  /** When this node's term for a service at an epoch ends; in the past when a majority does not agree. */
-  until: (service: string, epoch: number, peers: readonly string[], total: number, ownCounts: boolean) => Instant;
+  /**
+   * When this node's term for a service at an epoch ends; in the past when a majority does not agree. Who is no voter
+   * counts for nothing itself: an edge's lease is granted by cores alone (design 7.12).
+   */
+  until: (service: string, epoch: number, peers: readonly string[], total: number, ownCounts: boolean, voter?: boolean) => Instant;
   /** How many peers, this node among them, answered a beat within the last term, at whatever epoch. */
   reachable: (now: Instant, peers: readonly string[]) => number;
 }>;
@@ -25,14 +28,14 @@
     if (last === undefined || last.sentAt < echo.sentAt) echoes.set(peer, echo);
   }
 
-  function until(service: string, epoch: number, peers: readonly string[], total: number, ownCounts: boolean): Instant {
+  function until(service: string, epoch: number, peers: readonly string[], total: number, ownCounts: boolean, voter = true): Instant {
     if (epoch === 0 || !ownCounts) return identifiers.instant(Number.NEGATIVE_INFINITY);
     const moments: number[] = [];
     for (const peer of peers) {
       const echo = echoes.get(peer);
       if (echo !== undefined && echo.epochs[service] === epoch) moments.push(echo.sentAt);
     }
-    return identifiers.after(identifiers.instant(quorum.reachedByMajority(moments, total, true)), termMilliseconds);
+    return identifiers.after(identifiers.instant(quorum.reachedByMajority(moments, total, voter)), termMilliseconds);
   }
 
   function reachable(now: Instant, peers: readonly string[]): number {
--- a/packages/kernel/src/fault.ts
+++ b/packages/kernel/src/fault.ts
@@ -21,6 +21,7 @@
   | 'session-lost'
   | 'statement-denied'
   | 'unreachable'
+  | 'not-listening'
   | 'reply-lost'
   | 'no-majority'
   | 'superseded'
@@ -61,6 +62,7 @@
   'session-lost': 404,
   'statement-denied': 409,
   unreachable: 503,
+  'not-listening': 503,
   'reply-lost': 502,
   'no-majority': 503,
   superseded: 409,
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -27,6 +27,18 @@
   close: () => void;
 }>;
 
+/** A held connection that carries text both ways as it comes, one character for each byte; what it says is its users' own (design 2.2). */
+export type Stream = Readonly<{
+  write: (text: string) => void;
+  /** The next piece, of whatever length; none once the other side has ended or the connection is lost. */
+  read: () => Promise<Option.Option<string>>;
+  /** Ends the connection after what was written. */
+  close: () => void;
+  /** Ends it at once, without what has not left yet: whoever listens there sees it break. */
+  reset: () => void;
+  closed: () => boolean;
+}>;
+
 export type HttpRequest = Readonly<{
   method: string;
   path: string;
@@ -76,6 +88,9 @@
 export type Network = Readonly<{
   listen: (address: Address, greet: (link: Link) => void) => Promise<Listening>;
   open: (address: Address) => Promise<Either.Either<Fault, Link>>;
+  listenStream: (address: Address, greet: (stream: Stream) => void) => Promise<Listening>;
+  /** A fault of kind `not-listening` says that the machine is there and nothing listens; `unreachable` says nothing of the kind. */
+  openStream: (address: Address, milliseconds: number) => Promise<Either.Either<Fault, Stream>>;
   serve: (address: Address, server: HttpServer) => Promise<Listening>;
   connect: (address: Address) => HttpConnection;
 }>;
--- /dev/null
+++ b/packages/lease/src/index.ts
@@ -0,0 +1,2 @@
+export * from './lessor.js';
+export * from './lessee.js';
--- /dev/null
+++ b/packages/lease/src/lessee.ts
@@ -0,0 +1,278 @@
+// The edge's half of the leases: asks every core, counts what a strict majority grants, and learns the news on the way (design 7.12).
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
+import {
+  MembershipSchema, message, SettledSchema, type Change, type LogPosition, type Reply, type RosterEntry, type Seat, type Settled,
+} from '@stallstall/message';
+import { peer, type Peer } from '@stallstall/peer';
+import { quorum } from '@stallstall/quorum';
+import { notes, proposer, watcher, type Notes, type NoteTarget, type RegisterTarget } from '@stallstall/register';
+import { fence } from '@stallstall/fence';
+import type { Configuration, Obeyed } from '@stallstall/node';
+
+export type LesseeSettings = Readonly<{
+  node: string;
+  area: string;
+  /** Asked at each greeting, since the settings file may change while the process runs. */
+  seeds: () => readonly string[];
+}>;
+
+export type LesseeParts = Readonly<{
+  /** What the proxy has let go of: below this epoch it has nothing under way. */
+  released: () => Readonly<Record<string, number>>;
+  positions: () => Readonly<Record<string, LogPosition>>;
+  refused: () => readonly string[];
+  onChange: () => void;
+}>;
+
+export type Lessee = Readonly<{
+  start: () => void;
+  stop: () => void;
+  configuration: () => Option.Option<Obeyed<Configuration>>;
+  settled: (service: string) => Option.Option<Settled>;
+  services: () => readonly string[];
+  /** When the lease for a service at its settled epoch ends; in the past when no majority of cores grants it. */
+  leaseUntil: (service: string) => Instant;
+  /** The highest epoch that a core has told for a service: below it nothing is begun any more once the lease is gone. */
+  release: (service: string) => number;
+  roster: () => readonly RosterEntry[];
+  rosterNumber: () => number;
+  edges: () => number;
+  notes: Notes;
+  cores: () => number;
+  /** How many cores granted within the last term. */
+  granting: () => number;
+  /** Has each core told what the proxy says now, at once. */
+  tell: () => void;
+}>;
+
+/** The last told of one core. */
+type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: number; at: Instant; acknowledged: number };
+type Held = Readonly<{ address: string; peer: Peer }>;
+
+const holdMilliseconds = 450;
+const callMilliseconds = 700;
+const redialLookMilliseconds = 60;
+const greetMilliseconds = 100;
+const resolveMilliseconds = 200;
+const retryMilliseconds = 120;
+
+function create(kernel: Kernel, settings: LesseeSettings, parts: LesseeParts): Lessee {
+  const grants = fence.create();
+  const held = new Map<string, Held>();
+  const told = new Map<string, Told>();
+  const floors = new Map<string, number>();
+  const greeting = new Set<string>();
+  let cores: readonly Seat[] = [];
+  let rosterNumber = 0;
+  let stopped = false;
+  const seat: Seat = { node: settings.node, role: 'edge', area: settings.area, address: '-', outward: '-', draining: false };
+
+  function targets(): readonly RegisterTarget[] {
+    return cores.map((core): RegisterTarget => ({
+      core: core.node,
+      ask: function ask(kind, body, milliseconds) {
+        const link = held.get(core.node);
+        return link === undefined ? Promise.resolve(Option.none) : link.peer.call(kind, body, milliseconds);
+      },
+    }));
+  }
+
+  function noteTargets(): readonly NoteTarget[] {
+    return cores.map((core): NoteTarget => (body, milliseconds) => {
+      const link = held.get(core.node);
+      return link === undefined ? Promise.resolve(Option.none) : link.peer.call('note', body, milliseconds);
+    });
+  }
+
+  const register = proposer.create(kernel, settings.node, targets, () => cores.length);
+  const noted = notes.create(noteTargets, () => cores.length);
+  const watch = watcher.create(kernel, register, () => cores.length, function obeyed(key, entry) {
+    kernel.log('lessee.obeyed', { key, version: entry.version });
+    if (key === 'membership' && message.fits(MembershipSchema, entry.value)) followCores(quorum.withRole(entry.value, 'core'));
+    parts.onChange();
+  });
+
+  /** The set of cores is as formed; where each can be reached may change (design 4.4). */
+  function followCores(seats: readonly Seat[]): void {
+    cores = cores.map((core) => seats.find((one) => one.node === core.node) ?? core);
+    for (const core of cores) hold(core);
+  }
+
+  function configuration(): Option.Option<Obeyed<Configuration>> {
+    const entry = watch.obeyed('configuration');
+    return Option.isSome(entry) ? Option.some({ version: entry.value.version, value: entry.value.value as Configuration }) : Option.none;
+  }
+
+  function settled(service: string): Option.Option<Settled> {
+    const entry = watch.obeyed(`epoch/${service}`);
+    return Option.isSome(entry) && message.fits(SettledSchema, entry.value.value) ? Option.some(entry.value.value) : Option.none;
+  }
+
+  function services(): readonly string[] {
+    const current = configuration();
+    return Option.isSome(current) ? current.value.value.sheet.services.map((service) => service.service) : [];
+  }
+
+  function names(): readonly string[] {
+    return cores.map((core) => core.node);
+  }
+
+  function leaseUntil(service: string): Instant {
+    const known = settled(service);
+    if (Option.isNone(known) || known.value.epoch < (floors.get(service) ?? 0)) return identifiers.instant(Number.NEGATIVE_INFINITY);
+    return grants.until(service, known.value.epoch, names(), cores.length, true, false);
+  }
+
+  /** Once a majority stands beyond the settled epoch the lease is gone for good: it is let go, and not taken up again (design 7.12). */
+  function noteFloors(): void {
+    for (const service of services()) {
+      const stances = names().map((core) => told.get(core)?.stances[service] ?? 0);
+      const beyond = quorum.reachedByMajority(stances, cores.length, false);
+      if (beyond > (floors.get(service) ?? 0)) floors.set(service, beyond);
+    }
+  }
+
+  function toldOf(core: string): Told {
+    let known = told.get(core);
+    if (known === undefined) {
+      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: 0, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
+      told.set(core, known);
+    }
+    return known;
+  }
+
+  function takeRoster(known: Told, reply: Reply<'lease'>): void {
+    if (reply.whole) known.roster.clear();
+    if (reply.whole || reply.roster.length > 0) rosterNumber += 1;
+    for (const entry of reply.roster) known.roster.set(entry.member, entry);
+  }
+
+  /** Of all that the cores tell of a member the latest stands; it is down only if every core that knows it says so. */
+  function roster(): readonly RosterEntry[] {
+    const merged = new Map<string, RosterEntry>();
+    for (const known of told.values()) {
+      for (const entry of known.roster.values()) {
+        const before = merged.get(entry.member);
+        if (before === undefined) {
+          merged.set(entry.member, entry);
+          continue;
+        }
+        const later = entry.gone !== before.gone ? (entry.gone ? entry : before) : entry.sequence > before.sequence ? entry : before;
+        merged.set(entry.member, { ...later, down: entry.down && before.down });
+      }
+    }
+    return [...merged.values()].filter((entry) => !entry.gone);
+  }
+
+  async function ask(core: string, link: Peer, hold: number): Promise<boolean> {
+    const known = toldOf(core);
+    const sentAt = kernel.clock.now();
+    const current = configuration();
+    const reply = await link.call('lease', {
+      node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
+      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, refused: [...parts.refused()],
+    }, hold + callMilliseconds);
+    if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
+    take(core, known, reply.value, sentAt);
+    return reply.value.ready;
+  }
+
+  function take(core: string, known: Told, reply: Reply<'lease'>, sentAt: Instant): void {
+    // A reply overtaken by a later one of the same process tells nothing new.
+    if (known.token === reply.token && reply.number < known.seen) return;
+    takeRoster(known, reply);
+    known.token = reply.token;
+    known.seen = reply.number;
+    known.edges = reply.edges;
+    known.at = sentAt;
+    if (!reply.ready) return;
+    known.stances = reply.stances;
+    noteFloors();
+    grants.heard(core, { sentAt, epochs: reply.stances });
+    parts.onChange();
+  }
+
+  async function task(core: string, link: Peer): Promise<void> {
+    while (!stopped && held.get(core)?.peer === link) {
+      if (!link.connected()) {
+        await kernel.clock.sleep(redialLookMilliseconds);
+        continue;
+      }
+      const ready = await ask(core, link, holdMilliseconds);
+      if (!ready) await kernel.clock.sleep(retryMilliseconds);
+    }
+  }
+
+  function hold(core: Seat): void {
+    const known = held.get(core.node);
+    if (known !== undefined && known.address === core.address) return;
+    known?.peer.close();
+    const link = peer.dial(kernel, identifiers.address(core.address), {
+      connected: function connected() {
+        toldOf(core.node).acknowledged = 0;
+      },
+      changed: function changed(change: Change) {
+        toldOf(core.node).acknowledged = change.number;
+        watch.changed(core.node, change);
+      },
+    });
+    held.set(core.node, { address: core.address, peer: link });
+    void task(core.node, link);
+  }
+
+  // -- Finding the cores through the seeds (design 3.3).
+
+  async function greet(address: string): Promise<void> {
+    const link = peer.dial(kernel, identifiers.address(address));
+    while (!stopped && cores.length === 0 && settings.seeds().includes(address)) {
+      const reply = await link.call('hello', { seat, incarnation: 0, fleet: '' }, callMilliseconds);
+      if (Option.isSome(reply) && reply.value.fleet !== '' && reply.value.cores.length > 0 && cores.length === 0) {
+        cores = reply.value.cores;
+        kernel.log('lessee.found', { fleet: reply.value.fleet, cores: cores.length });
+        for (const core of cores) hold(core);
+      }
+      await kernel.clock.sleep(link.connected() ? greetMilliseconds : redialLookMilliseconds);
+    }
+    link.close();
+    greeting.delete(address);
+  }
+
+  function greetSeeds(): void {
+    if (cores.length > 0) return;
+    for (const address of settings.seeds()) {
+      if (greeting.has(address)) continue;
+      greeting.add(address);
+      void greet(address);
+    }
+  }
+
+  return {
+    start: function start() {
+      void kernels.every(kernel.clock, resolveMilliseconds, function look() {
+        greetSeeds();
+        watch.resolve();
+      }, () => !stopped);
+    },
+    stop: function stop() {
+      stopped = true;
+      for (const link of held.values()) link.peer.close();
+    },
+    configuration,
+    settled,
+    services,
+    leaseUntil,
+    release: (service) => floors.get(service) ?? 0,
+    roster,
+    rosterNumber: () => rosterNumber,
+    edges: () => Math.max(1, ...[...told.values()].map((known) => known.edges)),
+    notes: noted,
+    cores: () => cores.length,
+    granting: () => names().filter((core) => kernel.clock.now() - toldOf(core).at < 2_000).length,
+    tell: function tell() {
+      for (const [core, link] of held) if (link.peer.connected()) void ask(core, link.peer, 0);
+    },
+  };
+}
+
+export const lessee = { create } as const;
--- /dev/null
+++ b/packages/lease/src/lessor.ts
@@ -0,0 +1,125 @@
+// The core's half of the leases: tells edges where it stands, at once when that changes (design 7.12).
+import { kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
+import type { Ask, LogPosition, Reply } from '@stallstall/message';
+import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
+import type { Roster } from '@stallstall/roster';
+
+export type LessorView = Readonly<{
+  ready: () => boolean;
+  stances: () => Readonly<Record<string, number>>;
+  configuration: () => number;
+  membership: () => number;
+  puts: () => number;
+  roster: Roster;
+  /** Members that edges were refused by: worth a look of this core's own. */
+  onRefused: (member: string) => void;
+}>;
+
+export type Lessor = Readonly<{
+  lease: (ask: Ask<'lease'>) => Promise<Reply<'lease'>>;
+  /** There is news: whoever waits is told. */
+  changed: () => void;
+  /** Edges that were granted a lease here within a term and its margin, so that theirs may still run. */
+  lessees: () => readonly string[];
+  /** Edges that asked within so many milliseconds. */
+  recent: (milliseconds: number) => readonly string[];
+  released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
+  /** How far the commits reach that any edge told of. */
+  position: (service: string) => LogPosition;
+  stop: () => void;
+}>;
+
+/** Changes within this span go out together. */
+const gatherMilliseconds = 2;
+const rememberMilliseconds = 60_000;
+/** Whoever is further behind is told everything. */
+const numbersKept = 1_000;
+
+function higher(left: LogPosition, right: LogPosition): LogPosition {
+  return left.term === right.term ? (left.number >= right.number ? left : right) : left.term > right.term ? left : right;
+}
+
+function create(kernel: Kernel, view: LessorView): Lessor {
+  const token = kernel.randomness.token();
+  const askedAt = new Map<string, Instant>();
+  const released = new Map<string, Readonly<Record<string, number>>>();
+  const positions = new Map<string, LogPosition>();
+  const waiting = new Set<() => void>();
+  /** Where the roster's own number stood at each number of the news. */
+  const rosterAt = new Map<number, number>();
+  let number = 1;
+  let gathering = false;
+  let stopped = false;
+
+  function wake(): void {
+    gathering = false;
+    number += 1;
+    rosterAt.set(number, view.roster.number());
+    rosterAt.delete(number - numbersKept);
+    const resolvers = [...waiting];
+    waiting.clear();
+    for (const resolve of resolvers) resolve();
+  }
+
+  function hold(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const alarm = kernel.clock.alarm(milliseconds, over);
+      function over(): void {
+        alarm.cancel();
+        waiting.delete(over);
+        resolve();
+      }
+      waiting.add(over);
+    });
+  }
+
+  function within(milliseconds: number): readonly string[] {
+    const now = kernel.clock.now();
+    for (const [node, at] of askedAt) if (now - at > rememberMilliseconds) askedAt.delete(node);
+    return [...askedAt].filter(([, at]) => now - at <= milliseconds).map(([node]) => node);
+  }
+
+  async function lease(ask: Ask<'lease'>): Promise<Reply<'lease'>> {
+    if (!askedAt.has(ask.node)) kernel.log('lease.asked', { node: ask.node, area: ask.area });
+    askedAt.set(ask.node, kernel.clock.now());
+    released.set(ask.node, { ...ask.released });
+    for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
+    for (const member of ask.refused) view.onRefused(member);
+    if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ask.hold);
+    const ready = view.ready();
+    const whole = ask.token !== token;
+    return {
+      ready,
+      token,
+      number,
+      stances: ready ? { ...view.stances() } : {},
+      configuration: view.configuration(),
+      membership: view.membership(),
+      puts: view.puts(),
+      roster: [...view.roster.since(whole ? 0 : (rosterAt.get(ask.seen) ?? 0))],
+      whole,
+      edges: within(termMilliseconds + marginMilliseconds).length,
+    };
+  }
+
+  return {
+    lease,
+    changed: function changed() {
+      if (gathering || stopped) return;
+      gathering = true;
+      kernel.clock.alarm(gatherMilliseconds, wake);
+    },
+    lessees: () => within(termMilliseconds + marginMilliseconds),
+    recent: within,
+    released: (service, epoch, lessees) => lessees.every((node) => (released.get(node)?.[service] ?? 0) >= epoch),
+    position: (service) => positions.get(service) ?? { term: 0, number: 0 },
+    stop: function stop() {
+      stopped = true;
+      wake();
+    },
+  };
+}
+
+export const lessorService = kernels.serviceName<Lessor>('lessor');
+
+export const lessor = { create, higher } as const;
--- a/packages/machine/src/disk.ts
+++ b/packages/machine/src/disk.ts
@@ -44,8 +44,10 @@
     const database = openDatabase<unknown, string>({ path: file, encoding: 'json', overlappingSync: false, noSubdir: true });
     const stored = database.get(putsKey);
     let count = typeof stored === 'number' ? stored : 0;
+    // Told to others only once synced: a put that the loss of power took was never one of this disk's (design 4.3).
+    let synced = count;
     return Either.right({
-      puts: () => count,
+      puts: () => synced,
       load: async function load(without) {
         const entries = new Map<string, unknown>();
         // '0' follows '/': all keys before the prefix, then all keys after it, without a look at what lies between.
@@ -69,10 +71,12 @@
       put: async function put(key, value) {
         try {
           count += 1;
+          const number = count;
           const kept = await database.transaction(() => {
             void database.put(key, value);
-            return database.put(putsKey, count);
+            return database.put(putsKey, number);
           });
+          if (kept) synced = Math.max(synced, number);
           return kept ? Either.right(null) : Either.left(fault.diskFailed(key, new Error('the put was not kept')));
         } catch (error) {
           return Either.left(fault.diskFailed(key, error as Error));
--- a/packages/machine/src/network.ts
+++ b/packages/machine/src/network.ts
@@ -5,7 +5,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, type Address, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Link, type Listening, type Network,
+  fault, http, type Address, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Link, type Listening, type Network, type Stream,
 } from '@stallstall/kernel';
 
 const longestFrame = 8 * 1024 * 1024;
@@ -114,6 +114,111 @@
   });
 }
 
+/** What one side may have waiting for a reader that does not read. */
+const mostUnsentBytes = 8 * 1024 * 1024;
+/** A far end that went dark is noticed by keep-alive probes after so long. */
+const keepAliveMilliseconds = 3_000;
+
+function streamOver(socket: net.Socket): Stream {
+  const arrived: string[] = [];
+  let waiting: ((piece: Option.Option<string>) => void) | undefined;
+  let ended = false;
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true, keepAliveMilliseconds);
+  socket.setEncoding('latin1');
+
+  function settle(piece: Option.Option<string>): boolean {
+    const resolve = waiting;
+    waiting = undefined;
+    resolve?.(piece);
+    return resolve !== undefined;
+  }
+
+  function over(): void {
+    ended = true;
+    settle(Option.none);
+  }
+
+  socket.on('data', function data(piece: string) {
+    if (!settle(Option.some(piece))) arrived.push(piece);
+  });
+  socket.on('end', function end() {
+    over();
+    socket.end();
+  });
+  socket.on('close', over);
+  socket.on('error', function failed() {
+    socket.destroy();
+    over();
+  });
+
+  return {
+    write: function write(text) {
+      if (ended || socket.destroyed || !socket.writable) return;
+      socket.write(text, 'latin1');
+      if (socket.writableLength > mostUnsentBytes) socket.destroy();
+    },
+    read: function read() {
+      const piece = arrived.shift();
+      if (piece !== undefined) return Promise.resolve(Option.some(piece));
+      if (ended) return Promise.resolve(Option.none);
+      return new Promise((resolve) => {
+        waiting = resolve;
+      });
+    },
+    close: function close() {
+      ended = true;
+      socket.end();
+      settle(Option.none);
+    },
+    reset: function reset() {
+      ended = true;
+      socket.resetAndDestroy();
+      settle(Option.none);
+    },
+    closed: () => ended,
+  };
+}
+
+function listenStream(address: Address, greet: (stream: Stream) => void): Promise<Listening> {
+  const sockets = new Set<net.Socket>();
+  const server = net.createServer({ allowHalfOpen: false }, (socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    greet(streamOver(socket));
+  });
+  return new Promise((resolve, reject) => {
+    server.on('error', reject);
+    server.listen({ ...parts(address), backlog: 1_024 }, () => resolve({
+      stop: () => new Promise((stopped) => {
+        server.close(() => stopped());
+        for (const socket of sockets) socket.destroy();
+      }),
+    }));
+  });
+}
+
+function openStream(address: Address, milliseconds: number): Promise<Either.Either<Fault, Stream>> {
+  return new Promise((resolve) => {
+    const socket = net.connect(parts(address));
+    function failed(error: Error): void {
+      clearTimeout(alarm);
+      socket.destroy();
+      const refused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+      resolve(Either.left(refused
+        ? fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address', cause: error })
+        : unreachable(address, error)));
+    }
+    const alarm = setTimeout(() => failed(new Error('no connection in time')), milliseconds);
+    socket.once('error', failed);
+    socket.once('connect', () => {
+      clearTimeout(alarm);
+      socket.removeListener('error', failed);
+      resolve(Either.right(streamOver(socket)));
+    });
+  });
+}
+
 function typedError(error: { readonly statusCode?: number; readonly message: string }): HttpReply {
   return http.denied(error.statusCode === 413
     ? fault.create({ kind: 'too-large', message: `the body is over ${longestBody} bytes`, remedy: 'send less at a time' })
@@ -220,4 +325,4 @@
   return { exchange, close, closed: () => closed };
 }
 
-export const network: Network = { listen, open, serve, connect };
+export const network: Network = { listen, open, listenStream, openStream, serve, connect };
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -112,7 +112,10 @@
   node: Name,
   membership: Count,
 });
-const ProposeReply = Type.Object({ accepted: Type.Boolean(), reason: Type.String({ maxLength: 300 }), epoch: Count });
+/** `lessees`: edges that this node granted a lease within a term and its margin. */
+const ProposeReply = Type.Object({
+  accepted: Type.Boolean(), reason: Type.String({ maxLength: 300 }), epoch: Count, lessees: Type.Optional(Type.Array(Name, { maxItems: 20_000 })),
+});
 
 const RegisterAsk = Type.Object({ key: Name, ballot: BallotSchema });
 const AcceptAsk = Type.Object({ key: Name, entry: EntrySchema });
@@ -136,6 +139,102 @@
 const UsageLook = Type.Object({ window: Count });
 const UsageLookReply = Type.Object({ ready: Type.Boolean(), reports: NoteAsk.properties.reports, through: NoteAsk.properties.through });
 
+/** What is known of a member that registers by its beats (design 4.7). */
+export const RosterEntrySchema = Type.Object({
+  member: Name,
+  service: Name,
+  address: Name,
+  area: Name,
+  draining: Type.Boolean(),
+  role: Type.Union([Type.Literal('primary'), Type.Literal('replica')]),
+  /** How many statements it runs at once. */
+  slots: Count,
+  /** Rises with each beat of this member, so that a late one is known. */
+  sequence: Count,
+  /** It has left; the id never comes back. */
+  gone: Type.Boolean(),
+  /** Unheard for so long as to be DOWN (design 7.1). */
+  down: Type.Boolean(),
+});
+export type RosterEntry = Readonly<Static<typeof RosterEntrySchema>>;
+const RosterEntries = Type.Array(RosterEntrySchema, { maxItems: 20_000 });
+
+/** Between cores: beats that the sender took itself, and how long ago (design 4.7). */
+const SpreadAsk = Type.Object({ beats: Type.Array(Type.Object({ entry: RosterEntrySchema, ago: Type.Number() }), { maxItems: 20_000 }) });
+const SpreadReply = Type.Object({ taken: Type.Boolean() });
+
+/** A position in a member's log: the log's term and the number in it. */
+export const LogPositionSchema = Type.Object({ term: Count, number: Count });
+export type LogPosition = Readonly<Static<typeof LogPositionSchema>>;
+const LogPositions = Type.Record(Type.String({ maxLength: 200 }), LogPositionSchema);
+
+/** An edge asks each core for its lease; the core replies at once with news, or at the latest after `hold` (design 7.12). */
+const LeaseAsk = Type.Object({
+  node: Name,
+  area: Name,
+  /** Of the news of this core: the process it ran as, and the number reached. */
+  token: Type.String({ maxLength: 100 }),
+  seen: Count,
+  hold: Type.Number({ minimum: 0, maximum: 10_000 }),
+  acknowledged: Count,
+  obeyed: Count,
+  /** For a service: below this epoch the edge has nothing under way and takes no lease any more. */
+  released: ServiceCounts,
+  /** How far the commits reach that senders of this edge were told of. */
+  positions: LogPositions,
+  /** Members whose machines refused a connection of this edge. */
+  refused: Type.Array(Name, { maxItems: 1_000 }),
+});
+const LeaseReply = Type.Object({
+  ready: Type.Boolean(),
+  token: Type.String({ maxLength: 100 }),
+  number: Count,
+  /** The epoch this core stands at for each service. */
+  stances: ServiceCounts,
+  configuration: Count,
+  membership: Count,
+  puts: Count,
+  /** What has changed in the roster since `seen`; all of it when `whole`. */
+  roster: RosterEntries,
+  whole: Type.Boolean(),
+  /** How many edges hold leases here. */
+  edges: Count,
+});
+
+/** What a proxy is fed of placement (design 8.10). */
+export const PlacementSchema = Type.Object({
+  service: Name,
+  epoch: Count,
+  primary: Type.String({ maxLength: 200 }),
+  /** Milliseconds of lease left when the agent replied. */
+  left: Type.Number(),
+  /** Below this epoch nothing may be under way any more: above `epoch` while a change of primary is under way. */
+  release: Count,
+});
+export type Placement = Readonly<Static<typeof PlacementSchema>>;
+const PlacementAsk = Type.Object({
+  token: Type.String({ maxLength: 100 }),
+  seen: Count,
+  hold: Type.Number({ minimum: 0, maximum: 10_000 }),
+  configuration: Count,
+  released: ServiceCounts,
+  positions: LogPositions,
+  refused: Type.Array(Name, { maxItems: 1_000 }),
+  metrics: Type.Record(Type.String({ maxLength: 100 }), Type.Number()),
+});
+const PlacementReply = Type.Object({
+  token: Type.String({ maxLength: 100 }),
+  number: Count,
+  configuration: Type.Union([Type.Object({ version: Count, sheet: Type.Unknown() }), Type.Null()]),
+  configurationVersion: Count,
+  services: Type.Array(PlacementSchema, { maxItems: 20_000 }),
+  /** The whole roster, or null where it is as it was at `seen`. */
+  roster: Type.Union([RosterEntries, Type.Null()]),
+  edges: Count,
+  area: Name,
+  node: Name,
+});
+
 const StatusReply = Type.Object({ status: Type.Unknown() });
 const Empty = Type.Object({});
 
@@ -205,6 +304,9 @@
   tell: { ask: TellAsk, reply: TellReply },
   status: { ask: Empty, reply: StatusReply },
   feed: { ask: FeedAsk, reply: FeedReply },
+  spread: { ask: SpreadAsk, reply: SpreadReply },
+  lease: { ask: LeaseAsk, reply: LeaseReply },
+  placement: { ask: PlacementAsk, reply: PlacementReply },
 } as const;
 
 export type MessageKind = keyof typeof messages;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -11,8 +11,8 @@
 import { quorum } from '@stallstall/quorum';
 import { notes, notesService, proposer, registerService, watcher, type Notes, type NoteTarget, type Register, type RegisterTarget } from '@stallstall/register';
 import { fence, fenceService, termMilliseconds, type Fence } from '@stallstall/fence';
-import { election, electionService, liveness, livenessService, MemberStateSchema, type VoteStore } from '@stallstall/elect';
-import { sheets, type Sheet } from '@stallstall/sheet';
+import { election, electionService, liveness, livenessService, MemberStateSchema, type MemberProbe, type PlatformCalls, type VoteStore } from '@stallstall/elect';
+import { sheets, type Sheet, type SheetMember } from '@stallstall/sheet';
 
 export const beatMilliseconds = 200;
 const callMilliseconds = 800;
@@ -36,12 +36,24 @@
   sentAt: number;
   /** The ids of the latest sends, so that none is taken twice; not pushed. */
   recent: ReadonlyArray<Readonly<{ version: number; sendId: string }>>;
+  /** The version its sender gave it and the text as sent, where another platform's operators count versions of their own (design 6.5). */
+  external?: Readonly<{ version: number; source: string }>;
   /** Versions before this one, on disks of format 1 alone; archived at the next send. */
   history?: ReadonlyArray<Readonly<{ version: number; sheet: Sheet; sendId: string; sentBy: string; sentAt: number }>>;
 }>;
 
 export type Obeyed<Value> = Readonly<{ version: number; value: Value }>;
 
+/** Where members register by their beats and edges hold leases: what the node asks of whoever keeps these (design 4.7, 7.12). */
+export type Registered = Readonly<{
+  calls: PlatformCalls;
+  probe: MemberProbe;
+  membersOf: (service: string) => readonly SheetMember[];
+  lessees: () => readonly string[];
+  released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
+  onStance: () => void;
+}>;
+
 /** What differs between a core and an agent. */
 export type NodeParts = Readonly<{
   role: NodeRole;
@@ -52,6 +64,7 @@
   caps: () => Readonly<Record<string, number>>;
   onObeyed: (key: string) => void;
   onHello: (reply: Reply<'hello'>, address: string) => void;
+  registered?: Registered;
 }>;
 
 export type Node = Readonly<{
@@ -67,6 +80,8 @@
   notes: Notes;
   /** What every other edge last told of its caps; none for one that has told nothing yet. */
   capsOfOthers: () => ReadonlyArray<Option.Option<Readonly<Record<string, number>>>>;
+  /** The epoch this node stands at for each service (design 7.3). */
+  epochs: () => Readonly<Record<string, number>>;
   stances: () => ReadonlyArray<Readonly<{ node: string; membership: number; epochs: Readonly<Record<string, number>> }>>;
   heardAt: (node: string) => Option.Option<Instant>;
   callPeer: (node: string) => Option.Option<Peer>;
@@ -89,7 +104,8 @@
   const ownSeat: Seat = {
     node: settings.node, role: parts.role, area: settings.area, address: settings.address, outward: settings.outward, draining: false,
   };
-  const members = liveness.create(kernel);
+  const registered = Option.fromNullable(parts.registered);
+  const members = liveness.create(kernel, Option.map((known: Registered) => known.probe)(registered));
   const terms: Fence = fence.create();
   const peers = new Map<string, Readonly<{ address: string; peer: Peer }>>();
   const told = new Map<string, Told>();
@@ -156,9 +172,16 @@
     return Option.isSome(entry) && message.fits(SettledSchema, entry.value.value) ? Option.some(entry.value.value) : Option.none;
   }
 
+  /** The sheet as sent; a service whose members register has those of the roster. */
   function sheet(): Option.Option<Sheet> {
     const current = configuration();
-    return Option.isSome(current) ? Option.some(current.value.value.sheet) : Option.none;
+    if (Option.isNone(current)) return Option.none;
+    const sent = current.value.value.sheet;
+    if (Option.isNone(registered)) return Option.some(sent);
+    return Option.some({
+      ...sent,
+      services: sent.services.map((service) => (service.registered ? { ...service, members: [...registered.value.membersOf(service.service)] } : service)),
+    });
   }
 
   function otherSeats(): readonly string[] {
@@ -304,6 +327,10 @@
     kernel,
     {
       self: settings.node,
+      calls: Option.map((known: Registered) => known.calls)(registered),
+      lessees: () => (Option.isSome(registered) ? registered.value.lessees() : []),
+      released: (service, epoch, lessees) => Option.isSome(registered) && registered.value.released(service, epoch, lessees),
+      onStance: () => (Option.isSome(registered) ? registered.value.onStance() : undefined),
       membership: () => membership().value,
       membershipVersion: () => membership().version,
       sheet,
@@ -464,6 +491,7 @@
 
   return {
     settings, handlers, mappings, configuration, membership, settled, controlUntil, fenceUntil,
+    epochs,
     notes: noted, start, stop, setCores, isStale,
     changed: watch.changed,
     capsOfOthers: function capsOfOthers() {
--- /dev/null
+++ b/packages/pooler/src/index.ts
@@ -0,0 +1,1 @@
+export * from './pooler.js';
--- /dev/null
+++ b/packages/pooler/src/pooler.ts
@@ -0,0 +1,372 @@
+// The proxy of the session wire: sessions in, statements placed, members' replies out; fed by its agent (design 8.10).
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, kernel as kernels, type HttpMapping, type Instant, type Kernel, type Listening, type Stream } from '@stallstall/kernel';
+import { peer } from '@stallstall/peer';
+import type { SheetDatabase } from '@stallstall/sheet';
+import type { Command, Condition, Dialect, Incoming, StatementReply } from '@stallstall/statement';
+import { connections as connectionTables } from './connections.js';
+import { freshness as freshnessTables } from './freshness.js';
+import { requests as requestTables } from './requests.js';
+import { sessions as sessionTables, type Session, type Transaction } from './sessions.js';
+import { usage as usageTables } from './usage.js';
+import { never, views, type View } from './view.js';
+
+export type PoolerSettings = Readonly<{
+  /** Where senders reach it, and where its readiness is asked. */
+  address: string;
+  outward: string;
+  feed: string;
+  /** How long a process that is to end is given; the first half of it for open transactions. */
+  graceMilliseconds: number;
+}>;
+
+export type PoolerParts = Readonly<{
+  dialect: Dialect;
+  /** The pages that tell whether it is ready, in the platform's words. */
+  pages: (ready: () => boolean) => readonly HttpMapping[];
+}>;
+
+export type Pooler = Readonly<{
+  drain: () => Promise<void>;
+  stop: () => Promise<void>;
+  view: () => View;
+  ready: () => boolean;
+  totals: () => Readonly<Record<string, number>>;
+}>;
+
+const feedMilliseconds = 400;
+const feedCallMilliseconds = 1_200;
+const feedPauseMilliseconds = 50;
+const tendMilliseconds = 250;
+const tellMilliseconds = 1_000;
+/** A sender that opens before anything is known is held for so long: it gives up after two seconds. */
+const openingMilliseconds = 1_800;
+const openingLookMilliseconds = 25;
+/** How long open transactions go on at a leader that is to let go. */
+const handoverMilliseconds = 300;
+/** Connections of each member kept free for the cores' own questions. */
+const reservedConnections = 6;
+/** After SIGTERM new sessions still arrive for a moment. */
+const lameMilliseconds = 1_600;
+const rollbackMilliseconds = 1_000;
+const drainLookMilliseconds = 20;
+const mostOpeningBytes = 16_384;
+
+async function start(kernel: Kernel, settings: PoolerSettings, parts: PoolerParts): Promise<Pooler> {
+  const { dialect } = parts;
+  const agent = peer.dial(kernel, identifiers.address(settings.feed));
+  const freshness = freshnessTables.create();
+  const usage = usageTables.create(kernel, agent);
+  const sessions = new Map<Session, Stream>();
+  /** Sessions that wait for a reply. */
+  const asked = new Set<Session>();
+  const released: Record<string, number> = {};
+  /** Since when a service's epoch is to be let go. */
+  const releasing = new Map<string, Instant>();
+  let view: View = views.empty;
+  let token = '';
+  let seen = 0;
+  let lastSession = 0;
+  let ending = false;
+  let endingSince: Instant = never;
+  let stopped = false;
+
+  const connections = connectionTables.create(kernel, dialect, share, () => requests.sweep());
+  const requests = requestTables.create(kernel, dialect, () => view, connections, freshness, usage);
+
+  /** This edge's part of what a member lets in, of all edges that hold leases (design 8.3). */
+  function share(service: string): number {
+    const known = Option.isSome(view.sheet) ? view.sheet.value.services.find((one) => one.service === service) : undefined;
+    return Math.max(1, Math.floor(((known?.connectionLimit ?? 0) - reservedConnections) / Math.max(1, view.edges)));
+  }
+
+  // -- Fed by the agent; leases are counted from this process's own send time (design 7.3).
+
+  async function feed(hold: number): Promise<boolean> {
+    const sentAt = kernel.clock.now();
+    const reply = await agent.call('placement', {
+      token, seen, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, refused: [...connections.refused()],
+      metrics: { ...requests.totals(), ...connections.describe(), sessions: sessions.size },
+    }, hold + feedCallMilliseconds);
+    if (Option.isNone(reply)) return false;
+    const news = reply.value.token !== token || reply.value.number > seen;
+    if (reply.value.token === token && reply.value.number < seen) return true;
+    view = views.fed(view, reply.value, sentAt, kernel.clock.now());
+    token = reply.value.token;
+    seen = reply.value.number;
+    if (news) {
+      noteReleases();
+      connections.tend(view.members);
+    }
+    requests.sweep();
+    return true;
+  }
+
+  async function feedTask(): Promise<void> {
+    while (!stopped) {
+      const fed = agent.connected() && (await feed(feedMilliseconds));
+      if (!fed) await kernel.clock.sleep(feedPauseMilliseconds);
+    }
+  }
+
+  // -- Letting go of an epoch: nothing new, what is open ends, then the cores hear of it (design 7.12).
+
+  function heldAt(service: string, below: number): readonly Transaction[] {
+    return [...sessions.keys()].flatMap((session) => {
+      if (Option.isNone(session.transaction) || Option.isNone(session.transaction.value.held)) return [];
+      const { held, database } = session.transaction.value;
+      return database.service === service && held.value.leader && held.value.epoch < below ? [session.transaction.value] : [];
+    });
+  }
+
+  function noteReleases(): void {
+    for (const [service, leader] of view.leaders) {
+      if (leader.release > (released[service] ?? 0) && !releasing.has(service)) releasing.set(service, kernel.clock.now());
+    }
+    lookAtReleases();
+  }
+
+  function lookAtReleases(): void {
+    let told = false;
+    for (const [service, since] of [...releasing]) {
+      const release = view.leaders.get(service)?.release ?? 0;
+      if (kernel.clock.now() - since >= handoverMilliseconds) for (const transaction of heldAt(service, release)) endTransaction(transaction);
+      if (requests.underWay(service, release) > 0 || heldAt(service, release).length > 0) continue;
+      releasing.delete(service);
+      released[service] = release;
+      told = true;
+      kernel.log('lease.released', { service, below: release });
+    }
+    if (told) void feed(0);
+    if (releasing.size > 0) kernel.clock.alarm(5, lookAtReleases);
+  }
+
+  /** Nothing of it can be kept: its connection is broken off. */
+  function endTransaction(transaction: Transaction): void {
+    if (transaction.busy) return;
+    transaction.failed = true;
+    if (Option.isNone(transaction.held)) return;
+    const { pooled } = transaction.held.value;
+    transaction.held = Option.none;
+    connections.giveBack(pooled, false);
+  }
+
+  /** The sender asked for it: rolled back on the member, the connection stays of use. */
+  async function rollback(transaction: Transaction): Promise<void> {
+    transaction.failed = true;
+    if (Option.isNone(transaction.held) || transaction.busy) return;
+    const { pooled } = transaction.held.value;
+    transaction.held = Option.none;
+    const ran = await pooled.line.run([dialect.query(dialect.ownIdentifier, dialect.texts.rollback)], rollbackMilliseconds);
+    connections.giveBack(pooled, ran.whole && ran.replies[0]?.stance === 'idle');
+  }
+
+  // -- One task for each sender's connection.
+
+  function done(): StatementReply {
+    return { rows: [], ending: { kind: 'done', stamp: '-' }, stance: 'idle', position: Option.none };
+  }
+
+  function fault(condition: Condition, text: string): StatementReply {
+    return { rows: [], ending: { kind: 'fault', condition, text }, stance: 'idle', position: Option.none };
+  }
+
+  type LetIn = Readonly<{ database: SheetDatabase; tenant: string }>;
+
+  function letIn(database: string, who: string): LetIn | Condition {
+    const known = view.databases.get(database);
+    if (known === undefined) return 'no-database';
+    if (known.open) return { database: known, tenant: view.tenants.get(who)?.tenant ?? '-' };
+    const tenant = view.tenants.get(who);
+    return tenant === undefined ? 'denied' : { database: known, tenant: tenant.tenant };
+  }
+
+  function begin(session: Session, readOnly: boolean): StatementReply {
+    const found = letIn(session.database, session.who);
+    if (typeof found === 'string') return fault(found, 'not let in');
+    const now = kernel.clock.now();
+    session.transaction = Option.some({ readOnly, database: found.database, tenant: found.tenant, startedAt: now, held: Option.none, failed: false, busy: false, restsSince: now });
+    return done();
+  }
+
+  async function run(session: Session, identifier: string, text: string, command: Command): Promise<StatementReply> {
+    const { transaction } = session;
+    const prepared = command.kind === 'execute' ? session.prepared.get(command.name) : undefined;
+    if (command.kind === 'execute' && prepared === undefined) {
+      if (Option.isSome(transaction)) endTransaction(transaction.value);
+      return fault('undefined', 'no such prepared name');
+    }
+    const found = Option.isSome(transaction) ? { database: transaction.value.database, tenant: transaction.value.tenant } : letIn(session.database, session.who);
+    if (typeof found === 'string') return fault(found, 'not let in');
+    if (Option.isSome(transaction)) transaction.value.busy = true;
+    const reply = await requests.ask({
+      session, identifier, text, transaction, database: found.database, tenant: found.tenant,
+      prepared: command.kind === 'execute' && prepared !== undefined ? Option.some({ shape: prepared, rest: command.rest }) : Option.none,
+      writes: command.kind === 'write' || prepared?.writes === true, commit: command.kind === 'commit',
+    });
+    if (Option.isSome(transaction)) {
+      transaction.value.busy = false;
+      transaction.value.restsSince = kernel.clock.now();
+      if (command.kind === 'commit') session.transaction = Option.none;
+    }
+    return reply;
+  }
+
+  async function handle(session: Session, incoming: Extract<Incoming, { kind: 'query' }>): Promise<StatementReply> {
+    if (Option.isNone(incoming.command)) {
+      if (Option.isSome(session.transaction)) endTransaction(session.transaction.value);
+      return fault('malformed', 'it cannot be read');
+    }
+    const command = incoming.command.value;
+    const { transaction } = session;
+    if (Option.isSome(transaction) && transaction.value.failed) {
+      if (command.kind !== 'rollback' && command.kind !== 'commit') return fault('malformed', 'the transaction has failed; end it');
+      session.transaction = Option.none;
+      return command.kind === 'rollback' ? done() : fault('aborted', 'the transaction had failed; nothing of it is kept');
+    }
+    switch (command.kind) {
+      case 'set':
+        session.values.set(command.name, command.value);
+        return done();
+      case 'prepare':
+        session.prepared.set(command.name, { writes: command.writes, shape: command.shape });
+        return done();
+      case 'forget':
+        if (!session.prepared.delete(command.name)) return fault('undefined', 'no such prepared name');
+        return done();
+      case 'begin':
+        return Option.isSome(transaction) ? fault('malformed', 'a transaction is open already') : begin(session, command.readOnly);
+      case 'rollback':
+        if (Option.isNone(transaction)) return fault('malformed', 'no transaction is open');
+        session.transaction = Option.none;
+        await rollback(transaction.value);
+        return done();
+      case 'commit':
+        if (Option.isNone(transaction)) return fault('malformed', 'no transaction is open');
+        return run(session, incoming.identifier, incoming.text, command);
+      default:
+        return run(session, incoming.identifier, incoming.text, command);
+    }
+  }
+
+  /** Whoever opens before this edge knows anything is held back, not turned away. */
+  async function awaitView(): Promise<void> {
+    const horizon = identifiers.after(kernel.clock.now(), openingMilliseconds);
+    while (!stopped && Option.isNone(view.sheet) && kernel.clock.now() < horizon) await kernel.clock.sleep(openingLookMilliseconds);
+  }
+
+  async function openSession(stream: Stream, incoming: Incoming): Promise<Session | undefined> {
+    if (incoming.kind !== 'open') {
+      if (incoming.kind !== 'close') stream.write(dialect.fault('malformed', 'a session begins with its opening'));
+      return undefined;
+    }
+    await awaitView();
+    const found = Option.isNone(view.sheet) ? 'saturated' as const : letIn(incoming.database, incoming.who);
+    if (typeof found === 'string') {
+      stream.write(dialect.fault(found, found === 'saturated' ? 'nothing is known yet; come back in 500 ms' : 'not let in'));
+      return undefined;
+    }
+    lastSession += 1;
+    const session = sessionTables.create(`s${lastSession}`, incoming.database, incoming.who);
+    sessions.set(session, stream);
+    stream.write(dialect.rest('idle', Option.none));
+    return session;
+  }
+
+  function mayEnd(session: Session): boolean {
+    return ending && Option.isNone(session.transaction);
+  }
+
+  async function sender(stream: Stream): Promise<void> {
+    const framer = dialect.framer(Option.isSome(view.sheet) ? view.sheet.value.bounds.messageBytes : mostOpeningBytes * 64);
+    let session: Session | undefined;
+    reading: for (;;) {
+      const piece = await stream.read();
+      if (Option.isNone(piece)) break;
+      const { messages, oversize } = framer.push(piece.value);
+      for (const message of messages) {
+        const incoming = dialect.incoming(message);
+        if (session === undefined) {
+          session = await openSession(stream, incoming);
+          if (session === undefined) break reading;
+          continue;
+        }
+        if (incoming.kind === 'close') break reading;
+        if (incoming.kind !== 'query') {
+          stream.write(dialect.fault('malformed', 'it cannot be read'));
+          break reading;
+        }
+        asked.add(session);
+        const reply = await handle(session, incoming);
+        asked.delete(session);
+        stream.write(dialect.reply({ ...reply, stance: sessionTables.stance(session) }));
+        if (mayEnd(session)) break reading;
+      }
+      if (oversize) {
+        stream.write(dialect.fault('oversize', 'the message is too long'));
+        break;
+      }
+    }
+    stream.close();
+    if (session === undefined) return;
+    sessions.delete(session);
+    if (Option.isSome(session.transaction)) void rollback(session.transaction.value);
+  }
+
+  // -- What must be looked at from time to time.
+
+  function tend(): void {
+    const now = kernel.clock.now();
+    connections.tend(view.members);
+    const rest = Option.isSome(view.sheet) ? view.sheet.value.bounds.restMilliseconds : openingMilliseconds;
+    for (const session of sessions.keys()) {
+      if (Option.isNone(session.transaction)) continue;
+      const transaction = session.transaction.value;
+      if (!transaction.busy && Option.isSome(transaction.held) && now - transaction.restsSince >= rest) endTransaction(transaction);
+      if (ending && now - endingSince >= settings.graceMilliseconds / 2 - 200) endTransaction(transaction);
+    }
+  }
+
+  function ready(): boolean {
+    if (ending || stopped || Option.isNone(view.sheet)) return false;
+    const now = kernel.clock.now();
+    return view.leaders.size > 0 && [...view.leaders.values()].some((leader) => leader.until > now);
+  }
+
+  const listening: readonly Listening[] = [
+    await kernel.network.serve(identifiers.address(settings.outward), { mappings: parts.pages(ready) }),
+    await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void sender(stream)),
+  ];
+  void feedTask();
+  void kernels.every(kernel.clock, tendMilliseconds, tend, () => !stopped);
+  void kernels.every(kernel.clock, tellMilliseconds, async function tell() {
+    if (agent.connected()) await usage.tell();
+  }, () => !stopped);
+
+  async function stop(): Promise<void> {
+    stopped = true;
+    connections.closeAll();
+    agent.close();
+    for (const stream of sessions.values()) stream.close();
+    for (const entry of listening) await entry.stop();
+  }
+
+  /** Readiness fails first; what is asked is served; whoever rests is let go; open transactions have half of the grace (design 7.10). */
+  async function drain(): Promise<void> {
+    ending = true;
+    endingSince = kernel.clock.now();
+    const horizon = identifiers.after(endingSince, settings.graceMilliseconds - 500);
+    await kernel.clock.sleep(lameMilliseconds);
+    while (kernel.clock.now() < horizon) {
+      for (const [session, stream] of sessions) if (Option.isNone(session.transaction) && !asked.has(session)) stream.close();
+      if (sessions.size === 0) break;
+      await kernel.clock.sleep(drainLookMilliseconds);
+    }
+    await usage.tell();
+    await stop();
+  }
+
+  return { drain, stop, view: () => view, ready, totals: requests.totals };
+}
+
+export const pooler = { start } as const;
--- /dev/null
+++ b/packages/pooler/src/requests.ts
@@ -0,0 +1,435 @@
+// A statement is a record in a table that passes run over: expire, let in, judge, place, dispatch (design 8.5, 8.10).
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
+import type { RosterEntry } from '@stallstall/message';
+import type { SheetDatabase } from '@stallstall/sheet';
+import { positions, type Condition, type Dialect, type MemberPlace, type Position, type StatementReply } from '@stallstall/statement';
+import type { Connections, PooledLine } from './connections.js';
+import type { Freshness } from './freshness.js';
+import { sessions, type Prepared, type Session, type Transaction } from './sessions.js';
+import type { Usage } from './usage.js';
+import type { View } from './view.js';
+
+export type Ask = Readonly<{
+  session: Session;
+  identifier: string;
+  text: string;
+  /** A prepared shape to be run, and what follows its name. */
+  prepared: Option.Option<Readonly<{ shape: Prepared; rest: string }>>;
+  writes: boolean;
+  commit: boolean;
+  transaction: Option.Option<Transaction>;
+  database: SheetDatabase;
+  tenant: string;
+}>;
+
+type Target = Readonly<{ place: MemberPlace; epoch: number; leader: boolean; since: Option.Option<Position> }>;
+
+type RequestRecord = Readonly<{
+  id: number;
+  ask: Ask;
+  stage: 'arrived' | 'waiting' | 'sent' | 'done';
+  arrivedAt: Instant;
+  /** The first byte of the statement or of its transaction: what had been acknowledged before it must be seen. */
+  startedAt: Instant;
+  horizon: Instant;
+  /** Until then it may wait for a leader or a connection without having been offered to a member. */
+  holdUntil: Instant;
+  shots: number;
+  without: ReadonlySet<string>;
+  /** The member a connection was asked to be opened to on its behalf. */
+  wanted: string;
+  target: Option.Option<Target>;
+  connection: Option.Option<PooledLine>;
+}>;
+
+export type Requests = Readonly<{
+  ask: (asked: Ask) => Promise<StatementReply>;
+  /** Something has changed: whoever waits is looked at again. */
+  sweep: () => void;
+  inFlight: () => number;
+  /** Statements and open transactions on a leader of a service at an epoch below this one. */
+  underWay: (service: string, below: number) => number;
+  totals: () => Readonly<Record<string, number>>;
+}>;
+
+const mostShots = 3;
+const sweepMilliseconds = 20;
+/** What is left of the allowance for the statement to reach its member and be read there. */
+const stalenessMarginMilliseconds = 150;
+/** Share of the aim that a statement may wait without having been offered to a member. */
+const holdShare = 0.24;
+const leastHoldMilliseconds = 20;
+/** A draining member takes nothing new for longer than this after the news (design 7.9). */
+const drainMilliseconds = 4_500;
+/** A read whose member is silent for so long is sent to another one as well, the first being given up. */
+const leastHedgeMilliseconds = 250;
+/** How a member far away weighs against one in this area, in statements under way. */
+const farWeight = 3;
+const leaderWeight = 1;
+
+function create(
+  kernel: Kernel, dialect: Dialect, view: () => View, connections: Connections, freshness: Freshness, usage: Usage,
+): Requests {
+  const table = new Map<number, RequestRecord>();
+  const repliers = new Map<number, (reply: StatementReply) => void>();
+  const totals = new Map<string, number>();
+  let lastId = 0;
+  let working = false;
+  let again = false;
+  let alarmed = false;
+
+  function count(name: string): void {
+    totals.set(name, (totals.get(name) ?? 0) + 1);
+  }
+
+  function reply(record: RequestRecord, replied: StatementReply): RequestRecord {
+    const resolve = repliers.get(record.id);
+    table.delete(record.id);
+    repliers.delete(record.id);
+    resolve?.(replied);
+    return { ...record, stage: 'done' };
+  }
+
+  /** Within a transaction a denial ends it: what was open on a member is rolled back there. */
+  function deny(record: RequestRecord, condition: Condition, text: string): RequestRecord {
+    count(`denied.${condition}`);
+    if (Option.isSome(record.ask.transaction)) abandon(record.ask.transaction.value);
+    return reply(record, { rows: [], ending: { kind: 'fault', condition, text }, stance: 'idle', position: Option.none });
+  }
+
+  function abandon(transaction: Transaction): void {
+    transaction.failed = true;
+    if (Option.isNone(transaction.held)) return;
+    const { pooled } = transaction.held.value;
+    transaction.held = Option.none;
+    connections.giveBack(pooled, false);
+  }
+
+  // -- The passes.
+
+  function expire(record: RequestRecord): RequestRecord {
+    if (kernel.clock.now() < record.horizon) return record;
+    return deny(record, 'aborted', 'it did not run in its time; begin it again');
+  }
+
+  /** Keys and databases may be withdrawn while a statement waits; an open transaction keeps what it began with (design 6.4). */
+  function letIn(record: RequestRecord): RequestRecord {
+    if (Option.isSome(record.ask.transaction)) return record;
+    const known = view();
+    if (!record.ask.database.open && known.tenants.get(record.ask.session.who)?.tenant !== record.ask.tenant) return deny(record, 'denied', 'the key is not known');
+    if (known.databases.get(record.ask.session.database)?.service !== record.ask.database.service) return deny(record, 'no-database', 'there is no such database');
+    return record;
+  }
+
+  function retryText(milliseconds: number): string {
+    return `not run; come back in ${milliseconds} ms`;
+  }
+
+  function isDrained(entry: RosterEntry): boolean {
+    const since = view().drainingSince.get(entry.member);
+    return since !== undefined && kernel.clock.now() - since > drainMilliseconds;
+  }
+
+  function placeOf(entry: RosterEntry): MemberPlace {
+    return { service: entry.service, member: entry.member, address: entry.address };
+  }
+
+  function leaderTarget(service: string): Option.Option<Target> {
+    const known = view();
+    const leader = known.leaders.get(service);
+    if (leader === undefined || leader.epoch === 0 || leader.release > leader.epoch || kernel.clock.now() >= leader.until) return Option.none;
+    const entry = known.members.get(leader.primary);
+    if (entry === undefined || isDrained(entry)) return Option.none;
+    return Option.some({ place: placeOf(entry), epoch: leader.epoch, leader: true, since: Option.none });
+  }
+
+  function cost(entry: RosterEntry, primary: string, area: string): number {
+    return connections.busy(entry.member) + (entry.area === area ? 0 : farWeight) + (entry.member === primary ? leaderWeight : 0) + kernel.randomness.fraction() / 2;
+  }
+
+  /** A read of bounded age goes to whoever can show that it holds all that was acknowledged before the bound; else to the leader. */
+  function readTarget(record: RequestRecord): Option.Option<Target> {
+    const { database, session } = record.ask;
+    const known = view();
+    const bound = identifiers.after(record.startedAt, -Math.max(0, database.staleMilliseconds - stalenessMarginMilliseconds));
+    const covering = database.staleMilliseconds > stalenessMarginMilliseconds ? freshness.covering(database.service, bound) : Option.none;
+    const own = database.reads === 'own' ? Option.fromNullable(session.commits.get(database.service)) : Option.none;
+    if (Option.isNone(covering)) return leaderTarget(database.service);
+    const since = Option.isSome(own) ? positions.later(covering.value, own.value) : covering.value;
+    const primary = known.leaders.get(database.service)?.primary ?? '';
+    const able = (known.byService.get(database.service) ?? []).filter((entry) =>
+      !entry.draining && !entry.down && !record.without.has(entry.member) && !connections.failing(entry.member));
+    const [best] = able.map((entry) => ({ entry, cost: cost(entry, primary, known.area) })).sort((left, right) => left.cost - right.cost);
+    if (best === undefined) return leaderTarget(database.service);
+    return Option.some({ place: placeOf(best.entry), epoch: 0, leader: false, since: Option.some(since) });
+  }
+
+  function needsLeader(ask: Ask): boolean {
+    if (ask.database.reads === 'leader') return true;
+    return Option.isSome(ask.transaction) ? !ask.transaction.value.readOnly : ask.writes;
+  }
+
+  function judge(record: RequestRecord): RequestRecord {
+    const { transaction } = record.ask;
+    if (Option.isSome(transaction) && Option.isSome(transaction.value.held)) return record;
+    const target = needsLeader(record.ask) ? leaderTarget(record.ask.database.service) : readTarget(record);
+    if (Option.isSome(target)) return { ...record, target };
+    if (kernel.clock.now() < record.holdUntil) return { ...record, stage: 'waiting' };
+    return deny(record, 'read-only', retryText(300));
+  }
+
+  function place(record: RequestRecord): RequestRecord {
+    const { transaction, session, tenant } = record.ask;
+    if (Option.isSome(transaction) && Option.isSome(transaction.value.held)) {
+      return { ...record, connection: Option.some(transaction.value.held.value.pooled) };
+    }
+    if (Option.isNone(record.target)) return record;
+    const { place: member, leader } = record.target.value;
+    const taken = connections.take(member, tenant, session.id);
+    if (Option.isSome(taken)) return { ...record, connection: taken };
+    const wanted = record.wanted === member.member || connections.want(member, tenant) ? member.member : record.wanted;
+    if (connections.failing(member.member) && (leader || kernel.clock.now() >= record.holdUntil)) {
+      if (!leader && record.without.size < 8) return { ...record, stage: 'waiting', without: new Set([...record.without, member.member]) };
+      if (kernel.clock.now() >= record.holdUntil) return deny(record, 'read-only', retryText(300));
+    }
+    return { ...record, stage: 'waiting', wanted };
+  }
+
+  function dispatch(record: RequestRecord): RequestRecord {
+    if (Option.isNone(record.connection)) return record;
+    const sent: RequestRecord = { ...record, stage: 'sent', shots: record.shots + 1 };
+    table.set(record.id, sent);
+    void exchange(sent, record.connection.value);
+    return sent;
+  }
+
+  const passes = [expire, letIn, judge, place, dispatch] as const;
+
+  function run(record: RequestRecord): void {
+    let current: RequestRecord = { ...record, stage: 'arrived' };
+    for (const pass of passes) {
+      current = pass(current);
+      if (current.stage !== 'arrived') break;
+    }
+    // What was not sent keeps no verdict: it is looked up afresh at the next sweep.
+    if (current.stage === 'waiting') {
+      table.set(current.id, { ...current, target: Option.none, connection: Option.none });
+      alarm();
+    }
+  }
+
+  function alarm(): void {
+    if (alarmed) return;
+    alarmed = true;
+    kernel.clock.alarm(sweepMilliseconds, function due() {
+      alarmed = false;
+      sweep();
+    });
+  }
+
+  function sweepOnce(): void {
+    const waiting = [...table.values()].filter((record) => record.stage === 'waiting');
+    waiting.sort((left, right) => left.ask.database.rank - right.ask.database.rank || left.arrivedAt - right.arrivedAt);
+    for (const record of waiting) if (table.get(record.id)?.stage === 'waiting') run(record);
+  }
+
+  /** One sweep or one record at a time: what frees a connection on the way asks for another sweep, not for one inside. */
+  function alone(action: () => void): void {
+    if (working) {
+      again = true;
+      return;
+    }
+    working = true;
+    action();
+    while (again) {
+      again = false;
+      sweepOnce();
+    }
+    working = false;
+  }
+
+  function sweep(): void {
+    alone(sweepOnce);
+  }
+
+  function retry(record: RequestRecord, without: readonly string[]): void {
+    const next: RequestRecord = { ...record, stage: 'waiting', without: new Set([...record.without, ...without]), target: Option.none, connection: Option.none, wanted: '' };
+    table.set(record.id, next);
+    sweep();
+  }
+
+  // -- After the passes: one task carries the statement and settles it.
+
+  /** What must stand on the connection first, and then the beginning of the transaction; the statement leaves only after both are replied. */
+  async function prepare(record: RequestRecord, pooled: PooledLine): Promise<'ready' | 'lost' | StatementReply> {
+    const { session, prepared, transaction } = record.ask;
+    const needed = Option.map((one: Readonly<{ shape: Prepared }>) => one.shape)(prepared);
+    const said = sessions.prelude(dialect, session, pooled.image, needed);
+    const begins = Option.isSome(transaction) && Option.isNone(transaction.value.held);
+    const texts = [...said];
+    if (begins && Option.isSome(transaction)) {
+      const begin = dialect.texts.begin(transaction.value.readOnly);
+      const since = Option.isSome(record.target) ? record.target.value.since : Option.none;
+      texts.push(Option.isSome(since) ? dialect.texts.since(since.value, begin) : begin);
+    }
+    if (texts.length === 0) return 'ready';
+    const ran = await pooled.line.run(texts.map((text) => dialect.query(dialect.ownIdentifier, text)), record.horizon - kernel.clock.now());
+    if (!ran.whole) return 'lost';
+    if (ran.replies.slice(0, said.length).some((one) => one.ending.kind !== 'done')) return 'lost';
+    const last = ran.replies.at(-1);
+    return begins && last !== undefined && last.ending.kind === 'fault' ? last : 'ready';
+  }
+
+  function textOf(record: RequestRecord, pooled: PooledLine): string {
+    const { prepared, text, transaction } = record.ask;
+    const said = Option.isSome(prepared) ? dialect.texts.execute(sessions.preparedName(pooled.image, prepared.value.shape), prepared.value.rest) : text;
+    const since = Option.isSome(transaction) || Option.isNone(record.target) ? Option.none : record.target.value.since;
+    return Option.isSome(since) && !record.ask.writes ? dialect.texts.since(since.value, said) : said;
+  }
+
+  function mayRepeat(record: RequestRecord): boolean {
+    return record.shots < mostShots && kernel.clock.now() < record.horizon;
+  }
+
+  function isHeld(record: RequestRecord): boolean {
+    return Option.isSome(record.ask.transaction) && Option.isSome(record.ask.transaction.value.held);
+  }
+
+  async function exchange(record: RequestRecord, pooled: PooledLine): Promise<void> {
+    const { ask } = record;
+    const ready = await prepare(record, pooled);
+    if (ready === 'lost') {
+      settleUnsent(record, pooled, Option.none);
+      return;
+    }
+    if (ready !== 'ready') {
+      settleUnsent(record, pooled, Option.some(ready));
+      return;
+    }
+    if (Option.isSome(ask.transaction) && !isHeld(record) && Option.isSome(record.target)) {
+      if (ask.transaction.value.failed) {
+        // Given up while it began: its sender has gone, or this edge lets the epoch go.
+        connections.giveBack(pooled, false);
+        deny(record, 'aborted', retryText(100));
+        return;
+      }
+      ask.transaction.value.held = Option.some({ pooled, epoch: record.target.value.epoch, leader: record.target.value.leader });
+    }
+    const sentAt = kernel.clock.now();
+    count('sent');
+    usage.count(ask.tenant);
+    const hedges = !ask.writes && !ask.commit && Option.isNone(ask.transaction) && Option.isSome(record.target) && !record.target.value.leader && mayRepeat(record);
+    const hedgeAt = Math.max(leastHedgeMilliseconds, ask.database.aimMilliseconds * 0.6);
+    const left = record.horizon - sentAt;
+    const ran = await pooled.line.run([dialect.query(ask.identifier, textOf(record, pooled))], hedges ? Math.min(left, hedgeAt) : left);
+    const replied = ran.replies[0];
+    if (ran.whole && replied !== undefined) settle(record, pooled, replied, sentAt);
+    else settleLost(record, pooled);
+    sweep();
+  }
+
+  /** The statement itself never left: another place may be tried, within its time. */
+  function settleUnsent(record: RequestRecord, pooled: PooledLine, replied: Option.Option<StatementReply>): void {
+    const held = isHeld(record);
+    if (!held) connections.giveBack(pooled, Option.isSome(replied));
+    const fault = Option.isSome(replied) && replied.value.ending.kind === 'fault' ? replied.value.ending : undefined;
+    const condition = fault?.condition ?? 'aborted';
+    if (!held && mayRepeat(record) && condition !== 'read-only' && !(Option.isSome(record.ask.transaction) && record.ask.transaction.value.failed)) {
+      retry(record, Option.isSome(record.target) && !record.target.value.leader ? [record.target.value.place.member] : []);
+    } else deny(record, condition === 'failed' || condition === 'undefined' || condition === 'malformed' ? 'aborted' : condition, retryText(100));
+    sweep();
+  }
+
+  /** The statement left and no reply came. */
+  function settleLost(record: RequestRecord, pooled: PooledLine): void {
+    const { ask } = record;
+    const held = isHeld(record);
+    count('lost');
+    if (!held) connections.giveBack(pooled, false);
+    if (ask.commit || (ask.writes && Option.isNone(ask.transaction))) {
+      if (Option.isSome(ask.transaction)) abandon(ask.transaction.value);
+      count('outcome-unknown');
+      reply(record, { rows: [], ending: { kind: 'fault', condition: 'outcome-unknown', text: 'the reply was lost; it may have run' }, stance: 'idle', position: Option.none });
+      return;
+    }
+    if (held) {
+      // Its connection is broken off, so that nothing of the transaction can be kept.
+      deny(record, 'aborted', retryText(100));
+      return;
+    }
+    const member = Option.isSome(record.target) ? record.target.value.place.member : '';
+    if (mayRepeat(record)) retry(record, [member]);
+    else deny(record, kernel.clock.now() >= record.horizon ? 'expired' : 'failed', 'no member replied to the read');
+  }
+
+  /** A member said that it did not run: a read goes on to another, anything else is told. */
+  function goesOn(record: RequestRecord, condition: Condition): boolean {
+    if (Option.isSome(record.ask.transaction) || !mayRepeat(record)) return false;
+    if (condition === 'undefined') return true;
+    return !record.ask.writes && (condition === 'saturated' || condition === 'lagging' || condition === 'failed' || condition === 'read-only');
+  }
+
+  function settle(record: RequestRecord, pooled: PooledLine, replied: StatementReply, sentAt: Instant): void {
+    const { ask } = record;
+    const service = ask.database.service;
+    const transaction = Option.isSome(ask.transaction) ? ask.transaction.value : undefined;
+    const leader = transaction !== undefined && Option.isSome(transaction.held) ? transaction.held.value.leader : Option.isSome(record.target) && record.target.value.leader;
+    if (replied.ending.kind === 'fault') {
+      const { condition } = replied.ending;
+      count(`member.${condition}`);
+      if (condition === 'undefined') pooled.image.prepared.clear();
+      if (transaction === undefined) connections.giveBack(pooled, replied.stance === 'idle');
+      if (goesOn(record, condition)) {
+        retry(record, condition === 'undefined' || !Option.isSome(record.target) ? [] : [record.target.value.place.member]);
+        return;
+      }
+      if (transaction !== undefined) abandon(transaction);
+      reply(record, { rows: [], ending: replied.ending, stance: 'idle', position: replied.position });
+      return;
+    }
+    // Asked under a lease, so the leader's position covers all that was acknowledged before it was asked (design 8.11).
+    if (leader && Option.isSome(replied.position)) freshness.learnt(service, sentAt, replied.position.value);
+    if ((ask.commit || (ask.writes && transaction === undefined)) && Option.isSome(replied.position)) {
+      sessions.committed(ask.session, service, replied.position.value);
+      if (leader) freshness.committed(service, replied.position.value);
+    }
+    if (transaction === undefined) connections.giveBack(pooled, replied.stance === 'idle');
+    else if (transaction.failed && !ask.commit) abandon(transaction);
+    else if (ask.commit) {
+      transaction.held = Option.none;
+      connections.giveBack(pooled, replied.stance === 'idle');
+    }
+    count('served');
+    reply(record, replied);
+  }
+
+  function ask(asked: Ask): Promise<StatementReply> {
+    return new Promise(function wait(resolve) {
+      const now = kernel.clock.now();
+      lastId += 1;
+      repliers.set(lastId, resolve);
+      const hold = Math.max(leastHoldMilliseconds, asked.database.aimMilliseconds * holdShare);
+      const record: RequestRecord = {
+        id: lastId, ask: asked, stage: 'waiting', arrivedAt: now, startedAt: Option.isSome(asked.transaction) ? asked.transaction.value.startedAt : now,
+        horizon: identifiers.after(now, asked.database.horizonMilliseconds), holdUntil: identifiers.after(now, hold), shots: 0, without: new Set(), wanted: '',
+        target: Option.none, connection: Option.none,
+      };
+      table.set(record.id, record);
+      alone(() => run(record));
+    });
+  }
+
+  function underWay(service: string, below: number): number {
+    let sum = 0;
+    for (const record of table.values()) {
+      const target = Option.isSome(record.target) ? record.target.value : undefined;
+      if (record.stage === 'sent' && record.ask.database.service === service && target !== undefined && target.leader && target.epoch < below) sum += 1;
+    }
+    return sum;
+  }
+
+  return { ask, sweep, underWay, inFlight: () => repliers.size, totals: () => Object.fromEntries(totals) };
+}
+
+export const requests = { create } as const;
--- /dev/null
+++ b/packages/pooler/src/view.ts
@@ -0,0 +1,78 @@
+// What the pooler knows of placement, as its agent feeds it (design 8.10).
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, type Instant } from '@stallstall/kernel';
+import type { Reply, RosterEntry } from '@stallstall/message';
+import type { Sheet, SheetDatabase, SheetTenant } from '@stallstall/sheet';
+
+export const never: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
+
+/** A service's leader as this edge may use it: `until` is when its lease ends, in this process's own moments. */
+export type Leadership = Readonly<{ epoch: number; primary: string; until: Instant; release: number }>;
+
+export type View = Readonly<{
+  version: number;
+  sheet: Option.Option<Sheet>;
+  databases: ReadonlyMap<string, SheetDatabase>;
+  /** By key. */
+  tenants: ReadonlyMap<string, SheetTenant>;
+  leaders: ReadonlyMap<string, Leadership>;
+  members: ReadonlyMap<string, RosterEntry>;
+  byService: ReadonlyMap<string, readonly RosterEntry[]>;
+  /** Since when each member is known to be draining. */
+  drainingSince: ReadonlyMap<string, Instant>;
+  edges: number;
+  area: string;
+  node: string;
+}>;
+
+const empty: View = {
+  version: 0, sheet: Option.none, databases: new Map(), tenants: new Map(), leaders: new Map(), members: new Map(), byService: new Map(),
+  drainingSince: new Map(), edges: 1, area: '', node: '',
+};
+
+function grouped(entries: readonly RosterEntry[]): ReadonlyMap<string, readonly RosterEntry[]> {
+  const groups = new Map<string, RosterEntry[]>();
+  for (const entry of entries) {
+    const group = groups.get(entry.service);
+    if (group === undefined) groups.set(entry.service, [entry]);
+    else group.push(entry);
+  }
+  return groups;
+}
+
+/** Neither a configuration nor an epoch is taken back, and a lease that was told stays true to its end, whoever feeds (design 3.4). */
+function fed(before: View, reply: Reply<'placement'>, sentAt: Instant, now: Instant): View {
+  const sheet = reply.configuration === null || reply.configuration.version <= before.version ? before.sheet : Option.some(reply.configuration.sheet as Sheet);
+  const changed = sheet !== before.sheet;
+  const leaders = new Map(before.leaders);
+  for (const told of reply.services) {
+    const known = before.leaders.get(told.service);
+    const until = told.left > 0 ? identifiers.after(sentAt, told.left) : never;
+    if (known !== undefined && known.epoch > told.epoch) continue;
+    const same = known !== undefined && known.epoch === told.epoch;
+    const release = Math.max(told.release, known?.release ?? 0);
+    leaders.set(told.service, {
+      epoch: told.epoch, primary: told.primary, release,
+      until: release > told.epoch ? never : same && known.until > until ? known.until : until,
+    });
+  }
+  const entries = reply.roster ?? [...before.members.values()];
+  const drainingSince = reply.roster === null ? before.drainingSince : new Map(
+    entries.filter((entry) => entry.draining).map((entry) => [entry.member, before.drainingSince.get(entry.member) ?? now] as const),
+  );
+  return {
+    version: changed && reply.configuration !== null ? reply.configuration.version : before.version,
+    sheet,
+    databases: changed && Option.isSome(sheet) ? new Map(sheet.value.databases.map((database) => [database.database, database])) : before.databases,
+    tenants: changed && Option.isSome(sheet) ? new Map(sheet.value.tenants.flatMap((tenant) => tenant.keys.map((key) => [key, tenant] as const))) : before.tenants,
+    leaders,
+    members: reply.roster === null ? before.members : new Map(entries.map((entry) => [entry.member, entry])),
+    byService: reply.roster === null ? before.byService : grouped(entries),
+    drainingSince,
+    edges: reply.edges,
+    area: reply.area,
+    node: reply.node,
+  };
+}
+
+export const views = { empty, fed } as const;
--- /dev/null
+++ b/packages/roster/src/index.ts
@@ -0,0 +1,128 @@
+// Members that register by their beats: one core takes a beat, all cores know it (design 4.7).
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
+import type { RosterEntry } from '@stallstall/message';
+import type { SheetMember } from '@stallstall/sheet';
+import { livenessService } from '@stallstall/elect';
+
+/** What a member tells of itself with each beat. */
+export type Registration = Omit<RosterEntry, 'gone' | 'down'>;
+export type Spread = Readonly<{ entry: RosterEntry; ago: number }>;
+
+export type Roster = Readonly<{
+  /** Takes a beat that reached this core; false when a later one of the same member was taken before. */
+  beat: (registration: Registration) => boolean;
+  /** The member has left for good. */
+  leave: (member: string) => void;
+  /** Beats that another core took. */
+  take: (spread: readonly Spread[]) => void;
+  /** Beats taken here since the last call, for the other cores. */
+  spread: () => readonly Spread[];
+  /** Grows with every change that a reader must know of. */
+  number: () => number;
+  /** What has changed since a number. */
+  since: (number: number) => readonly RosterEntry[];
+  entryOf: (member: string) => Option.Option<RosterEntry>;
+  membersOf: (service: string) => readonly SheetMember[];
+  /** Looks for members that went silent, or are heard again. */
+  step: () => void;
+}>;
+
+type Known = { entry: RosterEntry; changedAt: number; takenAt: Instant };
+
+/** A member that left is remembered so long, so that no late beat brings it back. */
+const goneMilliseconds = 120_000;
+/** A member silent for so long is forgotten: it crashed for good and said nothing. */
+const forgetMilliseconds = 60_000;
+
+function same(left: RosterEntry, right: RosterEntry): boolean {
+  return left.address === right.address && left.area === right.area && left.draining === right.draining && left.role === right.role &&
+    left.slots === right.slots && left.gone === right.gone && left.down === right.down && left.service === right.service;
+}
+
+function create(kernel: Kernel, onChange: () => void): Roster {
+  const liveness = kernel.services.find(livenessService);
+  const table = new Map<string, Known>();
+  const toSpread = new Map<string, Instant>();
+  let number = 0;
+
+  function put(entry: RosterEntry, takenAt: Instant): void {
+    const known = table.get(entry.member);
+    const changed = known === undefined || !same(known.entry, entry);
+    if (changed) number += 1;
+    table.set(entry.member, { entry, changedAt: changed ? number : known.changedAt, takenAt });
+    if (changed) onChange();
+  }
+
+  /** What leaves never comes back, and of two tellings the later one stands. */
+  function isLate(entry: RosterEntry): boolean {
+    const known = table.get(entry.member);
+    if (known === undefined) return false;
+    return (known.entry.gone && !entry.gone) || (!entry.gone && entry.sequence < known.entry.sequence);
+  }
+
+  function heard(entry: RosterEntry, ago: number): boolean {
+    if (isLate(entry)) return false;
+    if (!entry.gone) liveness.heard(entry.member, ago);
+    put({ ...entry, down: !entry.gone && liveness.down(entry.member) }, identifiers.after(kernel.clock.now(), -ago));
+    return true;
+  }
+
+  function beat(registration: Registration): boolean {
+    const taken = heard({ ...registration, gone: false, down: false }, 0);
+    if (taken) toSpread.set(registration.member, kernel.clock.now());
+    return taken;
+  }
+
+  function leave(member: string): void {
+    const known = table.get(member);
+    if (known === undefined || known.entry.gone) return;
+    put({ ...known.entry, gone: true }, kernel.clock.now());
+    toSpread.set(member, kernel.clock.now());
+  }
+
+  function spread(): readonly Spread[] {
+    const now = kernel.clock.now();
+    const told = [...toSpread].flatMap(([member, at]) => {
+      const known = table.get(member);
+      return known === undefined ? [] : [{ entry: known.entry, ago: Math.max(0, now - at) }];
+    });
+    toSpread.clear();
+    return told;
+  }
+
+  function step(): void {
+    const now = kernel.clock.now();
+    for (const [member, known] of table) {
+      const silent = now - known.takenAt;
+      if (known.entry.gone ? silent > goneMilliseconds : silent > forgetMilliseconds) {
+        if (!known.entry.gone) put({ ...known.entry, gone: true }, now);
+        else table.delete(member);
+        continue;
+      }
+      const down = !known.entry.gone && liveness.down(member);
+      if (down !== known.entry.down) put({ ...known.entry, down }, known.takenAt);
+    }
+  }
+
+  return {
+    beat,
+    leave,
+    spread,
+    step,
+    take: function take(told) {
+      for (const one of told) heard(one.entry, one.ago);
+    },
+    number: () => number,
+    since: (from) => [...table.values()].filter((known) => known.changedAt > from).map((known) => known.entry),
+    entryOf: (member) => Option.map((known: Known) => known.entry)(Option.fromNullable(table.get(member))),
+    membersOf: (service) => [...table.values()]
+      .filter((known) => known.entry.service === service && !known.entry.gone)
+      .map(({ entry }): SheetMember => ({ member: entry.member, area: entry.area, address: entry.address, state: entry.draining ? 'draining' : 'serving' }))
+      .sort((left, right) => (left.member < right.member ? -1 : 1)),
+  };
+}
+
+export const rosterService = kernels.serviceName<Roster>('roster');
+
+export const roster = { create } as const;
--- a/packages/sheet/src/index.ts
+++ b/packages/sheet/src/index.ts
@@ -19,7 +19,11 @@
 const serviceSchema = z.strictObject({
   service: name,
   connectionLimit: z.number().int().min(1).max(100_000),
-  members: z.array(memberSchema).min(1).max(99),
+  members: z.array(memberSchema).max(99).default([]),
+  /** Its members make themselves known by their beats; the sheet names none (design 4.7). */
+  registered: z.boolean().default(false),
+  /** How many replicas hold a commit before its member replies. */
+  synchronousReplicas: z.number().int().min(0).max(9).default(0),
 });
 
 const rowSchema = z.strictObject({
@@ -50,11 +54,39 @@
   text: z.string().min(1).max(65_536),
 });
 
+/** What a sender of the session wire opens by its name, and how its reads and writes are placed (design 8.10). */
+const databaseSchema = z.strictObject({
+  database: z.string().regex(/^[^\s]{1,253}$/, 'use 1 to 253 characters without blanks'),
+  service: name,
+  reads: z.enum(['leader', 'bounded', 'own']),
+  staleMilliseconds: z.number().int().min(0).max(600_000).default(0),
+  horizonMilliseconds: z.number().int().min(1).max(600_000),
+  aimMilliseconds: z.number().int().min(1).max(600_000).default(1_000),
+  rank: z.number().int().min(0).max(1_000).default(0),
+  /** Let in without a key. */
+  open: z.boolean().default(false),
+});
+
+const tenantSchema = z.strictObject({
+  tenant: z.string().regex(/^[^\s]{1,200}$/, 'use 1 to 200 characters without blanks'),
+  keys: z.array(z.string().regex(/^[^\s]{1,200}$/, 'use 1 to 200 characters without blanks')).max(1_000),
+  rank: z.number().int().min(0).max(1_000).default(0),
+});
+
+const boundsSchema = z.strictObject({
+  /** How long a transaction may rest before it may be ended. */
+  restMilliseconds: z.number().int().min(1).max(600_000).default(5_000),
+  messageBytes: z.number().int().min(1_024).max(1_048_576).default(1_048_576),
+});
+
 const sheetSchema = z.strictObject({
   services: z.array(serviceSchema).max(500),
   rows: z.array(rowSchema).max(5_000),
   keys: z.array(keySchema).max(10_000),
   mappings: z.array(mappingSchema).max(5_000).default([]),
+  databases: z.array(databaseSchema).max(20_000).default([]),
+  tenants: z.array(tenantSchema).max(10_000).default([]),
+  bounds: boundsSchema.default({ restMilliseconds: 5_000, messageBytes: 1_048_576 }),
 });
 
 export type Sheet = z.infer<typeof sheetSchema>;
@@ -63,6 +95,8 @@
 export type SheetRow = Sheet['rows'][number];
 export type SheetMapping = Sheet['mappings'][number];
 export type SheetKey = Sheet['keys'][number];
+export type SheetDatabase = Sheet['databases'][number];
+export type SheetTenant = Sheet['tenants'][number];
 
 export type SheetFault = Readonly<{ row: string; column: string; message: string; remedy: string }>;
 
@@ -79,8 +113,11 @@
 }
 
 function repeated(names: readonly string[]): readonly string[] {
-  return [...new Set(names.filter(function again(candidate, index) {
-    return names.indexOf(candidate) !== index;
+  const seen = new Set<string>();
+  return [...new Set(names.filter(function again(candidate) {
+    if (seen.has(candidate)) return true;
+    seen.add(candidate);
+    return false;
   }))];
 }
 
@@ -103,7 +140,11 @@
     add('services', 'members.address', `${twice} stands twice`, 'give every member an address of its own');
   }
   for (const [index, service] of sheet.services.entries()) {
-    if (service.members.every((member) => member.state === 'draining')) {
+    if (service.members.length === 0 && !service.registered) {
+      add(`services[${index}]`, 'members', `${service.service} has no members`, 'name at least one, or let them register');
+    } else if (service.members.length > 0 && service.registered) {
+      add(`services[${index}]`, 'members', `${service.service} lets its members register and names some as well`, 'do one of the two');
+    } else if (service.members.length > 0 && service.members.every((member) => member.state === 'draining')) {
       add(`services[${index}]`, 'members.state', `every member of ${service.service} is draining`, 'leave at least one serving');
     }
   }
@@ -141,6 +182,18 @@
   for (const [index, mapping] of sheet.mappings.entries()) {
     if (!services.has(mapping.service)) add(`mappings[${index}]`, 'service', `there is no service ${mapping.service}`, 'add it under services, or mend the name');
   }
+  for (const twice of repeated(sheet.databases.map((database) => database.database))) {
+    add('databases', 'database', `${twice} stands twice`, 'keep one entry for each database');
+  }
+  for (const [index, database] of sheet.databases.entries()) {
+    if (!services.has(database.service)) add(`databases[${index}]`, 'service', `there is no service ${database.service}`, 'add it under services, or mend the name');
+  }
+  for (const twice of repeated(sheet.tenants.map((tenant) => tenant.tenant))) {
+    add('tenants', 'tenant', `${twice} stands twice`, 'keep one entry for each tenant');
+  }
+  for (const twice of repeated(sheet.tenants.flatMap((tenant) => [...new Set(tenant.keys)]))) {
+    add('tenants', 'keys', `${twice.slice(0, 4)}… is held by two tenants`, 'give each tenant keys of its own');
+  }
   return faults;
 }
 
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -5,7 +5,7 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import {
   fault, http, identifiers, kernel as kernels, protocolsSpoken, type Disk, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Instant,
-  type Kernel, type Link, type Listening, type LogFields, type Protocols,
+  type Kernel, type Link, type Listening, type LogFields, type Protocols, type Stream,
 } from '@stallstall/kernel';
 
 export type DiskTrouble = { failing: boolean; slowMilliseconds: number };
@@ -309,6 +309,43 @@
     });
   }
 
+  // -- Streams: links that carry text, so that order, cuts and darkness hold for them as well.
+
+  function streamKey(address: string): string {
+    return `stream ${address}`;
+  }
+
+  function streamOver(link: Link): Stream {
+    let closed = false;
+    function over(): void {
+      closed = true;
+      link.close();
+    }
+    return {
+      write: link.send,
+      read: async function read() {
+        if (closed) return Option.none;
+        const piece = await link.receive();
+        if (Option.isNone(piece)) closed = true;
+        return closed ? Option.none : Option.map(String)(piece);
+      },
+      close: over,
+      reset: over,
+      closed: () => closed,
+    };
+  }
+
+  async function openStream(body: Body, address: string, milliseconds: number): Promise<Either.Either<Fault, Stream>> {
+    const listener = listeners.get(streamKey(address));
+    const late = new Promise<Either.Either<Fault, Link>>((resolve) => {
+      at(milliseconds, () => inside(body, () => resolve(Either.left(fault.create({ kind: 'unreachable', message: `${address} could not be reached`, remedy: 'see whether it runs and can be reached' })))));
+    });
+    const opened = await Promise.race([openLink(body, streamKey(address)), late]);
+    if (Either.isRight(opened)) return Either.right(streamOver(opened.right));
+    const refused = listener === undefined || (!listener.body.alive && !dark.has(listener.body.machine));
+    return refused ? Either.left(fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' })) : opened;
+  }
+
   // -- HTTP.
 
   function connect(body: Body, address: string): HttpConnection {
@@ -505,6 +542,11 @@
           return Promise.resolve(listening(listeners, address));
         },
         open: (address) => openLink(body, address),
+        listenStream: function listenStream(address, greet) {
+          listeners.set(streamKey(address), { body, greet: (link) => greet(streamOver(link)) });
+          return Promise.resolve(listening(listeners, streamKey(address)));
+        },
+        openStream: (address, milliseconds) => openStream(body, address, milliseconds),
         serve: function serve(address, server) {
           servers.set(address, { body, server });
           return Promise.resolve(listening(servers, address));
--- /dev/null
+++ b/packages/statement/src/dialect.ts
@@ -0,0 +1,85 @@
+// What a session says and hears, whatever the words on the wire: a dialect puts these into words and back (design 8.10).
+import type * as Option from 'fp-ts/lib/Option.js';
+
+/** A position in a member's log: its term, and the number within it. */
+export type Position = Readonly<{ term: number; number: number }>;
+
+/** Whether a session rests, is within a transaction, or within one that failed. */
+export type Stance = 'idle' | 'open' | 'failed';
+
+export type Condition =
+  | 'saturated' | 'aborted' | 'lagging' | 'read-only' | 'wrong-member' | 'overloaded' | 'outcome-unknown' | 'expired' | 'failed'
+  | 'undefined' | 'denied' | 'no-database' | 'oversize' | 'malformed';
+
+export type Command =
+  | Readonly<{ kind: 'begin'; readOnly: boolean }>
+  | Readonly<{ kind: 'commit' }>
+  | Readonly<{ kind: 'rollback' }>
+  | Readonly<{ kind: 'read' }>
+  | Readonly<{ kind: 'write' }>
+  | Readonly<{ kind: 'set'; name: string; value: string }>
+  | Readonly<{ kind: 'prepare'; name: string; writes: boolean; shape: string }>
+  | Readonly<{ kind: 'execute'; name: string; rest: string }>
+  | Readonly<{ kind: 'forget'; name: string }>;
+
+export type Incoming =
+  | Readonly<{ kind: 'open'; database: string; who: string }>
+  | Readonly<{ kind: 'query'; identifier: string; text: string; command: Option.Option<Command> }>
+  | Readonly<{ kind: 'close' }>
+  | Readonly<{ kind: 'unreadable' }>;
+
+export type Ending = Readonly<{ kind: 'done'; stamp: string }> | Readonly<{ kind: 'fault'; condition: Condition; text: string }>;
+
+/** What a member's connection says, piece by piece; rows are handed on as they came. */
+export type Piece =
+  | Readonly<{ kind: 'row'; raw: string }>
+  | Readonly<{ kind: 'ending'; ending: Ending }>
+  | Readonly<{ kind: 'rest'; stance: Stance; position: Option.Option<Position> }>
+  | Readonly<{ kind: 'unreadable' }>;
+
+export type StatementReply = Readonly<{ rows: readonly string[]; ending: Ending; stance: Stance; position: Option.Option<Position> }>;
+
+/** What a member says of itself when asked for its STATE. */
+export type MemberStanding = Readonly<{ role: 'primary' | 'replica'; term: number; received: Position; lagMilliseconds: number }>;
+
+/** Cuts what arrives into messages; `oversize` once one is longer than may be. */
+export type Framer = Readonly<{ push: (piece: string) => Readonly<{ messages: readonly string[]; oversize: boolean }> }>;
+
+export type Dialect = Readonly<{
+  framer: (mostBytes: number) => Framer;
+  // Towards senders.
+  incoming: (message: string) => Incoming;
+  reply: (reply: StatementReply) => string;
+  rest: (stance: Stance, position: Option.Option<Position>) => string;
+  fault: (condition: Condition, text: string) => string;
+  // Towards members.
+  opening: (service: string, tenant: string, member: string) => string;
+  query: (identifier: string, text: string) => string;
+  closing: () => string;
+  piece: (message: string) => Piece;
+  texts: Readonly<{
+    begin: (readOnly: boolean) => string;
+    commit: string;
+    rollback: string;
+    clear: string;
+    state: string;
+    /** Runs the text only on a log that holds the position. */
+    since: (position: Position, text: string) => string;
+    set: (name: string, value: string) => string;
+    prepare: (name: string, writes: boolean, shape: string) => string;
+    execute: (name: string, rest: string) => string;
+  }>;
+  /** Statements of the pooler's own carry this. */
+  ownIdentifier: string;
+  standing: (rows: readonly string[]) => Option.Option<MemberStanding>;
+}>;
+
+function compare(left: Position, right: Position): number {
+  return left.term === right.term ? left.number - right.number : left.term - right.term;
+}
+
+function later(left: Position, right: Position): Position {
+  return compare(left, right) >= 0 ? left : right;
+}
+
+export const positions = { compare, later } as const;
--- /dev/null
+++ b/packages/statement/src/index.ts
@@ -0,0 +1,3 @@
+export * from './dialect.js';
+export * from './line.js';
+export * from './prober.js';
