--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -109,8 +109,8 @@
 const edgeMemoryMilliseconds = 12_000;
 const spreadMilliseconds = 100;
 const spreadHorizonMilliseconds = 1_000;
-/** Who leads is looked at so often over this core's own connection. */
-const lookMilliseconds = 1_000;
+/** So often this core sees that its own connection to whoever leads stands. */
+const lookMilliseconds = 300;
 const lookHorizonMilliseconds = 800;
 
 type CoreVotes = VoteStore & Readonly<{ epochs: () => Promise<Readonly<Record<string, number>>> }>;
@@ -542,7 +542,7 @@
   /** A look of this core's own at a member, whose outcome liveness keeps. */
   function lookAt(member: string): void {
     const entry = Option.isSome(roster) ? roster.value.entryOf(member) : Option.none;
-    if (Option.isSome(entry) && !entry.value.gone) void kernel.services.find(livenessService).probe(member, entry.value.address, lookHorizonMilliseconds, entry.value.service);
+    if (Option.isSome(entry) && !entry.value.gone) void kernel.services.find(livenessService).hold(entry.value.service, member, entry.value.address, lookHorizonMilliseconds);
   }
 
   function lookAtPrimaries(): void {
--- a/packages/elect/src/liveness.ts
+++ b/packages/elect/src/liveness.ts
@@ -23,7 +23,11 @@
 export type Probed = Readonly<{ sentAt: Instant; state: MemberState }>;
 
 /** How a member is asked for its STATE, where it is not this product's own HTTP. */
-export type MemberProbe = (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, MemberState>>;
+export type MemberProbe = Readonly<{
+  ask: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, MemberState>>;
+  /** Keeps the connection open and asks nothing: a probe has its price, a held connection none. */
+  hold: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, null>>;
+}>;
 
 export type Liveness = Readonly<{
   beat: (state: MemberState) => void;
@@ -38,6 +42,8 @@
   state: (member: string) => Option.Option<MemberState>;
   /** Asks a member for its STATE over the one probe connection this node keeps to it. */
   probe: (member: string, address: string, milliseconds: number, service?: string) => Promise<Either.Either<Fault, Probed>>;
+  /** Sees that the connection to a member stands; a refusal counts as evidence. */
+  hold: (service: string, member: string, address: string, milliseconds: number) => Promise<void>;
   /** Closes probes to members that no configuration names any more. */
   keepOnly: (members: ReadonlySet<string>) => void;
 }>;
@@ -97,7 +103,7 @@
 
   async function askLine(way: MemberProbe, service: string, member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, Probed>> {
     const sentAt = kernel.clock.now();
-    const state = await way(service, member, address, milliseconds);
+    const state = await way.ask(service, member, address, milliseconds);
     asking.delete(member);
     if (Either.isLeft(state)) {
       if (fault.kind(state.left) === 'not-listening') refused(member);
@@ -132,6 +138,17 @@
     return started;
   }
 
+  const holding = new Set<string>();
+
+  async function hold(service: string, member: string, address: string, milliseconds: number): Promise<void> {
+    if (Option.isNone(memberProbe) || holding.has(member)) return;
+    holding.add(member);
+    const held = await memberProbe.value.hold(service, member, address, milliseconds);
+    holding.delete(member);
+    if (Either.isRight(held)) refusals.delete(member);
+    else if (fault.kind(held.left) === 'not-listening') refused(member);
+  }
+
   function keepOnly(members: ReadonlySet<string>): void {
     for (const [member, held] of probes) {
       if (members.has(member)) continue;
@@ -147,6 +164,7 @@
     alive,
     down,
     probe,
+    hold,
     keepOnly,
     lastHeard: function lastHeard(member) {
       return Option.fromNullable(heardAt.get(member));
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -307,7 +307,8 @@
       settleUnsent(record, pooled, Option.some(ready));
       return;
     }
-    if (Option.isSome(ask.transaction) && !isHeld(record) && Option.isSome(record.target)) {
+    const begins = !isHeld(record);
+    if (Option.isSome(ask.transaction) && begins && Option.isSome(record.target)) {
       if (ask.transaction.value.failed) {
         // Given up while it began: its sender has gone, or this edge lets the epoch go.
         connections.giveBack(pooled, false);
@@ -318,7 +319,8 @@
     }
     const sentAt = kernel.clock.now();
     count('sent');
-    usage.count(ask.tenant);
+    // An operation is one request, however many statements its transaction holds (design 8.6).
+    if (begins && record.shots === 1) usage.count(ask.tenant);
     const hedges = !ask.writes && !ask.commit && Option.isNone(ask.transaction) && Option.isSome(record.target) && !record.target.value.leader && mayRepeat(record);
     const hedgeAt = Math.max(leastHedgeMilliseconds, ask.database.aimMilliseconds * 0.6);
     const left = record.horizon - sentAt;
--- a/packages/statement/src/prober.ts
+++ b/packages/statement/src/prober.ts
@@ -6,6 +6,8 @@
 import { lines, type MemberLine } from './line.js';
 
 export type Prober = Readonly<{
+  /** Keeps a line open without asking anything: that it breaks, and that another is refused, tells of the member's end at once. */
+  hold: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, null>>;
   ask: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, MemberStanding>>;
 }>;
 
@@ -41,7 +43,12 @@
     }));
   }
 
-  return { ask };
+  async function hold(service: string, member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, null>> {
+    const line = await lineTo(service, member, address, milliseconds);
+    return Either.isLeft(line) ? line : Either.right(null);
+  }
+
+  return { ask, hold };
 }
 
 export const prober = { create } as const;
