--- /dev/null
+++ b/packages/machine/src/lean.ts
@@ -0,0 +1,158 @@
+// A real machine's kernel for programs whose every start is paid for: HTTP from the runtime alone (design 2.7).
+import type http from 'node:http';
+import type net from 'node:net';
+import { ROARR, Roarr } from 'roarr';
+import * as Either from 'fp-ts/lib/Either.js';
+import type * as Option from 'fp-ts/lib/Option.js';
+import {
+  fault, http as pages, type Address, type Disk, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Kernel, type Listening, type Network,
+} from '@stallstall/kernel';
+import { base } from './base.js';
+import { connectMilliseconds, links } from './links.js';
+
+const longestBody = 1024 * 1024;
+const keepMilliseconds = 600_000;
+const requestMilliseconds = 10_000;
+
+/** Fetched when first used: it cannot be part of a snapshot, and an agent never uses it. */
+function runtime(): typeof http {
+  return process.getBuiltinModule('node:http');
+}
+
+function body(request: http.IncomingMessage): Promise<Either.Either<Fault, unknown>> {
+  return new Promise((resolve) => {
+    const pieces: Buffer[] = [];
+    let length = 0;
+    request.on('data', function data(piece: Buffer) {
+      length += piece.length;
+      if (length <= longestBody) pieces.push(piece);
+    });
+    request.on('error', (error) => resolve(Either.left(fault.create({ kind: 'bad-request', message: error.message, remedy: 'send it again' }))));
+    request.on('end', function end() {
+      if (length > longestBody) {
+        resolve(Either.left(fault.create({ kind: 'too-large', message: `the body is over ${longestBody} bytes`, remedy: 'send less at a time' })));
+        return;
+      }
+      const text = Buffer.concat(pieces).toString('utf8');
+      try {
+        resolve(Either.right(text === '' ? null : JSON.parse(text)));
+      } catch (error) {
+        resolve(Either.left(fault.create({ kind: 'bad-request', message: (error as Error).message, remedy: 'send HTTP/1.1 with a JSON body' })));
+      }
+    });
+  });
+}
+
+function serve(address: Address, server: HttpServer): Promise<Listening> {
+  const names = new WeakMap<net.Socket, string>();
+  let lastName = 0;
+
+  function nameOf(socket: net.Socket): string {
+    const known = names.get(socket);
+    if (known !== undefined) return known;
+    lastName += 1;
+    const name = `${address}/${lastName}`;
+    names.set(socket, name);
+    socket.once('close', () => server.connectionClosed?.(name));
+    return name;
+  }
+
+  async function reply(request: http.IncomingMessage): Promise<HttpReply> {
+    const connection = nameOf(request.socket);
+    const read = await body(request);
+    if (Either.isLeft(read)) return pages.denied(read.left);
+    const [path, query] = (request.url ?? '').split('?');
+    return pages.mapped(server.mappings, {
+      method: request.method ?? '', path: path ?? '', query: Object.fromEntries(new URLSearchParams(query ?? '')), headers: request.headers as Record<string, string>, body: read.right, connection,
+    });
+  }
+
+  async function handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const replied = await reply(request);
+    const text = replied.body === undefined ? '' : JSON.stringify(replied.body);
+    response.writeHead(replied.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...replied.headers });
+    response.end(text);
+  }
+
+  const listener = runtime().createServer({ keepAliveTimeout: keepMilliseconds, requestTimeout: requestMilliseconds, connectionsCheckingInterval: requestMilliseconds }, (request, response) => void handle(request, response));
+  return new Promise((resolve, reject) => {
+    listener.on('error', reject);
+    listener.listen(links.parts(address), () => resolve({
+      stop: () => new Promise((stopped) => {
+        listener.close(() => stopped());
+        listener.closeAllConnections();
+      }),
+    }));
+  });
+}
+
+function connect(address: Address): HttpConnection {
+  const { host, port } = links.parts(address);
+  const agent = new (runtime().Agent)({ keepAlive: true, maxSockets: 1, keepAliveMsecs: 3_000 });
+  let socket: net.Socket | undefined;
+  let under: http.ClientRequest | undefined;
+  let connected = false;
+  let closed = false;
+
+  /** Under an exchange by a reset, so that what the machine has not sent yet is not sent any more. */
+  function close(): void {
+    if (closed) return;
+    closed = true;
+    if (under !== undefined) socket?.resetAndDestroy();
+    under?.destroy();
+    agent.destroy();
+  }
+
+  function exchange(ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
+    return new Promise((resolve) => {
+      const text = ask.body === undefined ? undefined : JSON.stringify(ask.body);
+      const alarm = setTimeout(close, milliseconds);
+      const connecting = setTimeout(() => (connected ? undefined : close()), Math.min(connectMilliseconds, milliseconds));
+      function settle(result: Either.Either<Fault, HttpReply>): void {
+        clearTimeout(alarm);
+        clearTimeout(connecting);
+        under = undefined;
+        resolve(result);
+      }
+      function lost(error: Error): void {
+        close();
+        settle(Either.left(connected
+          ? fault.create({ kind: 'reply-lost', message: `the reply of ${address} was lost`, remedy: 'see whether it runs and can be reached', cause: error })
+          : links.unreachable(address, error)));
+      }
+      if (closed) {
+        settle(Either.left(links.unreachable(address, new Error('the connection is closed'))));
+        return;
+      }
+      under = runtime().request({
+        host, port, agent, method: ask.method, path: ask.path,
+        headers: { ...(text === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...ask.headers },
+      }, async function replied(response) {
+        const read = await body(response);
+        if (Either.isLeft(read)) return lost(read.left);
+        settle(Either.right({ status: response.statusCode ?? 0, headers: response.headers as Record<string, string>, body: read.right }));
+      });
+      under.once('socket', function reached(opened) {
+        socket = opened;
+        if (!opened.connecting) connected = true;
+        opened.once('connect', function open() {
+          connected = true;
+        });
+        // Once lost, this connection never comes back by itself.
+        opened.once('close', close);
+      });
+      under.once('error', lost);
+      under.end(text);
+    });
+  }
+
+  return { exchange, close, closed: () => closed };
+}
+
+export const leanNetwork: Network = { listen: links.listen, open: links.open, listenStream: links.listenStream, openStream: links.openStream, serve, connect };
+
+function create(program: string, disk: Option.Option<Disk>): Kernel {
+  return base.create(base.logThrough(program, { Roarr, ROARR } as never), leanNetwork, disk);
+}
+
+export const leanMachine = { create } as const;
