--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,8 +28,9 @@
   configure: (external: ExternalVersion, sheet: unknown) => Promise<Either.Either<Fault, Readonly<{ version: number }>>>;
   /** The newest configuration as its sender wrote it. */
   source: () => Promise<Either.Either<Fault, string>>;
+  /** False when this core is of no fleet yet and could tell nobody. */
   beat: (registration: Registration) => boolean;
-  leave: (member: string) => void;
+  leave: (member: string) => boolean;
 }>;
 
 /** How a fleet runs where members register, edges hold leases, and the platform has words of its own (design 9.6). */
@@ -41,6 +42,8 @@
   door: string;
   /** Whether this core may form a fleet: only at the very first start of all. */
   founds: boolean;
+  /** The seeds of the first start: the first of them proposes the fleet, of all cores that have met it (design 4.8). */
+  founders: readonly string[];
 }>;
 
 export type Core = Readonly<{ node: Node; open: () => boolean; drain: () => Promise<void>; stop: () => Promise<void> }>;
@@ -103,6 +106,8 @@
 }
 
 const graceMilliseconds = 6_000;
+/** How long the founder waits for cores that start late. */
+const gatherMilliseconds = 700;
 const releaseMilliseconds = 2_000;
 const drainLookMilliseconds = 20;
 /** An edge that held a lease so lately may still have counts to tell. */
@@ -336,12 +341,28 @@
     }
   }
 
+  let gatheredSince = kernel.clock.now();
+  let gathered = '';
+
+  /** With a number in the settings: the lowest id, once so many have met. With founders: the first of them, once nobody new has come for a while. */
+  function mayPropose(everyone: readonly Seat[]): boolean {
+    if (Option.isNone(parts)) return everyone.length === settings.cores && everyone[0]?.node === settings.node;
+    const names = everyone.map((seat) => seat.node).join(' ');
+    if (names !== gathered) {
+      gathered = names;
+      gatheredSince = kernel.clock.now();
+    }
+    const { founders } = parts.value;
+    return settings.address === [...founders].sort()[0] && founders.every((founder) => everyone.some((seat) => seat.address === founder)) &&
+      kernel.clock.now() - gatheredSince >= gatherMilliseconds;
+  }
+
   async function form(): Promise<void> {
     while (!stopped && (stage() === 'blank' || stage() === 'founding')) {
       await kernel.clock.sleep(beatMilliseconds);
       const others = [...met.values()].filter((core) => kernel.clock.now() - core.at < 2_000);
       const everyone = [node.seat(), ...others.map((core) => core.seat)].sort((left, right) => (left.node < right.node ? -1 : 1));
-      if (everyone.length !== settings.cores || everyone[0]?.node !== settings.node || others.some((core) => core.fleet !== '')) continue;
+      if (!mayPropose(everyone) || others.some((core) => core.fleet !== '')) continue;
       const known: Fleet = Option.isSome(fleet) ? fleet.value : { fleet: kernel.randomness.token(), node: settings.node, cores: everyone, stage: 'founding' };
       if (Option.isNone(fleet) && !(await keepFleet(known))) continue;
       if (!(await ask(known, 'propose'))) continue;
@@ -561,8 +582,13 @@
       return Either.isLeft(checked) ? checked : administration.configure(external, checked.right);
     },
     source: administration.source,
-    beat: (registration) => Option.isSome(roster) && roster.value.beat(registration),
-    leave: (member) => (Option.isSome(roster) ? roster.value.leave(member) : undefined),
+    // One that is of no fleet could tell nobody: who calls turns to another.
+    beat: (registration) => Option.isSome(roster) && node.cores().length > 0 && (roster.value.beat(registration) || true),
+    leave: function leave(member) {
+      if (Option.isNone(roster) || node.cores().length === 0) return false;
+      roster.value.leave(member);
+      return true;
+    },
   };
 
   if (Option.isSome(parts)) {
