--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -23,7 +23,7 @@
   let gathering = false;
   let released: Readonly<Record<string, number>> = {};
   let positions: Readonly<Record<string, LogPosition>> = {};
-  let refused: readonly string[] = [];
+  let notListening: readonly string[] = [];
   let askedAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
   let said = '';
   let rosterAt = -1;
@@ -36,7 +36,7 @@
   const lessee = lessees.create(kernel, { node: settings.node, area: settings.area, seeds: settings.seeds }, {
     released: () => released,
     positions: () => positions,
-    refused: () => refused,
+    notListening: () => notListening,
     onChange: changed,
   });
 
@@ -97,8 +97,8 @@
     askedAt = kernel.clock.now();
     released = ask.released;
     positions = ask.positions;
-    refused = ask.refused;
-    const now = `${JSON.stringify(released)}${refused.join(' ')}`;
+    notListening = ask.notListening;
+    const now = `${JSON.stringify(released)}${notListening.join(' ')}`;
     if (now === said) return;
     said = now;
     lessee.tell();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -531,7 +531,7 @@
     kernel.services.offer(rosterService, kept);
     const granting = lessors.create(kernel, {
       ready: () => cells.ready() && !ending, stances: node.epochs, configuration: () => versionOf('configuration'), membership: () => versionOf('membership'), puts: disk.puts,
-      roster: kept, onRefused: lookAt,
+      roster: kept, onNotListening: lookAt,
     });
     lessor = Option.some(granting);
     kernel.services.offer(lessorService, granting);
--- a/packages/elect/src/liveness.ts
+++ b/packages/elect/src/liveness.ts
@@ -34,7 +34,7 @@
   /** A beat without a state, taken here or by another node so long ago. */
   heard: (member: string, agoMilliseconds: number) => void;
   /** Its machine says that nothing listens there: more than silence tells, until the member is heard again. */
-  refused: (member: string) => void;
+  notListening: (member: string) => void;
   alive: (member: string) => boolean;
   /** Silent for so long as to be DOWN; a process that has only begun to listen flags nobody yet. */
   down: (member: string) => boolean;
@@ -50,8 +50,8 @@
 
 type Probe = Readonly<{ address: string; connection: HttpConnection }>;
 
-/** So many refusals in a row, none of them followed by a beat, flag a member DOWN before its silence does. */
-const refusalsDown = 2;
+/** So many closedPorts in a row, none of them followed by a beat, flag a member DOWN before its silence does. */
+const closedPortsDown = 2;
 /** A beat this young says that a member runs, whoever was refused before. */
 const freshMilliseconds = 500;
 
@@ -60,7 +60,7 @@
   const heardAt = new Map<string, Instant>();
   const states = new Map<string, MemberState>();
   const probes = new Map<string, Probe>();
-  const refusals = new Map<string, number>();
+  const closedPorts = new Map<string, number>();
   const asking = new Map<string, Promise<Either.Either<Fault, Probed>>>();
 
   function beat(state: MemberState): void {
@@ -71,25 +71,25 @@
   function heardAgo(member: string, agoMilliseconds: number): void {
     const at = kernel.clock.now() - agoMilliseconds;
     if (at > (heardAt.get(member) ?? Number.NEGATIVE_INFINITY)) heardAt.set(member, at as Instant);
-    if (agoMilliseconds < freshMilliseconds) refusals.delete(member);
+    if (agoMilliseconds < freshMilliseconds) closedPorts.delete(member);
   }
 
-  function refused(member: string): void {
-    refusals.set(member, (refusals.get(member) ?? 0) + 1);
+  function notListening(member: string): void {
+    closedPorts.set(member, (closedPorts.get(member) ?? 0) + 1);
   }
 
-  function isRefused(member: string): boolean {
-    return (refusals.get(member) ?? 0) >= refusalsDown;
+  function isNotListening(member: string): boolean {
+    return (closedPorts.get(member) ?? 0) >= closedPortsDown;
   }
 
   function alive(member: string): boolean {
     const heard = heardAt.get(member);
-    if (isRefused(member)) return false;
+    if (isNotListening(member)) return false;
     return heard !== undefined && kernel.clock.now() - heard < downAfterMilliseconds;
   }
 
   function down(member: string): boolean {
-    return isRefused(member) || kernel.clock.now() - (heardAt.get(member) ?? listeningSince) >= downAfterMilliseconds;
+    return isNotListening(member) || kernel.clock.now() - (heardAt.get(member) ?? listeningSince) >= downAfterMilliseconds;
   }
 
   function connectionTo(member: string, address: string): HttpConnection {
@@ -106,10 +106,10 @@
     const state = await way.ask(service, member, address, milliseconds);
     asking.delete(member);
     if (Either.isLeft(state)) {
-      if (fault.kind(state.left) === 'not-listening') refused(member);
+      if (fault.kind(state.left) === 'not-listening') notListening(member);
       return state;
     }
-    refusals.delete(member);
+    closedPorts.delete(member);
     beat(state.right);
     return Either.right({ sentAt, state: state.right });
   }
@@ -145,8 +145,8 @@
     holding.add(member);
     const held = await memberProbe.value.hold(service, member, address, milliseconds);
     holding.delete(member);
-    if (Either.isRight(held)) refusals.delete(member);
-    else if (fault.kind(held.left) === 'not-listening') refused(member);
+    if (Either.isRight(held)) closedPorts.delete(member);
+    else if (fault.kind(held.left) === 'not-listening') notListening(member);
   }
 
   function keepOnly(members: ReadonlySet<string>): void {
@@ -160,7 +160,7 @@
   return {
     beat,
     heard: heardAgo,
-    refused,
+    notListening,
     alive,
     down,
     probe,
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -21,7 +21,7 @@
   /** What the proxy has let go of: below this epoch it has nothing under way. */
   released: () => Readonly<Record<string, number>>;
   positions: () => Readonly<Record<string, LogPosition>>;
-  refused: () => readonly string[];
+  notListening: () => readonly string[];
   onChange: () => void;
 }>;
 
@@ -171,7 +171,7 @@
     const current = configuration();
     const reply = await link.call('lease', {
       node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
-      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, refused: [...parts.refused()],
+      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, notListening: [...parts.notListening()],
     }, hold + callMilliseconds);
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
     take(core, known, reply.value, sentAt);
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -12,7 +12,7 @@
   puts: () => number;
   roster: Roster;
   /** Members that edges were refused by: worth a look of this core's own. */
-  onRefused: (member: string) => void;
+  onNotListening: (member: string) => void;
 }>;
 
 export type Lessor = Readonly<{
@@ -84,7 +84,7 @@
     askedAt.set(ask.node, kernel.clock.now());
     released.set(ask.node, { ...ask.released });
     for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
-    for (const member of ask.refused) view.onRefused(member);
+    for (const member of ask.notListening) view.onNotListening(member);
     if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ask.hold);
     const ready = view.ready();
     const whole = ask.token !== token;
--- a/packages/machine/src/links.ts
+++ b/packages/machine/src/links.ts
@@ -198,8 +198,8 @@
     function failed(error: Error): void {
       clearTimeout(alarm);
       socket.destroy();
-      const refused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-      resolve(Either.left(refused
+      const notListening = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+      resolve(Either.left(notListening
         ? fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address', cause: error })
         : unreachable(address, error)));
     }
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -183,7 +183,7 @@
   /** How far the commits reach that senders of this edge were told of. */
   positions: LogPositions,
   /** Members whose machines refused a connection of this edge. */
-  refused: Type.Array(Name, { maxItems: 1_000 }),
+  notListening: Type.Array(Name, { maxItems: 1_000 }),
 });
 const LeaseReply = Type.Object({
   ready: Type.Boolean(),
@@ -219,7 +219,7 @@
   configuration: Count,
   released: ServiceCounts,
   positions: LogPositions,
-  refused: Type.Array(Name, { maxItems: 1_000 }),
+  notListening: Type.Array(Name, { maxItems: 1_000 }),
   metrics: Type.Record(Type.String({ maxLength: 100 }), Type.Number()),
 });
 const PlacementReply = Type.Object({
--- a/packages/pooler/src/connections.ts
+++ b/packages/pooler/src/connections.ts
@@ -23,7 +23,7 @@
   /** The last opening failed and nothing is open: until then nobody waits for this member. */
   failing: (member: string) => boolean;
   /** Members whose machines refused a connection lately. */
-  refused: () => readonly string[];
+  notListening: () => readonly string[];
   busy: (member: string) => number;
   /** Closes what members are gone for, and what has been idle for long. */
   tend: (members: ReadonlyMap<string, Readonly<{ address: string }>>) => void;
@@ -39,14 +39,14 @@
   openingFor: Map<string, number>;
   failures: number;
   failingUntil: Instant;
-  refusedAt: Instant;
+  notListeningAt: Instant;
 };
 
 const openMilliseconds = 1_000;
 const idleMilliseconds = 20_000;
 const leastPauseMilliseconds = 150;
 const mostPauseMilliseconds = 1_500;
-const refusedMilliseconds = 1_000;
+const notListeningMilliseconds = 1_000;
 const never = identifiers.instant(Number.NEGATIVE_INFINITY);
 
 function create(kernel: Kernel, dialect: Dialect, share: (service: string) => number, onFreed: () => void): Connections {
@@ -57,7 +57,7 @@
   function of(member: string): MemberLines {
     let known = table.get(member);
     if (known === undefined) {
-      known = { idle: [], busy: new Map(), opening: 0, openingFor: new Map(), failures: 0, failingUntil: never, refusedAt: never };
+      known = { idle: [], busy: new Map(), opening: 0, openingFor: new Map(), failures: 0, failingUntil: never, notListeningAt: never };
       table.set(member, known);
     }
     return known;
@@ -106,13 +106,13 @@
       known.failures += 1;
       const pause = Math.min(mostPauseMilliseconds, leastPauseMilliseconds * 2 ** (known.failures - 1));
       known.failingUntil = identifiers.after(now, pause * (0.75 + kernel.randomness.fraction() / 2));
-      if (fault.kind(line.left) === 'not-listening') known.refusedAt = now;
+      if (fault.kind(line.left) === 'not-listening') known.notListeningAt = now;
       kernel.log('member.not-opened', { member: place.member, reason: line.left.message });
     } else if (table.get(place.member) !== known) line.right.close();
     else {
       known.failures = 0;
       known.failingUntil = never;
-      known.refusedAt = never;
+      known.notListeningAt = never;
       known.idle.push({ pooled: { place, tenant, line: line.right, image: { values: new Map(), prepared: new Map(), names: 0 } }, session: '', since: now });
     }
     onFreed();
@@ -166,7 +166,7 @@
       const known = table.get(member);
       return known !== undefined && known.failures > 0 && known.idle.length + known.busy.size === 0;
     },
-    refused: () => [...table].filter(([, known]) => kernel.clock.now() - known.refusedAt < refusedMilliseconds).map(([member]) => member),
+    notListening: () => [...table].filter(([, known]) => kernel.clock.now() - known.notListeningAt < notListeningMilliseconds).map(([member]) => member),
     busy: (member) => table.get(member)?.busy.size ?? 0,
     describe: function describe() {
       const all = [...table.values()];
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -85,7 +85,7 @@
   async function feed(hold: number): Promise<boolean> {
     const sentAt = kernel.clock.now();
     const reply = await agent.call('placement', {
-      token, seen, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, refused: [...connections.refused()],
+      token, seen, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, notListening: [...connections.notListening()],
       metrics: { ...requests.totals(), ...connections.describe(), sessions: sessions.size },
     }, hold + feedCallMilliseconds);
     if (Option.isNone(reply)) return false;
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -342,8 +342,8 @@
     });
     const opened = await Promise.race([openLink(body, streamKey(address)), late]);
     if (Either.isRight(opened)) return Either.right(streamOver(opened.right));
-    const refused = listener === undefined || (!listener.body.alive && !dark.has(listener.body.machine));
-    return refused ? Either.left(fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' })) : opened;
+    const notListening = listener === undefined || (!listener.body.alive && !dark.has(listener.body.machine));
+    return notListening ? Either.left(fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' })) : opened;
   }
 
   // -- HTTP.
--- a/packages/statement/src/prober.ts
+++ b/packages/statement/src/prober.ts
@@ -6,7 +6,7 @@
 import { lines, type MemberLine } from './line.js';
 
 export type Prober = Readonly<{
-  /** Keeps a line open without asking anything: that it breaks, and that another is refused, tells of the member's end at once. */
+  /** Keeps a line open without asking anything: that it breaks, and that another is notListening, tells of the member's end at once. */
   hold: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, null>>;
   ask: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, MemberStanding>>;
 }>;
