--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -66,7 +66,7 @@
   function changed(): void {
     const configuration = lessee.configuration();
     const seen = [
-      Option.isSome(configuration) ? configuration.value.version : 0, lessee.rosterNumber(), lessee.edges(),
+      Option.isSome(configuration) ? configuration.value.version : 0, lessee.rosterNumber(), JSON.stringify(lessee.edges()),
       ...placements().map((one) => `${one.epoch}/${one.release}/${one.left > 0 ? 1 : 0}`),
     ].join(' ');
     if (seen === seenBefore) return;
@@ -117,7 +117,7 @@
       configurationVersion: version,
       services: [...placements()],
       roster: known ? null : [...lessee.roster()],
-      edges: lessee.edges(),
+      edges: { ...lessee.edges() },
       area: settings.area,
       node: settings.node,
     };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,7 +5,7 @@
   fault, http, identifiers, kernel as kernels, owner, type Disk, type Fault, type HttpMapping, type Kernel, type Listening,
 } from '@stallstall/kernel';
 import {
-  MembershipSchema, message, SeatSchema, type Ask, type Entry, type Membership, type Reply, type Seat,
+  MembershipSchema, message, RosterEntrySchema, SeatSchema, type Ask, type Entry, type Membership, type Reply, type Seat,
 } from '@stallstall/message';
 import { peer, type Caller, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
@@ -75,7 +75,7 @@
 
 function diskFault(stored: ReadonlyMap<string, unknown>, settings: CoreSettings): Option.Option<Fault> {
   const fleet = stored.get('fleet');
-  if (fleet === undefined && stored.size > 0) {
+  if (fleet === undefined && [...stored.keys()].some((key) => key !== rosterKey)) {
     return Option.some(fault.create({
       kind: 'foreign-disk', message: 'the data folder holds entries but no fleet',
       remedy: 'the folder is damaged: move it away and start with an empty one, so that this core copies the others',
@@ -113,6 +113,9 @@
 /** An edge that held a lease so lately may still have counts to tell. */
 const edgeMemoryMilliseconds = 12_000;
 const spreadMilliseconds = 100;
+const rosterKey = 'roster';
+const keepMilliseconds = 300;
+const RosterSchema = Type.Array(RosterEntrySchema);
 const spreadHorizonMilliseconds = 1_000;
 /** So often this core sees that its own connection to whoever leads stands. */
 const lookMilliseconds = 300;
@@ -251,6 +254,7 @@
     cells.open();
     notes.open();
     feedOwn();
+    news();
     kernel.log('core.open', { fleet: known.fleet, cores: known.cores.length });
   }
 
@@ -504,11 +508,14 @@
       if (Option.isSome(roster)) roster.value.take(ask.beats);
       return { taken: true };
     },
-    lease: function lease(ask, caller) {
+    lease: async function lease(ask, caller) {
       const granting = lessor;
       if (Option.isNone(granting)) throw new Error('this fleet holds no leases');
       enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
-      return granting.value.lease(ask);
+      const reply = await granting.value.lease(ask);
+      // It may have waited for this core to open: what is watched is handed over before the reply.
+      if (reply.ready) enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
+      return reply;
     },
   };
 
@@ -525,8 +532,14 @@
 
   // -- Members that register, and edges that hold leases (design 4.7, 7.12).
 
+  let spreading = false;
+  let keeping = false;
+
   if (Option.isSome(parts)) {
     const kept = rosters.create(kernel, rosterChanged);
+    const known = stored.get(rosterKey);
+    // Where members were, until their beats tell: after a stop of everything nobody waits for these (design 4.7).
+    if (message.fits(RosterSchema, known)) kept.restore(known);
     roster = Option.some(kept);
     kernel.services.offer(rosterService, kept);
     const granting = lessors.create(kernel, {
@@ -537,8 +550,6 @@
     kernel.services.offer(lessorService, granting);
   }
 
-  let spreading = false;
-
   /** Beats taken here go to the other cores, several at a time; a change at once. */
   function spreadBeats(): void {
     if (Option.isNone(roster) || stopped) return;
@@ -550,8 +561,19 @@
     }
   }
 
+  /** The roster as it stands goes to the disk now and then: it saves time after a restart, and nothing leans on it. */
+  function keepRoster(): void {
+    if (keeping || stopped) return;
+    keeping = true;
+    kernel.clock.alarm(keepMilliseconds, async function keep() {
+      keeping = false;
+      if (Option.isSome(roster) && !stopped) await disk.put(rosterKey, roster.value.since(0));
+    });
+  }
+
   function rosterChanged(): void {
     news();
+    keepRoster();
     if (spreading) return;
     spreading = true;
     kernel.clock.alarm(1, function now() {
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -83,7 +83,8 @@
   closed: () => boolean;
 }>;
 
-export type Listening = Readonly<{ stop: () => Promise<void> }>;
+/** `deafen`: nobody new is let in, what is open stays; `stop` ends that as well. */
+export type Listening = Readonly<{ deafen: () => void; stop: () => Promise<void> }>;
 
 export type Network = Readonly<{
   listen: (address: Address, greet: (link: Link) => void) => Promise<Listening>;
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -37,7 +37,8 @@
   release: (service: string) => number;
   roster: () => readonly RosterEntry[];
   rosterNumber: () => number;
-  edges: () => number;
+  /** How many edges hold leases, by area, as the core that counts most of them says. */
+  edges: () => Readonly<Record<string, number>>;
   notes: Notes;
   cores: () => number;
   /** How many cores granted within the last term. */
@@ -47,16 +48,20 @@
 }>;
 
 /** The last told of one core. */
-type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: number; at: Instant; acknowledged: number };
+type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: Readonly<Record<string, number>>; at: Instant; acknowledged: number };
 type Held = Readonly<{ address: string; peer: Peer }>;
 
 const holdMilliseconds = 450;
 const callMilliseconds = 700;
-const redialLookMilliseconds = 60;
-const greetMilliseconds = 100;
+const redialLookMilliseconds = 20;
+const greetMilliseconds = 50;
 const resolveMilliseconds = 200;
 const retryMilliseconds = 120;
 
+function sum(counts: Readonly<Record<string, number>>): number {
+  return Object.values(counts).reduce((total, count) => total + count, 0);
+}
+
 function create(kernel: Kernel, settings: LesseeSettings, parts: LesseeParts): Lessee {
   const grants = fence.create();
   const held = new Map<string, Held>();
@@ -136,7 +141,7 @@
   function toldOf(core: string): Told {
     let known = told.get(core);
     if (known === undefined) {
-      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: 0, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
+      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: {}, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
       told.set(core, known);
     }
     return known;
@@ -165,6 +170,12 @@
     return [...merged.values()].filter((entry) => !entry.gone);
   }
 
+  function edges(): Readonly<Record<string, number>> {
+    let most: Readonly<Record<string, number>> = {};
+    for (const known of told.values()) if (sum(known.edges) > sum(most)) most = known.edges;
+    return most;
+  }
+
   async function ask(core: string, link: Peer, hold: number): Promise<boolean> {
     const known = toldOf(core);
     const sentAt = kernel.clock.now();
@@ -175,7 +186,7 @@
     }, hold + callMilliseconds);
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
     take(core, known, reply.value, sentAt);
-    return reply.value.ready;
+    return true;
   }
 
   function take(core: string, known: Told, reply: Reply<'lease'>, sentAt: Instant): void {
@@ -199,8 +210,8 @@
         await kernel.clock.sleep(redialLookMilliseconds);
         continue;
       }
-      const ready = await ask(core, link, holdMilliseconds);
-      if (!ready) await kernel.clock.sleep(retryMilliseconds);
+      const replied = await ask(core, link, holdMilliseconds);
+      if (!replied) await kernel.clock.sleep(retryMilliseconds);
     }
   }
 
@@ -265,7 +276,7 @@
     release: (service) => floors.get(service) ?? 0,
     roster,
     rosterNumber: () => rosterNumber,
-    edges: () => Math.max(1, ...[...told.values()].map((known) => known.edges)),
+    edges,
     notes: noted,
     cores: () => cores.length,
     granting: () => names().filter((core) => kernel.clock.now() - toldOf(core).at < 2_000).length,
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -42,6 +42,7 @@
 function create(kernel: Kernel, view: LessorView): Lessor {
   const token = kernel.randomness.token();
   const askedAt = new Map<string, Instant>();
+  const areas = new Map<string, string>();
   const released = new Map<string, Readonly<Record<string, number>>>();
   const positions = new Map<string, LogPosition>();
   const waiting = new Set<() => void>();
@@ -79,9 +80,19 @@
     return [...askedAt].filter(([, at]) => now - at <= milliseconds).map(([node]) => node);
   }
 
+  function byArea(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const node of within(termMilliseconds + marginMilliseconds)) {
+      const area = areas.get(node) ?? '';
+      counts[area] = (counts[area] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   async function lease(ask: Ask<'lease'>): Promise<Reply<'lease'>> {
     if (!askedAt.has(ask.node)) kernel.log('lease.asked', { node: ask.node, area: ask.area });
     askedAt.set(ask.node, kernel.clock.now());
+    areas.set(ask.node, ask.area);
     released.set(ask.node, { ...ask.released });
     for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
     for (const member of ask.notListening) view.onNotListening(member);
@@ -98,7 +109,7 @@
       puts: view.puts(),
       roster: [...view.roster.since(whole ? 0 : (rosterAt.get(ask.seen) ?? 0))],
       whole,
-      edges: within(termMilliseconds + marginMilliseconds).length,
+      edges: byArea(),
     };
   }
 
--- a/packages/machine/src/lean.ts
+++ b/packages/machine/src/lean.ts
@@ -1,4 +1,5 @@
 // A real machine's kernel for programs whose every start is paid for: HTTP from the runtime alone (design 2.7).
+import './log-on.js';
 import type http from 'node:http';
 import type net from 'node:net';
 import { ROARR, Roarr } from 'roarr';
@@ -78,6 +79,7 @@
   return new Promise((resolve, reject) => {
     listener.on('error', reject);
     listener.listen(links.parts(address), () => resolve({
+      deafen: () => void listener.close(),
       stop: () => new Promise((stopped) => {
         listener.close(() => stopped());
         listener.closeAllConnections();
--- a/packages/machine/src/links.ts
+++ b/packages/machine/src/links.ts
@@ -83,6 +83,7 @@
   return new Promise((resolve, reject) => {
     server.on('error', reject);
     server.listen(parts(address), () => resolve({
+      deafen: () => void server.close(),
       stop: () => new Promise((stopped) => {
         server.close(() => stopped());
         for (const socket of sockets) socket.destroy();
@@ -184,6 +185,7 @@
   return new Promise((resolve, reject) => {
     server.on('error', reject);
     server.listen({ ...parts(address), backlog: 1_024 }, () => resolve({
+      deafen: () => void server.close(),
       stop: () => new Promise((stopped) => {
         server.close(() => stopped());
         for (const socket of sockets) socket.destroy();
--- a/packages/machine/src/network.ts
+++ b/packages/machine/src/network.ts
@@ -57,7 +57,7 @@
     });
   }
   await app.listen(parts(address));
-  return { stop: () => app.close().then(() => undefined) };
+  return { deafen: () => void app.server.close(), stop: () => app.close().then(() => undefined) };
 }
 
 function connect(address: Address): HttpConnection {
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -197,8 +197,8 @@
   /** What has changed in the roster since `seen`; all of it when `whole`. */
   roster: RosterEntries,
   whole: Type.Boolean(),
-  /** How many edges hold leases here. */
-  edges: Count,
+  /** How many edges hold leases here, by area. */
+  edges: Type.Record(Type.String({ maxLength: 200 }), Count),
 });
 
 /** What a proxy is fed of placement (design 8.10). */
@@ -230,7 +230,8 @@
   services: Type.Array(PlacementSchema, { maxItems: 20_000 }),
   /** The whole roster, or null where it is as it was at `seen`. */
   roster: Type.Union([RosterEntries, Type.Null()]),
-  edges: Count,
+  /** How many edges hold leases, by area. */
+  edges: Type.Record(Type.String({ maxLength: 200 }), Count),
   area: Name,
   node: Name,
 });
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -29,6 +29,8 @@
 
 /** How long a dialler waits after a failed or broken link; jittered so that returns do not come together. */
 const redialMilliseconds = 150;
+/** The first tries come sooner: whoever is dialled may just be starting. */
+const firstRedialMilliseconds = 25;
 /** So many calls in a row without an answer, and the link is taken for half open and dialled anew. */
 const silentCalls = 5;
 const greetMilliseconds = 2_000;
@@ -58,6 +60,8 @@
   let lastStrange = '';
   let closed = false;
   let silent = 0;
+  let helds = 0;
+  let tries = 0;
 
   function settle(call: number, reply: Option.Option<unknown>): void {
     const entry = waiting.get(call);
@@ -107,6 +111,7 @@
     }
     current = Option.some(link);
     silent = 0;
+    helds += 1;
     events.connected?.();
     for (;;) {
       const frame = await link.receive();
@@ -129,8 +134,11 @@
         if (Either.isRight(opened)) opened.right.close();
         return;
       }
+      const heldBefore = helds;
       if (Either.isRight(opened)) await hold(opened.right);
-      if (!closed) await kernel.clock.sleep(redialMilliseconds * (0.5 + kernel.randomness.fraction()));
+      tries = helds > heldBefore ? 0 : tries + 1;
+      const pause = Math.min(redialMilliseconds, firstRedialMilliseconds * 2 ** Math.min(tries, 8));
+      if (!closed) await kernel.clock.sleep(pause * (0.5 + kernel.randomness.fraction()));
     }
   }
 
--- a/packages/pooler/src/connections.ts
+++ b/packages/pooler/src/connections.ts
@@ -1,7 +1,7 @@
 // Connections to members, kept by member and tenant: few, costly, reused, within this edge's share (design 8.3, 8.12).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { fault, identifiers, type Instant, type Kernel } from '@stallstall/kernel';
+import { fault, identifiers, type Fault, type Instant, type Kernel } from '@stallstall/kernel';
 import { lines, type Dialect, type MemberLine, type MemberPlace } from '@stallstall/statement';
 
 /** What stands on a connection: a session's values, and prepared shapes under names of the connection's own. */
@@ -19,6 +19,9 @@
   take: (place: MemberPlace, tenant: string, session: string) => Option.Option<PooledLine>;
   /** Has one more opened for whoever waits; false when the share of that member is used up. */
   want: (place: MemberPlace, tenant: string) => boolean;
+  /** Opens one ahead of need, should none stand for the tenant. */
+  warm: (place: MemberPlace, tenant: string) => void;
+  opening: (member: string, tenant: string) => boolean;
   giveBack: (pooled: PooledLine, sound: boolean) => void;
   /** The last opening failed and nothing is open: until then nobody waits for this member. */
   failing: (member: string) => boolean;
@@ -32,6 +35,9 @@
 }>;
 
 type Idle = Readonly<{ pooled: PooledLine; session: string; since: Instant }>;
+/** What an edge may hold of a member at once, and what it keeps when nobody asks: room is left for whoever comes back from the dark. */
+export type Share = Readonly<{ most: number; kept: number }>;
+
 type MemberLines = {
   idle: Idle[];
   readonly busy: Map<PooledLine, string>;
@@ -40,16 +46,22 @@
   failures: number;
   failingUntil: Instant;
   notListeningAt: Instant;
+  /** Until a member lets in more again: how many it let in, and since when. */
+  scarce: Option.Option<Readonly<{ most: number; since: Instant }>>;
 };
 
 const openMilliseconds = 1_000;
 const idleMilliseconds = 20_000;
+/** An idle connection beyond what is kept is closed after so long. */
+const surplusMilliseconds = 4_000;
+/** A member that has too many connections is asked for no more than stand, and for one more after each such span. */
+const scarceMilliseconds = 250;
 const leastPauseMilliseconds = 150;
 const mostPauseMilliseconds = 1_500;
 const notListeningMilliseconds = 1_000;
 const never = identifiers.instant(Number.NEGATIVE_INFINITY);
 
-function create(kernel: Kernel, dialect: Dialect, share: (service: string) => number, onFreed: () => void): Connections {
+function create(kernel: Kernel, dialect: Dialect, share: (place: MemberPlace) => Share, onFreed: () => void): Connections {
   const table = new Map<string, MemberLines>();
   let opened = 0;
   let failed = 0;
@@ -57,12 +69,20 @@
   function of(member: string): MemberLines {
     let known = table.get(member);
     if (known === undefined) {
-      known = { idle: [], busy: new Map(), opening: 0, openingFor: new Map(), failures: 0, failingUntil: never, notListeningAt: never };
+      known = { idle: [], busy: new Map(), opening: 0, openingFor: new Map(), failures: 0, failingUntil: never, notListeningAt: never, scarce: Option.none };
       table.set(member, known);
     }
     return known;
   }
 
+  function mostOf(place: MemberPlace, known: MemberLines): number {
+    const { most } = share(place);
+    if (Option.isNone(known.scarce)) return most;
+    const now = known.scarce.value.most + Math.floor((kernel.clock.now() - known.scarce.value.since) / scarceMilliseconds);
+    if (now >= most) known.scarce = Option.none;
+    return Math.min(most, now);
+  }
+
   function total(known: MemberLines): number {
     return known.idle.length + known.busy.size + known.opening;
   }
@@ -101,6 +121,14 @@
     known.opening -= 1;
     known.openingFor.set(tenant, (known.openingFor.get(tenant) ?? 1) - 1);
     const now = kernel.clock.now();
+    if (Either.isLeft(line) && isScarce(line.left)) {
+      failed += 1;
+      known.scarce = Option.some({ most: Math.max(1, total(known)), since: now });
+      if (makeRoom(tenant, known)) void open(place, tenant, known);
+      else kernel.clock.alarm(scarceMilliseconds * (0.5 + kernel.randomness.fraction()), onFreed);
+      onFreed();
+      return;
+    }
     if (Either.isLeft(line)) {
       failed += 1;
       known.failures += 1;
@@ -118,10 +146,37 @@
     onFreed();
   }
 
+  function isScarce(error: Fault): boolean {
+    const condition = lines.conditionOf(error);
+    return Option.isSome(condition) && condition.value === 'overloaded';
+  }
+
+  /** One of this edge's own that rests for another tenant gives way. */
+  function makeRoom(tenant: string, known: MemberLines): boolean {
+    const index = known.idle.findIndex((one) => one.pooled.tenant !== tenant);
+    if (index < 0) return false;
+    const [given] = known.idle.splice(index, 1);
+    given?.pooled.line.close();
+    return true;
+  }
+
+  /** Whether one is being opened for a tenant. */
+  function opening(member: string, tenant: string): boolean {
+    return (table.get(member)?.openingFor.get(tenant) ?? 0) > 0;
+  }
+
+  /** Opens one ahead of need, should none stand for the tenant. */
+  function warm(place: MemberPlace, tenant: string): void {
+    const known = of(place.member);
+    if (total(known) >= share(place).kept || opening(place.member, tenant) || known.idle.some((one) => one.pooled.tenant === tenant)) return;
+    for (const busy of known.busy.keys()) if (busy.tenant === tenant) return;
+    want(place, tenant);
+  }
+
   function want(place: MemberPlace, tenant: string): boolean {
     const known = of(place.member);
     if (kernel.clock.now() < known.failingUntil) return false;
-    if (total(known) >= share(place.service)) {
+    if (total(known) >= mostOf(place, known)) {
       // Another tenant's idle connection makes room: the one that rested longest.
       dropClosed(known);
       const [oldest] = known.idle;
@@ -138,7 +193,7 @@
     const session = known.busy.get(pooled);
     if (session === undefined) return;
     known.busy.delete(pooled);
-    if (sound && !pooled.line.closed() && total(known) < share(pooled.place.service)) known.idle.push({ pooled, session, since: kernel.clock.now() });
+    if (sound && !pooled.line.closed() && total(known) < share(pooled.place).most) known.idle.push({ pooled, session, since: kernel.clock.now() });
     else if (sound) pooled.line.close();
     else pooled.line.reset();
     onFreed();
@@ -148,7 +203,15 @@
     const now = kernel.clock.now();
     for (const [member, known] of table) {
       const entry = members.get(member);
-      const stale = known.idle.filter((one) => entry === undefined || entry.address !== one.pooled.place.address || now - one.since > idleMilliseconds || one.pooled.line.closed());
+      const place = known.idle[0]?.pooled.place;
+      let surplus = place === undefined ? 0 : total(known) - share(place).kept;
+      const stale = known.idle.filter(function isStale(one) {
+        if (entry === undefined || entry.address !== one.pooled.place.address || now - one.since > idleMilliseconds || one.pooled.line.closed()) return true;
+        // Those that rested longest stand first.
+        if (surplus <= 0 || now - one.since <= surplusMilliseconds) return false;
+        surplus -= 1;
+        return true;
+      });
       if (stale.length > 0) {
         known.idle = known.idle.filter((one) => !stale.includes(one));
         for (const one of stale) one.pooled.line.close();
@@ -160,6 +223,8 @@
   return {
     take,
     want,
+    warm,
+    opening,
     giveBack,
     tend,
     failing: function failing(member) {
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -3,8 +3,8 @@
 import { identifiers, kernel as kernels, type HttpMapping, type Instant, type Kernel, type Listening, type Stream } from '@stallstall/kernel';
 import { peer } from '@stallstall/peer';
 import type { SheetDatabase } from '@stallstall/sheet';
-import type { Command, Condition, Dialect, Incoming, StatementReply } from '@stallstall/statement';
-import { connections as connectionTables } from './connections.js';
+import type { Command, Condition, Dialect, Incoming, MemberPlace, StatementReply } from '@stallstall/statement';
+import { connections as connectionTables, type Share } from './connections.js';
 import { freshness as freshnessTables } from './freshness.js';
 import { requests as requestTables } from './requests.js';
 import { sessions as sessionTables, type Session, type Transaction } from './sessions.js';
@@ -39,6 +39,8 @@
 const feedPauseMilliseconds = 50;
 const tendMilliseconds = 250;
 const tellMilliseconds = 1_000;
+/** So often the log says where this process stands. */
+const countsMilliseconds = 10_000;
 /** A sender that opens before anything is known is held for so long: it gives up after two seconds. */
 const openingMilliseconds = 1_800;
 const openingLookMilliseconds = 25;
@@ -46,8 +48,16 @@
 const handoverMilliseconds = 300;
 /** Connections of each member kept free for the cores' own questions. */
 const reservedConnections = 6;
+const farConnections = 2;
+/** Of its share an edge keeps this much when nobody asks: members count the connections of a machine that went dark for seconds more. */
+const keptShare = 0.7;
+/** A process that has just begun may be one of many that came back from the dark together: it takes less of its share at first. */
+const beginningShare = 0.4;
+const beginningMilliseconds = 3_000;
 /** After SIGTERM new sessions still arrive for a moment. */
-const lameMilliseconds = 1_600;
+const lameMilliseconds = 2_300;
+/** One that was let in but says nothing is not waited for any longer. */
+const silentMilliseconds = 400;
 const rollbackMilliseconds = 1_000;
 const drainLookMilliseconds = 20;
 const mostOpeningBytes = 16_384;
@@ -63,6 +73,7 @@
   const released: Record<string, number> = {};
   /** Since when a service's epoch is to be let go. */
   const releasing = new Map<string, Instant>();
+  const beganAt = kernel.clock.now();
   let view: View = views.empty;
   let token = '';
   let seen = 0;
@@ -75,9 +86,33 @@
   const requests = requestTables.create(kernel, dialect, () => view, connections, freshness, usage);
 
   /** This edge's part of what a member lets in, of all edges that hold leases (design 8.3). */
-  function share(service: string): number {
-    const known = Option.isSome(view.sheet) ? view.sheet.value.services.find((one) => one.service === service) : undefined;
-    return Math.max(1, Math.floor(((known?.connectionLimit ?? 0) - reservedConnections) / Math.max(1, view.edges)));
+  function share(place: MemberPlace): Share {
+    const known = Option.isSome(view.sheet) ? view.sheet.value.services.find((one) => one.service === place.service) : undefined;
+    const limit = Math.max(0, (known?.connectionLimit ?? 0) - reservedConnections);
+    const edges = Math.max(1, Object.values(view.edges).reduce((sum, count) => sum + count, 0));
+    const whole = shareOf(place, limit, edges);
+    const most = kernel.clock.now() - beganAt < beginningMilliseconds ? whole * beginningShare : whole;
+    return { most: Math.max(1, Math.floor(most)), kept: Math.max(1, Math.ceil(whole * keptShare)) };
+  }
+
+  /** All edges need whoever leads; a replica is read in its own area, and from elsewhere only now and then. */
+  function shareOf(place: MemberPlace, limit: number, edges: number): number {
+    const even = limit / edges;
+    if (view.leaders.get(place.service)?.primary === place.member) return even;
+    const area = view.members.get(place.member)?.area ?? '';
+    const near = view.edges[area] ?? 0;
+    if (near === 0) return even;
+    const far = Math.min(farConnections, even);
+    return area === view.area ? (limit - far * (edges - near)) / near : far;
+  }
+
+  /** A session that opens will want its leader, or a member nearby, before long. */
+  function warm(database: SheetDatabase, tenant: string): void {
+    const leader = view.members.get(view.leaders.get(database.service)?.primary ?? '');
+    if (leader !== undefined) connections.warm({ service: leader.service, member: leader.member, address: leader.address }, tenant);
+    if (database.reads === 'leader') return;
+    const near = (view.byService.get(database.service) ?? []).find((entry) => entry.area === view.area && !entry.draining && !entry.down);
+    if (near !== undefined) connections.warm({ service: near.service, member: near.member, address: near.address }, tenant);
   }
 
   // -- Fed by the agent; leases are counted from this process's own send time (design 7.3).
@@ -91,17 +126,28 @@
     if (Option.isNone(reply)) return false;
     const news = reply.value.token !== token || reply.value.number > seen;
     if (reply.value.token === token && reply.value.number < seen) return true;
+    const led = leadersOf(view);
     view = views.fed(view, reply.value, sentAt, kernel.clock.now());
     token = reply.value.token;
     seen = reply.value.number;
     if (news) {
       noteReleases();
+      if (led !== leadersOf(view)) for (const session of sessions.keys()) warmSession(session);
       connections.tend(view.members);
     }
     requests.sweep();
     return true;
   }
 
+  function leadersOf(of: View): string {
+    return [...of.leaders.values()].map((leader) => `${leader.primary} ${leader.epoch}`).join(' ');
+  }
+
+  function warmSession(session: Session): void {
+    const found = letIn(session.database, session.who);
+    if (typeof found !== 'string') warm(found.database, found.tenant);
+  }
+
   async function feedTask(): Promise<void> {
     while (!stopped) {
       const fed = agent.connected() && (await feed(feedMilliseconds));
@@ -121,7 +167,7 @@
 
   function noteReleases(): void {
     for (const [service, leader] of view.leaders) {
-      if (leader.release > (released[service] ?? 0) && !releasing.has(service)) releasing.set(service, kernel.clock.now());
+      if (leader.release > leader.epoch && leader.release > (released[service] ?? 0) && !releasing.has(service)) releasing.set(service, kernel.clock.now());
     }
     lookAtReleases();
   }
@@ -269,6 +315,8 @@
     lastSession += 1;
     const session = sessionTables.create(`s${lastSession}`, incoming.database, incoming.who);
     sessions.set(session, stream);
+    unopened.delete(stream);
+    warm(found.database, found.tenant);
     stream.write(dialect.rest('idle', Option.none));
     return session;
   }
@@ -277,7 +325,16 @@
     return ending && Option.isNone(session.transaction);
   }
 
+  /** Connections that have not opened a session yet, and since when. */
+  const unopened = new Map<Stream, Instant>();
+
   async function sender(stream: Stream): Promise<void> {
+    unopened.set(stream, kernel.clock.now());
+    await serve(stream);
+    unopened.delete(stream);
+  }
+
+  async function serve(stream: Stream): Promise<void> {
     const framer = dialect.framer(Option.isSome(view.sheet) ? view.sheet.value.bounds.messageBytes : mostOpeningBytes * 64);
     let session: Session | undefined;
     reading: for (;;) {
@@ -333,12 +390,11 @@
     return view.leaders.size > 0 && [...view.leaders.values()].some((leader) => leader.until > now);
   }
 
-  const listening: readonly Listening[] = [
-    await kernel.network.serve(identifiers.address(settings.outward), { mappings: parts.pages(ready) }),
-    await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void sender(stream)),
-  ];
+  const door = await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void sender(stream));
+  const listening: readonly Listening[] = [door, await kernel.network.serve(identifiers.address(settings.outward), { mappings: parts.pages(ready) })];
   void feedTask();
   void kernels.every(kernel.clock, tendMilliseconds, tend, () => !stopped);
+  void kernels.every(kernel.clock, countsMilliseconds, () => kernel.log('pooler.counts', { sessions: sessions.size, inFlight: requests.inFlight(), ...connections.describe(), ...requests.totals() }), () => !stopped);
   void kernels.every(kernel.clock, tellMilliseconds, async function tell() {
     if (agent.connected()) await usage.tell();
   }, () => !stopped);
@@ -357,9 +413,12 @@
     endingSince = kernel.clock.now();
     const horizon = identifiers.after(endingSince, settings.graceMilliseconds - 500);
     await kernel.clock.sleep(lameMilliseconds);
+    // Nobody new from here on, so that who is left can only become fewer.
+    door.deafen();
     while (kernel.clock.now() < horizon) {
       for (const [session, stream] of sessions) if (Option.isNone(session.transaction) && !asked.has(session)) stream.close();
-      if (sessions.size === 0) break;
+      for (const [stream, since] of unopened) if (kernel.clock.now() - since > silentMilliseconds) stream.close();
+      if (sessions.size + unopened.size === 0) break;
       await kernel.clock.sleep(drainLookMilliseconds);
     }
     await usage.tell();
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -6,7 +6,7 @@
 import { positions, type Condition, type Dialect, type MemberPlace, type Position, type StatementReply } from '@stallstall/statement';
 import type { Connections, PooledLine } from './connections.js';
 import type { Freshness } from './freshness.js';
-import { sessions, type Prepared, type Session, type Transaction } from './sessions.js';
+import { sessions, type Held, type Prepared, type Session, type Transaction } from './sessions.js';
 import type { Usage } from './usage.js';
 import type { View } from './view.js';
 
@@ -33,9 +33,12 @@
   /** The first byte of the statement or of its transaction: what had been acknowledged before it must be seen. */
   startedAt: Instant;
   horizon: Instant;
-  /** Until then it may wait for a leader or a connection without having been offered to a member. */
+  /** Until then it may wait without having been offered to a member: the first for what is not known to pass soon, the second for what is. */
   holdUntil: Instant;
+  patientUntil: Instant;
   shots: number;
+  /** It began its transaction on the member: nothing of that has been told to the sender. */
+  firstOfTransaction: boolean;
   without: ReadonlySet<string>;
   /** The member a connection was asked to be opened to on its behalf. */
   wanted: string;
@@ -57,13 +60,17 @@
 const sweepMilliseconds = 20;
 /** What is left of the allowance for the statement to reach its member and be read there. */
 const stalenessMarginMilliseconds = 150;
-/** Share of the aim that a statement may wait without having been offered to a member. */
+/** Share of the aim that a statement may wait without having been offered to a member, while nothing says that it will be soon. */
 const holdShare = 0.24;
+/** Share of its time that it may wait for a connection that is being opened, or for a leader that is about to follow. */
+const patientShare = 0.2;
+/** So long a change of leader, or this process's own beginning, is taken for about to end. */
+const changeMilliseconds = 2_000;
 const leastHoldMilliseconds = 20;
 /** A draining member takes nothing new for longer than this after the news (design 7.9). */
 const drainMilliseconds = 4_500;
-/** A read whose member is silent for so long is sent to another one as well, the first being given up. */
-const leastHedgeMilliseconds = 250;
+/** A reply is not taken for lost before this. */
+const leastPatienceMilliseconds = 60;
 /** How a member far away weighs against one in this area, in statements under way. */
 const farWeight = 3;
 const leaderWeight = 1;
@@ -74,6 +81,8 @@
   const table = new Map<number, RequestRecord>();
   const repliers = new Map<number, (reply: StatementReply) => void>();
   const totals = new Map<string, number>();
+  const beganAt = kernel.clock.now();
+  const changes = new Map<string, Readonly<{ release: number; since: Instant }>>();
   let lastId = 0;
   let working = false;
   let again = false;
@@ -175,10 +184,24 @@
     if (Option.isSome(transaction) && Option.isSome(transaction.value.held)) return record;
     const target = needsLeader(record.ask) ? leaderTarget(record.ask.database.service) : readTarget(record);
     if (Option.isSome(target)) return { ...record, target };
-    if (kernel.clock.now() < record.holdUntil) return { ...record, stage: 'waiting' };
+    if (kernel.clock.now() < (isChanging(record.ask.database.service) ? record.patientUntil : record.holdUntil)) return { ...record, stage: 'waiting' };
     return deny(record, 'read-only', retryText(300));
   }
 
+  /** A leader is on its way: one was asked to let go a moment ago, or this edge has only begun. */
+  function isChanging(service: string): boolean {
+    const leader = view().leaders.get(service);
+    const now = kernel.clock.now();
+    const epoch = leader?.epoch ?? 0;
+    if (leader === undefined || leader.release <= epoch) return now - beganAt < changeMilliseconds;
+    const known = changes.get(service);
+    if (known === undefined || known.release !== leader.release) {
+      changes.set(service, { release: leader.release, since: now });
+      return true;
+    }
+    return now - known.since < changeMilliseconds;
+  }
+
   function place(record: RequestRecord): RequestRecord {
     const { transaction, session, tenant } = record.ask;
     if (Option.isSome(transaction) && Option.isSome(transaction.value.held)) {
@@ -188,12 +211,15 @@
     const { place: member, leader } = record.target.value;
     const taken = connections.take(member, tenant, session.id);
     if (Option.isSome(taken)) return { ...record, connection: taken };
-    const wanted = record.wanted === member.member || connections.want(member, tenant) ? member.member : record.wanted;
-    if (connections.failing(member.member) && (leader || kernel.clock.now() >= record.holdUntil)) {
-      if (!leader && record.without.size < 8) return { ...record, stage: 'waiting', without: new Set([...record.without, member.member]) };
-      if (kernel.clock.now() >= record.holdUntil) return deny(record, 'read-only', retryText(300));
-    }
-    return { ...record, stage: 'waiting', wanted };
+    // Asked for once, and again should the opening have come to nothing.
+    const asked = record.wanted === member.member && connections.opening(member.member, tenant);
+    const wanted = asked || connections.want(member, tenant) ? member.member : '';
+    const waits: RequestRecord = { ...record, stage: 'waiting', wanted };
+    const now = kernel.clock.now();
+    if (!connections.failing(member.member)) return now < record.patientUntil ? waits : deny(record, 'saturated', retryText(200));
+    // Nothing is open to it and the last opening failed: a read goes elsewhere, what needs the leader is not kept waiting.
+    if (!leader && record.without.size < 8) return { ...waits, without: new Set([...record.without, member.member]) };
+    return now < record.holdUntil ? waits : deny(record, 'read-only', retryText(300));
   }
 
   function dispatch(record: RequestRecord): RequestRecord {
@@ -292,6 +318,33 @@
     return record.shots < mostShots && kernel.clock.now() < record.horizon;
   }
 
+  /**
+   * A statement that can be begun again elsewhere, or whose transaction can be told to be begun again: nothing of it is kept once its
+   * connection is broken off. A write and a commit are waited for to the end.
+   */
+  function mayBreakOff(record: RequestRecord): boolean {
+    if (record.ask.commit || kernel.clock.now() >= record.horizon) return false;
+    return Option.isSome(record.ask.transaction) || (!record.ask.writes && mayRepeat(record));
+  }
+
+  const spans = new Map<string, Readonly<{ mean: number; deviation: number }>>();
+
+  /** How long statements of a kind take, smoothed as round-trip times are. */
+  function noteSpan(database: SheetDatabase, span: number): void {
+    const key = `${database.service} ${database.reads}`;
+    const known = spans.get(key);
+    spans.set(key, known === undefined
+      ? { mean: span, deviation: span / 2 }
+      : { mean: known.mean + (span - known.mean) / 8, deviation: known.deviation + (Math.abs(span - known.mean) - known.deviation) / 4 });
+  }
+
+  /** Silence beyond this is taken for a lost reply: far beyond what such statements take by now. */
+  function patience(database: SheetDatabase): number {
+    const known = spans.get(`${database.service} ${database.reads}`);
+    const usual = known === undefined ? database.aimMilliseconds : 4 * known.mean + 8 * known.deviation;
+    return Math.max(leastPatienceMilliseconds, Math.min(usual, database.horizonMilliseconds * 0.6));
+  }
+
   function isHeld(record: RequestRecord): boolean {
     return Option.isSome(record.ask.transaction) && Option.isSome(record.ask.transaction.value.held);
   }
@@ -321,11 +374,10 @@
     count('sent');
     // An operation is one request, however many statements its transaction holds (design 8.6).
     if (begins && record.shots === 1) usage.count(ask.tenant);
-    const hedges = !ask.writes && !ask.commit && Option.isNone(ask.transaction) && Option.isSome(record.target) && !record.target.value.leader && mayRepeat(record);
-    const hedgeAt = Math.max(leastHedgeMilliseconds, ask.database.aimMilliseconds * 0.6);
     const left = record.horizon - sentAt;
-    const ran = await pooled.line.run([dialect.query(ask.identifier, textOf(record, pooled))], hedges ? Math.min(left, hedgeAt) : left);
+    const ran = await pooled.line.run([dialect.query(ask.identifier, textOf(record, pooled))], mayBreakOff(record) ? Math.min(left, patience(ask.database)) : left);
     const replied = ran.replies[0];
+    if (replied !== undefined) noteSpan(ask.database, kernel.clock.now() - sentAt);
     if (ran.whole && replied !== undefined) settle(record, pooled, replied, sentAt);
     else settleLost(record, pooled);
     sweep();
@@ -355,8 +407,15 @@
       reply(record, { rows: [], ending: { kind: 'fault', condition: 'outcome-unknown', text: 'the reply was lost; it may have run' }, stance: 'idle', position: Option.none });
       return;
     }
-    if (held) {
-      // Its connection is broken off, so that nothing of the transaction can be kept.
+    if (held && Option.isSome(ask.transaction)) {
+      // Its connection is broken off, so that nothing of the transaction can be kept; before its sender has heard anything of it, it can begin elsewhere.
+      if (record.firstOfTransaction && !ask.transaction.value.failed && mayRepeat(record)) {
+        const { pooled: broken } = (ask.transaction.value.held as Option.Some<Held>).value;
+        ask.transaction.value.held = Option.none;
+        connections.giveBack(broken, false);
+        retry(record, Option.isSome(record.target) && !record.target.value.leader ? [record.target.value.place.member] : []);
+        return;
+      }
       deny(record, 'aborted', retryText(100));
       return;
     }
@@ -414,7 +473,7 @@
       const hold = Math.max(leastHoldMilliseconds, asked.database.aimMilliseconds * holdShare);
       const record: RequestRecord = {
         id: lastId, ask: asked, stage: 'waiting', arrivedAt: now, startedAt: Option.isSome(asked.transaction) ? asked.transaction.value.startedAt : now,
-        horizon: identifiers.after(now, asked.database.horizonMilliseconds), holdUntil: identifiers.after(now, hold), shots: 0, without: new Set(), wanted: '',
+        horizon: identifiers.after(now, asked.database.horizonMilliseconds), holdUntil: identifiers.after(now, hold), patientUntil: identifiers.after(now, asked.database.horizonMilliseconds * patientShare), shots: 0, firstOfTransaction: Option.isSome(asked.transaction) && Option.isNone(asked.transaction.value.held), without: new Set(), wanted: '',
         target: Option.none, connection: Option.none,
       };
       table.set(record.id, record);
--- a/packages/pooler/src/view.ts
+++ b/packages/pooler/src/view.ts
@@ -20,14 +20,15 @@
   byService: ReadonlyMap<string, readonly RosterEntry[]>;
   /** Since when each member is known to be draining. */
   drainingSince: ReadonlyMap<string, Instant>;
-  edges: number;
+  /** How many edges hold leases, by area. */
+  edges: Readonly<Record<string, number>>;
   area: string;
   node: string;
 }>;
 
 const empty: View = {
   version: 0, sheet: Option.none, databases: new Map(), tenants: new Map(), leaders: new Map(), members: new Map(), byService: new Map(),
-  drainingSince: new Map(), edges: 1, area: '', node: '',
+  drainingSince: new Map(), edges: {}, area: '', node: '',
 };
 
 function grouped(entries: readonly RosterEntry[]): ReadonlyMap<string, readonly RosterEntry[]> {
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -16,6 +16,8 @@
   leave: (member: string) => void;
   /** Beats that another core took. */
   take: (spread: readonly Spread[]) => void;
+  /** What stood before a restart: of use until beats tell, and never later than any of them. */
+  restore: (entries: readonly RosterEntry[]) => void;
   /** Beats taken here since the last call, for the other cores. */
   spread: () => readonly Spread[];
   /** Grows with every change that a reader must know of. */
@@ -81,6 +83,10 @@
     toSpread.set(member, kernel.clock.now());
   }
 
+  function restore(entries: readonly RosterEntry[]): void {
+    for (const entry of entries) if (!table.has(entry.member)) put({ ...entry, down: false }, kernel.clock.now());
+  }
+
   function spread(): readonly Spread[] {
     const now = kernel.clock.now();
     const told = [...toSpread].flatMap(([member, at]) => {
@@ -107,6 +113,7 @@
 
   return {
     beat,
+    restore,
     leave,
     spread,
     step,
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -479,9 +479,13 @@
     };
 
     function listening(table: Map<string, { readonly body: Body }>, address: string): Listening {
+      function deafen(): void {
+        if (table.get(address)?.body === body) table.delete(address);
+      }
       return {
+        deafen,
         stop: function stop() {
-          if (table.get(address)?.body === body) table.delete(address);
+          deafen();
           return Promise.resolve();
         },
       };
