Marks of all edges for reads without a leader; promotions asked again; candidates in turn

Causes: while a primary was gone, no edge could show how far commits reached, so bounded reads were refused after 1.4 s; a promotion hung on a platform that said nothing (SYN after SYN); three cores stood at the same moment and outvoted one another; an edge that died took up to a second of its counts. Ruled out: asking replicas for their positions (a commit that the dead primary alone has could be acknowledged and missed).

--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
-import type { Ask, LogPosition, Placement, Reply } from '@stallstall/message';
+import type { Ask, LogPosition, Marks, Placement, Reply } from '@stallstall/message';
 import { peer } from '@stallstall/peer';
 import { lessee as lessees } from '@stallstall/lease';
 import { termMilliseconds } from '@stallstall/fence';
@@ -13,6 +13,11 @@
 /** A proxy that has been silent for so long is gone, or has nothing under way that could still be told. */
 const proxyQuietMilliseconds = 1_200;
 const graceMilliseconds = 5_600;
+/** A proxy that asks this often misses a leader somewhere. */
+export const troubledHoldMilliseconds = 100;
+const serialsKept = 100;
+/** Nothing is known of what the proxy has told its senders. */
+const noPositionsMilliseconds = 3_600_000;
 const drainLookMilliseconds = 50;
 const drainLeastMilliseconds = 300;
 
@@ -23,6 +28,13 @@
   let gathering = false;
   let released: Readonly<Record<string, number>> = {};
   let positions: Readonly<Record<string, LogPosition>> = {};
+  /** As the proxy told them, with the moment it asked. */
+  let seenMarks: Marks = {};
+  /** What the proxy told last was all there was at this moment or later. */
+  let positionsAt: Instant | undefined;
+  let troubled = false;
+  let serial = 0;
+  const repliedAt = new Map<number, Instant>();
   let notListening: readonly string[] = [];
   let askedAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
   let said = '';
@@ -36,10 +48,19 @@
   const lessee = lessees.create(kernel, { node: settings.node, area: settings.area, seeds: settings.seeds }, {
     released: () => released,
     positions: () => positions,
+    marks: aged,
+    positionsAgo: () => (positionsAt === undefined ? noPositionsMilliseconds : Math.max(0, kernel.clock.now() - positionsAt)),
+    troubled: () => troubled,
     notListening: () => notListening,
     onChange: changed,
   });
 
+  /** What the proxy saw so long before it asked was seen that much longer ago by now. */
+  function aged(): Marks {
+    const since = Math.max(0, kernel.clock.now() - askedAt);
+    return Object.fromEntries(Object.entries(seenMarks).map(([service, mark]) => [service, { ...mark, ago: mark.ago + since }]));
+  }
+
   function placements(): readonly Placement[] {
     const now = kernel.clock.now();
     return lessee.services().map((service): Placement => {
@@ -97,6 +118,10 @@
     askedAt = kernel.clock.now();
     released = ask.released;
     positions = ask.positions;
+    seenMarks = ask.marks;
+    const noOlder = ask.token === token ? repliedAt.get(ask.serial) : undefined;
+    if (noOlder !== undefined && (positionsAt === undefined || noOlder > positionsAt)) positionsAt = noOlder;
+    troubled = ask.hold > 0 && ask.hold <= troubledHoldMilliseconds;
     notListening = ask.notListening;
     const now = `${JSON.stringify(released)}${notListening.join(' ')}`;
     if (now === said) return;
@@ -110,14 +135,19 @@
     const configuration = lessee.configuration();
     const version = Option.isSome(configuration) ? configuration.value.version : 0;
     const known = ask.token === token && ask.seen >= rosterNumber;
+    serial += 1;
+    repliedAt.set(serial, kernel.clock.now());
+    repliedAt.delete(serial - serialsKept);
     return {
       token,
       number,
+      serial,
       configuration: Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
       configurationVersion: version,
       services: [...placements()],
       roster: known ? null : [...lessee.roster()],
       edges: { ...lessee.edges() },
+      marks: Object.fromEntries([...lessee.marks()].map(([service, mark]) => [service, { ...mark.position, ago: Math.max(0, kernel.clock.now() - mark.at) }])),
       area: settings.area,
       node: settings.node,
     };
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -59,10 +59,14 @@
 
 /** How long a vote without a settled epoch is given before another candidacy. */
 const patienceMilliseconds = termMilliseconds + marginMilliseconds + electionTimeoutMilliseconds;
+/** Nodes stand one after the other, further apart than they look for elections: who comes second sees the vote of the first. */
 const rankMilliseconds = 120;
+const rankApartMilliseconds = 450;
 const probeMilliseconds = 800;
 /** A platform may take its time: the duty is renewed beside the call, and the candidate's own STATE is looked at meanwhile. */
 const promoteMilliseconds = 8_000;
+/** Where a promotion may be asked for again without harm, a platform that says nothing is asked again this soon. */
+const promoteAgainMilliseconds = 1_500;
 const promotedLookMilliseconds = 300;
 const orderMilliseconds = 12_000;
 const catchUpMilliseconds = 5_000;
@@ -312,7 +316,7 @@
     const ask: HttpAsk = Option.isSome(view.calls)
       ? view.calls.value.promotion({ service: service.service, member: member.member, epoch, turn: holding.turn, holder: view.self })
       : { method: 'POST', path: '/v1/promotions', body: { service: service.service, member: member.member, epoch, turn: holding.turn } };
-    const reply = await holding.act(identifiers.address(view.platform()), ask, promoteMilliseconds);
+    const reply = await holding.act(identifiers.address(view.platform()), ask, Option.isSome(view.calls) ? promoteAgainMilliseconds : promoteMilliseconds);
     if (Either.isLeft(reply)) return reply;
     if (reply.right.status === 200) return Either.right(null);
     const over = reply.right.status === 409;
@@ -422,7 +426,7 @@
     }
     const startsAt = Option.isSome(standing.wantedSince)
       ? standing.wantedSince.value
-      : identifiers.after(now, (rank() + kernel.randomness.fraction()) * rankMilliseconds);
+      : identifiers.after(now, Option.isSome(view.calls) ? rank() * rankApartMilliseconds : (rank() + kernel.randomness.fraction()) * rankMilliseconds);
     standing.wantedSince = Option.some(startsAt);
     if (now < startsAt) return;
     // Who cannot see a majority does not stand: it would only raise its own epoch out of step with the rest.
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -2,7 +2,7 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
 import {
-  MembershipSchema, message, SettledSchema, type Change, type LogPosition, type Reply, type RosterEntry, type Seat, type Settled,
+  MembershipSchema, message, SettledSchema, type Change, type LogPosition, type Marks, type Reply, type RosterEntry, type Seat, type Settled,
 } from '@stallstall/message';
 import { peer, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
@@ -21,6 +21,10 @@
   /** What the proxy has let go of: below this epoch it has nothing under way. */
   released: () => Readonly<Record<string, number>>;
   positions: () => Readonly<Record<string, LogPosition>>;
+  marks: () => Marks;
+  positionsAgo: () => number;
+  /** A leader is missing somewhere: news is asked for more often. */
+  troubled: () => boolean;
   notListening: () => readonly string[];
   onChange: () => void;
 }>;
@@ -39,6 +43,8 @@
   rosterNumber: () => number;
   /** How many edges hold leases, by area, as the core that counts most of them says. */
   edges: () => Readonly<Record<string, number>>;
+  /** The latest mark of each service that any core has told, and when it held in this process's own moments. */
+  marks: () => ReadonlyMap<string, Readonly<{ position: LogPosition; at: Instant }>>;
   notes: Notes;
   cores: () => number;
   /** How many cores granted within the last term. */
@@ -52,6 +58,7 @@
 type Held = Readonly<{ address: string; peer: Peer }>;
 
 const holdMilliseconds = 450;
+const troubledHoldMilliseconds = 120;
 const callMilliseconds = 700;
 const redialLookMilliseconds = 20;
 const greetMilliseconds = 50;
@@ -67,6 +74,7 @@
   const held = new Map<string, Held>();
   const told = new Map<string, Told>();
   const floors = new Map<string, number>();
+  const marks = new Map<string, Readonly<{ position: LogPosition; at: Instant }>>();
   const greeting = new Set<string>();
   let cores: readonly Seat[] = [];
   let rosterNumber = 0;
@@ -182,7 +190,7 @@
     const current = configuration();
     const reply = await link.call('lease', {
       node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
-      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, notListening: [...parts.notListening()],
+      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo(), notListening: [...parts.notListening()],
     }, hold + callMilliseconds);
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
     take(core, known, reply.value, sentAt);
@@ -199,18 +207,28 @@
     known.at = sentAt;
     if (!reply.ready) return;
     known.stances = reply.stances;
+    takeMarks(reply.marks, sentAt);
     noteFloors();
     grants.heard(core, { sentAt, epochs: reply.stances });
     parts.onChange();
   }
 
+  /** The reply was made after the question left, so what held so long before the reply held later than so long before the question. */
+  function takeMarks(toldMarks: Marks, sentAt: Instant): void {
+    for (const [service, mark] of Object.entries(toldMarks)) {
+      const at = identifiers.after(sentAt, -mark.ago);
+      const known = marks.get(service);
+      if (known === undefined || at > known.at) marks.set(service, { at, position: { term: mark.term, number: mark.number } });
+    }
+  }
+
   async function task(core: string, link: Peer): Promise<void> {
     while (!stopped && held.get(core)?.peer === link) {
       if (!link.connected()) {
         await kernel.clock.sleep(redialLookMilliseconds);
         continue;
       }
-      const replied = await ask(core, link, holdMilliseconds);
+      const replied = await ask(core, link, parts.troubled() ? troubledHoldMilliseconds : holdMilliseconds);
       if (!replied) await kernel.clock.sleep(retryMilliseconds);
     }
   }
@@ -277,6 +295,7 @@
     roster,
     rosterNumber: () => rosterNumber,
     edges,
+    marks: () => marks,
     notes: noted,
     cores: () => cores.length,
     granting: () => names().filter((core) => kernel.clock.now() - toldOf(core).at < 2_000).length,
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -3,6 +3,7 @@
 import type { Ask, LogPosition, Reply } from '@stallstall/message';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
 import type { Roster } from '@stallstall/roster';
+import { marks as markTables } from './marks.js';
 
 export type LessorView = Readonly<{
   ready: () => boolean;
@@ -45,6 +46,7 @@
   const areas = new Map<string, string>();
   const released = new Map<string, Readonly<Record<string, number>>>();
   const positions = new Map<string, LogPosition>();
+  const seen = markTables.create(kernel);
   const waiting = new Set<() => void>();
   /** Where the roster's own number stood at each number of the news. */
   const rosterAt = new Map<number, number>();
@@ -95,6 +97,7 @@
     areas.set(ask.node, ask.area);
     released.set(ask.node, { ...ask.released });
     for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
+    seen.told(ask.node, ask.marks, ask.positions, ask.positionsAgo);
     for (const member of ask.notListening) view.onNotListening(member);
     if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ask.hold);
     const ready = view.ready();
@@ -110,6 +113,7 @@
       roster: [...view.roster.since(whole ? 0 : (rosterAt.get(ask.seen) ?? 0))],
       whole,
       edges: byArea(),
+      marks: seen.all(),
     };
   }
 
--- /dev/null
+++ b/packages/lease/src/marks.ts
@@ -0,0 +1,67 @@
+// How far each service's commits reach, as all edges together have seen it (design 8.11).
+import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
+import type { LogPosition, Marks } from '@stallstall/message';
+import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
+
+export type MarkTable = Readonly<{
+  /** What an edge has seen of leaders, and how far the commits reach that its senders were told of so long ago. */
+  told: (node: string, seen: Marks, commits: Readonly<Record<string, LogPosition>>, agoMilliseconds: number) => void;
+  all: () => Record<string, { term: number; number: number; ago: number }>;
+}>;
+
+type Mark = Readonly<{ position: LogPosition; at: Instant }>;
+
+/** After so long an edge that says nothing acknowledges nothing more: its leases have ended. */
+const endedMilliseconds = termMilliseconds + marginMilliseconds;
+
+function compare(left: LogPosition, right: LogPosition): number {
+  return left.term === right.term ? left.number - right.number : left.term - right.term;
+}
+
+function later(left: Instant, right: Instant | undefined): Instant {
+  return right === undefined || left > right ? left : right;
+}
+
+function create(kernel: Kernel): MarkTable {
+  const toldAt = new Map<string, Instant>();
+  const marks = new Map<string, Mark>();
+  const commits = new Map<string, LogPosition>();
+
+  function told(node: string, seen: Marks, committed: Readonly<Record<string, LogPosition>>, agoMilliseconds: number): void {
+    const now = kernel.clock.now();
+    toldAt.set(node, later(identifiers.after(now, -agoMilliseconds), toldAt.get(node)));
+    for (const [service, position] of Object.entries(committed)) {
+      const known = commits.get(service);
+      if (known === undefined || compare(position, known) > 0) commits.set(service, { term: position.term, number: position.number });
+    }
+    for (const [service, mark] of Object.entries(seen)) {
+      const at = identifiers.after(now, -mark.ago);
+      const known = marks.get(service);
+      if (known === undefined || at > known.at) marks.set(service, { at, position: { term: mark.term, number: mark.number } });
+    }
+  }
+
+  /**
+   * While no leader replies, what edges were told still grows: a commit is known to some edge before its sender hears of it. Once every
+   * edge that may have acknowledged anything since the last mark has told again, the highest commit covers all up to the earliest telling.
+   */
+  function composed(mark: Mark, commit: LogPosition): Mark {
+    let earliest = kernel.clock.now();
+    for (const [, at] of toldAt) if (at + endedMilliseconds > mark.at && at < earliest) earliest = at;
+    if (earliest <= mark.at) return mark;
+    return { at: earliest, position: compare(commit, mark.position) > 0 ? commit : mark.position };
+  }
+
+  return {
+    told,
+    all: function all() {
+      const now = kernel.clock.now();
+      return Object.fromEntries([...marks].map(([service, mark]) => {
+        const { at, position } = composed(mark, commits.get(service) ?? mark.position);
+        return [service, { term: position.term, number: position.number, ago: Math.max(0, now - at) }];
+      }));
+    },
+  };
+}
+
+export const marks = { create } as const;
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -168,6 +168,10 @@
 export type LogPosition = Readonly<Static<typeof LogPositionSchema>>;
 const LogPositions = Type.Record(Type.String({ maxLength: 200 }), LogPositionSchema);
 
+/** A position that covers whatever was acknowledged up to so many milliseconds ago (design 8.11). */
+const Marks = Type.Record(Type.String({ maxLength: 200 }), Type.Object({ term: Count, number: Count, ago: Type.Number({ minimum: 0 }) }));
+export type Marks = Readonly<Static<typeof Marks>>;
+
 /** An edge asks each core for its lease; the core replies at once with news, or at the latest after `hold` (design 7.12). */
 const LeaseAsk = Type.Object({
   node: Name,
@@ -180,8 +184,11 @@
   obeyed: Count,
   /** For a service: below this epoch the edge has nothing under way and takes no lease any more. */
   released: ServiceCounts,
-  /** How far the commits reach that senders of this edge were told of. */
+  /** How far this edge has seen each leader's log reach, and as of when; `LogPositions` are the commits its senders were told of. */
+  marks: Marks,
   positions: LogPositions,
+  /** How long ago, at the most, `positions` was all there was to tell. */
+  positionsAgo: Type.Number({ minimum: 0 }),
   /** Members whose machines refused a connection of this edge. */
   notListening: Type.Array(Name, { maxItems: 1_000 }),
 });
@@ -199,6 +206,8 @@
   whole: Type.Boolean(),
   /** How many edges hold leases here, by area. */
   edges: Type.Record(Type.String({ maxLength: 200 }), Count),
+  /** What all edges together have seen. */
+  marks: Marks,
 });
 
 /** What a proxy is fed of placement (design 8.10). */
@@ -215,16 +224,20 @@
 const PlacementAsk = Type.Object({
   token: Type.String({ maxLength: 100 }),
   seen: Count,
+  /** Of the latest reply that had come before this was asked: what is told here is no older than that reply. */
+  serial: Count,
   hold: Type.Number({ minimum: 0, maximum: 10_000 }),
   configuration: Count,
   released: ServiceCounts,
   positions: LogPositions,
+  marks: Marks,
   notListening: Type.Array(Name, { maxItems: 1_000 }),
   metrics: Type.Record(Type.String({ maxLength: 100 }), Type.Number()),
 });
 const PlacementReply = Type.Object({
   token: Type.String({ maxLength: 100 }),
   number: Count,
+  serial: Count,
   configuration: Type.Union([Type.Object({ version: Count, sheet: Type.Unknown() }), Type.Null()]),
   configurationVersion: Count,
   services: Type.Array(PlacementSchema, { maxItems: 20_000 }),
@@ -232,6 +245,7 @@
   roster: Type.Union([RosterEntries, Type.Null()]),
   /** How many edges hold leases, by area. */
   edges: Type.Record(Type.String({ maxLength: 200 }), Count),
+  marks: Marks,
   area: Name,
   node: Name,
 });
--- a/packages/pooler/src/freshness.ts
+++ b/packages/pooler/src/freshness.ts
@@ -13,12 +13,14 @@
   /** A commit that a sender of this edge was told of. */
   committed: (service: string, position: Position) => void;
   commits: () => Readonly<Record<string, Position>>;
+  /** The latest of each service, for the other edges. */
+  marks: () => Readonly<Record<string, Readonly<{ term: number; number: number; ago: number }>>>;
 }>;
 
 const spacingMilliseconds = 25;
 const keptMilliseconds = 6_000;
 
-function create(): Freshness {
+function create(now: () => Instant): Freshness {
   const samples = new Map<string, Sample[]>();
   const commits = new Map<string, Position>();
 
@@ -48,6 +50,10 @@
       commits.set(service, known === undefined ? position : positions.later(known, position));
     },
     commits: () => Object.fromEntries(commits),
+    marks: () => Object.fromEntries([...samples].flatMap(([service, known]) => {
+      const last = known.at(-1);
+      return last === undefined ? [] : [[service, { ...last.position, ago: Math.max(0, now() - last.at) }]];
+    })),
   };
 }
 
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -35,10 +35,13 @@
 }>;
 
 const feedMilliseconds = 400;
+/** While a leader is missing somewhere: news is worth more. */
+const troubledMilliseconds = 100;
 const feedCallMilliseconds = 1_200;
 const feedPauseMilliseconds = 50;
 const tendMilliseconds = 250;
-const tellMilliseconds = 1_000;
+/** What an edge has counted since it told last is lost with it. */
+const tellMilliseconds = 300;
 /** So often the log says where this process stands. */
 const countsMilliseconds = 10_000;
 /** A sender that opens before anything is known is held for so long: it gives up after two seconds. */
@@ -65,7 +68,7 @@
 async function start(kernel: Kernel, settings: PoolerSettings, parts: PoolerParts): Promise<Pooler> {
   const { dialect } = parts;
   const agent = peer.dial(kernel, identifiers.address(settings.feed));
-  const freshness = freshnessTables.create();
+  const freshness = freshnessTables.create(kernel.clock.now);
   const usage = usageTables.create(kernel, agent);
   const sessions = new Map<Session, Stream>();
   /** Sessions that wait for a reply. */
@@ -77,6 +80,7 @@
   let view: View = views.empty;
   let token = '';
   let seen = 0;
+  let serial = 0;
   let lastSession = 0;
   let ending = false;
   let endingSince: Instant = never;
@@ -120,7 +124,7 @@
   async function feed(hold: number): Promise<boolean> {
     const sentAt = kernel.clock.now();
     const reply = await agent.call('placement', {
-      token, seen, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, notListening: [...connections.notListening()],
+      token, seen, serial, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, marks: { ...freshness.marks() }, notListening: [...connections.notListening()],
       metrics: { ...requests.totals(), ...connections.describe(), sessions: sessions.size },
     }, hold + feedCallMilliseconds);
     if (Option.isNone(reply)) return false;
@@ -128,8 +132,10 @@
     if (reply.value.token === token && reply.value.number < seen) return true;
     const led = leadersOf(view);
     view = views.fed(view, reply.value, sentAt, kernel.clock.now());
+    for (const [service, mark] of Object.entries(reply.value.marks)) freshness.learnt(service, identifiers.after(sentAt, -mark.ago), { term: mark.term, number: mark.number });
     token = reply.value.token;
     seen = reply.value.number;
+    serial = reply.value.serial;
     if (news) {
       noteReleases();
       if (led !== leadersOf(view)) for (const session of sessions.keys()) warmSession(session);
@@ -139,6 +145,11 @@
     return true;
   }
 
+  function isTroubled(): boolean {
+    const now = kernel.clock.now();
+    return [...view.leaders.values()].some((leader) => leader.epoch > 0 && (leader.until <= now || view.members.get(leader.primary)?.down === true || connections.failing(leader.primary)));
+  }
+
   function leadersOf(of: View): string {
     return [...of.leaders.values()].map((leader) => `${leader.primary} ${leader.epoch}`).join(' ');
   }
@@ -150,7 +161,7 @@
 
   async function feedTask(): Promise<void> {
     while (!stopped) {
-      const fed = agent.connected() && (await feed(feedMilliseconds));
+      const fed = agent.connected() && (await feed(isTroubled() ? troubledMilliseconds : feedMilliseconds));
       if (!fed) await kernel.clock.sleep(feedPauseMilliseconds);
     }
   }
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -64,7 +64,7 @@
 const holdShare = 0.24;
 /** Share of its time that it may wait for a connection that is being opened, or for a leader that is about to follow. */
 const patientShare = 0.2;
-/** So long a change of leader, or this process's own beginning, is taken for about to end. */
+/** So long a planned change of leader is taken for about to end. */
 const changeMilliseconds = 2_000;
 const leastHoldMilliseconds = 20;
 /** A draining member takes nothing new for longer than this after the news (design 7.9). */
@@ -81,7 +81,6 @@
   const table = new Map<number, RequestRecord>();
   const repliers = new Map<number, (reply: StatementReply) => void>();
   const totals = new Map<string, number>();
-  const beganAt = kernel.clock.now();
   const changes = new Map<string, Readonly<{ release: number; since: Instant }>>();
   let lastId = 0;
   let working = false;
@@ -184,22 +183,19 @@
     if (Option.isSome(transaction) && Option.isSome(transaction.value.held)) return record;
     const target = needsLeader(record.ask) ? leaderTarget(record.ask.database.service) : readTarget(record);
     if (Option.isSome(target)) return { ...record, target };
-    if (kernel.clock.now() < (isChanging(record.ask.database.service) ? record.patientUntil : record.holdUntil)) return { ...record, stage: 'waiting' };
+    if (kernel.clock.now() < (isHandedOver(record.ask.database.service) ? record.patientUntil : record.holdUntil)) return { ...record, stage: 'waiting' };
     return deny(record, 'read-only', retryText(300));
   }
 
-  /** A leader is on its way: one was asked to let go a moment ago, or this edge has only begun. */
-  function isChanging(service: string): boolean {
+  /** A leader that still runs was asked to let go a moment ago: another follows soon. */
+  function isHandedOver(service: string): boolean {
     const leader = view().leaders.get(service);
-    const now = kernel.clock.now();
-    const epoch = leader?.epoch ?? 0;
-    if (leader === undefined || leader.release <= epoch) return now - beganAt < changeMilliseconds;
+    const entry = view().members.get(leader?.primary ?? '');
+    if (leader === undefined || leader.release <= leader.epoch || entry === undefined || entry.down || connections.failing(entry.member)) return false;
     const known = changes.get(service);
-    if (known === undefined || known.release !== leader.release) {
-      changes.set(service, { release: leader.release, since: now });
-      return true;
-    }
-    return now - known.since < changeMilliseconds;
+    if (known !== undefined && known.release === leader.release) return kernel.clock.now() - known.since < changeMilliseconds;
+    changes.set(service, { release: leader.release, since: kernel.clock.now() });
+    return true;
   }
 
   function place(record: RequestRecord): RequestRecord {
--- a/packages/pooler/src/usage.ts
+++ b/packages/pooler/src/usage.ts
@@ -16,6 +16,8 @@
 function create(kernel: Kernel, agent: Peer): Usage {
   const incarnation = kernel.randomness.token();
   const windows = new Map<number, Map<string, number>>();
+  /** Windows that were counted in since they were told. */
+  const dirty = new Set<number>();
   let number = 0;
 
   function count(tenant: string): void {
@@ -27,14 +29,20 @@
       for (const old of windows.keys()) if (old <= window - windowsKept) windows.delete(old);
     }
     counts.set(tenant, (counts.get(tenant) ?? 0) + 1);
+    dirty.add(window);
   }
 
   async function tell(): Promise<boolean> {
     number += 1;
     const through = kernel.clock.wall();
-    const usage = [...windows].map(([window, counts]) => ({ window, counts: Object.fromEntries(counts) }));
+    const changed = [...windows].filter(([window]) => dirty.has(window));
+    const usage = changed.map(([window, counts]) => ({ window, counts: Object.fromEntries(counts) }));
+    const told = [...dirty];
+    dirty.clear();
     const reply = await agent.call('tell', { number, floors: {}, usage, through, incarnation }, tellMilliseconds);
-    return Option.isSome(reply) && reply.value.kept;
+    const kept = Option.isSome(reply) && reply.value.kept;
+    if (!kept) for (const window of told) dirty.add(window);
+    return kept;
   }
 
   return { count, tell };
