Connections by need, with room left for machines back from the dark; dialling anew sooner

Causes: equal shares gave the one edge of a zone a sixth for a third of the traffic; a dialled machine that was dark answered only the packet a second later; cores whose accepts differed left epochs in doubt for 0.3 s after a stop of all.

--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -33,6 +33,7 @@
   /** What the proxy told last was all there was at this moment or later. */
   let positionsAt: Instant | undefined;
   let troubled = false;
+  let demand = 0;
   let serial = 0;
   const repliedAt = new Map<number, Instant>();
   let notListening: readonly string[] = [];
@@ -52,6 +53,7 @@
     positionsAgo: () => (positionsAt === undefined ? noPositionsMilliseconds : Math.max(0, kernel.clock.now() - positionsAt)),
     troubled: () => troubled,
     notListening: () => notListening,
+    demand: () => demand,
     onChange: changed,
   });
 
@@ -121,6 +123,7 @@
     seenMarks = ask.marks;
     const noOlder = ask.token === token ? repliedAt.get(ask.serial) : undefined;
     if (noOlder !== undefined && (positionsAt === undefined || noOlder > positionsAt)) positionsAt = noOlder;
+    demand = ask.demand;
     troubled = ask.hold > 0 && ask.hold <= troubledHoldMilliseconds;
     notListening = ask.notListening;
     const now = `${JSON.stringify(released)}${notListening.join(' ')}`;
@@ -147,6 +150,7 @@
       services: [...placements()],
       roster: known ? null : [...lessee.roster()],
       edges: { ...lessee.edges() },
+      demand: { ...lessee.demand() },
       marks: Object.fromEntries([...lessee.marks()].map(([service, mark]) => [service, { ...mark.position, ago: Math.max(0, kernel.clock.now() - mark.at) }])),
       area: settings.area,
       node: settings.node,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -110,6 +110,7 @@
 const gatherMilliseconds = 700;
 const releaseMilliseconds = 2_000;
 const drainLookMilliseconds = 20;
+const reopenLookMilliseconds = 10;
 /** An edge that held a lease so lately may still have counts to tell. */
 const edgeMemoryMilliseconds = 12_000;
 const spreadMilliseconds = 100;
@@ -341,7 +342,7 @@
         if (known.format === diskFormat) open(known);
         else await becomeFormed(known);
       }
-      if (!cells.ready()) await kernel.clock.sleep(beatMilliseconds / 4);
+      if (!cells.ready()) await kernel.clock.sleep(reopenLookMilliseconds);
     }
   }
 
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -26,6 +26,7 @@
   /** A leader is missing somewhere: news is asked for more often. */
   troubled: () => boolean;
   notListening: () => readonly string[];
+  demand: () => number;
   onChange: () => void;
 }>;
 
@@ -43,6 +44,8 @@
   rosterNumber: () => number;
   /** How many edges hold leases, by area, as the core that counts most of them says. */
   edges: () => Readonly<Record<string, number>>;
+  /** What is asked of all of them, by area, as the same core says. */
+  demand: () => Readonly<Record<string, number>>;
   /** The latest mark of each service that any core has told, and when it held in this process's own moments. */
   marks: () => ReadonlyMap<string, Readonly<{ position: LogPosition; at: Instant }>>;
   notes: Notes;
@@ -54,7 +57,7 @@
 }>;
 
 /** The last told of one core. */
-type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: Readonly<Record<string, number>>; at: Instant; acknowledged: number };
+type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: Readonly<Record<string, number>>; demand: Readonly<Record<string, number>>; at: Instant; acknowledged: number };
 type Held = Readonly<{ address: string; peer: Peer }>;
 
 const holdMilliseconds = 450;
@@ -149,7 +152,7 @@
   function toldOf(core: string): Told {
     let known = told.get(core);
     if (known === undefined) {
-      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: {}, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
+      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: {}, demand: {}, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
       told.set(core, known);
     }
     return known;
@@ -178,9 +181,10 @@
     return [...merged.values()].filter((entry) => !entry.gone);
   }
 
-  function edges(): Readonly<Record<string, number>> {
-    let most: Readonly<Record<string, number>> = {};
-    for (const known of told.values()) if (sum(known.edges) > sum(most)) most = known.edges;
+  /** The core that counts most edges knows most of what is asked of them. */
+  function fullest(): Readonly<Pick<Told, 'edges' | 'demand'>> {
+    let most: Readonly<Pick<Told, 'edges' | 'demand'>> = { edges: {}, demand: {} };
+    for (const known of told.values()) if (sum(known.edges) > sum(most.edges)) most = known;
     return most;
   }
 
@@ -190,7 +194,7 @@
     const current = configuration();
     const reply = await link.call('lease', {
       node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
-      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo(), notListening: [...parts.notListening()],
+      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo(), notListening: [...parts.notListening()], demand: parts.demand(),
     }, hold + callMilliseconds);
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
     take(core, known, reply.value, sentAt);
@@ -204,6 +208,7 @@
     known.token = reply.token;
     known.seen = reply.number;
     known.edges = reply.edges;
+    known.demand = reply.demand;
     known.at = sentAt;
     if (!reply.ready) return;
     known.stances = reply.stances;
@@ -294,7 +299,8 @@
     release: (service) => floors.get(service) ?? 0,
     roster,
     rosterNumber: () => rosterNumber,
-    edges,
+    edges: () => fullest().edges,
+    demand: () => fullest().demand,
     marks: () => marks,
     notes: noted,
     cores: () => cores.length,
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -44,6 +44,7 @@
   const token = kernel.randomness.token();
   const askedAt = new Map<string, Instant>();
   const areas = new Map<string, string>();
+  const demands = new Map<string, number>();
   const released = new Map<string, Readonly<Record<string, number>>>();
   const positions = new Map<string, LogPosition>();
   const seen = markTables.create(kernel);
@@ -82,11 +83,12 @@
     return [...askedAt].filter(([, at]) => now - at <= milliseconds).map(([node]) => node);
   }
 
-  function byArea(): Record<string, number> {
+  /** What holds of each edge that holds leases, added up by area. */
+  function byArea(of: (node: string) => number): Record<string, number> {
     const counts: Record<string, number> = {};
     for (const node of within(termMilliseconds + marginMilliseconds)) {
       const area = areas.get(node) ?? '';
-      counts[area] = (counts[area] ?? 0) + 1;
+      counts[area] = (counts[area] ?? 0) + of(node);
     }
     return counts;
   }
@@ -95,6 +97,7 @@
     if (!askedAt.has(ask.node)) kernel.log('lease.asked', { node: ask.node, area: ask.area });
     askedAt.set(ask.node, kernel.clock.now());
     areas.set(ask.node, ask.area);
+    demands.set(ask.node, ask.demand);
     released.set(ask.node, { ...ask.released });
     for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
     seen.told(ask.node, ask.marks, ask.positions, ask.positionsAgo);
@@ -112,7 +115,8 @@
       puts: view.puts(),
       roster: [...view.roster.since(whole ? 0 : (rosterAt.get(ask.seen) ?? 0))],
       whole,
-      edges: byArea(),
+      edges: byArea(() => 1),
+      demand: byArea((node) => demands.get(node) ?? 0),
       marks: seen.all(),
     };
   }
--- a/packages/machine/src/lean.ts
+++ b/packages/machine/src/lean.ts
@@ -109,7 +109,7 @@
     return new Promise((resolve) => {
       const text = ask.body === undefined ? undefined : JSON.stringify(ask.body);
       const alarm = setTimeout(close, milliseconds);
-      const connecting = setTimeout(() => (connected ? undefined : close()), Math.min(connectMilliseconds, milliseconds));
+      const connecting = setTimeout(() => (connected ? undefined : close()), Math.min(2 * connectMilliseconds, milliseconds));
       function settle(result: Either.Either<Fault, HttpReply>): void {
         clearTimeout(alarm);
         clearTimeout(connecting);
--- a/packages/machine/src/links.ts
+++ b/packages/machine/src/links.ts
@@ -5,7 +5,11 @@
 import { fault, type Address, type Fault, type Link, type Listening, type Stream } from '@stallstall/kernel';
 
 const longestFrame = 8 * 1024 * 1024;
-export const connectMilliseconds = 3_000;
+/**
+ * A machine that was dark lets the opening packet fall, and the runtime's next one comes a second later; dialling anew comes sooner. Far
+ * beyond the way to any region and back.
+ */
+export const connectMilliseconds = 400;
 
 function parts(address: Address): Readonly<{ host: string; port: number }> {
   const colon = address.lastIndexOf(':');
@@ -205,7 +209,7 @@
         ? fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address', cause: error })
         : unreachable(address, error)));
     }
-    const alarm = setTimeout(() => failed(new Error('no connection in time')), milliseconds);
+    const alarm = setTimeout(() => failed(new Error('no connection in time')), Math.min(milliseconds, connectMilliseconds));
     socket.once('error', failed);
     socket.once('connect', () => {
       clearTimeout(alarm);
--- a/packages/machine/src/network.ts
+++ b/packages/machine/src/network.ts
@@ -6,11 +6,12 @@
 import {
   fault, http, type Address, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Listening, type Network,
 } from '@stallstall/kernel';
-import { connectMilliseconds, links } from './links.js';
+import { links } from './links.js';
 
 const { parts, unreachable } = links;
 const longestBody = 1024 * 1024;
 const keepMilliseconds = 600_000;
+const httpConnectMilliseconds = 3_000;
 
 function typedError(error: { readonly statusCode?: number; readonly message: string }): HttpReply {
   return http.denied(error.statusCode === 413
@@ -61,7 +62,7 @@
 }
 
 function connect(address: Address): HttpConnection {
-  const connector = buildConnector({ timeout: connectMilliseconds });
+  const connector = buildConnector({ timeout: httpConnectMilliseconds });
   let socket: net.Socket | undefined;
   const held = new Client(`http://${address}`, { pipelining: 1, connect: reach, keepAliveTimeout: keepMilliseconds, keepAliveMaxTimeout: keepMilliseconds, headersTimeout: 0, bodyTimeout: 0 });
   let connected = false;
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -191,6 +191,8 @@
   positionsAgo: Type.Number({ minimum: 0 }),
   /** Members whose machines refused a connection of this edge. */
   notListening: Type.Array(Name, { maxItems: 1_000 }),
+  /** Statements a second by now, smoothed. */
+  demand: Type.Number({ minimum: 0 }),
 });
 const LeaseReply = Type.Object({
   ready: Type.Boolean(),
@@ -206,6 +208,8 @@
   whole: Type.Boolean(),
   /** How many edges hold leases here, by area. */
   edges: Type.Record(Type.String({ maxLength: 200 }), Count),
+  /** What is asked of all of them, by area. */
+  demand: Type.Record(Type.String({ maxLength: 200 }), Type.Number({ minimum: 0 })),
   /** What all edges together have seen. */
   marks: Marks,
 });
@@ -232,6 +236,7 @@
   positions: LogPositions,
   marks: Marks,
   notListening: Type.Array(Name, { maxItems: 1_000 }),
+  demand: Type.Number({ minimum: 0 }),
   metrics: Type.Record(Type.String({ maxLength: 100 }), Type.Number()),
 });
 const PlacementReply = Type.Object({
@@ -245,6 +250,7 @@
   roster: Type.Union([RosterEntries, Type.Null()]),
   /** How many edges hold leases, by area. */
   edges: Type.Record(Type.String({ maxLength: 200 }), Count),
+  demand: Type.Record(Type.String({ maxLength: 200 }), Type.Number({ minimum: 0 })),
   marks: Marks,
   area: Name,
   node: Name,
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -353,8 +353,9 @@
   }
 
   async function seed(address: string): Promise<void> {
-    const dialled = peer.dial(kernel, identifiers.address(address));
-    await kernels.every(kernel.clock, beatMilliseconds, async function greet() {
+    const dialled = peer.dial(kernel, identifiers.address(address), { connected: () => void greet() });
+
+    async function greet(): Promise<void> {
       const reply = await dialled.call('hello', { seat: ownSeat, incarnation, fleet: fleetName }, callMilliseconds);
       if (Option.isNone(reply)) return;
       if (reply.value.superseded) superseded();
@@ -363,7 +364,9 @@
         fleetName = reply.value.fleet;
         setCores(reply.value.cores);
       }
-    }, () => goesOn() && settings.seeds().includes(address) && !(cores.length > 0 && joined()));
+    }
+
+    await kernels.every(kernel.clock, beatMilliseconds, greet, () => goesOn() && settings.seeds().includes(address) && !(cores.length > 0 && joined()));
     dialled.close();
     greeting.delete(address);
   }
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -52,6 +52,11 @@
 /** Connections of each member kept free for the cores' own questions. */
 const reservedConnections = 6;
 const farConnections = 2;
+/** Of what a member lets in this much is used, so that machines back from the dark find room beside the connections they had. */
+const usedShare = 0.75;
+/** Of a member's connections this part is shared alike, the rest by need. */
+const evenPart = 0.25;
+const demandWeight = 0.05;
 /** Of its share an edge keeps this much when nobody asks: members count the connections of a machine that went dark for seconds more. */
 const keptShare = 0.7;
 /** A process that has just begun may be one of many that came back from the dark together: it takes less of its share at first. */
@@ -77,6 +82,9 @@
   /** Since when a service's epoch is to be let go. */
   const releasing = new Map<string, Instant>();
   const beganAt = kernel.clock.now();
+  let demand = 0;
+  let servedBefore = 0;
+  let servedAt = beganAt;
   let view: View = views.empty;
   let token = '';
   let seen = 0;
@@ -92,22 +100,41 @@
   /** This edge's part of what a member lets in, of all edges that hold leases (design 8.3). */
   function share(place: MemberPlace): Share {
     const known = Option.isSome(view.sheet) ? view.sheet.value.services.find((one) => one.service === place.service) : undefined;
-    const limit = Math.max(0, (known?.connectionLimit ?? 0) - reservedConnections);
-    const edges = Math.max(1, Object.values(view.edges).reduce((sum, count) => sum + count, 0));
-    const whole = shareOf(place, limit, edges);
+    const limit = Math.max(0, (known?.connectionLimit ?? 0) - reservedConnections) * usedShare;
+    const whole = shareOf(place, limit);
     const most = kernel.clock.now() - beganAt < beginningMilliseconds ? whole * beginningShare : whole;
     return { most: Math.max(1, Math.floor(most)), kept: Math.max(1, Math.ceil(whole * keptShare)) };
   }
 
+  function total(counts: Readonly<Record<string, number>>): number {
+    return Object.values(counts).reduce((sum, count) => sum + count, 0);
+  }
+
+  /** A part of a whole for each edge alike, the rest by what is asked of it. */
+  function byNeed(limit: number, edges: number, asked: number): number {
+    const own = asked > 0 ? Math.min(1, demand / asked) : 1 / edges;
+    return limit * (evenPart / edges + (1 - evenPart) * own);
+  }
+
   /** All edges need whoever leads; a replica is read in its own area, and from elsewhere only now and then. */
-  function shareOf(place: MemberPlace, limit: number, edges: number): number {
-    const even = limit / edges;
-    if (view.leaders.get(place.service)?.primary === place.member) return even;
+  function shareOf(place: MemberPlace, limit: number): number {
+    const edges = Math.max(1, total(view.edges));
+    if (view.leaders.get(place.service)?.primary === place.member) return byNeed(limit, edges, total(view.demand));
     const area = view.members.get(place.member)?.area ?? '';
     const near = view.edges[area] ?? 0;
-    if (near === 0) return even;
-    const far = Math.min(farConnections, even);
-    return area === view.area ? (limit - far * (edges - near)) / near : far;
+    if (near === 0) return limit / edges;
+    const far = Math.min(farConnections, limit / edges);
+    return area === view.area ? byNeed(limit - far * (edges - near), near, view.demand[area] ?? 0) : far;
+  }
+
+  /** Smoothed over some seconds. */
+  function noteDemand(): void {
+    const served = requests.totals()['sent'] ?? 0;
+    const now = kernel.clock.now();
+    const rate = (served - servedBefore) * 1_000 / Math.max(1, now - servedAt);
+    demand += (rate - demand) * demandWeight;
+    servedBefore = served;
+    servedAt = now;
   }
 
   /** A session that opens will want its leader, or a member nearby, before long. */
@@ -124,7 +151,7 @@
   async function feed(hold: number): Promise<boolean> {
     const sentAt = kernel.clock.now();
     const reply = await agent.call('placement', {
-      token, seen, serial, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, marks: { ...freshness.marks() }, notListening: [...connections.notListening()],
+      token, seen, serial, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, marks: { ...freshness.marks() }, notListening: [...connections.notListening()], demand,
       metrics: { ...requests.totals(), ...connections.describe(), sessions: sessions.size },
     }, hold + feedCallMilliseconds);
     if (Option.isNone(reply)) return false;
@@ -384,6 +411,7 @@
   // -- What must be looked at from time to time.
 
   function tend(): void {
+    noteDemand();
     const now = kernel.clock.now();
     connections.tend(view.members);
     const rest = Option.isSome(view.sheet) ? view.sheet.value.bounds.restMilliseconds : openingMilliseconds;
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -66,6 +66,8 @@
 const patientShare = 0.2;
 /** So long a planned change of leader is taken for about to end. */
 const changeMilliseconds = 2_000;
+/** A process that has just begun will know its leaders soon. */
+const beginningMilliseconds = 1_500;
 const leastHoldMilliseconds = 20;
 /** A draining member takes nothing new for longer than this after the news (design 7.9). */
 const drainMilliseconds = 4_500;
@@ -81,6 +83,7 @@
   const table = new Map<number, RequestRecord>();
   const repliers = new Map<number, (reply: StatementReply) => void>();
   const totals = new Map<string, number>();
+  const beganAt = kernel.clock.now();
   const changes = new Map<string, Readonly<{ release: number; since: Instant }>>();
   let lastId = 0;
   let working = false;
@@ -189,6 +192,7 @@
 
   /** A leader that still runs was asked to let go a moment ago: another follows soon. */
   function isHandedOver(service: string): boolean {
+    if (kernel.clock.now() - beganAt < beginningMilliseconds) return true;
     const leader = view().leaders.get(service);
     const entry = view().members.get(leader?.primary ?? '');
     if (leader === undefined || leader.release <= leader.epoch || entry === undefined || entry.down || connections.failing(entry.member)) return false;
--- a/packages/pooler/src/view.ts
+++ b/packages/pooler/src/view.ts
@@ -22,13 +22,15 @@
   drainingSince: ReadonlyMap<string, Instant>;
   /** How many edges hold leases, by area. */
   edges: Readonly<Record<string, number>>;
+  /** Statements a second that are asked of all of them, by area. */
+  demand: Readonly<Record<string, number>>;
   area: string;
   node: string;
 }>;
 
 const empty: View = {
   version: 0, sheet: Option.none, databases: new Map(), tenants: new Map(), leaders: new Map(), members: new Map(), byService: new Map(),
-  drainingSince: new Map(), edges: {}, area: '', node: '',
+  drainingSince: new Map(), edges: {}, demand: {}, area: '', node: '',
 };
 
 function grouped(entries: readonly RosterEntry[]): ReadonlyMap<string, readonly RosterEntry[]> {
@@ -71,6 +73,7 @@
     byService: reply.roster === null ? before.byService : grouped(entries),
     drainingSince,
     edges: reply.edges,
+    demand: reply.demand,
     area: reply.area,
     node: reply.node,
   };
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -27,14 +27,20 @@
 const callMilliseconds = 800;
 const defaultHorizonMilliseconds = 4_000;
 const backoffMilliseconds = 20;
+/** So much longer promises are waited for: a disk that is asked to accept as well does not fall behind, and is no matter of doubt later. */
+const lateMilliseconds = 6;
 
 type Replied = Readonly<{ target: RegisterTarget; reply: Reply<'prepare'> }>;
 
-/** Asks every target and settles as soon as `enough` holds, or all have answered or fallen silent. */
+/**
+ * Asks every target and settles once `enough` holds, after a moment more for those that are about to reply, or when all have answered or
+ * fallen silent.
+ */
 function gather<Kind extends RegisterKind>(
-  targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean,
+  kernel: Kernel, targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean, more = 0,
 ): Promise<readonly Replied[]> {
   return new Promise(function collect(resolve) {
+    let settling = false;
     const replies: Replied[] = [];
     let left = targets.length;
     if (left === 0) resolve(replies);
@@ -42,7 +48,11 @@
       const reply = await target.ask(kind, body, milliseconds);
       left -= 1;
       if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value as Reply<'prepare'> });
-      if (left === 0 || enough(replies)) resolve([...replies]);
+      if (left === 0 || (more === 0 && enough(replies))) resolve([...replies]);
+      else if (!settling && enough(replies)) {
+        settling = true;
+        kernel.clock.alarm(more, () => resolve([...replies]));
+      }
     }
     for (const target of targets) void ask(target);
   });
@@ -98,9 +108,9 @@
 
   async function shot(key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>): Promise<Option.Option<Changed>> {
     const ballot = nextBallot();
-    const promised = await gather(targets(), 'prepare', { key, ballot }, callMilliseconds, function enough(replies) {
+    const promised = await gather(kernel, targets(), 'prepare', { key, ballot }, callMilliseconds, function enough(replies) {
       return majorityOf(agreed(replies));
-    });
+    }, lateMilliseconds);
     learn(promised);
     const promises = agreed(promised);
     if (!majorityOf(promises)) return Option.none;
@@ -112,6 +122,7 @@
       : { ...(current as Option.Some<Entry>).value, ballot };
     // Only those whose promises were counted are asked to accept (design 5.1).
     const accepted = await gather(
+      kernel,
       promises.map(function target(one) {
         return one.target;
       }),
@@ -142,7 +153,7 @@
   }
 
   async function read(key: string, milliseconds = defaultHorizonMilliseconds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
-    const replies = await gather(targets(), 'look', { key }, callMilliseconds, majorityOf);
+    const replies = await gather(kernel, targets(), 'look', { key }, callMilliseconds, majorityOf);
     if (majorityOf(replies) && sameEverywhere(replies)) return Either.right(highestEntry(replies));
     const completed = await change(key, keep, milliseconds);
     return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
