--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -66,6 +66,7 @@
 const lameMilliseconds = 2_300;
 /** One that was let in but says nothing is not waited for any longer. */
 const silentMilliseconds = 400;
+const restMilliseconds = 150;
 const rollbackMilliseconds = 1_000;
 const drainLookMilliseconds = 20;
 const mostOpeningBytes = 16_384;
@@ -78,6 +79,8 @@
   const sessions = new Map<Session, Stream>();
   /** Sessions that wait for a reply. */
   const asked = new Set<Session>();
+  /** Since when nothing is asked of a session. */
+  const restsSince = new Map<Session, Instant>();
   const released: Record<string, number> = {};
   /** Since when a service's epoch is to be let go. */
   const releasing = new Map<string, Instant>();
@@ -353,16 +356,13 @@
     lastSession += 1;
     const session = sessionTables.create(`s${lastSession}`, incoming.database, incoming.who);
     sessions.set(session, stream);
+    restsSince.set(session, kernel.clock.now());
     unopened.delete(stream);
     warm(found.database, found.tenant);
     stream.write(dialect.rest('idle', Option.none));
     return session;
   }
 
-  function mayEnd(session: Session): boolean {
-    return ending && Option.isNone(session.transaction);
-  }
-
   /** Connections that have not opened a session yet, and since when. */
   const unopened = new Map<Stream, Instant>();
 
@@ -394,8 +394,8 @@
         asked.add(session);
         const reply = await handle(session, incoming);
         asked.delete(session);
+        restsSince.set(session, kernel.clock.now());
         stream.write(dialect.reply({ ...reply, stance: sessionTables.stance(session) }));
-        if (mayEnd(session)) break reading;
       }
       if (oversize) {
         stream.write(dialect.fault('oversize', 'the message is too long'));
@@ -405,6 +405,7 @@
     stream.close();
     if (session === undefined) return;
     sessions.delete(session);
+    restsSince.delete(session);
     if (Option.isSome(session.transaction)) void rollback(session.transaction.value);
   }
 
@@ -446,18 +447,29 @@
     for (const entry of listening) await entry.stop();
   }
 
+  /** Who has rested for a while is least likely to ask just now; right after a reply or a setting a sender is about to go on. */
+  function letGo(rest: number): void {
+    const now = kernel.clock.now();
+    for (const [session, stream] of sessions) {
+      if (Option.isNone(session.transaction) && !asked.has(session) && now - (restsSince.get(session) ?? now) >= rest) stream.close();
+    }
+    for (const [stream, since] of unopened) if (now - since > silentMilliseconds) stream.close();
+  }
+
   /** Readiness fails first; what is asked is served; whoever rests is let go; open transactions have half of the grace (design 7.10). */
   async function drain(): Promise<void> {
     ending = true;
     endingSince = kernel.clock.now();
     const horizon = identifiers.after(endingSince, settings.graceMilliseconds - 500);
-    await kernel.clock.sleep(lameMilliseconds);
-    // Nobody new from here on, so that who is left can only become fewer.
-    door.deafen();
+    let deaf = false;
     while (kernel.clock.now() < horizon) {
-      for (const [session, stream] of sessions) if (Option.isNone(session.transaction) && !asked.has(session)) stream.close();
-      for (const [stream, since] of unopened) if (kernel.clock.now() - since > silentMilliseconds) stream.close();
-      if (sessions.size + unopened.size === 0) break;
+      // Nobody new from a while on, so that who is left can only become fewer.
+      if (!deaf && kernel.clock.now() - endingSince >= lameMilliseconds) {
+        deaf = true;
+        door.deafen();
+      }
+      letGo(deaf ? restMilliseconds / 3 : restMilliseconds);
+      if (deaf && sessions.size + unopened.size === 0) break;
       await kernel.clock.sleep(drainLookMilliseconds);
     }
     await usage.tell();
