An agent ends with its proxy; no smaller share at a process's beginning

Causes: an agent that ended was kept by the next proxy's questions for 5.6 s, so an edge was back three seconds late; a proxy restarted alone had 0.4 of its share for 3 s.

--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -3,22 +3,21 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
 import type { Ask, LogPosition, Marks, Placement, Reply } from '@stallstall/message';
-import { peer } from '@stallstall/peer';
+import { peer, type Caller } from '@stallstall/peer';
 import { lessee as lessees } from '@stallstall/lease';
 import { termMilliseconds } from '@stallstall/fence';
 
 export type LesseeAgentSettings = Readonly<{ node: string; area: string; feed: string; seeds: () => readonly string[] }>;
 export type LesseeAgent = Readonly<{ drain: () => Promise<void>; stop: () => Promise<void> }>;
 
-/** A proxy that has been silent for so long is gone, or has nothing under way that could still be told. */
-const proxyQuietMilliseconds = 1_200;
 const graceMilliseconds = 5_600;
 /** A proxy that asks this often misses a leader somewhere. */
 export const troubledHoldMilliseconds = 100;
 const serialsKept = 100;
+const endingHoldMilliseconds = 50;
 /** Nothing is known of what the proxy has told its senders. */
 const noPositionsMilliseconds = 3_600_000;
-const drainLookMilliseconds = 50;
+const drainLookMilliseconds = 10;
 const drainLeastMilliseconds = 300;
 
 async function start(kernel: Kernel, settings: LesseeAgentSettings): Promise<LesseeAgent> {
@@ -41,6 +40,8 @@
   let said = '';
   let rosterAt = -1;
   let rosterNumber = 0;
+  /** The link its proxy asks over. */
+  let proxy: Caller | undefined;
   let telling = 0;
   let ending = false;
   /** What the proxy would see: a change of it wakes whoever waits. */
@@ -132,9 +133,10 @@
     lessee.tell();
   }
 
-  async function placement(ask: Ask<'placement'>): Promise<Reply<'placement'>> {
+  async function placement(ask: Ask<'placement'>, caller: Caller): Promise<Reply<'placement'>> {
+    proxy = caller;
     take(ask);
-    if (ask.token === token && ask.seen === number && ask.hold > 0 && !ending) await hold(ask.hold);
+    if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ending ? Math.min(ask.hold, endingHoldMilliseconds) : ask.hold);
     const configuration = lessee.configuration();
     const version = Option.isSome(configuration) ? configuration.value.version : 0;
     const known = ask.token === token && ask.seen >= rosterNumber;
@@ -176,15 +178,12 @@
     await listening.stop();
   }
 
-  /** It stays for as long as its proxy asks: a proxy that ends needs its leases for what is under way (design 7.10). */
+  /** It stays for as long as its proxy is there: one that ends needs its leases for what is under way; the next one's agent is the next (design 7.10). */
   async function drain(): Promise<void> {
     ending = true;
     const began = kernel.clock.now();
     const horizon = identifiers.after(began, graceMilliseconds);
-    function proxyAsks(): boolean {
-      return kernel.clock.now() - askedAt < proxyQuietMilliseconds;
-    }
-    while (kernel.clock.now() < horizon && (telling > 0 || proxyAsks() || kernel.clock.now() - began < drainLeastMilliseconds)) await kernel.clock.sleep(drainLookMilliseconds);
+    while (kernel.clock.now() < horizon && (telling > 0 || proxy?.open() === true || kernel.clock.now() - began < drainLeastMilliseconds)) await kernel.clock.sleep(drainLookMilliseconds);
     await stop();
   }
 
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -59,9 +59,6 @@
 const demandWeight = 0.05;
 /** Of its share an edge keeps this much when nobody asks: members count the connections of a machine that went dark for seconds more. */
 const keptShare = 0.7;
-/** A process that has just begun may be one of many that came back from the dark together: it takes less of its share at first. */
-const beginningShare = 0.4;
-const beginningMilliseconds = 3_000;
 /** After SIGTERM new sessions still arrive for a moment. */
 const lameMilliseconds = 2_300;
 /** One that was let in but says nothing is not waited for any longer. */
@@ -105,8 +102,7 @@
     const known = Option.isSome(view.sheet) ? view.sheet.value.services.find((one) => one.service === place.service) : undefined;
     const limit = Math.max(0, (known?.connectionLimit ?? 0) - reservedConnections) * usedShare;
     const whole = shareOf(place, limit);
-    const most = kernel.clock.now() - beganAt < beginningMilliseconds ? whole * beginningShare : whole;
-    return { most: Math.max(1, Math.floor(most)), kept: Math.max(1, Math.ceil(whole * keptShare)) };
+    return { most: Math.max(1, Math.floor(whole)), kept: Math.max(1, Math.ceil(whole * keptShare)) };
   }
 
   function total(counts: Readonly<Record<string, number>>): number {
