Leases tell what changed, and run from the reply; one core hands configurations over whole

Cause: at 84 edges the control traffic between zones was most of 0.076 GB: every ask and reply carried all stances, marks and positions, every core pushed every configuration whole, usage went out thrice a second from each edge. Asks are held for 0.7 s now, and what a core says counts from its reply: counted from the question, leases lapsed for 0.2 s at a time. Ruled out: shorter holds (more messages at 1,300 nodes).

--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -135,6 +135,7 @@
 
   async function placement(ask: Ask<'placement'>, caller: Caller): Promise<Reply<'placement'>> {
     proxy = caller;
+    const cameAt = kernel.clock.now();
     take(ask);
     if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ending ? Math.min(ask.hold, endingHoldMilliseconds) : ask.hold);
     const configuration = lessee.configuration();
@@ -147,6 +148,7 @@
       token,
       number,
       serial,
+      held: Math.max(0, kernel.clock.now() - cameAt),
       configuration: Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
       configurationVersion: version,
       services: [...placements()],
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -64,7 +64,7 @@
 /** A vote for nobody: all it does is deny that epoch and those before it. */
 const abstained = { candidate: '', proposer: '' } as const;
 
-type Watching = { node: string; number: number; acknowledged: number; obeyed: number; caller: Caller };
+type Watching = { node: string; number: number; acknowledged: number; obeyed: number; caller: Caller; content: boolean };
 
 /** What is pushed of the configuration leaves the ids of earlier sends behind. */
 function forPush(key: string, entry: Entry): Entry {
@@ -175,7 +175,8 @@
 
   function handOver(to: Watching, key: string, entry: Entry): void {
     to.number += 1;
-    to.caller.change({ number: to.number, key, entry: forPush(key, entry) });
+    // A configuration goes over whole to whoever asked for that here; the others learn that there is one.
+    to.caller.change({ number: to.number, key, entry: key === 'configuration' && !to.content ? { ...entry, value: null } : forPush(key, entry) });
   }
 
   const votes = coreVotes(disk, stored);
@@ -448,10 +449,10 @@
   }
 
   /** Whoever asks over a held link is pushed what is watched from then on, and its acknowledgements are kept. */
-  function enlist(named: string, acknowledged: number, obeyed: number, caller: Caller): Watching | undefined {
+  function enlist(named: string, acknowledged: number, obeyed: number, caller: Caller, content = true): Watching | undefined {
     let entry = watching.get(caller);
     if (cells.ready() && entry === undefined) {
-      entry = { node: named, number: 0, acknowledged: 0, obeyed: 0, caller };
+      entry = { node: named, number: 0, acknowledged: 0, obeyed: 0, caller, content };
       watching.set(caller, entry);
       for (const key of cells.keys()) {
         const accepted = cells.accepted(key);
@@ -460,6 +461,7 @@
     }
     for (const known of watching.keys()) if (!known.open()) watching.delete(known);
     if (entry !== undefined) {
+      entry.content = content;
       entry.acknowledged = acknowledged;
       entry.obeyed = obeyed;
     }
@@ -512,10 +514,10 @@
     lease: async function lease(ask, caller) {
       const granting = lessor;
       if (Option.isNone(granting)) throw new Error('this fleet holds no leases');
-      enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
+      enlist(ask.node, ask.acknowledged, ask.obeyed, caller, ask.content);
       const reply = await granting.value.lease(ask);
       // It may have waited for this core to open: what is watched is handed over before the reply.
-      if (reply.ready) enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
+      if (reply.ready) enlist(ask.node, ask.acknowledged, ask.obeyed, caller, ask.content);
       return reply;
     },
   };
@@ -545,7 +547,7 @@
     kernel.services.offer(rosterService, kept);
     const granting = lessors.create(kernel, {
       ready: () => cells.ready() && !ending, stances: node.epochs, configuration: () => versionOf('configuration'), membership: () => versionOf('membership'), puts: disk.puts,
-      roster: kept, onNotListening: lookAt,
+      roster: kept, troubled: isTroubled, onNotListening: lookAt,
     });
     lessor = Option.some(granting);
     kernel.services.offer(lessorService, granting);
@@ -589,6 +591,19 @@
     if (Option.isSome(entry) && !entry.value.gone) void kernel.services.find(livenessService).hold(entry.value.service, member, entry.value.address, lookHorizonMilliseconds);
   }
 
+  /** Some service has no leader that is up and stands where all agree. */
+  function isTroubled(): boolean {
+    const current = node.configuration();
+    if (Option.isNone(current)) return false;
+    const stances = node.epochs();
+    return current.value.value.sheet.services.some(function troubled(service) {
+      const settled = node.settled(service.service);
+      if (!service.registered || Option.isNone(settled)) return false;
+      const entry = Option.isSome(roster) ? roster.value.entryOf(settled.value.primary) : Option.none;
+      return (stances[service.service] ?? 0) > settled.value.epoch || Option.isNone(entry) || entry.value.down || entry.value.gone;
+    });
+  }
+
   function lookAtPrimaries(): void {
     const current = node.configuration();
     if (Option.isNone(current)) return;
--- a/packages/fence/src/index.ts
+++ b/packages/fence/src/index.ts
@@ -6,6 +6,13 @@
 /** What the winner waits beyond a whole term; the inequality is design 7.4. */
 export const marginMilliseconds = 500;
 
+/**
+ * A span that another process measured, as this one may count on it: shorter by more than any two clocks drift apart (design 7.4).
+ */
+export function leastSpan(milliseconds: number): number {
+  return milliseconds * 0.95;
+}
+
 export type Echo = Readonly<{ sentAt: Instant; epochs: Readonly<Record<string, number>> }>;
 
 export type Fence = Readonly<{
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -7,7 +7,7 @@
 import { peer, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
 import { notes, proposer, watcher, type Notes, type NoteTarget, type RegisterTarget } from '@stallstall/register';
-import { fence } from '@stallstall/fence';
+import { fence, leastSpan } from '@stallstall/fence';
 import type { Configuration, Obeyed } from '@stallstall/node';
 
 export type LesseeSettings = Readonly<{
@@ -46,7 +46,7 @@
   edges: () => Readonly<Record<string, number>>;
   /** What is asked of all of them, by area, as the same core says. */
   demand: () => Readonly<Record<string, number>>;
-  /** The latest mark of each service that any core has told, and when it held in this process's own moments. */
+  /** How far each service's commits reach as a majority of cores covers it, and as of which of this process's own moments. */
   marks: () => ReadonlyMap<string, Readonly<{ position: LogPosition; at: Instant }>>;
   notes: Notes;
   cores: () => number;
@@ -57,12 +57,17 @@
 }>;
 
 /** The last told of one core. */
-type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: Readonly<Record<string, number>>; demand: Readonly<Record<string, number>>; at: Instant; acknowledged: number };
+type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: Readonly<Record<string, number>>; demand: Readonly<Record<string, number>>; at: Instant; acknowledged: number; wants: boolean };
+type Mark = Readonly<{ position: LogPosition; at: Instant }>;
 type Held = Readonly<{ address: string; peer: Peer }>;
 
-const holdMilliseconds = 450;
+const holdMilliseconds = 700;
 const troubledHoldMilliseconds = 120;
-const callMilliseconds = 700;
+const callMilliseconds = 500;
+/** Told where nobody wants to know. */
+const untoldMilliseconds = 3_600_000;
+/** A configuration that another core was to hand over whole is asked for after so long. */
+const contentMilliseconds = 120;
 const redialLookMilliseconds = 20;
 const greetMilliseconds = 50;
 const resolveMilliseconds = 200;
@@ -77,7 +82,7 @@
   const held = new Map<string, Held>();
   const told = new Map<string, Told>();
   const floors = new Map<string, number>();
-  const marks = new Map<string, Readonly<{ position: LogPosition; at: Instant }>>();
+  const marks = new Map<string, ReadonlyMap<string, Mark>>();
   const greeting = new Set<string>();
   let cores: readonly Seat[] = [];
   let rosterNumber = 0;
@@ -152,7 +157,7 @@
   function toldOf(core: string): Told {
     let known = told.get(core);
     if (known === undefined) {
-      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: {}, demand: {}, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
+      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: {}, demand: {}, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0, wants: false };
       told.set(core, known);
     }
     return known;
@@ -188,20 +193,86 @@
     return most;
   }
 
+  function wanted(): boolean {
+    return [...told.values()].some((known) => known.wants);
+  }
+
+  /** Only what is yet to be settled: what lies behind nobody waits for. */
+  function pending(all: Readonly<Record<string, number>>): Record<string, number> {
+    return Object.fromEntries(Object.entries(all).filter(([service, epoch]) => {
+      const known = settled(service);
+      return Option.isNone(known) || epoch > known.value.epoch;
+    }));
+  }
+
+  /** One core hands configurations over whole: one of this edge's own area where there is one, not the same for all edges (design 5.6). */
+  function contentCore(): string {
+    const linked = cores.filter((core) => held.get(core.node)?.peer.connected() === true);
+    const near = linked.filter((core) => core.area === settings.area);
+    const choices = near.length > 0 ? near : linked;
+    const sum = [...settings.node].reduce((total, letter) => total + letter.charCodeAt(0), 0);
+    return choices[sum % Math.max(1, choices.length)]?.node ?? '';
+  }
+
+  const contents = new Map<string, unknown>();
+  const slim = new Map<string, Change>();
+
+  function contentKey(change: Change): string {
+    return `${change.key} ${change.entry.ballot.counter} ${change.entry.ballot.node}`;
+  }
+
+  /** What was told without its content waits for it: from whoever hands it over whole, else it is asked for. */
+  function takeChange(core: string, link: Peer, change: Change): void {
+    const key = contentKey(change);
+    if (change.entry.value !== null) {
+      if (change.key === 'configuration') {
+        contents.clear();
+        contents.set(key, change.entry.value);
+      }
+      watch.changed(core, change);
+      for (const [other, waiting] of [...slim]) if (contentKey(waiting) === key) fill(other, waiting, change.entry.value);
+      return;
+    }
+    if (contents.has(key)) {
+      watch.changed(core, { ...change, entry: { ...change.entry, value: contents.get(key) } });
+      return;
+    }
+    slim.set(core, change);
+    kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
+  }
+
+  function fill(core: string, change: Change, value: unknown): void {
+    slim.delete(core);
+    watch.changed(core, { ...change, entry: { ...change.entry, value } });
+  }
+
+  async function fetchContent(core: string, link: Peer, change: Change): Promise<void> {
+    if (slim.get(core) !== change || stopped) return;
+    const reply = await link.call('look', { key: change.key }, callMilliseconds);
+    const entry = Option.isSome(reply) ? reply.value.accepted : null;
+    if (entry !== null && slim.get(core) === change) {
+      slim.delete(core);
+      takeChange(core, link, { ...change, entry });
+    } else if (slim.get(core) === change) kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
+  }
+
   async function ask(core: string, link: Peer, hold: number): Promise<boolean> {
     const known = toldOf(core);
     const sentAt = kernel.clock.now();
     const current = configuration();
     const reply = await link.call('lease', {
       node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
-      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo(), notListening: [...parts.notListening()], demand: parts.demand(),
+      obeyed: Option.isSome(current) ? current.value.version : 0, released: pending(parts.released()),
+      ...(wanted() ? { positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo() } : { positions: {}, marks: {}, positionsAgo: untoldMilliseconds }),
+      notListening: [...parts.notListening()], demand: parts.demand(), content: core === contentCore(),
     }, hold + callMilliseconds);
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
-    take(core, known, reply.value, sentAt);
+    // What the core says was so when it replied, and that was not before it had held the question for so long.
+    take(core, known, reply.value, identifiers.after(sentAt, leastSpan(reply.value.held)));
     return true;
   }
 
-  function take(core: string, known: Told, reply: Reply<'lease'>, sentAt: Instant): void {
+  function take(core: string, known: Told, reply: Reply<'lease'>, saidAt: Instant): void {
     // A reply overtaken by a later one of the same process tells nothing new.
     if (known.token === reply.token && reply.number < known.seen) return;
     takeRoster(known, reply);
@@ -209,22 +280,43 @@
     known.seen = reply.number;
     known.edges = reply.edges;
     known.demand = reply.demand;
-    known.at = sentAt;
+    known.at = saidAt;
     if (!reply.ready) return;
-    known.stances = reply.stances;
-    takeMarks(reply.marks, sentAt);
+    known.stances = reply.whole ? reply.stances : { ...known.stances, ...reply.stances };
+    known.wants = reply.wants;
+    takeMarks(core, reply.marks, saidAt);
     noteFloors();
-    grants.heard(core, { sentAt, epochs: reply.stances });
+    grants.heard(core, { sentAt: saidAt, epochs: known.stances });
     parts.onChange();
   }
 
-  /** The reply was made after the question left, so what held so long before the reply held later than so long before the question. */
-  function takeMarks(toldMarks: Marks, sentAt: Instant): void {
-    for (const [service, mark] of Object.entries(toldMarks)) {
-      const at = identifiers.after(sentAt, -mark.ago);
-      const known = marks.get(service);
-      if (known === undefined || at > known.at) marks.set(service, { at, position: { term: mark.term, number: mark.number } });
+  /** `saidAt` is no later than the reply was made, so what held so long before the reply held later than so long before that. */
+  function takeMarks(core: string, toldMarks: Marks, saidAt: Instant): void {
+    marks.set(core, new Map(Object.entries(toldMarks).map(([service, mark]) => [
+      service, { at: identifiers.after(saidAt, -mark.ago), position: { term: mark.term, number: mark.number } },
+    ])));
+  }
+
+  function further(left: LogPosition, right: LogPosition): LogPosition {
+    return left.term > right.term || (left.term === right.term && left.number >= right.number) ? left : right;
+  }
+
+  /**
+   * A core speaks for the edges that asked it. Whoever holds a lease asked a majority, so what a majority of cores covers is covered for
+   * all edges: up to the moment that a majority has reached, by the furthest position any of these tells (design 8.11).
+   */
+  function merged(): ReadonlyMap<string, Mark> {
+    const all = new Map<string, Mark>();
+    for (const service of services()) {
+      const told = names().flatMap((core) => {
+        const mark = marks.get(core)?.get(service);
+        return mark === undefined ? [] : [mark];
+      });
+      const at = quorum.reachedByMajority(told.map((mark) => mark.at), cores.length, false);
+      if (at === Number.NEGATIVE_INFINITY) continue;
+      all.set(service, { at: identifiers.instant(at), position: told.filter((mark) => mark.at >= at).map((mark) => mark.position).reduce(further) });
     }
+    return all;
   }
 
   async function task(core: string, link: Peer): Promise<void> {
@@ -248,7 +340,7 @@
       },
       changed: function changed(change: Change) {
         toldOf(core.node).acknowledged = change.number;
-        watch.changed(core.node, change);
+        takeChange(core.node, link, change);
       },
     });
     held.set(core.node, { address: core.address, peer: link });
@@ -301,7 +393,7 @@
     rosterNumber: () => rosterNumber,
     edges: () => fullest().edges,
     demand: () => fullest().demand,
-    marks: () => marks,
+    marks: merged,
     notes: noted,
     cores: () => cores.length,
     granting: () => names().filter((core) => kernel.clock.now() - toldOf(core).at < 2_000).length,
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -12,6 +12,8 @@
   membership: () => number;
   puts: () => number;
   roster: Roster;
+  /** A leader is missing, or about to change: edges are to tell what they have seen. */
+  troubled: () => boolean;
   /** Members that edges were refused by: worth a look of this core's own. */
   onNotListening: (member: string) => void;
 }>;
@@ -35,6 +37,8 @@
 const rememberMilliseconds = 60_000;
 /** Whoever is further behind is told everything. */
 const numbersKept = 1_000;
+/** An edge that was never asked says this much. */
+const untoldMilliseconds = 600_000;
 
 function higher(left: LogPosition, right: LogPosition): LogPosition {
   return left.term === right.term ? (left.number >= right.number ? left : right) : left.term > right.term ? left : right;
@@ -83,6 +87,22 @@
     return [...askedAt].filter(([, at]) => now - at <= milliseconds).map(([node]) => node);
   }
 
+  /** At which number of the news each stance took its value; looked at whenever it is told. */
+  const stanceAt = new Map<string, Readonly<{ epoch: number; number: number }>>();
+  let wasReady = false;
+
+  function changedStances(since: number): Record<string, number> {
+    const changed: Record<string, number> = {};
+    for (const [service, epoch] of Object.entries(view.stances())) {
+      const known = stanceAt.get(service);
+      const at = known?.epoch === epoch ? known.number : number;
+      if (known?.epoch !== epoch) stanceAt.set(service, { epoch, number });
+      // What changed at the number that was seen may have changed after it was told.
+      if (at >= since) changed[service] = epoch;
+    }
+    return changed;
+  }
+
   /** What holds of each edge that holds leases, added up by area. */
   function byArea(of: (node: string) => number): Record<string, number> {
     const counts: Record<string, number> = {};
@@ -94,22 +114,30 @@
   }
 
   async function lease(ask: Ask<'lease'>): Promise<Reply<'lease'>> {
+    const cameAt = kernel.clock.now();
     if (!askedAt.has(ask.node)) kernel.log('lease.asked', { node: ask.node, area: ask.area });
     askedAt.set(ask.node, kernel.clock.now());
     areas.set(ask.node, ask.area);
     demands.set(ask.node, ask.demand);
     released.set(ask.node, { ...ask.released });
     for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
-    seen.told(ask.node, ask.marks, ask.positions, ask.positionsAgo);
+    // One that tells of no positions has not been asked to: nothing is known of it then.
+    if (ask.positionsAgo < untoldMilliseconds) seen.told(ask.node, ask.marks, ask.positions, ask.positionsAgo);
     for (const member of ask.notListening) view.onNotListening(member);
     if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ask.hold);
     const ready = view.ready();
+    // Nothing that was told before this core was ready is built on.
+    if (ready && !wasReady) stanceAt.clear();
+    wasReady = ready;
     const whole = ask.token !== token;
+    // The grant runs from the reply: until then and a term beyond, this edge is one to be waited out.
+    askedAt.set(ask.node, kernel.clock.now());
     return {
       ready,
+      held: Math.max(0, kernel.clock.now() - cameAt),
       token,
       number,
-      stances: ready ? { ...view.stances() } : {},
+      stances: ready ? changedStances(whole ? 0 : ask.seen) : {},
       configuration: view.configuration(),
       membership: view.membership(),
       puts: view.puts(),
@@ -117,7 +145,8 @@
       whole,
       edges: byArea(() => 1),
       demand: byArea((node) => demands.get(node) ?? 0),
-      marks: seen.all(),
+      wants: view.troubled(),
+      marks: view.troubled() ? seen.all(within(rememberMilliseconds), askedAt) : {},
     };
   }
 
--- a/packages/lease/src/marks.ts
+++ b/packages/lease/src/marks.ts
@@ -6,7 +6,8 @@
 export type MarkTable = Readonly<{
   /** What an edge has seen of leaders, and how far the commits reach that its senders were told of so long ago. */
   told: (node: string, seen: Marks, commits: Readonly<Record<string, LogPosition>>, agoMilliseconds: number) => void;
-  all: () => Record<string, { term: number; number: number; ago: number }>;
+  /** `edges`: all that held leases lately, and when each asked for them last. */
+  all: (edges: readonly string[], askedAt: ReadonlyMap<string, Instant>) => Record<string, { term: number; number: number; ago: number }>;
 }>;
 
 type Mark = Readonly<{ position: LogPosition; at: Instant }>;
@@ -45,19 +46,24 @@
    * While no leader replies, what edges were told still grows: a commit is known to some edge before its sender hears of it. Once every
    * edge that may have acknowledged anything since the last mark has told again, the highest commit covers all up to the earliest telling.
    */
-  function composed(mark: Mark, commit: LogPosition): Mark {
+  function composed(mark: Mark, commit: LogPosition, edges: readonly string[], askedAt: ReadonlyMap<string, Instant>): Mark {
     let earliest = kernel.clock.now();
-    for (const [, at] of toldAt) if (at + endedMilliseconds > mark.at && at < earliest) earliest = at;
+    for (const edge of edges) {
+      // One that asked for no lease since so long before the mark has acknowledged nothing that the mark does not cover.
+      if ((askedAt.get(edge) ?? mark.at) + endedMilliseconds <= mark.at) continue;
+      const at = toldAt.get(edge) ?? identifiers.instant(Number.NEGATIVE_INFINITY);
+      if (at < earliest) earliest = at;
+    }
     if (earliest <= mark.at) return mark;
     return { at: earliest, position: compare(commit, mark.position) > 0 ? commit : mark.position };
   }
 
   return {
     told,
-    all: function all() {
+    all: function all(edges, askedAt) {
       const now = kernel.clock.now();
       return Object.fromEntries([...marks].map(([service, mark]) => {
-        const { at, position } = composed(mark, commits.get(service) ?? mark.position);
+        const { at, position } = composed(mark, commits.get(service) ?? mark.position, edges, askedAt);
         return [service, { term: position.term, number: position.number, ago: Math.max(0, now - at) }];
       }));
     },
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -193,12 +193,16 @@
   notListening: Type.Array(Name, { maxItems: 1_000 }),
   /** Statements a second by now, smoothed. */
   demand: Type.Number({ minimum: 0 }),
+  /** Whether configurations are to be handed over whole by this core; the others tell that there is one (design 5.6). */
+  content: Type.Boolean(),
 });
 const LeaseReply = Type.Object({
   ready: Type.Boolean(),
+  /** For how long this core held the question: what it says was so at least this much after the question left. */
+  held: Type.Number({ minimum: 0 }),
   token: Type.String({ maxLength: 100 }),
   number: Count,
-  /** The epoch this core stands at for each service. */
+  /** The epoch this core stands at for each service, where it has changed since `seen`; all of them when `whole`. */
   stances: ServiceCounts,
   configuration: Count,
   membership: Count,
@@ -210,6 +214,8 @@
   edges: Type.Record(Type.String({ maxLength: 200 }), Count),
   /** What is asked of all of them, by area. */
   demand: Type.Record(Type.String({ maxLength: 200 }), Type.Number({ minimum: 0 })),
+  /** A leader is missing somewhere: edges are to tell marks and positions, which nobody needs otherwise. */
+  wants: Type.Boolean(),
   /** What all edges together have seen. */
   marks: Marks,
 });
@@ -243,6 +249,8 @@
   token: Type.String({ maxLength: 100 }),
   number: Count,
   serial: Count,
+  /** For how long the agent held the question. */
+  held: Type.Number({ minimum: 0 }),
   configuration: Type.Union([Type.Object({ version: Count, sheet: Type.Unknown() }), Type.Null()]),
   configurationVersion: Count,
   services: Type.Array(PlacementSchema, { maxItems: 20_000 }),
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -1,6 +1,7 @@
 // The proxy of the session wire: sessions in, statements placed, members' replies out; fed by its agent (design 8.10).
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, kernel as kernels, type HttpMapping, type Instant, type Kernel, type Listening, type Stream } from '@stallstall/kernel';
+import { leastSpan } from '@stallstall/fence';
 import { peer } from '@stallstall/peer';
 import type { SheetDatabase } from '@stallstall/sheet';
 import type { Command, Condition, Dialect, Incoming, MemberPlace, StatementReply } from '@stallstall/statement';
@@ -42,6 +43,8 @@
 const tendMilliseconds = 250;
 /** What an edge has counted since it told last is lost with it. */
 const tellMilliseconds = 300;
+const mostTellMilliseconds = 1_000;
+const tellEdgeMilliseconds = 20;
 /** So often the log says where this process stands. */
 const countsMilliseconds = 10_000;
 /** A sender that opens before anything is known is held for so long: it gives up after two seconds. */
@@ -157,8 +160,9 @@
     const news = reply.value.token !== token || reply.value.number > seen;
     if (reply.value.token === token && reply.value.number < seen) return true;
     const led = leadersOf(view);
-    view = views.fed(view, reply.value, sentAt, kernel.clock.now());
-    for (const [service, mark] of Object.entries(reply.value.marks)) freshness.learnt(service, identifiers.after(sentAt, -mark.ago), { term: mark.term, number: mark.number });
+    const saidAt = identifiers.after(sentAt, leastSpan(reply.value.held));
+    view = views.fed(view, reply.value, saidAt, kernel.clock.now());
+    for (const [service, mark] of Object.entries(reply.value.marks)) freshness.learnt(service, identifiers.after(saidAt, -mark.ago), { term: mark.term, number: mark.number });
     token = reply.value.token;
     seen = reply.value.number;
     serial = reply.value.serial;
@@ -431,9 +435,15 @@
   void feedTask();
   void kernels.every(kernel.clock, tendMilliseconds, tend, () => !stopped);
   void kernels.every(kernel.clock, countsMilliseconds, () => kernel.log('pooler.counts', { sessions: sessions.size, inFlight: requests.inFlight(), ...connections.describe(), ...requests.totals() }), () => !stopped);
-  void kernels.every(kernel.clock, tellMilliseconds, async function tell() {
-    if (agent.connected()) await usage.tell();
-  }, () => !stopped);
+  void tellTask();
+
+  /** The more edges, the less is lost with one of them, and the more it costs all cores to hear of each. */
+  async function tellTask(): Promise<void> {
+    while (!stopped) {
+      if (agent.connected()) await usage.tell();
+      await kernel.clock.sleep(Math.min(mostTellMilliseconds, Math.max(tellMilliseconds, total(view.edges) * tellEdgeMilliseconds)));
+    }
+  }
 
   async function stop(): Promise<void> {
     stopped = true;
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -186,7 +186,10 @@
     if (Option.isSome(transaction) && Option.isSome(transaction.value.held)) return record;
     const target = needsLeader(record.ask) ? leaderTarget(record.ask.database.service) : readTarget(record);
     if (Option.isSome(target)) return { ...record, target };
-    if (kernel.clock.now() < (isHandedOver(record.ask.database.service) ? record.patientUntil : record.holdUntil)) return { ...record, stage: 'waiting' };
+    if (kernel.clock.now() < (isHandedOver(record.ask.database.service) ? record.patientUntil : record.holdUntil)) {
+      count('waits.leader');
+      return { ...record, stage: 'waiting' };
+    }
     return deny(record, 'read-only', retryText(300));
   }
 
@@ -215,6 +218,7 @@
     const asked = record.wanted === member.member && connections.opening(member.member, tenant);
     const wanted = asked || connections.want(member, tenant) ? member.member : '';
     const waits: RequestRecord = { ...record, stage: 'waiting', wanted };
+    count('waits.line');
     const now = kernel.clock.now();
     if (!connections.failing(member.member)) return now < record.patientUntil ? waits : deny(record, 'saturated', retryText(200));
     // Nothing is open to it and the last opening failed: a read goes elsewhere, what needs the leader is not kept waiting.
--- a/packages/pooler/src/view.ts
+++ b/packages/pooler/src/view.ts
@@ -44,13 +44,13 @@
 }
 
 /** Neither a configuration nor an epoch is taken back, and a lease that was told stays true to its end, whoever feeds (design 3.4). */
-function fed(before: View, reply: Reply<'placement'>, sentAt: Instant, now: Instant): View {
+function fed(before: View, reply: Reply<'placement'>, saidAt: Instant, now: Instant): View {
   const sheet = reply.configuration === null || reply.configuration.version <= before.version ? before.sheet : Option.some(reply.configuration.sheet as Sheet);
   const changed = sheet !== before.sheet;
   const leaders = new Map(before.leaders);
   for (const told of reply.services) {
     const known = before.leaders.get(told.service);
-    const until = told.left > 0 ? identifiers.after(sentAt, told.left) : never;
+    const until = told.left > 0 ? identifiers.after(saidAt, told.left) : never;
     if (known !== undefined && known.epoch > told.epoch) continue;
     const same = known !== undefined && known.epoch === told.epoch;
     const release = Math.max(told.release, known?.release ?? 0);
--- a/packages/simulator/src/fuzz.ts
+++ b/packages/simulator/src/fuzz.ts
@@ -88,8 +88,8 @@
   tell: { kept: true }, status: { status: {} },
   feed: { configuration: null, configurationVersion: 1, term: 900, services: [], shares: {}, draining: false, area: 'north', node: 'edge-1' },
   spread: { taken: true },
-  lease: { ready: true, token: 't', number: 1, stances: { bookings: 1 }, configuration: 1, membership: 1, puts: 1, roster: [], whole: false, edges: { north: 1 }, demand: { north: 2 }, marks: {} },
-  placement: { token: 't', number: 1, serial: 1, configuration: null, configurationVersion: 1, services: [], roster: null, edges: { north: 1 }, demand: { north: 2 }, marks: {}, area: 'north', node: 'edge-1' },
+  lease: { ready: true, held: 0, token: 't', number: 1, stances: { bookings: 1 }, configuration: 1, membership: 1, puts: 1, roster: [], whole: false, edges: { north: 1 }, demand: { north: 2 }, wants: false, marks: {} },
+  placement: { token: 't', number: 1, serial: 1, held: 0, configuration: null, configurationVersion: 1, services: [], roster: null, edges: { north: 1 }, demand: { north: 2 }, marks: {}, area: 'north', node: 'edge-1' },
 };
 
 /** Stands where a process stood, greets as it would, and replies to every call with what cannot be read; tells how often it did. */
