--- a/packages/stories/features/wire.feature
+++ b/packages/stories/features/wire.feature
@@ -4,88 +4,88 @@
   Scenario: What senders say is read as the platform's pages name it
     Then these messages of senders are read so:
       | message                                 | read as                                                                                               |
-      | OPEN lepu270 u3f1                       | {"kind":"open","database":"lepu270","who":"u3f1"}                                                     |
-      | OPEN lepu270 a key with blanks          | {"kind":"open","database":"lepu270","who":"a key with blanks"}                                        |
+      | OPEN harbour key1                       | {"kind":"open","database":"harbour","who":"key1"}                                                     |
+      | OPEN harbour a key with blanks          | {"kind":"open","database":"harbour","who":"a key with blanks"}                                        |
       | CLOSE                                   | {"kind":"close"}                                                                                      |
-      | QUERY 5c0e BEGIN                        | {"kind":"query","identifier":"5c0e","text":"BEGIN","command":{"kind":"begin","readOnly":false}}       |
-      | QUERY 5c0e BEGIN READ                   | {"kind":"query","identifier":"5c0e","text":"BEGIN READ","command":{"kind":"begin","readOnly":true}}   |
-      | QUERY 5c0e COMMIT                       | {"kind":"query","identifier":"5c0e","text":"COMMIT","command":{"kind":"commit"}}                      |
-      | QUERY 5c0e REVERT                       | {"kind":"query","identifier":"5c0e","text":"REVERT","command":{"kind":"rollback"}}                    |
-      | QUERY 5c0e READ 1a4                     | {"kind":"query","identifier":"5c0e","text":"READ 1a4","command":{"kind":"read"}}                      |
-      | QUERY 5c0e WRITE 1a4 xkqp wnzd␠␠e       | {"kind":"query","identifier":"5c0e","text":"WRITE 1a4 xkqp wnzd  e","command":{"kind":"write"}}       |
-      | QUERY 5c0e SET mood two words␠          | {"kind":"query","identifier":"5c0e","text":"SET mood two words ","command":{"kind":"set","name":"mood","value":"two words "}} |
-      | QUERY 5c0e SET mood␠                    | {"kind":"query","identifier":"5c0e","text":"SET mood ","command":{"kind":"set","name":"mood","value":""}} |
-      | QUERY 5c0e DEFINE s1 WRITE q2c and more | {"kind":"query","identifier":"5c0e","text":"DEFINE s1 WRITE q2c and more","command":{"kind":"prepare","name":"s1","writes":true,"shape":"q2c and more"}} |
-      | QUERY 5c0e DEFINE s1 READ q2c           | {"kind":"query","identifier":"5c0e","text":"DEFINE s1 READ q2c","command":{"kind":"prepare","name":"s1","writes":false,"shape":"q2c"}} |
-      | QUERY 5c0e INVOKE s1 1a4                | {"kind":"query","identifier":"5c0e","text":"INVOKE s1 1a4","command":{"kind":"execute","name":"s1","rest":"1a4"}} |
-      | QUERY 5c0e INVOKE s1 1a4 xk qp          | {"kind":"query","identifier":"5c0e","text":"INVOKE s1 1a4 xk qp","command":{"kind":"execute","name":"s1","rest":"1a4 xk qp"}} |
-      | QUERY 5c0e UNDEFINE s1                  | {"kind":"query","identifier":"5c0e","text":"UNDEFINE s1","command":{"kind":"forget","name":"s1"}}     |
+      | QUERY ab12 BEGIN                        | {"kind":"query","identifier":"ab12","text":"BEGIN","command":{"kind":"begin","readOnly":false}}       |
+      | QUERY ab12 BEGIN READ                   | {"kind":"query","identifier":"ab12","text":"BEGIN READ","command":{"kind":"begin","readOnly":true}}   |
+      | QUERY ab12 COMMIT                       | {"kind":"query","identifier":"ab12","text":"COMMIT","command":{"kind":"commit"}}                      |
+      | QUERY ab12 REVERT                       | {"kind":"query","identifier":"ab12","text":"REVERT","command":{"kind":"rollback"}}                    |
+      | QUERY ab12 READ k77                     | {"kind":"query","identifier":"ab12","text":"READ k77","command":{"kind":"read"}}                      |
+      | QUERY ab12 WRITE k77 data more␠␠e       | {"kind":"query","identifier":"ab12","text":"WRITE k77 data more  e","command":{"kind":"write"}}       |
+      | QUERY ab12 SET mood two words␠          | {"kind":"query","identifier":"ab12","text":"SET mood two words ","command":{"kind":"set","name":"mood","value":"two words "}} |
+      | QUERY ab12 SET mood␠                    | {"kind":"query","identifier":"ab12","text":"SET mood ","command":{"kind":"set","name":"mood","value":""}} |
+      | QUERY ab12 DEFINE s1 WRITE shape and more | {"kind":"query","identifier":"ab12","text":"DEFINE s1 WRITE shape and more","command":{"kind":"prepare","name":"s1","writes":true,"shape":"shape and more"}} |
+      | QUERY ab12 DEFINE s1 READ shape           | {"kind":"query","identifier":"ab12","text":"DEFINE s1 READ shape","command":{"kind":"prepare","name":"s1","writes":false,"shape":"shape"}} |
+      | QUERY ab12 INVOKE s1 k77                | {"kind":"query","identifier":"ab12","text":"INVOKE s1 k77","command":{"kind":"execute","name":"s1","rest":"k77"}} |
+      | QUERY ab12 INVOKE s1 k77 xk qp          | {"kind":"query","identifier":"ab12","text":"INVOKE s1 k77 xk qp","command":{"kind":"execute","name":"s1","rest":"k77 xk qp"}} |
+      | QUERY ab12 UNDEFINE s1                  | {"kind":"query","identifier":"ab12","text":"UNDEFINE s1","command":{"kind":"forget","name":"s1"}}     |
 
   Scenario: What senders may not say is malformed, whichever way it is said
     Then none of these messages of senders is let in:
       | message                               |
-      | QUERY 5c0e SINCE 3.1207 READ 1a4      |
-      | QUERY 5c0e STATE                      |
-      | QUERY 5c0e PAUSE 9                    |
-      | QUERY 5c0e YIELD 9                    |
-      | QUERY 5c0e CLEAR                      |
-      | QUERY 5c0e CONTINUE                   |
-      | QUERY - READ 1a4                      |
+      | QUERY ab12 SINCE 3.41 READ k77      |
+      | QUERY ab12 STATE                      |
+      | QUERY ab12 PAUSE 9                    |
+      | QUERY ab12 YIELD 9                    |
+      | QUERY ab12 CLEAR                      |
+      | QUERY ab12 CONTINUE                   |
+      | QUERY - READ k77                      |
       | QUERY - STATE                         |
-      | QUERY␠␠READ 1a4                       |
-      | QUERY 5c0e␠                           |
-      | QUERY 5c0e                            |
+      | QUERY␠␠READ k77                       |
+      | QUERY ab12␠                           |
+      | QUERY ab12                            |
       | QUERY                                 |
-      | QUERY 5c0e READ                       |
-      | QUERY 5c0e READ␠                      |
-      | QUERY 5c0e READ 1a4␍QUERY - STATE     |
-      | QUERY 5c0e READ 1a4␊QUERY - STATE     |
-      | QUERY 5c0e WRITE 1a4 data␍            |
-      | QUERY 5c0e WRITE 1a4                  |
-      | QUERY 5c0e WRITE␠␠data                |
-      | QUERY 5c0e COMMIT␠                    |
-      | QUERY 5c0e COMMIT now                 |
-      | QUERY 5c0e REVERT␠                    |
-      | QUERY 5c0e BEGIN␠                     |
-      | QUERY 5c0e BEGIN WRITE                |
-      | QUERY 5c0e BEGIN READ␠                |
-      | QUERY 5c0e SET mood                   |
-      | QUERY 5c0e SET                        |
-      | QUERY 5c0e DEFINE s1 CLEAR q2c        |
-      | QUERY 5c0e DEFINE s1 READ             |
-      | QUERY 5c0e INVOKE s1                  |
-      | QUERY 5c0e UNDEFINE                   |
-      | QUERY 5c0e read 1a4                   |
-      | QUERY 5c0e␠READ␍ 1a4                  |
-      | query 5c0e READ 1a4                   |
-      | OPEN lepu270                          |
-      | OPEN lepu270␠                         |
-      | OPEN␠␠u3f1                            |
-      | OPEN lepu270 u3f1␍                    |
+      | QUERY ab12 READ                       |
+      | QUERY ab12 READ␠                      |
+      | QUERY ab12 READ k77␍QUERY - STATE     |
+      | QUERY ab12 READ k77␊QUERY - STATE     |
+      | QUERY ab12 WRITE k77 data␍            |
+      | QUERY ab12 WRITE k77                  |
+      | QUERY ab12 WRITE␠␠data                |
+      | QUERY ab12 COMMIT␠                    |
+      | QUERY ab12 COMMIT now                 |
+      | QUERY ab12 REVERT␠                    |
+      | QUERY ab12 BEGIN␠                     |
+      | QUERY ab12 BEGIN WRITE                |
+      | QUERY ab12 BEGIN READ␠                |
+      | QUERY ab12 SET mood                   |
+      | QUERY ab12 SET                        |
+      | QUERY ab12 DEFINE s1 CLEAR shape        |
+      | QUERY ab12 DEFINE s1 READ             |
+      | QUERY ab12 INVOKE s1                  |
+      | QUERY ab12 UNDEFINE                   |
+      | QUERY ab12 read k77                   |
+      | QUERY ab12␠READ␍ k77                  |
+      | query ab12 READ k77                   |
+      | OPEN harbour                          |
+      | OPEN harbour␠                         |
+      | OPEN␠␠key1                            |
+      | OPEN harbour key1␍                    |
       | CLOSE now                             |
-      | ROW replica 3 3.1209 0 12 2 17        |
+      | ROW replica 3 3.43 0 25 1 9        |
       | FAULT UNKNOWN x                       |
       | ␠                                     |
 
   Scenario: What members say is read as the platform's pages name it, rows and stamps as they came
     Then these messages of members are read so:
       | message                            | read as                                                                                      |
-      | ROW qhzkwmtrbelo                   | {"kind":"row","raw":"ROW qhzkwmtrbelo"}                                                      |
+      | ROW found it                   | {"kind":"row","raw":"ROW found it"}                                                      |
       | ROW a  b␠                          | {"kind":"row","raw":"ROW a  b "}                                                             |
       | ROW                                | {"kind":"row","raw":"ROW"}                                                                   |
-      | DONE 7.1f3.c.2b.90e1c4d2a7b3f655   | {"kind":"ending","ending":{"kind":"done","stamp":"7.1f3.c.2b.90e1c4d2a7b3f655"}}             |
+      | DONE 4.a2.b.31.0f   | {"kind":"ending","ending":{"kind":"done","stamp":"4.a2.b.31.0f"}}             |
       | DONE a stamp with blanks␠          | {"kind":"ending","ending":{"kind":"done","stamp":"a stamp with blanks "}}                    |
       | DONE -                             | {"kind":"ending","ending":{"kind":"done","stamp":"-"}}                                       |
-      | FAULT READONLY i-7f3a91c2          | {"kind":"ending","ending":{"kind":"fault","condition":"read-only","text":"i-7f3a91c2"}}      |
+      | FAULT READONLY member-7          | {"kind":"ending","ending":{"kind":"fault","condition":"read-only","text":"member-7"}}      |
       | FAULT LAGGING                      | {"kind":"ending","ending":{"kind":"fault","condition":"lagging","text":""}}                  |
       | FAULT NEVERHEARD two words         | {"kind":"ending","ending":{"kind":"fault","condition":"failed","text":"two words"}}          |
-      | IDLE I 3.1207                      | {"kind":"rest","stance":"idle","position":{"term":3,"number":1207}}                          |
-      | IDLE T 3.1207                      | {"kind":"rest","stance":"open","position":{"term":3,"number":1207}}                          |
+      | IDLE I 3.41                      | {"kind":"rest","stance":"idle","position":{"term":3,"number":41}}                          |
+      | IDLE T 3.41                      | {"kind":"rest","stance":"open","position":{"term":3,"number":41}}                          |
       | IDLE E -                           | {"kind":"rest","stance":"failed","position":null}                                            |
       | IDLE X -                           | {"kind":"unreadable"}                                                                        |
       | IDLE I                             | {"kind":"unreadable"}                                                                        |
       | IDLE I 3.x                         | {"kind":"unreadable"}                                                                        |
-      | IDLE I 3.1207 4                    | {"kind":"unreadable"}                                                                        |
+      | IDLE I 3.41 4                    | {"kind":"unreadable"}                                                                        |
       | DONE                               | {"kind":"unreadable"}                                                                        |
       | FAULT                              | {"kind":"unreadable"}                                                                        |
       | FAULT readonly x                   | {"kind":"unreadable"}                                                                        |
@@ -96,12 +96,12 @@
     And every condition of the wire is told by its code and read back from it
 
   Scenario: A member's STATE is read whole or not at all
-    Then "ROW replica 3 3.1209 0 12 2 17" tells a replica of term 3 that received 3.1209 and lags 12 ms
+    Then "ROW replica 3 3.43 0 25 1 9" tells a replica of term 3 that received 3.43 and lags 25 ms
     And none of these rows tells a standing:
       | message                        |
-      | ROW leader 3 3.1209 0 12 2 17  |
-      | ROW replica x 3.1209 0 12 2 17 |
-      | ROW replica 3 - 0 12 2 17      |
+      | ROW leader 3 3.43 0 25 1 9  |
+      | ROW replica x 3.43 0 25 1 9 |
+      | ROW replica 3 - 0 25 1 9      |
       | ROW replica                    |
       | DONE -                         |
 
@@ -122,16 +122,16 @@
     Given a proxy of the session wire with one member, fed with a lease
     When a session reads and writes, and says each of these in a session of its own:
       | message                           |
-      | QUERY 5c0e SINCE 3.1207 READ 1a4  |
-      | QUERY 5c0e STATE                  |
-      | QUERY 5c0e PAUSE 9                |
-      | QUERY 5c0e YIELD 9                |
-      | QUERY 5c0e CLEAR                  |
-      | QUERY 5c0e CONTINUE               |
-      | QUERY - WRITE 1a4 data            |
-      | QUERY 5c0e READ 1a4␍QUERY - PAUSE |
-      | QUERY 5c0e READ 1a4␊QUERY - PAUSE |
-      | QUERY 5c0e COMMIT␠                |
+      | QUERY ab12 SINCE 3.41 READ k77  |
+      | QUERY ab12 STATE                  |
+      | QUERY ab12 PAUSE 9                |
+      | QUERY ab12 YIELD 9                |
+      | QUERY ab12 CLEAR                  |
+      | QUERY ab12 CONTINUE               |
+      | QUERY - WRITE k77 data            |
+      | QUERY ab12 READ k77␍QUERY - PAUSE |
+      | QUERY ab12 READ k77␊QUERY - PAUSE |
+      | QUERY ab12 COMMIT␠                |
     Then each was replied "FAULT MALFORMED"
     And the member heard the read and the write unchanged, under the tenant's name, and nothing else
 
--- a/packages/stories/src/wire.ts
+++ b/packages/stories/src/wire.ts
@@ -49,10 +49,10 @@
 });
 
 Then('the wire says what the pages show', function then() {
-  const position = { term: 3, number: 1209 };
+  const position = { term: 3, number: 43 };
   const shown: ReadonlyArray<readonly [string, string]> = [
-    [wire.opening('huvo11a', 'tenant', 'i-7f3a91c2'), 'OPEN huvo11a tenant i-7f3a91c2\r\n'],
-    [wire.query('5c0e', wire.texts.since({ term: 3, number: 1207 }, 'READ 1a4')), 'QUERY 5c0e SINCE 3.1207 READ 1a4\r\n'],
+    [wire.opening('ferries', 'tenant', 'member-7'), 'OPEN ferries tenant member-7\r\n'],
+    [wire.query('ab12', wire.texts.since({ term: 3, number: 41 }, 'READ k77')), 'QUERY ab12 SINCE 3.41 READ k77\r\n'],
     [wire.query(wire.ownIdentifier, wire.texts.state), 'QUERY - STATE\r\n'],
     [wire.query(wire.ownIdentifier, wire.texts.clear), 'QUERY - CLEAR\r\n'],
     [wire.query('-', wire.texts.begin(false)), 'QUERY - BEGIN\r\n'],
@@ -60,21 +60,21 @@
     [wire.query('-', wire.texts.commit), 'QUERY - COMMIT\r\n'],
     [wire.query('-', wire.texts.rollback), 'QUERY - REVERT\r\n'],
     [wire.query('-', wire.texts.set('mood', 'two words ')), 'QUERY - SET mood two words \r\n'],
-    [wire.query('-', wire.texts.prepare('s1', true, 'q2c')), 'QUERY - DEFINE s1 WRITE q2c\r\n'],
-    [wire.query('-', wire.texts.prepare('s1', false, 'q2c')), 'QUERY - DEFINE s1 READ q2c\r\n'],
-    [wire.query('5c0e', wire.texts.execute('s1', '1a4 xkqpwnzd')), 'QUERY 5c0e INVOKE s1 1a4 xkqpwnzd\r\n'],
+    [wire.query('-', wire.texts.prepare('s1', true, 'shape')), 'QUERY - DEFINE s1 WRITE shape\r\n'],
+    [wire.query('-', wire.texts.prepare('s1', false, 'shape')), 'QUERY - DEFINE s1 READ shape\r\n'],
+    [wire.query('ab12', wire.texts.execute('s1', 'k77 datadata')), 'QUERY ab12 INVOKE s1 k77 datadata\r\n'],
     [wire.closing(), 'CLOSE\r\n'],
     [wire.rest('idle', Option.none), 'IDLE I -\r\n'],
-    [wire.rest('open', Option.some(position)), 'IDLE T 3.1209\r\n'],
-    [wire.rest('failed', Option.some(position)), 'IDLE E 3.1209\r\n'],
+    [wire.rest('open', Option.some(position)), 'IDLE T 3.43\r\n'],
+    [wire.rest('failed', Option.some(position)), 'IDLE E 3.43\r\n'],
     [wire.fault('denied', 'not let in'), 'FAULT DENIED not let in\r\n'],
     [
-      wire.reply({ rows: ['ROW qhz  kwm ', 'ROW'], ending: { kind: 'done', stamp: '7.1f3.c.2b' }, stance: 'idle', position: Option.some(position) }),
-      'ROW qhz  kwm \r\nROW\r\nDONE 7.1f3.c.2b\r\nIDLE I 3.1209\r\n',
+      wire.reply({ rows: ['ROW two  gaps ', 'ROW'], ending: { kind: 'done', stamp: '4.a2.b.31' }, stance: 'idle', position: Option.some(position) }),
+      'ROW two  gaps \r\nROW\r\nDONE 4.a2.b.31\r\nIDLE I 3.43\r\n',
     ],
     [
-      wire.reply({ rows: [], ending: { kind: 'fault', condition: 'read-only', text: 'i-7f3a91c2' }, stance: 'failed', position: Option.some(position) }),
-      'FAULT READONLY i-7f3a91c2\r\nIDLE E 3.1209\r\n',
+      wire.reply({ rows: [], ending: { kind: 'fault', condition: 'read-only', text: 'member-7' }, stance: 'failed', position: Option.some(position) }),
+      'FAULT READONLY member-7\r\nIDLE E 3.43\r\n',
     ],
   ];
   for (const [said, expected] of shown) assert.equal(said, expected);
@@ -113,7 +113,7 @@
   return { messages, oversize: false };
 }
 
-const conversation = ['OPEN lepu270 u3f1', 'QUERY 5c0e BEGIN', 'QUERY 5c0f READ 1a4', '', 'QUERY 5c10 WRITE 1a4 two words ', 'CLOSE'];
+const conversation = ['OPEN harbour key1', 'QUERY ab12 BEGIN', 'QUERY ab13 READ k77', '', 'QUERY ab14 WRITE k77 two words ', 'CLOSE'];
 
 Then('a conversation cut at every place yields the same messages', function then() {
   const text = conversation.map((message) => `${message}\r\n`).join('');
@@ -123,7 +123,7 @@
 
 Then('{int} seeded cuts of a longer one yield the same messages', function then(count: number) {
   const random = worlds.create(11).fraction;
-  const longer = Array.from({ length: 40 }, (_, index) => `QUERY ${index} WRITE 1a4 ${'x'.repeat(Math.floor(random() * 300))}`);
+  const longer = Array.from({ length: 40 }, (_, index) => `QUERY ${index} WRITE k77 ${'x'.repeat(Math.floor(random() * 300))}`);
   const text = longer.map((message) => `${message}\r\n`).join('');
   for (let round = 0; round < count; round += 1) {
     const pieces: string[] = [];
@@ -137,7 +137,7 @@
 });
 
 Then('a message of {int} bytes is taken, whole or cut before and within its line end', function then(bytes: number) {
-  const message = `QUERY 5c0e WRITE 1a4 ${'x'.repeat(bytes - 21)}`;
+  const message = `QUERY ab12 WRITE k77 ${'x'.repeat(bytes - 21)}`;
   assert.equal(message.length, bytes);
   for (const pieces of [[`${message}\r\n`], [message, '\r\n'], [`${message}\r`, '\n'], [message.slice(0, 9), message.slice(9), '\r', '\n']]) {
     assert.deepEqual(framed(pieces, bytes), { messages: [message], oversize: false });
@@ -155,11 +155,11 @@
 // -- Mutated messages, against the grammar written down a second time.
 
 const ofSenders = [
-  'OPEN lepu270 u3f1', 'QUERY 5c0e BEGIN', 'QUERY 5c0e BEGIN READ', 'QUERY 5c0e COMMIT', 'QUERY 5c0e REVERT', 'QUERY 5c0e READ 1a4', 'QUERY 5c0e WRITE 1a4 xkqpwnzd',
-  'QUERY 5c0e SET mood calm', 'QUERY 5c0e DEFINE s1 WRITE q2c', 'QUERY 5c0e INVOKE s1 1a4 xkqpwnzd', 'QUERY 5c0e UNDEFINE s1', 'CLOSE', 'QUERY 5c0e SINCE 3.1207 READ 1a4',
-  'QUERY - STATE', 'QUERY 5c0e PAUSE 4', 'QUERY 5c0e YIELD 4', 'QUERY 5c0e CLEAR', 'QUERY 5c0e CONTINUE',
+  'OPEN harbour key1', 'QUERY ab12 BEGIN', 'QUERY ab12 BEGIN READ', 'QUERY ab12 COMMIT', 'QUERY ab12 REVERT', 'QUERY ab12 READ k77', 'QUERY ab12 WRITE k77 datadata',
+  'QUERY ab12 SET mood calm', 'QUERY ab12 DEFINE s1 WRITE shape', 'QUERY ab12 INVOKE s1 k77 datadata', 'QUERY ab12 UNDEFINE s1', 'CLOSE', 'QUERY ab12 SINCE 3.41 READ k77',
+  'QUERY - STATE', 'QUERY ab12 PAUSE 4', 'QUERY ab12 YIELD 4', 'QUERY ab12 CLEAR', 'QUERY ab12 CONTINUE',
 ];
-const ofMembers = ['ROW qhzkwmtrbelo', 'ROW replica 3 3.1209 0 12 2 17', 'DONE 7.1f3.c.2b', 'DONE -', 'FAULT READONLY i-7f3a91c2', 'IDLE I 3.1209', 'IDLE E -'];
+const ofMembers = ['ROW found it', 'ROW replica 3 3.43 0 25 1 9', 'DONE 4.a2.b.31', 'DONE -', 'FAULT READONLY member-7', 'IDLE I 3.43', 'IDLE E -'];
 const bits = [' ', '  ', '\r', '\n', '\r\n', '-', '- ', 'QUERY ', 'OPEN ', 'READ ', 'WRITE', 'SINCE 3.1 ', 'STATE', 'CLEAR', 'PAUSE 9', 'YIELD 9', 'CONTINUE', '\u0000', 'ÿ', '9'.repeat(400), '__proto__', 'I', '.'];
 
 function mutated(random: () => number, from: readonly string[]): string {
@@ -213,7 +213,7 @@
 const feedAddress = '10.2.0.1:7002';
 
 const entry: RosterEntry = {
-  member: 'i-1', service: 'huvo11a', address: memberAddress, area: 'north', draining: false, role: 'primary', slots: 4, sequence: 1, gone: false, down: false,
+  member: 'member-1', service: 'ferries', address: memberAddress, area: 'north', draining: false, role: 'primary', slots: 4, sequence: 1, gone: false, down: false,
 };
 
 /** A member that replies to everything and keeps what it heard; statements within a transaction leave it open. */
@@ -239,8 +239,8 @@
   this.heard = [];
   this.sender = this.world.spawn('sender', 'sender-machine').kernel;
   const checked = sheets.check({
-    services: [{ service: 'huvo11a', connectionLimit: 56, registered: true }], rows: [], keys: [], tenants: [{ tenant: 'nypu920', keys: ['u3f1'] }],
-    databases: [{ database: 'lepu270', service: 'huvo11a', reads: 'leader', horizonMilliseconds: 800, aimMilliseconds: 100 }],
+    services: [{ service: 'ferries', connectionLimit: 56, registered: true }], rows: [], keys: [], tenants: [{ tenant: 'tenant-a', keys: ['key1'] }],
+    databases: [{ database: 'harbour', service: 'ferries', reads: 'leader', horizonMilliseconds: 800, aimMilliseconds: 100 }],
   });
   assert.ok(Either.isRight(checked));
   const { kernel: memberKernel } = this.world.spawn('member', 'member-machine');
@@ -251,7 +251,7 @@
       if (ask.hold > 0) await agentKernel.clock.sleep(ask.hold);
       return {
         token: 'agent', number: 1, configuration: ask.configuration === 1 ? null : { version: 1, sheet: checked.right }, configurationVersion: 1,
-        services: [{ service: 'huvo11a', epoch: 1, primary: 'i-1', left: 2_000, release: 0 }], roster: [entry], edges: 1, area: 'north', node: 'edge-1',
+        services: [{ service: 'ferries', epoch: 1, primary: 'member-1', left: 2_000, release: 0 }], roster: [entry], edges: 1, area: 'north', node: 'edge-1',
       };
     },
     tell: () => ({ kept: true }),
@@ -290,11 +290,11 @@
 }
 
 When('a session reads and writes, and says each of these in a session of its own:', async function when(this: WireStory, table: DataTable) {
-  assert.deepEqual(await session(this, ['OPEN lepu270 u3f1', 'QUERY 5c0e READ 1a4', 'QUERY 5c0f WRITE 1a4 two words ']), [
+  assert.deepEqual(await session(this, ['OPEN harbour key1', 'QUERY ab12 READ k77', 'QUERY ab13 WRITE k77 two words ']), [
     'IDLE I -', 'ROW found', 'DONE stamp.1', 'IDLE I 3.7', 'DONE stamp.1', 'IDLE I 3.7',
   ]);
   this.said = [];
-  for (const message of messagesOf(table)) this.said.push(await session(this, ['OPEN lepu270 u3f1', message]));
+  for (const message of messagesOf(table)) this.said.push(await session(this, ['OPEN harbour key1', message]));
 });
 
 Then('each was replied {string}', function then(this: WireStory, expected: string) {
@@ -302,20 +302,20 @@
 });
 
 Then("the member heard the read and the write unchanged, under the tenant's name, and nothing else", function then(this: WireStory) {
-  assert.deepEqual(this.heard, ['OPEN huvo11a nypu920 i-1', 'QUERY 5c0e READ 1a4', 'QUERY 5c0f WRITE 1a4 two words ']);
+  assert.deepEqual(this.heard, ['OPEN ferries tenant-a member-1', 'QUERY ab12 READ k77', 'QUERY ab13 WRITE k77 two words ']);
 });
 
 When('{int} sessions say messages mutated from seed {int}', { timeout: 60_000 }, async function when(this: WireStory, count: number, seed: number) {
   const random = worlds.create(seed).fraction;
   for (let round = 0; round < count; round += 1) {
     const messages = Array.from({ length: 1 + Math.floor(random() * 6) }, () => mutated(random, ofSenders));
-    await session(this, random() < 0.9 ? ['OPEN lepu270 u3f1', ...messages] : messages);
+    await session(this, random() < 0.9 ? ['OPEN harbour key1', ...messages] : messages);
   }
 });
 
 Then('the proxy still serves, and the member heard only what the grammar names', async function then(this: WireStory) {
-  assert.equal((await session(this, ['OPEN lepu270 u3f1', 'QUERY 5c0e READ 1a4']))[1], 'ROW found');
-  const own = /^(OPEN huvo11a nypu920 i-1|QUERY - (BEGIN|BEGIN READ|REVERT|CLEAR|SET [^ ]+ .*|DEFINE p\d+ (READ|WRITE) .+)|CLOSE)$/;
+  assert.equal((await session(this, ['OPEN harbour key1', 'QUERY ab12 READ k77']))[1], 'ROW found');
+  const own = /^(OPEN ferries tenant-a member-1|QUERY - (BEGIN|BEGIN READ|REVERT|CLEAR|SET [^ ]+ .*|DEFINE p\d+ (READ|WRITE) .+)|CLOSE)$/;
   const passed = /^QUERY (?!- )[^ ]+ (COMMIT|READ .+|WRITE [^ ]+ .*|INVOKE p\d+ .+)$/;
   for (const message of this.heard) assert.ok(!/[\r\n]/.test(message) && (own.test(message) || passed.test(message)), JSON.stringify(message));
   assert.ok(this.heard.some((message) => passed.test(message)));
