--- a/packages/kernel/src/http.ts
+++ b/packages/kernel/src/http.ts
@@ -5,6 +5,15 @@
 import type { HttpAsk, HttpReply, HttpRequest, HttpMapping, Kernel } from './kernel.js';
 import type { Address } from './identifiers.js';
 
+/** What no URI may hold matches nothing. */
+function decoded(segment: string): Option.Option<string> {
+  try {
+    return Option.some(decodeURIComponent(segment));
+  } catch {
+    return Option.none;
+  }
+}
+
 function matchPath(pattern: string, path: string): Option.Option<Readonly<Record<string, string>>> {
   const expected = pattern.split('/');
   const actual = path.split('/');
@@ -12,8 +21,11 @@
   const parameters: Record<string, string> = {};
   for (const [index, segment] of expected.entries()) {
     const given = actual[index] ?? '';
-    if (segment.startsWith(':')) parameters[segment.slice(1)] = decodeURIComponent(given);
-    else if (segment !== given) return Option.none;
+    if (segment.startsWith(':')) {
+      const parameter = decoded(given);
+      if (Option.isNone(parameter)) return Option.none;
+      parameters[segment.slice(1)] = parameter.value;
+    } else if (segment !== given) return Option.none;
   }
   return Option.some(parameters);
 }
