--- a/packages/stories/src/platform.ts
+++ b/packages/stories/src/platform.ts
@@ -39,9 +39,9 @@
   return {
     Generation: version,
     Channels: [
-      { Label: 'r-1', Hostname: 'harbour', PathPrefix: '/', RouteKind: 'primary', DeadlineMs: 800, SetpointMs: 100, Rank: 1, Plant: 'ferries', Tries: 2, Unkeyed: false },
-      { Label: 'r-2', Hostname: 'lighthouse', PathPrefix: '/', RouteKind: 'bounded_lag', DeadlineMs: 1200.5, SetpointMs: 300, Rank: 2, Plant: 'ferries', Tries: 2, StalenessMs: 1500, Unkeyed: true },
-      { Label: 'r-3', Hostname: 'pier', RouteKind: 'native', DeadlineMs: 800, Plant: 'trams' },
+      { Label: 'r-1', Hostname: 'harbour', PathPrefix: '/', 'RouteKind': 'primary', 'DeadlineMs': 800, SetpointMs: 100, Rank: 1, Plant: 'ferries', Tries: 2, Unkeyed: false },
+      { Label: 'r-2', Hostname: 'lighthouse', PathPrefix: '/', 'RouteKind': 'bounded_lag', 'DeadlineMs': 1200.5, SetpointMs: 300, Rank: 2, Plant: 'ferries', Tries: 2, StalenessMs: 1500, Unkeyed: true },
+      { Label: 'r-3', Hostname: 'pier', 'RouteKind': 'native', 'DeadlineMs': 800, Plant: 'trams' },
     ],
     Plants: [
       { Label: 'ferries', ProbePath: '/health', ConnLimit: 56, Protocol: 'h1', TlsMode: false, SyncReplicas: 1 },
@@ -85,12 +85,12 @@
   'a route without a service': () => lacking('Channels', 0, 'Plant'),
   'a route without a deadline': () => lacking('Channels', 0, 'DeadlineMs'),
   'a route of an unknown service': () => changed('Channels', 1, { Plant: 'balloons' }),
-  'a route of an unknown kind': () => changed('Channels', 1, { RouteKind: 'any' }),
+  'a route of an unknown kind': () => changed('Channels', 1, { 'RouteKind': 'any' }),
   'two routes with the same host and prefix': () => changed('Channels', 1, { Hostname: 'harbour' }),
   'the same prefix said and left out': () => changed('Channels', 2, { Hostname: 'harbour' }),
-  'a deadline of 0': () => changed('Channels', 1, { DeadlineMs: 0 }),
-  'a deadline below 0': () => changed('Channels', 1, { DeadlineMs: -5 }),
-  'a deadline that is a text': () => changed('Channels', 1, { DeadlineMs: '800' }),
+  'a deadline of 0': () => changed('Channels', 1, { 'DeadlineMs': 0 }),
+  'a deadline below 0': () => changed('Channels', 1, { 'DeadlineMs': -5 }),
+  'a deadline that is a text': () => changed('Channels', 1, { 'DeadlineMs': '800' }),
   'an aim that is a text': () => changed('Channels', 1, { SetpointMs: '100' }),
   'a staleness below 0': () => changed('Channels', 1, { StalenessMs: -1 }),
   'a service without a limit': () => lacking('Plants', 1, 'ConnLimit'),
@@ -153,7 +153,7 @@
 Then("of two prefixes of one host the shorter one's route stands for the database", function then() {
   for (const [first, second] of [['/', '/deep'], ['/deep', '/']]) {
     const whole = sample();
-    whole.Channels = [{ ...whole.Channels[0], PathPrefix: first, DeadlineMs: first === '/' ? 111 : 222 }, { ...whole.Channels[0], PathPrefix: second, DeadlineMs: second === '/' ? 111 : 222 }];
+    whole.Channels = [{ ...whole.Channels[0], PathPrefix: first, 'DeadlineMs': first === '/' ? 111 : 222 }, { ...whole.Channels[0], PathPrefix: second, 'DeadlineMs': second === '/' ? 111 : 222 }];
     const checked = sound(whole);
     assert.ok(Either.isRight(checked));
     assert.deepEqual(checked.right.databases.map((one) => one.horizonMilliseconds), [111]);
@@ -226,7 +226,7 @@
 });
 
 When('version {int} is sent to core {int} with another deadline', async function when(this: PlatformStory, version: number, to: number) {
-  this.replies = [...await send(this, [[to, { ...changed('Channels', 0, { DeadlineMs: 999 }), Generation: version }]])];
+  this.replies = [...await send(this, [[to, { ...changed('Channels', 0, { 'DeadlineMs': 999 }), Generation: version }]])];
 });
 
 Then('it is acknowledged, and every core reads back version {int}', async function then(this: PlatformStory, version: number) {
@@ -426,7 +426,7 @@
 // -- Pages.
 
 function beat(): Fields {
-  return { Plant: 'ferries', Address: '10.3.0.9:8080', ZoneName: 'north', Generation: 'v1', Capacity: 4, Phase: 'in_service', WarmupLeftMs: 0, DbPosition: 'replica', CallSeq: 4 };
+  return { Plant: 'ferries', Address: '10.3.0.9:8080', 'ZoneName': 'north', Generation: 'v1', Capacity: 4, Phase: 'in_service', WarmupLeftMs: 0, DbPosition: 'replica', CallSeq: 4 };
 }
 
 function ask(story: PlatformStory, method: string, path: string, body: unknown = undefined): Promise<HttpReply> {
