The runtime's own network and the disk by stories; one socket's listeners are set once

Cause, each shown by a story that failed first: every exchange on a held HTTP connection added two listeners to its socket, which the runtime warned of at the eleventh; a port above 65535 threw out of ask, link and stream instead of yielding unreachable, which in tasks that nobody awaits ends the process.

--- a/packages/machine/src/lean.ts
+++ b/packages/machine/src/lean.ts
@@ -124,15 +124,23 @@
         settle(Either.left(links.unreachable(address, new Error('the connection is closed'))));
         return;
       }
-      under = runtime().request({
-        host, port, agent, method: ask.method, path: ask.path,
-        headers: { ...(text === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...ask.headers },
-      }, async function replied(response) {
-        const read = await body(response);
-        if (Either.isLeft(read)) return lost(read.left);
-        settle(Either.right({ status: response.statusCode ?? 0, headers: response.headers as Record<string, string>, body: read.right }));
-      });
+      try {
+        under = runtime().request({
+          host, port, agent, method: ask.method, path: ask.path,
+          headers: { ...(text === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...ask.headers },
+        }, async function replied(response) {
+          const read = await body(response);
+          if (Either.isLeft(read)) return lost(read.left);
+          settle(Either.right({ status: response.statusCode ?? 0, headers: response.headers as Record<string, string>, body: read.right }));
+        });
+      } catch (error) {
+        // The runtime throws at a port or a header that cannot be; no byte has left.
+        lost(error as Error);
+        return;
+      }
       under.once('socket', function reached(opened) {
+        // One socket serves every exchange of this connection.
+        if (socket === opened) return;
         socket = opened;
         if (!opened.connecting) connected = true;
         opened.once('connect', function open() {
--- a/packages/machine/src/links.ts
+++ b/packages/machine/src/links.ts
@@ -16,6 +16,15 @@
   return fault.create({ kind: 'unreachable', message: `${address} could not be reached`, remedy: 'see whether it runs and can be reached', cause });
 }
 
+/** The runtime throws at a port that cannot be; whoever connects is told instead. */
+function socketTo(address: Address): Either.Either<Fault, net.Socket> {
+  try {
+    return Either.right(net.connect(parts(address)));
+  } catch (error) {
+    return Either.left(unreachable(address, error as Error));
+  }
+}
+
 /** One JSON value a line, in order, over one socket. */
 function linkOver(socket: net.Socket): Link {
   const arrived: unknown[] = [];
@@ -92,8 +101,10 @@
 }
 
 function open(address: Address): Promise<Either.Either<Fault, Link>> {
+  const dialled = socketTo(address);
+  if (Either.isLeft(dialled)) return Promise.resolve(dialled);
+  const socket = dialled.right;
   return new Promise((resolve) => {
-    const socket = net.connect(parts(address));
     function failed(error: Error): void {
       socket.destroy();
       resolve(Either.left(unreachable(address, error)));
@@ -193,8 +204,10 @@
 }
 
 function openStream(address: Address, milliseconds: number): Promise<Either.Either<Fault, Stream>> {
+  const dialled = socketTo(address);
+  if (Either.isLeft(dialled)) return Promise.resolve(dialled);
+  const socket = dialled.right;
   return new Promise((resolve) => {
-    const socket = net.connect(parts(address));
     function failed(error: Error): void {
       clearTimeout(alarm);
       socket.destroy();
--- /dev/null
+++ b/packages/stories/features/runtime.feature
@@ -0,0 +1,52 @@
+Feature: Network and disk of a real machine, from the runtime alone
+  These stories use loopback sockets and a folder of their own; none waits longer than what it shows.
+
+  Scenario: A connection is kept alive, and its end is told
+    Given a page that replies what it was asked, on loopback
+    When 30 asks go out over one connection
+    Then all were replied over one and the same connection, and nothing warned of a leak
+    And once it is closed, the server is told so
+
+  Scenario: What cannot be read is replied with a 4xx, and the server goes on
+    Given a page that replies what it was asked, on loopback
+    Then a body of 1 MiB and more is replied 413 "too-large"
+    And a body that is no JSON is replied 400 "bad-request"
+    And a path that no URI may hold is replied 404 "not-found"
+    And what is no HTTP is replied 400
+    And a request cut off in its body leaves the server as it was
+    And an ask over a new connection is replied
+
+  Scenario: A reply that is lost under way is told as lost, and the connection does not come back
+    Then a far end that behaves like this yields "reply-lost":
+      | far end                       |
+      | closes without a reply        |
+      | resets without a reply        |
+      | ends within the body          |
+      | sends a body that is no JSON  |
+      | says nothing at all           |
+      | stops within the body         |
+      | sends what is no HTTP         |
+
+  Scenario: Where nothing listens no byte has left
+    Then an ask to a port where nothing listens yields "unreachable"
+    And an ask to a port that cannot be yields "unreachable"
+    And a stream to a port where nothing listens yields "not-listening"
+    And a stream to a port that cannot be yields "unreachable"
+    And a link to a port that cannot be yields "unreachable"
+
+  Scenario: Streams carry every byte, and their ends are seen
+    Given a stream on loopback
+    Then every byte arrives as it was written, both ways
+    When the far end writes and ends
+    Then what it wrote is read, then its end, and the stream is closed on both sides
+
+  Scenario: A reset is seen as a break by the far end
+    Given a stream on loopback
+    When the near end resets it
+    Then the far end reads its end, and writing to either harms nobody
+
+  Scenario: Of puts, the disk tells only those that are synced
+    Given an empty data folder
+    When 20 puts are begun and none is awaited
+    Then none is told until it is synced, and all are told then
+    And a process that opens the folder again tells all 20
--- /dev/null
+++ b/packages/stories/src/runtime.ts
@@ -0,0 +1,335 @@
+// Steps of the stories of runtime.feature: real sockets on loopback and a real folder.
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import fs from 'node:fs';
+import net from 'node:net';
+import os from 'node:os';
+import path from 'node:path';
+import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, identifiers, type Address, type Disk, type Fault, type HttpAsk, type HttpReply, type Listening, type Stream } from '@stallstall/kernel';
+import { disk } from '@stallstall/machine/disk';
+import { leanNetwork } from '@stallstall/machine/lean';
+
+type RuntimeStory = {
+  address: Address;
+  listening: Listening[];
+  connections: string[];
+  closed: string[];
+  warnings: string[];
+  near: Stream;
+  far: Stream;
+  dataFolder: string;
+  disk: Disk;
+  toldAtOnce: number;
+};
+
+const patience = 2_000;
+
+/** A port that nothing listens on: one that was free a moment ago. */
+async function freeAddress(): Promise<Address> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as net.AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return identifiers.address(`127.0.0.1:${port}`);
+}
+
+function portOf(address: Address): number {
+  return Number(address.split(':')[1]);
+}
+
+After(async function after(this: Partial<RuntimeStory>) {
+  for (const one of this.listening ?? []) await one.stop();
+  if (this.dataFolder !== undefined) fs.rmSync(this.dataFolder, { recursive: true });
+});
+
+async function ask(address: Address, asked: HttpAsk, milliseconds = patience): Promise<Either.Either<Fault, HttpReply>> {
+  const connection = leanNetwork.connect(address);
+  const reply = await connection.exchange(asked, milliseconds);
+  connection.close();
+  return reply;
+}
+
+Given('a page that replies what it was asked, on loopback', async function given(this: RuntimeStory) {
+  this.address = await freeAddress();
+  this.connections = [];
+  this.closed = [];
+  this.listening = [await leanNetwork.serve(this.address, {
+    mappings: [{
+      method: 'POST', path: '/echo/:word',
+      handle: (request) => {
+        this.connections.push(request.connection);
+        return Promise.resolve({ status: 201, headers: { 'x-word': request.query['word'] ?? '' }, body: request.body });
+      },
+    }],
+    connectionClosed: (name) => this.closed.push(name),
+  })];
+});
+
+When('{int} asks go out over one connection', async function when(this: RuntimeStory, count: number) {
+  this.warnings = [];
+  const { warnings } = this;
+  function warned(warning: Error): void {
+    warnings.push(warning.message);
+  }
+  process.on('warning', warned);
+  const connection = leanNetwork.connect(this.address);
+  for (let index = 0; index < count; index += 1) {
+    const reply = await connection.exchange({ method: 'POST', path: `/echo/w${index}`, body: { index, text: 'ñandú' } }, patience);
+    assert.ok(Either.isRight(reply));
+    assert.equal(reply.right.status, 201);
+    assert.equal(reply.right.headers?.['x-word'], `w${index}`);
+    assert.deepEqual(reply.right.body, { index, text: 'ñandú' });
+  }
+  assert.deepEqual(this.closed, []);
+  connection.close();
+  await new Promise(setImmediate);
+  process.removeListener('warning', warned);
+});
+
+Then('all were replied over one and the same connection, and nothing warned of a leak', function then(this: RuntimeStory) {
+  assert.equal(new Set(this.connections).size, 1);
+  assert.deepEqual(this.warnings, []);
+});
+
+/** True once a condition holds; looked at whenever the runtime has turned, for as long as patience lasts. */
+async function soon(condition: () => boolean): Promise<boolean> {
+  const until = Date.now() + patience;
+  while (!condition() && Date.now() < until) await new Promise(setImmediate);
+  return condition();
+}
+
+Then('once it is closed, the server is told so', async function then(this: RuntimeStory) {
+  assert.ok(await soon(() => this.closed.length === 1));
+  assert.deepEqual(this.closed, [this.connections[0]]);
+});
+
+function denied(reply: Either.Either<Fault, HttpReply>, status: number, kind: string): void {
+  assert.ok(Either.isRight(reply), Either.isLeft(reply) ? reply.left.message : '');
+  assert.equal(reply.right.status, status);
+  assert.equal((reply.right.body as { error?: unknown }).error, kind);
+}
+
+/** Raw bytes to the server, and all it says until it closes or the first reply is whole. */
+async function raw(address: Address, text: string): Promise<string> {
+  const socket = net.connect(portOf(address), '127.0.0.1');
+  let heard = '';
+  socket.setEncoding('latin1');
+  socket.on('data', (piece: string) => {
+    heard += piece;
+  });
+  socket.on('error', () => undefined);
+  socket.write(text);
+  await soon(() => socket.destroyed || /\r\n\r\n.*\}/s.test(heard));
+  socket.destroy();
+  return heard;
+}
+
+Then('a body of 1 MiB and more is replied 413 {string}', async function then(this: RuntimeStory, kind: string) {
+  denied(await ask(this.address, { method: 'POST', path: '/echo/long', body: 'x'.repeat(1024 * 1024) }), 413, kind);
+  const most = await ask(this.address, { method: 'POST', path: '/echo/long', body: 'x'.repeat(1024 * 1024 - 2) });
+  assert.ok(Either.isRight(most) && most.right.status === 201);
+  assert.equal(this.connections.length, 1);
+});
+
+Then('a body that is no JSON is replied 400 {string}', async function then(this: RuntimeStory, kind: string) {
+  for (const text of ['{"half":', 'word', '{}{}']) {
+    const heard = await raw(this.address, `POST /echo/bad HTTP/1.1\r\nHost: x\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
+    assert.match(heard, /^HTTP\/1\.1 400 /);
+    assert.ok(heard.includes(`"error":"${kind}"`), heard);
+  }
+  assert.equal(this.connections.length, 1);
+});
+
+Then('a path that no URI may hold is replied 404 {string}', async function then(this: RuntimeStory, kind: string) {
+  denied(await ask(this.address, { method: 'POST', path: '/echo/%zz', body: {} }), 404, kind);
+});
+
+Then('what is no HTTP is replied 400', async function then(this: RuntimeStory) {
+  assert.match(await raw(this.address, 'OPEN something strange\r\n\r\n'), /^HTTP\/1\.1 400 /);
+});
+
+Then('a request cut off in its body leaves the server as it was', async function then(this: RuntimeStory) {
+  const socket = net.connect(portOf(this.address), '127.0.0.1');
+  await once(socket, 'connect');
+  socket.write('POST /echo/cut HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"half":');
+  const before = this.closed.length;
+  await new Promise(setImmediate);
+  socket.resetAndDestroy();
+  await soon(() => this.closed.length > before);
+  assert.equal(this.connections.length, 1);
+});
+
+Then('an ask over a new connection is replied', async function then(this: RuntimeStory) {
+  const reply = await ask(this.address, { method: 'POST', path: '/echo/again' });
+  assert.ok(Either.isRight(reply) && reply.right.status === 201 && reply.right.headers?.['x-word'] === 'again');
+});
+
+const head = 'HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 20\r\n\r\n';
+const farEnds: Readonly<Record<string, (socket: net.Socket) => void>> = {
+  'closes without a reply': (socket) => socket.end(),
+  'resets without a reply': (socket) => socket.resetAndDestroy(),
+  'ends within the body': (socket) => socket.end(`${head}{"half":`),
+  'sends a body that is no JSON': (socket) => socket.write(`${head}{"half": "of a texts`),
+  'says nothing at all': () => undefined,
+  'stops within the body': (socket) => socket.write(`${head}{"half":`),
+  'sends what is no HTTP': (socket) => socket.write('IDLE\r\n\r\n'),
+};
+const silenceMilliseconds = 120;
+
+Then('a far end that behaves like this yields {string}:', async function then(this: RuntimeStory, kind: string, table: DataTable) {
+  assert.deepEqual(table.hashes().map((row) => row['far end']), Object.keys(farEnds));
+  for (const [name, behave] of Object.entries(farEnds)) {
+    const address = await freeAddress();
+    const sockets = new Set<net.Socket>();
+    let arrived = 0;
+    const server = net.createServer((socket) => {
+      arrived += 1;
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.once('data', () => behave(socket));
+    }).listen(portOf(address), '127.0.0.1');
+    await once(server, 'listening');
+    const connection = leanNetwork.connect(address);
+    const reply = await connection.exchange({ method: 'POST', path: '/any', body: {} }, silenceMilliseconds);
+    assert.ok(Either.isLeft(reply), name);
+    assert.equal(fault.kind(reply.left), kind, name);
+    assert.ok(connection.closed(), name);
+    const later = await connection.exchange({ method: 'GET', path: '/any' }, silenceMilliseconds);
+    assert.ok(Either.isLeft(later) && fault.kind(later.left) === 'unreachable', name);
+    assert.equal(arrived, 1, name);
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  }
+});
+
+const impossible = identifiers.address('127.0.0.1:99999');
+
+function yields(result: Either.Either<Fault, unknown>, kind: string): void {
+  assert.ok(Either.isLeft(result));
+  assert.equal(fault.kind(result.left), kind);
+  assert.ok(fault.details(result.left).remedy.length > 0);
+}
+
+Then('an ask to a port where nothing listens yields {string}', async function then(kind: string) {
+  yields(await ask(await freeAddress(), { method: 'GET', path: '/any' }), kind);
+});
+
+Then('an ask to a port that cannot be yields {string}', async function then(kind: string) {
+  yields(await ask(impossible, { method: 'GET', path: '/any' }), kind);
+});
+
+Then('a stream to a port where nothing listens yields {string}', async function then(kind: string) {
+  yields(await leanNetwork.openStream(await freeAddress(), patience), kind);
+});
+
+Then('a stream to a port that cannot be yields {string}', async function then(kind: string) {
+  yields(await leanNetwork.openStream(impossible, patience), kind);
+});
+
+Then('a link to a port that cannot be yields {string}', async function then(kind: string) {
+  yields(await leanNetwork.open(impossible), kind);
+});
+
+// -- Streams.
+
+Given('a stream on loopback', async function given(this: RuntimeStory) {
+  const address = await freeAddress();
+  const greeted = new Promise<Stream>((resolve, reject) => {
+    leanNetwork.listenStream(address, resolve).then((listening) => {
+      this.listening = [listening];
+    }, reject);
+  });
+  await soon(() => this.listening !== undefined);
+  const opened = await leanNetwork.openStream(address, patience);
+  assert.ok(Either.isRight(opened));
+  this.near = opened.right;
+  this.far = await greeted;
+});
+
+async function readLength(stream: Stream, length: number): Promise<string> {
+  let heard = '';
+  while (heard.length < length) {
+    const piece = await stream.read();
+    if (Option.isNone(piece)) break;
+    heard += piece.value;
+  }
+  return heard;
+}
+
+Then('every byte arrives as it was written, both ways', async function then(this: RuntimeStory) {
+  const every = Array.from({ length: 256 }, (_, code) => String.fromCharCode(code)).join('').repeat(1_000);
+  this.near.write(every);
+  this.far.write(every);
+  assert.ok(await readLength(this.far, every.length) === every);
+  assert.ok(await readLength(this.near, every.length) === every);
+});
+
+When('the far end writes and ends', function when(this: RuntimeStory) {
+  this.far.write('last words');
+  this.far.close();
+});
+
+Then('what it wrote is read, then its end, and the stream is closed on both sides', async function then(this: RuntimeStory) {
+  assert.equal(await readLength(this.near, 10), 'last words');
+  assert.ok(Option.isNone(await this.near.read()));
+  assert.ok(this.near.closed() && this.far.closed());
+  this.near.write('into the void');
+  assert.ok(Option.isNone(await this.near.read()));
+  assert.ok(Option.isNone(await this.far.read()));
+  const listening = this.listening[0] as Listening;
+  this.listening = [];
+  // Only a connection that is closed both ways lets the server stop without being torn.
+  await listening.stop();
+});
+
+When('the near end resets it', function when(this: RuntimeStory) {
+  this.near.reset();
+});
+
+Then('the far end reads its end, and writing to either harms nobody', async function then(this: RuntimeStory) {
+  assert.ok(this.near.closed());
+  assert.ok(Option.isNone(await this.far.read()));
+  assert.ok(this.far.closed());
+  this.far.write('x'.repeat(100_000));
+  this.near.write('x'.repeat(100_000));
+  await new Promise(setImmediate);
+  assert.ok(Option.isNone(await this.near.read()));
+});
+
+// -- The disk.
+
+Given('an empty data folder', function given(this: RuntimeStory) {
+  this.dataFolder = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-story-'));
+  const opened = disk.open(this.dataFolder);
+  assert.ok(Either.isRight(opened));
+  this.disk = opened.right;
+});
+
+When('{int} puts are begun and none is awaited', async function when(this: RuntimeStory, count: number) {
+  assert.equal(this.disk.puts(), 0);
+  const puts = Array.from({ length: count }, (_, index) => this.disk.put(`key/${index}`, { index }));
+  this.toldAtOnce = this.disk.puts();
+  let last = 0;
+  for (const [index, put] of puts.entries()) {
+    assert.ok(Either.isRight(await put));
+    assert.ok(this.disk.puts() >= index + 1 && this.disk.puts() >= last);
+    last = this.disk.puts();
+  }
+});
+
+Then('none is told until it is synced, and all are told then', function then(this: RuntimeStory) {
+  assert.equal(this.toldAtOnce, 0);
+  assert.equal(this.disk.puts(), 20);
+});
+
+Then('a process that opens the folder again tells all {int}', async function then(this: RuntimeStory, count: number) {
+  const again = disk.open(this.dataFolder);
+  assert.ok(Either.isRight(again));
+  assert.equal(again.right.puts(), count);
+  assert.deepEqual(await again.right.read('key/19'), Option.some({ index: 19 }));
+});
+
