--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -28,11 +28,12 @@
   step: () => void;
 }>;
 
-type Known = { entry: RosterEntry; changedAt: number; takenAt: Instant };
+/** `left`: it said so itself; one that is gone by its silence alone is back with its next beat. */
+type Known = { entry: RosterEntry; changedAt: number; takenAt: Instant; left: boolean };
 
 /** A member that left is remembered so long, so that no late beat brings it back. */
 const goneMilliseconds = 120_000;
-/** A member silent for so long is forgotten: it crashed for good and said nothing. */
+/** A member silent for so long is of no service any more: it crashed for good and said nothing. */
 const forgetMilliseconds = 60_000;
 
 function same(left: RosterEntry, right: RosterEntry): boolean {
@@ -46,11 +47,11 @@
   const toSpread = new Map<string, Instant>();
   let number = 0;
 
-  function put(entry: RosterEntry, takenAt: Instant): void {
+  function put(entry: RosterEntry, takenAt: Instant, left: boolean): void {
     const known = table.get(entry.member);
     const changed = known === undefined || !same(known.entry, entry);
     if (changed) number += 1;
-    table.set(entry.member, { entry, changedAt: changed ? number : known.changedAt, takenAt });
+    table.set(entry.member, { entry, changedAt: changed ? number : known.changedAt, takenAt, left });
     if (changed) onChange();
   }
 
@@ -58,13 +59,13 @@
   function isLate(entry: RosterEntry): boolean {
     const known = table.get(entry.member);
     if (known === undefined) return false;
-    return (known.entry.gone && !entry.gone) || (!entry.gone && entry.sequence < known.entry.sequence);
+    return (known.left && !entry.gone) || (!entry.gone && entry.sequence < known.entry.sequence);
   }
 
   function heard(entry: RosterEntry, ago: number): boolean {
     if (isLate(entry)) return false;
     if (!entry.gone) liveness.heard(entry.member, ago);
-    put({ ...entry, down: !entry.gone && liveness.down(entry.member) }, identifiers.after(kernel.clock.now(), -ago));
+    put({ ...entry, down: !entry.gone && liveness.down(entry.member) }, identifiers.after(kernel.clock.now(), -ago), entry.gone);
     return true;
   }
 
@@ -76,8 +77,8 @@
 
   function leave(member: string): void {
     const known = table.get(member);
-    if (known === undefined || known.entry.gone) return;
-    put({ ...known.entry, gone: true }, kernel.clock.now());
+    if (known === undefined || known.left) return;
+    put({ ...known.entry, gone: true }, kernel.clock.now(), true);
     toSpread.set(member, kernel.clock.now());
   }
 
@@ -96,12 +97,12 @@
     for (const [member, known] of table) {
       const silent = now - known.takenAt;
       if (known.entry.gone ? silent > goneMilliseconds : silent > forgetMilliseconds) {
-        if (!known.entry.gone) put({ ...known.entry, gone: true }, now);
+        if (!known.entry.gone) put({ ...known.entry, gone: true }, now, false);
         else table.delete(member);
         continue;
       }
       const down = !known.entry.gone && liveness.down(member);
-      if (down !== known.entry.down) put({ ...known.entry, down }, known.takenAt);
+      if (down !== known.entry.down) put({ ...known.entry, down }, known.takenAt, known.left);
     }
   }
 
