--- a/packages/stories/features/units.feature
+++ b/packages/stories/features/units.feature
@@ -103,7 +103,7 @@
     Then both count, and the epoch 6 is not released by both
     When "edge-1" asks, having released what is below 6
     Then the epoch 6 is released by both, and 7 is not
-    When 2.6 s pass
+    When 2.6 s pass since the asks
     Then none counts
 
   Scenario: A core that is not ready grants nothing
--- a/packages/stories/src/units.ts
+++ b/packages/stories/src/units.ts
@@ -365,7 +365,7 @@
   assert.equal(this.lessor.released('ferries', next, ['edge-1', 'edge-2']), false);
 });
 
-When('{float} s pass', async function when(this: UnitStory, seconds: number) {
+When('{float} s pass since the asks', async function when(this: UnitStory, seconds: number) {
   await this.world.run(seconds * 1_000 - 200);
   assert.deepEqual(this.lessor.lessees().length, 2);
   await this.world.run(200);
