--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -85,7 +85,7 @@
   }
 
   function restore(entries: readonly RosterEntry[]): void {
-    for (const entry of entries) if (!table.has(entry.member)) put({ ...entry, down: false }, kernel.clock.now());
+    for (const entry of entries) if (!table.has(entry.member)) put({ ...entry, down: false }, kernel.clock.now(), entry.gone);
   }
 
   function spread(): readonly Spread[] {
--- a/packages/stories/src/units.ts
+++ b/packages/stories/src/units.ts
@@ -187,7 +187,7 @@
       stub.number += 1;
       return {
         ready: stub.ready, token: `life-${index}`, number: stub.number, stances: stub.stance === undefined ? {} : { ferries: stub.stance }, configuration: 1, membership: 1, puts: 1,
-        roster: [], whole: false, edges: 1, ...told,
+        roster: [], whole: false, edges: { north: 1 }, demand: {}, wants: false, marks: {}, held: 0, ...told,
       };
     },
   });
@@ -201,7 +201,7 @@
   const { kernel } = story.world.spawn('edge-1', 'edge-machine');
   story.kernel = kernel;
   story.lessee = lessee.create(kernel, { node: 'edge-1', area: 'north', seeds: () => seats.map((seat) => seat.address) }, {
-    released: () => ({}), positions: () => ({}), notListening: () => [], onChange: () => undefined,
+    released: () => ({}), positions: () => ({}), marks: () => ({}), positionsAgo: () => 0, troubled: () => false, demand: () => 0, notListening: () => [], onChange: () => undefined,
   });
   story.lessee.start();
 }
@@ -326,7 +326,7 @@
   story.stance = 5;
   story.replied = [];
   story.lessor = lessor.create(story.kernel, {
-    ready: () => ready, stances: () => ({ ferries: story.stance }), configuration: () => 1, membership: () => 1, puts: () => 1, roster: story.roster, onNotListening: () => undefined,
+    ready: () => ready, stances: () => ({ ferries: story.stance }), configuration: () => 1, membership: () => 1, puts: () => 1, roster: story.roster, troubled: () => false, onNotListening: () => undefined,
   });
   await story.world.run(10);
 }
@@ -340,7 +340,7 @@
 });
 
 function askOf(node: string, released: number, change: Partial<Ask<'lease'>> = {}): Ask<'lease'> {
-  return { node, area: 'north', token: '', seen: 0, hold: 0, acknowledged: 0, obeyed: 0, released: released === 0 ? {} : { ferries: released }, positions: {}, notListening: [], ...change };
+  return { node, area: 'north', token: '', seen: 0, hold: 0, acknowledged: 0, obeyed: 0, released: released === 0 ? {} : { ferries: released }, positions: {}, marks: {}, positionsAgo: 0, demand: 1, content: true, notListening: [], ...change };
 }
 
 When('{string} asks, and 1 s later {string} asks, having released what is below {int}', async function when(this: UnitStory, first: string, second: string, epoch: number) {
@@ -402,7 +402,7 @@
 Then('over {int} seeded histories no bound is covered by a position below what was acknowledged before it', function then(count: number) {
   const random = worlds.create(47).fraction;
   for (let round = 0; round < count; round += 1) {
-    const table = freshness.create();
+    const table = freshness.create(() => identifiers.instant(0));
     /** How far the log had been acknowledged by each moment. */
     const log: number[] = [0];
     for (let at = 1; at < 400; at += 1) log.push((log[at - 1] as number) + (random() < 0.3 ? 1 : 0));
@@ -421,7 +421,7 @@
 });
 
 Then('a moment after the newest question is covered by nothing', function then() {
-  const table = freshness.create();
+  const table = freshness.create(() => identifiers.instant(0));
   table.learnt('ferries', identifiers.instant(100), { term: 3, number: 9 });
   table.learnt('ferries', identifiers.instant(60), { term: 3, number: 12 });
   assert.deepEqual(table.covering('ferries', identifiers.instant(100)), Option.some({ term: 3, number: 9 }));
@@ -432,7 +432,7 @@
 });
 
 Then('of two commits the later stands', function then() {
-  const table = freshness.create();
+  const table = freshness.create(() => identifiers.instant(0));
   const told: readonly Position[] = [{ term: 3, number: 9 }, { term: 2, number: 40 }, { term: 3, number: 11 }, { term: 3, number: 10 }];
   for (const position of told) table.committed('ferries', position);
   assert.deepEqual(table.commits(), { ferries: { term: 3, number: 11 } });
--- a/packages/stories/src/wire.ts
+++ b/packages/stories/src/wire.ts
@@ -252,8 +252,8 @@
     placement: async function placement(ask) {
       if (ask.hold > 0) await agentKernel.clock.sleep(ask.hold);
       return {
-        token: 'agent', number: 1, configuration: ask.configuration === 1 ? null : { version: 1, sheet: checked.right }, configurationVersion: 1,
-        services: [{ service: 'ferries', epoch: 1, primary: 'member-1', left: 2_000, release: 0 }], roster: [entry], edges: 1, area: 'north', node: 'edge-1',
+        token: 'agent', number: 1, serial: 1, held: 0, demand: {}, marks: {}, configuration: ask.configuration === 1 ? null : { version: 1, sheet: checked.right }, configurationVersion: 1,
+        services: [{ service: 'ferries', epoch: 1, primary: 'member-1', left: 2_000, release: 0 }], roster: [entry], edges: { north: 1 }, area: 'north', node: 'edge-1',
       };
     },
     tell: () => ({ kept: true }),
