Stand-ins of the session wire: members, a platform and words of their own

Cause: the pooled mode could be tried only against the users' own programs, with the adapter's words.

--- a/packages/stand-in/src/index.ts
+++ b/packages/stand-in/src/index.ts
@@ -2,3 +2,6 @@
 export * from './platform.js';
 export * from './deployment.js';
 export * from './sender.js';
+export * from './session-dialect.js';
+export * from './session-member.js';
+export * from './session-platform.js';
--- /dev/null
+++ b/packages/stand-in/src/session-platform.ts
@@ -0,0 +1,98 @@
+// A stand-in for a platform that promotes members and takes usage, and checks the turn of whoever holds a duty (design 10.1).
+import * as Either from 'fp-ts/lib/Either.js';
+import { http, identifiers, kernel as kernels, type HttpReply, type HttpRequest, type Kernel, type Listening } from '@stallstall/kernel';
+
+export type SessionPlatformMember = Readonly<{ service: string; member: string; control: string; runs: () => boolean }>;
+/** `at` is when the call arrived. */
+export type DutyCall = Readonly<{ at: number; duty: 'promotion' | 'usage'; subject: string; holder: string; turn: number; accepted: boolean; body: Readonly<Record<string, unknown>> }>;
+export type SessionPlatformStore = {
+  readonly calls: DutyCall[];
+  readonly leaders: Map<string, Readonly<{ member: string; term: number; at: number }>>;
+  readonly turns: Map<string, number>;
+};
+export type SessionPlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean };
+export type SessionPlatform = Readonly<{ knobs: SessionPlatformKnobs; stop: () => Promise<void> }>;
+export type SessionPlatformSettings = Readonly<{ address: string; members: () => readonly SessionPlatformMember[]; promoteMilliseconds: number }>;
+
+const followMilliseconds = 50;
+const callMilliseconds = 300;
+
+function emptyStore(): SessionPlatformStore {
+  return { calls: [], leaders: new Map(), turns: new Map() };
+}
+
+async function start(kernel: Kernel, settings: SessionPlatformSettings, store: SessionPlatformStore): Promise<SessionPlatform> {
+  const knobs: SessionPlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false };
+  let stopped = false;
+
+  /** Whoever calls with a lower turn than one already seen for the same duty and subject is denied. */
+  function take(request: HttpRequest, duty: DutyCall['duty'], subject: string, at: number): boolean {
+    const holder = request.headers['holder'] ?? '';
+    const turn = Number(request.headers['turn']);
+    const key = `${duty}/${subject}`;
+    const accepted = turn >= (store.turns.get(key) ?? 0);
+    if (accepted) store.turns.set(key, turn);
+    store.calls.push({ at, duty, subject, holder, turn, accepted, body: request.body as Readonly<Record<string, unknown>> });
+    return accepted;
+  }
+
+  async function under(request: HttpRequest, duty: DutyCall['duty'], subject: string, act: () => Promise<HttpReply>): Promise<HttpReply> {
+    const at = kernel.clock.now();
+    if (knobs.down) return { status: 503, body: {} };
+    if (!take(request, duty, subject, at)) return { status: 409, body: {} };
+    if (knobs.slowMilliseconds > 0) await kernel.clock.sleep(knobs.slowMilliseconds);
+    const reply = await act();
+    return knobs.losesReplies ? new Promise(() => undefined) : reply;
+  }
+
+  async function promote(service: string, member: string): Promise<HttpReply> {
+    if (store.leaders.get(service)?.member === member) return { status: 200, body: {} };
+    await kernel.clock.sleep(settings.promoteMilliseconds);
+    const target = settings.members().find((one) => one.member === member && one.service === service && one.runs());
+    if (target === undefined) return { status: 409, body: {} };
+    const before = store.leaders.get(service);
+    if (before?.member === member) return { status: 200, body: {} };
+    const term = (before?.term ?? 0) + 1;
+    store.leaders.set(service, { member, term, at: kernel.clock.now() });
+    // In the same moment whoever led gives up the lead.
+    const led = http.once(kernel, identifiers.address(target.control), { method: 'POST', path: '/lead', body: { term } }, callMilliseconds);
+    void follow();
+    const reply = await led;
+    return Either.isRight(reply) && reply.right.status === 200 ? { status: 200, body: {} } : { status: 502, body: {} };
+  }
+
+  /** Members that come back, or come new, learn whom to follow; whoever leads and forgot it is told again. */
+  async function follow(): Promise<void> {
+    const running = settings.members().filter((one) => one.runs());
+    await Promise.all(running.map(async function tell(one) {
+      const leader = store.leaders.get(one.service);
+      if (leader === undefined || leader.member === one.member) return;
+      const primary = settings.members().find((other) => other.member === leader.member)?.control ?? '';
+      await http.once(kernel, identifiers.address(one.control), { method: 'POST', path: '/follow', body: { term: leader.term, primary } }, callMilliseconds);
+    }));
+  }
+
+  const listening: Listening = await kernel.network.serve(identifiers.address(settings.address), {
+    mappings: [
+      {
+        method: 'POST', path: '/duties/promotion',
+        handle: function promotion(request) {
+          const { service, member } = request.body as Readonly<{ service: string; member: string }>;
+          return under(request, 'promotion', service, () => promote(service, member));
+        },
+      },
+      { method: 'POST', path: '/duties/usage', handle: (request) => under(request, 'usage', 'windows', async () => ({ status: 200, body: {} })) },
+    ],
+  });
+  void kernels.every(kernel.clock, followMilliseconds, follow, () => !stopped);
+
+  return {
+    knobs,
+    stop: async function stop() {
+      stopped = true;
+      await listening.stop();
+    },
+  };
+}
+
+export const sessionPlatform = { start, emptyStore } as const;
