--- a/packages/stand-in/src/index.ts
+++ b/packages/stand-in/src/index.ts
@@ -5,3 +5,4 @@
 export * from './session-dialect.js';
 export * from './session-member.js';
 export * from './session-platform.js';
+export * from './session-sender.js';
