A statement that waits while its database moves follows it instead of being denied

Cause: the pass that lets in compared the database as asked with the newest one and called any move no-database, although the database exists; whoever waited (for a leader, a connection) at that moment was told so. Now the record takes the newest entry, with its service and bounds.

--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -117,9 +117,11 @@
   function letIn(record: RequestRecord): RequestRecord {
     if (Option.isSome(record.ask.transaction)) return record;
     const known = view();
-    if (!record.ask.database.open && known.tenants.get(record.ask.session.who)?.tenant !== record.ask.tenant) return deny(record, 'denied', 'the key is not known');
-    if (known.databases.get(record.ask.session.database)?.service !== record.ask.database.service) return deny(record, 'no-database', 'there is no such database');
-    return record;
+    const database = known.databases.get(record.ask.session.database);
+    if (database === undefined) return deny(record, 'no-database', 'there is no such database');
+    if (!database.open && known.tenants.get(record.ask.session.who)?.tenant !== record.ask.tenant) return deny(record, 'denied', 'the key is not known');
+    // Moved, or with other bounds: what waits goes where the newest configuration sends it.
+    return database === record.ask.database ? record : { ...record, ask: { ...record.ask, database } };
   }
 
   function retryText(milliseconds: number): string {
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -36,7 +36,9 @@
   });
 }
 
-function startMemberLater(fleet: PooledFleet, slot: PooledMember, milliseconds: number): void {
+/** One that had said that it drains does not come back. */
+function startMemberLater(fleet: PooledFleet, storm: PooledStorm, slot: PooledMember, milliseconds: number): void {
+  slot.gone ||= storm.drains.some((note) => note.member === slot.member);
   fleet.world.at(milliseconds, function again() {
     fleet.world.light(slot.machine);
     if (!slot.gone && slot.process?.alive() !== true) void fleet.startMember(slot);
@@ -130,31 +132,34 @@
 }
 
 function crashPrimary(fleet: PooledFleet, storm: PooledStorm): void {
+  noteDrains(fleet, storm);
   const slot = runningPrimary(fleet);
   if (slot === undefined) return;
   const milliseconds = between(fleet, 300, 12_000);
   trouble(fleet, storm, 'member', milliseconds);
   fleet.stopMember(slot);
-  startMemberLater(fleet, slot, milliseconds);
+  startMemberLater(fleet, storm, slot, milliseconds);
 }
 
 function darkenPrimary(fleet: PooledFleet, storm: PooledStorm): void {
+  noteDrains(fleet, storm);
   const slot = runningPrimary(fleet);
   if (slot === undefined) return;
   const milliseconds = between(fleet, 2_000, 14_000);
   trouble(fleet, storm, 'member', milliseconds);
   fleet.world.darken(slot.machine);
   slot.running = undefined;
-  startMemberLater(fleet, slot, milliseconds);
+  startMemberLater(fleet, storm, slot, milliseconds);
 }
 
 function crashReplica(fleet: PooledFleet, storm: PooledStorm): void {
+  noteDrains(fleet, storm);
   const slot = pick(fleet, fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'));
   if (slot === undefined) return;
   const milliseconds = between(fleet, 300, 9_000);
   trouble(fleet, storm, 'member', milliseconds);
   fleet.stopMember(slot);
-  startMemberLater(fleet, slot, milliseconds);
+  startMemberLater(fleet, storm, slot, milliseconds);
 }
 
 /** A member is to be replaced: another comes first, and takes its time to catch up. */
