--- a/packages/simulator/src/pooled-seeds.ts
+++ b/packages/simulator/src/pooled-seeds.ts
@@ -52,7 +52,8 @@
     })));
   }
   const bad = results.filter((result) => result.violations.length > 0).map((result) => result.seed).sort((left, right) => left - right);
-  console.log(`pooled-seeded-run: ${results.length - bad.length} passed, ${bad.length + count - results.length} failed${bad.length === 0 ? '' : `: ${bad.join(' ')}`}`);
+  console.log(`pooled-seeded-run: ${results.length - bad.length} passed, ${bad.length + count - results.length} failed`);
+  if (bad.length > 0) console.log(`failed seeds: ${bad.join(' ')}`);
   if (results.length !== count || bad.length > 0) process.exitCode = 1;
 }
 
