--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -75,6 +75,7 @@
   session: (slot: PooledEdge, database: string, who: string) => Promise<SessionLine | Condition | 'cut' | 'silent'>;
   ask: (line: SessionLine, text: string, milliseconds?: number) => Promise<Option.Option<StatementReply>>;
   /** Bytes on a connection of its own; what came back until the other side closed, or for so long. */
+  rawTo: (address: string, pieces: readonly string[], milliseconds: number) => Promise<string>;
   raw: (slot: PooledEdge, pieces: readonly string[], milliseconds: number) => Promise<string>;
   startSenders: (sessions: number, thinkMilliseconds: number) => Readonly<{ stop: () => void }>;
   primaryOf: (service: string) => PooledMember | undefined;
@@ -328,8 +329,8 @@
     return drive(line.query(`story-${asked}`, text, milliseconds));
   }
 
-  async function raw(slot: PooledEdge, pieces: readonly string[], milliseconds: number): Promise<string> {
-    const opened = await drive(senders.network.openStream(identifiers.address(edgeAddresses(slot).senders), 2_000));
+  async function rawTo(address: string, pieces: readonly string[], milliseconds: number): Promise<string> {
+    const opened = await drive(senders.network.openStream(identifiers.address(address), 2_000));
     if (Either.isLeft(opened)) return '';
     let heard = '';
     let over = false;
@@ -390,7 +391,8 @@
 
   return {
     world, cores, edges, members, platform: () => platformSlot as SessionPlatform, platformStore, ledger, runs, versions, services, firstSheet,
-    startAll, startCore, stopCore, startEdge, killEdge, drainEdge, startMember, stopMember, addMember, configure, readBack, call, session, ask, raw, startSenders, primaryOf, until, drive,
+    startAll, startCore, stopCore, startEdge, killEdge, drainEdge, startMember, stopMember, addMember, configure, readBack, call, session, ask, rawTo, startSenders, primaryOf, until, drive,
+    raw: (slot, pieces, milliseconds) => rawTo(edgeAddresses(slot).senders, pieces, milliseconds),
     freezeEdge: function freezeEdge(slot, milliseconds) {
       for (const process of [slot.agentProcess, slot.proxyProcess]) if (process !== undefined) world.freeze(process, milliseconds);
     },
--- a/packages/stand-in/src/session-member.ts
+++ b/packages/stand-in/src/session-member.ts
@@ -75,6 +75,7 @@
   follow: (term: number, primary: string) => void;
   connections: () => number;
   peak: () => number;
+  transactions: () => number;
   applied: () => Position;
   /** Says that it drains, serves on for its time, leaves and ends. */
   drain: () => Promise<void>;
@@ -549,6 +550,7 @@
     follow: followLeader,
     connections: () => connections.size,
     peak: () => peak,
+    transactions: () => [...connections].filter((connection) => Option.isSome(connection.transaction)).length,
     applied: () => positionOf(applied),
     drainingSince: () => draining,
   };
