Guards of the pooled mode taken out one at a time; a primary and an edge on the wrong side

Cause: stories that pass at once prove nothing. pooled-mutations takes one guard out of a copy of the build and wants its story and its checker to fail. It showed a story that was too weak (open transactions at a hand-over: the rest ended them first), a rule no seed reached (an edge cut off together with the primary it knows), and a quiet service where a replica's position must not be learnt; all three are covered now.

--- /dev/null
+++ b/packages/simulator/pooled-mutations.mjs
@@ -0,0 +1,91 @@
+// Shows that the stories and checkers of the pooled mode can fail: takes one guard at a time out of a copy of the build.
+// `npm run pooled-mutations [-- name]`; works in a temporary copy, never in this tree. `story`: the scenario that must fail;
+// `expect`: what a checker must say in a seeded run drawn from `only`.
+import { execFileSync, spawn, spawnSync } from 'node:child_process';
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
+const requests = 'pooler/build/requests.js';
+const pooler = 'pooler/build/pooler.js';
+const fences = ['primary-and-edge-cut', 'primary-cut', 'edge-cut', 'edge-frozen', 'primary-draining', 'primary-crashed'];
+const lag = ['replica-deaf', 'replica-crashed'];
+const sends = ['configuration-changed', 'key-withdrawn'];
+const mutations = [
+  { name: 'end-of-a-lease-not-looked-at', story: 'deposed', expect: 'stale', only: fences, file: requests, from: '|| kernel.clock.now() >= leader.until', to: '' },
+  { name: 'lost-commit-promised', story: 'lost on a commit', expect: 'refused|twice', only: ['replies-lost'], file: requests, from: 'if (ask.commit || (ask.writes && Option.isNone(ask.transaction))) {', to: 'if (false) {' },
+  { name: 'draining-not-looked-at', story: 'drained member', expect: 'draining', only: ['primary-draining', 'replica-draining'], file: requests, from: '!entry.draining && ', to: '' },
+  { name: 'any-replica-is-fresh', expect: 'stale', only: lag, file: requests, from: 'freshness.covering(database.service, bound)', to: 'Option.some({ term: 0, number: 0 })' },
+  { name: 'own-commit-forgotten', expect: 'stale', only: lag, file: requests, from: "database.reads === 'own' ?", to: 'false ?' },
+  { name: 'position-learnt-from-anyone', story: 'bounded age', file: requests, from: 'if (leader && Option.isSome(replied.position))', to: 'if (Option.isSome(replied.position))' },
+  { name: 'moved-database-not-followed', story: 'follows it', file: requests, from: 'ask: { ...record.ask, database }', to: 'ask: record.ask' },
+  { name: 'abandoned-transaction-given-on', expect: 'pinned|unasked|refused|stale', only: ['replies-lost', 'primary-crashed', 'primary-draining'], file: requests, from: 'connections.giveBack(pooled, false);\n    }\n    // -- The passes', to: 'connections.giveBack(pooled, true);\n    }\n    // -- The passes' },
+  { name: 'every-statement-counted', expect: 'usage', only: sends, file: requests, from: 'if (begins && record.shots === 1)', to: 'if (true)' },
+  { name: 'any-key-lets-in', story: 'withdrawn|typed fault', expect: 'configuration|route', only: sends, file: pooler, from: 'const tenant = view.tenants.get(who);', to: "const tenant = view.tenants.get(who) ?? { tenant: 'tenant-one' };" },
+  { name: 'rest-not-ended', story: 'rests too long', file: pooler, from: 'now - transaction.restsSince >= rest', to: 'false' },
+  { name: 'left-transaction-stays', story: 'leaves midway', file: pooler, from: 'if (Option.isSome(session.transaction))\n            void rollback(session.transaction.value);', to: '' },
+  { name: 'planned-end-cuts-whoever-asks', story: 'ends as planned', expect: 'planned-end', only: ['edge-drained'], file: pooler, from: '&& !asked.has(session)', to: '' },
+  { name: 'open-transactions-not-ended', story: 'for a moment only', file: pooler, from: 'const handoverMilliseconds = 300;', to: 'const handoverMilliseconds = 60_000;' },
+  { name: 'release-never-told', story: 'shorten', file: pooler, from: 'released[service] = release;', to: '' },
+  { name: 'silent-edge-not-waited-out', story: 'waited out', expect: 'stale', only: fences, file: 'elect/build/election.js', from: 'view.released(service.service, epoch, majority.lessees)', to: 'true' },
+  { name: 'one-core-grants', expect: 'stale', only: [...fences, 'core-cut'], file: 'lease/build/lessee.js', from: 'known.value.epoch, names(), cores.length, true, false)', to: 'known.value.epoch, names(), 1, true, false)' },
+  { name: 'values-not-cleared', story: 'never cross', expect: 'pinned', only: sends, file: 'pooler/build/sessions.js', from: 'if (foreign ||', to: 'if (false ||' },
+  { name: 'shapes-not-told-apart', story: 'never cross', expect: 'unasked', only: sends, file: 'pooler/build/sessions.js', from: "return `${prepared.writes ? 'w' : 'r'} ${prepared.shape}`;", to: "return 'one';" },
+  { name: 'tenants-share-connections', expect: 'route', only: sends, file: 'pooler/build/connections.js', from: 'one.pooled.tenant !== tenant || ', to: '' },
+  { name: 'beats-taken-by-no-fleet', story: 'no fleet', file: 'core/build/index.js', from: '&& node.cores().length > 0 && (roster', to: '&& (roster' },
+  { name: 'turn-taken-at-once', expect: 'one-holder', only: ['core-cut', 'core-killed', 'primary-crashed', 'platform-slow'], file: 'elect/build/duty.js', from: 'if (state.released)', to: 'if (true)' },
+  { name: 'configuration-taken-back', expect: 'configuration', only: [...sends, 'core-cut', 'core-killed', 'edge-cut'], file: 'pooler/build/view.js', from: 'reply.configuration.version <= before.version', to: 'false' },
+];
+
+const wanted = process.argv.slice(2);
+const copy = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-mutations-'));
+execFileSync('cp', ['-a', path.join(root, 'packages'), path.join(root, 'node_modules'), path.join(root, 'package.json'), copy]);
+
+/** The stories of the copy: true when one of them fails. */
+function storyFails(story) {
+  const run = spawnSync(process.execPath, ['packages/stories/run.mjs', story], { cwd: copy, encoding: 'utf8', timeout: 120_000 });
+  return !/, 0 failed$/m.test(run.stdout);
+}
+
+/** Runs seeds until one of them tells of what is expected. */
+function seedFails(mutation) {
+  const expected = new RegExp(`^  (${mutation.expect}):`);
+  return new Promise((resolve) => {
+    const run = spawn(process.execPath, [path.join(copy, 'packages/simulator/build/pooled-seeds.js'), '1', '24', '--workers=2', `--only=${mutation.only.join(',')}`], { stdio: ['ignore', 'pipe', 'ignore'] });
+    let told = '';
+    let caught;
+    run.stdout.on('data', (chunk) => {
+      told += chunk;
+      caught ??= told.split('\n').slice(0, -1).find((line) => expected.test(line));
+      if (caught !== undefined) run.kill('SIGKILL');
+    });
+    run.on('close', () => resolve(caught));
+  });
+}
+
+let blind = 0;
+for (const mutation of mutations) {
+  if (wanted.length > 0 && !wanted.includes(mutation.name)) continue;
+  const file = path.join(copy, 'packages', mutation.file);
+  const sound = fs.readFileSync(file, 'utf8');
+  if (!sound.includes(mutation.from)) {
+    blind += 1;
+    console.log(`${mutation.name}: the guard is not where it was`);
+    continue;
+  }
+  fs.writeFileSync(file, sound.replaceAll(mutation.from, mutation.to));
+  const verdicts = [];
+  if (mutation.story !== undefined) verdicts.push(storyFails(mutation.story) ? 'caught by its story' : 'NOT CAUGHT by its story');
+  if (mutation.expect !== undefined) {
+    const caught = await seedFails(mutation);
+    verdicts.push(caught === undefined ? 'NOT CAUGHT by seeds' : `caught by ${caught.trim().slice(0, 120)}`);
+  }
+  fs.writeFileSync(file, sound);
+  if (verdicts.some((verdict) => verdict.startsWith('NOT'))) blind += 1;
+  console.log(`${mutation.name}: ${verdicts.join('; ')}`);
+}
+fs.rmSync(copy, { recursive: true, force: true });
+console.log(`mutations: ${blind} not caught`);
+process.exitCode = blind === 0 ? 0 : 1;
--- a/packages/simulator/src/pooled-checks.ts
+++ b/packages/simulator/src/pooled-checks.ts
@@ -93,6 +93,15 @@
   return found;
 }
 
+/** Senders ask nothing malformed and prepare what they execute: neither is ever said of a single statement or a beginning. */
+function wellAsked({ fleet }: Read): readonly Violation[] {
+  return fleet.ledger.tries.flatMap((of) => {
+    const told = [...of.asks.map(conditionOf), ...(Option.isSome(of.begun) ? [of.begun.value] : [])];
+    const strange = told.filter((condition) => condition === 'undefined' || (condition === 'malformed' && (!of.transaction || Option.isSome(of.begun))));
+    return strange.map((condition) => ({ check: 'pinned', detail: `${of.name} was told ${condition}` }));
+  });
+}
+
 /** Commits by the identifiers of what they hold. */
 function keptOf(fleet: PooledFleet): ReadonlyMap<string, readonly SessionCommit[]> {
   const kept = new Map<string, SessionCommit[]>();
@@ -357,4 +366,4 @@
   return { asked: tries.length, served: tries.filter((of) => of.asks.length > 0 && of.asks.every((ask) => conditionOf(ask) === 'done')).length };
 }
 
-export const pooledChecks = { read, stamps, statements, writes, stale, lost, configuration, draining, duties, usage, plannedEnds, served } as const;
+export const pooledChecks = { read, stamps, statements, wellAsked, writes, stale, lost, configuration, draining, duties, usage, plannedEnds, served } as const;
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -131,6 +131,19 @@
   cutOff(fleet, slot.machine, [...coreMachines(fleet), ...members], milliseconds);
 }
 
+/** A primary and an edge on the wrong side: the edge still reaches a primary that is soon deposed, and senders reach the edge. */
+function cutHalf(fleet: PooledFleet, storm: PooledStorm): void {
+  const slot = runningPrimary(fleet);
+  if (slot === undefined) return;
+  const edge = pick(fleet, fleet.edges);
+  const milliseconds = between(fleet, 7_000, 14_000);
+  trouble(fleet, storm, 'member', milliseconds);
+  trouble(fleet, storm, edge.name, milliseconds);
+  const others = fleet.machines().filter((machine) => machine !== slot.machine && machine !== edge.machine);
+  cutOff(fleet, slot.machine, others, milliseconds);
+  cutOff(fleet, edge.machine, others, milliseconds);
+}
+
 function crashPrimary(fleet: PooledFleet, storm: PooledStorm): void {
   noteDrains(fleet, storm);
   const slot = runningPrimary(fleet);
@@ -276,6 +289,7 @@
   { name: 'primary-crashed', run: crashPrimary },
   { name: 'primary-dark', run: darkenPrimary },
   { name: 'primary-cut', run: cutPrimary },
+  { name: 'primary-and-edge-cut', run: cutHalf },
   { name: 'primary-draining', run: (fleet, storm) => drainMember(fleet, storm, runningPrimary(fleet)) },
   { name: 'replica-draining', run: (fleet, storm) => drainMember(fleet, storm, pick(fleet, fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'))) },
   { name: 'replica-crashed', run: crashReplica },
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -97,7 +97,7 @@
   const recovered = pooledChecks.served(fleet, backAt + recoveryMilliseconds, until - 3_000);
   const processes = [...fleet.cores.map((slot) => slot.process), ...fleet.edges.flatMap((slot) => [slot.agentProcess, slot.proxyProcess])];
   violations.push(
-    ...pooledChecks.stamps(read), ...pooledChecks.statements(read), ...pooledChecks.writes(read), ...stale.found, ...pooledChecks.lost(read), ...configuration.found, ...draining.found,
+    ...pooledChecks.stamps(read), ...pooledChecks.statements(read), ...pooledChecks.wellAsked(read), ...pooledChecks.writes(read), ...stale.found, ...pooledChecks.lost(read), ...configuration.found, ...draining.found,
     ...pooledChecks.duties(fleet.platformStore.calls), ...usage.found, ...ends.found, ...(await readBack(fleet)),
     ...(recovered.served < recovered.asked * leastServedShare || recovered.asked === 0 ? [{ check: 'recovery', detail: `${recovered.served} of ${recovered.asked} tries were served after everything was back` }] : []),
     ...processes.flatMap((process) => (process !== undefined && Option.isSome(process.stoppedBy()) ? [{ check: 'process-ended', detail: `${process.name} ended by itself` }] : [])),
--- a/packages/stories/features/pooled.feature
+++ b/packages/stories/features/pooled.feature
@@ -33,7 +33,7 @@
     Then it was promoted more than 1700 ms after edge-3 was frozen and nothing of edge-3 ran on the old one since
 
   Scenario: An open transaction holds the hand-over up for a moment only
-    Given a pooled fleet at work
+    Given a pooled fleet whose transactions may rest for 9000 ms
     And a session in "bookings-lead" through edge-1 has put "x1" as "open" within a transaction
     When the primary of "bookings" says that it drains
     And another member of "bookings" leads
@@ -58,6 +58,14 @@
     When every replica of "bookings" loses its next reply
     Then a get of "x1" in "bookings-late" through edge-1 is served
 
+  Scenario: A read of bounded age misses nothing that is older than its bound, on however quiet a service
+    Given a pooled fleet at work
+    And a get of "x1" in "bookings-lead" through edge-2 is served
+    When every replica of "bookings" goes deaf
+    And "x1" was put as "new" in "bookings-lead" through edge-1
+    And "x1" is read 40 times in "bookings-late" through edge-2, every 100 ms
+    Then those read later than 1500 ms after the put gave "new", and some before gave the old
+
   Scenario: Values and prepared names never cross
     Given a pooled fleet whose edges hold 1 connection to each member
     When three sessions through edge-1 with clashing values and names take turns 12 times
--- a/packages/stories/src/pooled.ts
+++ b/packages/stories/src/pooled.ts
@@ -18,7 +18,7 @@
   replies: Array<Option.Option<StatementReply>>;
   ready: boolean[];
   stop: () => void;
-  drainedAt: number;
+  read: Array<Readonly<{ sentAt: number; row: string }>>;
 };
 
 async function bringUp(options: PooledOptions = {}): Promise<PooledFleet> {
@@ -75,6 +75,10 @@
   this.pooled = await bringUp({ connectionLimit: 6 + 3 * many });
 });
 
+Given('a pooled fleet whose transactions may rest for {int} ms', async function given(this: PooledStory, restMilliseconds: number) {
+  this.pooled = await bringUp({ restMilliseconds });
+});
+
 Given('a pooled fleet whose members work for {int} ms', async function given(this: PooledStory, workMilliseconds: number) {
   this.pooled = await bringUp({ workMilliseconds });
 });
@@ -221,6 +225,32 @@
   for (const slot of this.pooled.members) if (slot.service === service && slot !== primary(this, service)) (slot.running as NonNullable<PooledMember['running']>).knobs.loseReplies = 1;
 });
 
+When('every replica of {string} goes deaf', async function when(this: PooledStory, service: string) {
+  for (const slot of this.pooled.members) if (slot.service === service && slot !== primary(this, service)) (slot.running as NonNullable<PooledMember['running']>).knobs.deaf = true;
+  // What was on its way to them when they went deaf.
+  await this.pooled.world.run(350);
+});
+
+When('{string} is read {int} times in {string} through {word}, every {int} ms', async function when(this: PooledStory, thing: string, times: number, database: string, name: string, spacing: number) {
+  this.calledAt = this.pooled.world.now();
+  this.read = [];
+  const line = await open(this, database, name);
+  for (let shot = 0; shot < times; shot += 1) {
+    const sentAt = this.pooled.world.now();
+    const reply = await this.pooled.ask(line, `get ${thing}`);
+    assert.equal(conditionOf(reply), 'served');
+    this.read.push({ sentAt, row: Option.isSome(reply) ? String(reply.value.rows[0]) : '' });
+    await this.pooled.world.run(spacing);
+  }
+});
+
+Then('those read later than {int} ms after the put gave {string}, and some before gave the old', function then(this: PooledStory, bound: number, data: string) {
+  const late = this.read.filter((one) => one.sentAt > this.calledAt + bound);
+  assert.ok(late.length > 5);
+  assert.deepEqual([...new Set(late.map((one) => one.row))], [`row ${data}`]);
+  assert.ok(this.read.some((one) => one.row === 'row nothing'), 'replicas serve reads of bounded age');
+});
+
 When('three sessions through {word} with clashing values and names take turns {int} times', async function when(this: PooledStory, name: string, turns: number) {
   const texts = [
     ['set v1 of-first', 'set v2 of-first', 'prepare s1 get h1'],
