--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -146,6 +146,23 @@
   for (const machine of inside) cutOff(fleet, machine, others, milliseconds);
 }
 
+/** The hand-over begins while an edge that has just gone silent may still hold its lease; whoever led receives nothing for a while. */
+async function drainPastEdge(fleet: PooledFleet, storm: PooledStorm): Promise<void> {
+  const edge = pick(fleet, fleet.edges);
+  const milliseconds = between(fleet, 3_000, 6_000);
+  const slot = runningPrimary(fleet);
+  const knobs = slot?.running?.knobs;
+  await drainMember(fleet, storm, slot);
+  if (knobs !== undefined) {
+    knobs.deaf = true;
+    fleet.world.at(milliseconds, function over() {
+      knobs.deaf = false;
+    });
+  }
+  trouble(fleet, storm, edge.name, milliseconds);
+  cutOff(fleet, edge.machine, coreMachines(fleet), milliseconds);
+}
+
 function crashPrimary(fleet: PooledFleet, storm: PooledStorm): void {
   noteDrains(fleet, storm);
   const slot = runningPrimary(fleet);
@@ -292,6 +309,7 @@
   { name: 'primary-dark', run: darkenPrimary },
   { name: 'primary-cut', run: cutPrimary },
   { name: 'primary-and-edge-cut', run: cutHalf },
+  { name: 'primary-draining-edge-cut', run: drainPastEdge },
   { name: 'primary-draining', run: (fleet, storm) => drainMember(fleet, storm, runningPrimary(fleet)) },
   { name: 'replica-draining', run: (fleet, storm) => drainMember(fleet, storm, pick(fleet, fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'))) },
   { name: 'replica-crashed', run: crashReplica },
--- a/packages/stories/features/pooled.feature
+++ b/packages/stories/features/pooled.feature
@@ -71,6 +71,12 @@
     When three sessions through edge-1 with clashing values and names take turns 12 times
     Then every statement ran under the values and shapes of its own session
 
+  Scenario: A transaction that a member denied leaves nothing on its connection
+    Given a pooled fleet whose edges hold 1 connection to each member
+    When a transaction that only reads is asked to put, in "bookings-lead" through edge-1
+    Then it is denied as "read-only", and takes nothing but its end
+    And a get of "x1" in "bookings-lead" through edge-1 is served
+
   Scenario: A transaction that rests too long is ended
     Given a pooled fleet at work
     And a session in "bookings-lead" through edge-1 has put "x1" as "open" within a transaction
--- a/packages/stories/src/pooled.ts
+++ b/packages/stories/src/pooled.ts
@@ -175,6 +175,21 @@
   assert.equal(conditionOf(await this.pooled.ask(this.line, `put ${thing} ${data}`)), 'served');
 });
 
+When('a transaction that only reads is asked to put, in {string} through {word}', async function when(this: PooledStory, database: string, name: string) {
+  this.line = await open(this, database, name);
+  assert.equal(conditionOf(await this.pooled.ask(this.line, 'begin reading')), 'served');
+  this.reply = await this.pooled.ask(this.line, 'put x1 never');
+});
+
+Then('it is denied as {string}, and takes nothing but its end', async function then(this: PooledStory, condition: string) {
+  assert.equal(conditionOf(this.reply), condition);
+  assert.equal(Option.isSome(this.reply) ? this.reply.value.stance : '', 'failed');
+  assert.equal(conditionOf(await this.pooled.ask(this.line, 'get x1')), 'malformed');
+  const ended = await this.pooled.ask(this.line, 'rollback');
+  assert.equal(conditionOf(ended), 'served');
+  assert.equal(Option.isSome(ended) ? ended.value.stance : '', 'idle');
+});
+
 Then('its commit is denied as {string}, and nothing was kept of it', async function then(this: PooledStory, condition: string) {
   assert.equal(conditionOf(await this.pooled.ask(this.line, 'commit')), condition);
   assert.equal(kept(this, 'open'), 0);
