--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -34,6 +34,8 @@
   { name: 'shapes-not-told-apart', story: 'never cross', expect: 'unasked', only: sends, file: 'pooler/build/sessions.js', from: "return `${prepared.writes ? 'w' : 'r'} ${prepared.shape}`;", to: "return 'one';" },
   { name: 'tenants-share-connections', expect: 'route', only: sends, file: 'pooler/build/connections.js', from: 'one.pooled.tenant !== tenant || ', to: '' },
   { name: 'beats-taken-by-no-fleet', story: 'no fleet', file: 'core/build/index.js', from: '&& node.cores().length > 0 && (roster', to: '&& (roster' },
+  { name: 'late-beats-taken', story: 'late beat', file: 'roster/build/index.js', from: 'entry.sequence < known.entry.sequence', to: 'false' },
+  { name: 'whoever-left-comes-back', story: 'late beat', file: 'roster/build/index.js', from: '(known.entry.gone && !entry.gone)', to: 'false' },
   { name: 'turn-taken-at-once', expect: 'one-holder', only: ['core-cut', 'core-killed', 'primary-crashed', 'platform-slow'], file: 'elect/build/duty.js', from: 'if (state.released)', to: 'if (true)' },
 ];
 
--- a/packages/stories/features/pooled.feature
+++ b/packages/stories/features/pooled.feature
@@ -126,6 +126,15 @@
     When the other cores start and the fleet is formed
     Then a beat to it is taken
 
+  Scenario: A late beat takes nothing back, through whichever core it comes
+    Given a pooled fleet at work
+    When "maps-9" beats as draining with number 5 to core 1
+    And "maps-9" beats as serving with number 4 to core 2
+    Then every edge knows "maps-9" as draining
+    When "maps-9" leaves through core 3
+    And "maps-9" beats as serving with number 6 to core 1
+    Then no edge knows "maps-9"
+
   Scenario: A drained member is left in time
     Given a pooled fleet at work
     And senders with sessions are at work
--- a/packages/stories/src/pooled.ts
+++ b/packages/stories/src/pooled.ts
@@ -381,6 +381,25 @@
   assert.equal((await this.pooled.drive(this.pooled.call(0, '/members/bookings-1/beat', someBeat))).status, 200);
 });
 
+When('{string} beats as {word} with number {int} to core {int}', async function when(this: PooledStory, member: string, phase: string, sequence: number, core: number) {
+  const beat = { ...someBeat, service: 'maps', address: '10.3.1.9:5000', draining: phase === 'draining', sequence };
+  await this.pooled.drive(this.pooled.call(core - 1, `/members/${member}/beat`, beat));
+  await this.pooled.world.run(300);
+});
+
+When('{string} leaves through core {int}', async function when(this: PooledStory, member: string, core: number) {
+  assert.equal((await this.pooled.drive(this.pooled.call(core - 1, `/members/${member}/leave`, {}))).status, 200);
+  await this.pooled.world.run(300);
+});
+
+Then('every edge knows {string} as draining', function then(this: PooledStory, member: string) {
+  for (const slot of this.pooled.edges) assert.equal(slot.proxy?.view().members.get(member)?.draining, true, slot.name);
+});
+
+Then('no edge knows {string}', function then(this: PooledStory, member: string) {
+  for (const slot of this.pooled.edges) assert.equal(slot.proxy?.view().members.has(member), false, slot.name);
+});
+
 Given('senders with sessions are at work', async function given(this: PooledStory) {
   this.stop = this.pooled.startSenders(30, 200).stop;
   await this.pooled.world.run(4_000);
