--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -232,6 +232,14 @@
     return Option.fromNullable([...eligible].sort(better)[0]);
   }
 
+  /**
+   * A commit that was acknowledged is on its primary and on as many replicas as the sheet says. Of N members any N less that many hold
+   * at least one that has it (design 7.5).
+   */
+  function holdsAll(service: SheetService, found: readonly Found[]): boolean {
+    return Option.isNone(view.calls) || service.synchronousReplicas === 0 || found.length >= service.members.length - service.synchronousReplicas;
+  }
+
   function collectAccepts(ask: Ask<'propose'>): Promise<Either.Either<string, Majority>> {
     const nodes = view.membership().seats.map((seat) => seat.node);
     const needed = quorum.majority(nodes.length);
@@ -274,9 +282,12 @@
       // Read after the wait: what any edge has acknowledged under the older epoch is on a majority of disks by now.
       const [found, floor] = await Promise.all([states(service), floorOf(service.service)]);
       const candidate = found.find((one) => one.member.member === chosen.member.member);
+      // Whoever holds most of what was received when all were asked holds all that was acknowledged.
+      const furthest = Option.isSome(view.calls) && service.synchronousReplicas > 0 ? [...found].sort(better)[0] : undefined;
+      const complete = furthest === undefined || (holdsAll(service, found) && candidate !== undefined && candidate.state.epoch === furthest.state.epoch && candidate.state.received >= furthest.state.received);
       const old = found.find((one) => one.member.member === before?.member && one.state.epoch === chosen.state.epoch);
       const target = old === undefined || old === candidate ? 0 : old.state.received;
-      if (candidate !== undefined && Option.isSome(floor) && reaches(candidate.state, floor.value) && candidate.state.received >= target) return true;
+      if (complete && candidate !== undefined && Option.isSome(floor) && reaches(candidate.state, floor.value) && candidate.state.received >= target) return true;
       await kernel.clock.sleep(Option.isSome(view.calls) ? catchUpLookMilliseconds : 100);
     }
     return false;
@@ -361,6 +372,7 @@
   async function stand(service: SheetService): Promise<string> {
     const [found, floor] = await Promise.all([states(service), floorOf(service.service)]);
     if (Option.isNone(floor)) return 'what was acknowledged cannot be read: no majority of cores replies';
+    if (!holdsAll(service, found)) return 'too few members gave their STATE: an acknowledged commit may be on another alone';
     const chosen = choose(service, found, floor.value);
     if (Option.isNone(chosen)) return 'no eligible replica: each is out of reach or lacks acknowledged writes';
     const standing = standingOf(service.service);
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -272,7 +272,7 @@
     const found = letIn(session.database, session.who);
     if (typeof found === 'string') return fault(found, 'not let in');
     const now = kernel.clock.now();
-    session.transaction = Option.some({ readOnly, database: found.database, tenant: found.tenant, startedAt: now, held: Option.none, failed: false, busy: false, restsSince: now });
+    session.transaction = Option.some({ readOnly, database: found.database, tenant: found.tenant, startedAt: now, held: Option.none, failed: false, told: false, busy: false, restsSince: now });
     return done();
   }
 
@@ -280,7 +280,10 @@
     const { transaction } = session;
     const prepared = command.kind === 'execute' ? session.prepared.get(command.name) : undefined;
     if (command.kind === 'execute' && prepared === undefined) {
-      if (Option.isSome(transaction)) endTransaction(transaction.value);
+      if (Option.isSome(transaction)) {
+        endTransaction(transaction.value);
+        transaction.value.told = true;
+      }
       return fault('undefined', 'no such prepared name');
     }
     const found = Option.isSome(transaction) ? { database: transaction.value.database, tenant: transaction.value.tenant } : letIn(session.database, session.who);
@@ -293,6 +296,7 @@
     });
     if (Option.isSome(transaction)) {
       transaction.value.busy = false;
+      if (reply.ending.kind === 'fault') transaction.value.told = true;
       transaction.value.restsSince = kernel.clock.now();
       if (command.kind === 'commit') session.transaction = Option.none;
     }
@@ -301,13 +305,21 @@
 
   async function handle(session: Session, incoming: Extract<Incoming, { kind: 'query' }>): Promise<StatementReply> {
     if (Option.isNone(incoming.command)) {
-      if (Option.isSome(session.transaction)) endTransaction(session.transaction.value);
+      if (Option.isSome(session.transaction)) {
+        endTransaction(session.transaction.value);
+        session.transaction.value.told = true;
+      }
       return fault('malformed', 'it cannot be read');
     }
     const command = incoming.command.value;
     const { transaction } = session;
     if (Option.isSome(transaction) && transaction.value.failed) {
-      if (command.kind !== 'rollback' && command.kind !== 'commit') return fault('malformed', 'the transaction has failed; end it');
+      if (command.kind !== 'rollback' && command.kind !== 'commit') {
+        // One that was ended from here (it rested too long, its leader let go) is told of by the first statement after.
+        if (transaction.value.told) return fault('malformed', 'the transaction has failed; end it');
+        transaction.value.told = true;
+        return fault('aborted', 'the transaction was ended and nothing of it is kept; begin it again');
+      }
       session.transaction = Option.none;
       return command.kind === 'rollback' ? done() : fault('aborted', 'the transaction had failed; nothing of it is kept');
     }
--- a/packages/pooler/src/sessions.ts
+++ b/packages/pooler/src/sessions.ts
@@ -16,8 +16,10 @@
   readonly tenant: string;
   readonly startedAt: Instant;
   held: Option.Option<Held>;
-  /** Why nothing but its end is taken any more. */
+  /** Nothing but its end is taken any more. */
   failed: boolean;
+  /** The sender has been told so. */
+  told: boolean;
   /** A statement of it is under way. */
   busy: boolean;
   restsSince: Instant;
--- a/packages/stories/src/units.ts
+++ b/packages/stories/src/units.ts
@@ -465,7 +465,7 @@
   this.member = this.world.spawn('member-1', 'member-machine');
   await listenAsMember(this);
   this.kernel = this.world.spawn('proxy', 'edge-machine').kernel;
-  this.connections = connections.create(this.kernel, wire, () => share, () => undefined);
+  this.connections = connections.create(this.kernel, wire, () => ({ most: share, kept: share }), () => undefined);
 });
 
 When('tenant {string} wants {int}', async function when(this: UnitStory, tenant: string, count: number) {
