A hollow run longer than 30 s no longer ends itself; figures a hollow edge

Cause: the alarm for a child's start was never taken back, so that runs over 30 s (48 and 120 services) ended as 'members-1 did not start'. What is flat is told so instead of as not straight.

--- a/packages/bench/src/hollow.ts
+++ b/packages/bench/src/hollow.ts
@@ -8,8 +8,10 @@
 const fields: ReadonlyArray<keyof HollowSize> = ['cores', 'edges', 'agents', 'services', 'sessions', 'statements', 'tenants', 'seconds'];
 const usual: HollowSize = { cores: 3, edges: 40, agents: 2, services: 3, sessions: 0, statements: 0, tenants: 8, seconds: 8 };
 const smoke: HollowSize = { ...usual, edges: 6, agents: 1, services: 2, seconds: 2 };
-/** A slope this far from straight is told with its steps, and not to be reckoned with. */
+/** A slope less straight than this is told with its steps, and not to be reckoned with. */
 const straight = 0.9;
+/** What the whole range adds less than this part of, does not grow with it. */
+const flat = 0.15;
 
 function fieldOf(word: string): keyof HollowSize | undefined {
   return fields.find((field) => field === word);
@@ -44,7 +46,9 @@
     const found = fit.line(measured);
     if (Option.isNone(found)) continue;
     const { slope, base, lowest, highest, straightness, from, to } = found.value;
-    console.log(`slope ${name} a unit of ${field}: ${figure(slope)} (steps ${figure(lowest)} to ${figure(highest)}), at nought ${figure(base)}, ${field} ${from}-${to}, ${measured.length} runs, r2=${straightness.toFixed(3)}${straightness < straight ? ' NOT STRAIGHT' : ''}`);
+    const grows = Math.abs(slope) * (to - from) > flat * Math.abs(base + (slope * (from + to)) / 2);
+    const note = !grows ? ' FLAT' : straightness < straight ? ' NOT STRAIGHT' : '';
+    console.log(`slope ${name} a unit of ${field}: ${figure(slope)} (steps ${figure(lowest)} to ${figure(highest)}), at nought ${figure(base)}, ${field} ${from}-${to}, ${measured.length} runs, r2=${straightness.toFixed(3)}${note}`);
   }
 }
 
--- a/packages/bench/src/hollow/run.ts
+++ b/packages/bench/src/hollow/run.ts
@@ -40,6 +40,7 @@
 const mostKilobytes = 6 * 1024 * 1024;
 const longestRunMilliseconds = 170_000;
 const replyMilliseconds = 10_000;
+const startMilliseconds = 30_000;
 const beatMilliseconds = 1_200;
 const memberRunMilliseconds = 2;
 const lookMilliseconds = 50;
@@ -76,15 +77,18 @@
     started.process.on('exit', () => {
       over ||= `${name} ended`;
     });
-    const begun = new Promise<void>((resolve) => started.waiting.set(0, () => resolve()));
+    let begins = false;
+    const begun = new Promise<void>((resolve) => started.waiting.set(0, () => {
+      begins = true;
+      resolve();
+    }));
     started.process.on('message', (told) => {
       const reply = told as HollowReply;
       started.waiting.get(reply.number)?.(reply);
       started.waiting.delete(reply.number);
     });
-    await Promise.race([begun, kernel.clock.sleep(replyMilliseconds * 3).then(() => {
-      over ||= `${name} did not start`;
-    })]);
+    await Promise.race([begun, kernel.clock.sleep(startMilliseconds)]);
+    if (!begins) over ||= `${name} did not start`;
     look();
     return started;
   }
@@ -141,12 +145,14 @@
     return { frames: await ask(child, { kind: 'frames' }), spent: counts.spent(child.process.pid as number), at: kernel.clock.now() };
   }
 
+  /** The mean over the processes of a role; of hollow edges, over the edges. */
   function weight(role: string, readings: ReadonlyArray<readonly [Reading, Reading]>): RoleWeight {
+    const count = role === 'edges' ? size.edges : readings.length;
     function mean(of: (before: Reading, after: Reading, seconds: number) => number): number {
-      return readings.reduce((sum, [before, after]) => sum + of(before, after, (after.at - before.at) / 1_000), 0) / readings.length;
+      return readings.reduce((sum, [before, after]) => sum + of(before, after, (after.at - before.at) / 1_000), 0) / count;
     }
     return {
-      role, processes: readings.length,
+      role, processes: count,
       values: {
         processorShare: mean((before, after, seconds) => (after.spent.processorMilliseconds - before.spent.processorMilliseconds) / seconds / 10),
         framesIn: mean((before, after, seconds) => ((after.frames['received'] ?? 0) - (before.frames['received'] ?? 0)) / seconds),
