Hollow members' replicas follow writes; runs that only weigh

Cause: only the primary counted writes, so after statements no replica reached the floor and a drained primary was not replaced in 40 s: the stand-in's fault, the product kept the rule.

--- a/packages/bench/src/hollow.ts
+++ b/packages/bench/src/hollow.ts
@@ -1,4 +1,4 @@
-// Slopes of the pooled mode from real processes: `hollow.js FIELD SIZE SIZE SIZE [--repeat=2] [FIELD=SIZE ...]`, or `--smoke` (docs/CAPACITY.md).
+// Slopes of the pooled mode from real processes: `hollow.js FIELD SIZE SIZE SIZE [--repeat=2] [--weigh] [FIELD=SIZE ...]`, or `--smoke` (docs/CAPACITY.md).
 import os from 'node:os';
 import * as Option from 'fp-ts/lib/Option.js';
 import { machine } from '@stallstall/machine';
@@ -53,7 +53,7 @@
 }
 
 function wrong(text: string): never {
-  console.error(`${text}\nusage: hollow FIELD SIZE SIZE SIZE [--repeat=2] [FIELD=SIZE ...] | --smoke; fields: ${fields.join(', ')}`);
+  console.error(`${text}\nusage: hollow FIELD SIZE SIZE SIZE [--repeat=2] [--weigh] [FIELD=SIZE ...] | --smoke; fields: ${fields.join(', ')}`);
   process.exit(2);
 }
 
@@ -76,7 +76,7 @@
 for (let count = 0; count < repeat; count += 1) {
   for (const size of sizes) {
     try {
-      const outcome = await hollowRun.measure(kernel, size);
+      const outcome = await hollowRun.measure(kernel, size, !words.includes('--weigh'));
       outcomes.push(outcome);
       say(outcome);
     } catch (error) {
--- a/packages/bench/src/hollow/members.ts
+++ b/packages/bench/src/hollow/members.ts
@@ -58,11 +58,17 @@
     }
   }
 
+  /** Replicas follow at once. */
+  function write(member: Member): void {
+    member.number += 1;
+    for (const one of table.values()) if (one.service === member.service && !one.silent) one.number = member.number;
+  }
+
   async function query(member: Member, text: string): Promise<string> {
     const at = Option.some({ term: member.term, number: member.number });
     if (text === 'state') return `row ${member.primary ? 'primary' : 'replica'} ${member.term} ${member.term}.${member.number}\ndone -\n${plainDialect.rest('idle', at)}`;
     if (settings.runMilliseconds > 0) await kernel.clock.sleep(settings.runMilliseconds);
-    if (text.includes('write ')) member.number += 1;
+    if (text.includes('write ')) write(member);
     return `row value\ndone -\n${plainDialect.rest('idle', Option.some({ term: member.term, number: member.number }))}`;
   }
 
--- a/packages/bench/src/hollow/run.ts
+++ b/packages/bench/src/hollow/run.ts
@@ -56,7 +56,8 @@
   return beyond === undefined ? '' : `${beyond[0]} is ${size[beyond[0]]}; a run takes at most ${beyond[1]}`;
 }
 
-async function measure(kernel: Kernel, size: HollowSize): Promise<HollowOutcome> {
+/** Without `changes` it ends once it has weighed: no configurations are sent and no primary is changed. */
+async function measure(kernel: Kernel, size: HollowSize, changes = true): Promise<HollowOutcome> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-hollow-'));
   const children: Child[] = [];
   const horizon = identifiers.after(kernel.clock.now(), longestRunMilliseconds);
@@ -257,6 +258,7 @@
     }
     await kernel.clock.sleep(calmMilliseconds);
     const weights = await weigh();
+    if (!changes) return { size, weights, timings };
     await configure();
     await change('drain', 0);
     await change('crash', Math.min(1, size.services - 1));
