Hollow cores beyond the third are no founders

Cause: all cores were named as founders, and the first greets its three seeds alone, so fleets of 4 and more were never founded.

--- a/packages/bench/src/hollow/child.ts
+++ b/packages/bench/src/hollow/child.ts
@@ -59,7 +59,7 @@
         return Either.right({ member, role: memberRole, epoch: received.term, received: received.number, applied: received.number, term });
       },
     },
-    pages, door: role.door, founds: true, founders: role.founders,
+    pages, door: role.door, founds: true, founders: role.founders.slice(0, 3),
   }));
   if (Either.isLeft(started)) throw started.left;
   return { reply: (ask): Values => (ask.kind === 'open' ? { open: started.right.open() ? 1 : 0 } : {}) };
