--- a/packages/bench/src/hollow.ts
+++ b/packages/bench/src/hollow.ts
@@ -70,6 +70,8 @@
 const sizes: readonly HollowSize[] = wanted.map((value) => ({ ...(isSmoke ? smoke : usual), ...set, [field]: value }));
 for (const size of sizes) if (hollowRun.denied(size) !== '') wrong(hollowRun.denied(size));
 
+/** Ended from outside, a run takes its children and its folder with it. */
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => process.exit(1));
 const kernel = await machine.create('hollow', Option.none);
 const outcomes: HollowOutcome[] = [];
 let failed = 0;
--- a/packages/bench/src/hollow/run.ts
+++ b/packages/bench/src/hollow/run.ts
@@ -70,6 +70,7 @@
 
   function end(): void {
     for (const child of children) child.process.kill('SIGKILL');
+    fs.rmSync(folder, { recursive: true, force: true });
   }
 
   async function start(name: string, role: HollowRole): Promise<Child> {
