--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,7 +9,7 @@
 } from '@stallstall/message';
 import { peer, type Caller, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { acceptor, coldPrefix, keeper, registerService, watcher, type RegisterTarget } from '@stallstall/register';
+import { acceptor, coldPrefix, keeper, registerService, watcher, type Holding, type RegisterTarget } from '@stallstall/register';
 import { node as nodes, beatMilliseconds, type Configuration, type Node, type NodeSettings } from '@stallstall/node';
 import { livenessService, type MemberProbe, type PlatformCalls, type Vote, type VoteStore } from '@stallstall/elect';
 import { lessor as lessors, lessorService, type Lessor } from '@stallstall/lease';
@@ -17,6 +17,7 @@
 import { sheets, type SheetMember } from '@stallstall/sheet';
 import { Type } from '@sinclair/typebox';
 import { administration as administrations, type ExternalVersion } from './administration.js';
+import { cores as coreSets, type Cores, type Fleet } from './cores.js';
 import { usage as usages } from './usage.js';
 
 export type CoreSettings = NodeSettings & Readonly<{ cores: number; operatorKey?: string | undefined }>;
@@ -44,6 +45,8 @@
   founds: boolean;
   /** The seeds of the first start: the first of them proposes the fleet, of all cores that have met it (design 4.8). */
   founders: readonly string[];
+  /** How many machines may be lost at once: the set of cores never shrinks below what that needs (design 4.8). One if not told. */
+  tolerance?: number;
 }>;
 
 export type Core = Readonly<{ node: Node; open: () => boolean; drain: () => Promise<void>; stop: () => Promise<void> }>;
@@ -57,9 +60,10 @@
   node: Type.String({ minLength: 1 }),
   cores: Type.Array(SeatSchema),
   /** founding: agreed to, not yet formed; copying: a blank disk in a formed fleet; formed: answers ballots. */
-  stage: Type.Union([Type.Literal('founding'), Type.Literal('copying'), Type.Literal('formed')]),
+  stage: Type.Union((['founding', 'copying', 'joining', 'copied', 'formed', 'out'] as const).map((stage) => Type.Literal(stage))),
+  number: Type.Optional(Type.Integer({ minimum: 1 })),
+  epochs: Type.Optional(Type.Record(Type.String(), Type.Integer({ minimum: 0 }))),
 });
-type Fleet = Readonly<{ format?: number; fleet: string; node: string; cores: readonly Seat[]; stage: 'founding' | 'copying' | 'formed' }>;
 
 /** A vote for nobody: all it does is deny that epoch and those before it. */
 const abstained = { candidate: '', proposer: '' } as const;
@@ -157,12 +161,16 @@
     if (Option.isSome(lessor)) lessor.value.changed();
   }
 
+  let between = false;
+  const standing = Option.isNone(parts) ? undefined : coreSets.standing(() => fleet, () => between);
+  let coreSet: Option.Option<Cores> = Option.none;
+
   const cells = acceptor.create(disk, stored, function push(key, entry) {
     if (!watcher.watched(key)) return;
     news();
     for (const [caller, entryOf] of watching) if (caller.open()) handOver(entryOf, key, entry);
     feedOwn();
-  }, diskFailed);
+  }, diskFailed, standing);
   const notes = keeper.create(kernel, disk, stored, diskFailed);
 
   function diskFailed(error: Fault): void {
@@ -171,7 +179,23 @@
 
   function handOver(to: Watching, key: string, entry: Entry): void {
     to.number += 1;
-    to.caller.change({ number: to.number, key, entry: forPush(key, entry) });
+    to.caller.change({ number: to.number, key, entry: forPush(key, entry), ...stoodAt() });
+  }
+
+  /** The number of the set that this core stands at, where it may change (design 4.8). */
+  function stoodAt(): Readonly<{ set?: number }> {
+    return standing === undefined || standing.number() < 0 ? {} : { set: standing.number() };
+  }
+
+  /** What is noted counts for the set under which it was told: by who stands there before and after the sync (design 4.8). */
+  async function note(ask: Ask<'note'>): Promise<Reply<'note'>> {
+    if (standing === undefined) return notes.keep(ask);
+    const { set, ...told } = ask;
+    const newer = standing.newer(set ?? 0);
+    const strange: Reply<'note'> = { ready: false, floors: {}, ...(newer === undefined ? {} : { newer }) };
+    if (set !== standing.number()) return strange;
+    const reply = await notes.keep(told);
+    return set === standing.number() ? reply : strange;
   }
 
   const votes = coreVotes(disk, stored);
@@ -183,10 +207,14 @@
     },
   };
 
-  const node: Node = nodes.create(kernel, settings, {
+  // A fleet is found again though the seeds may by now name none of its cores (design 4.8).
+  function seeds(): readonly string[] {
+    return [...new Set([...settings.seeds(), ...(Option.isSome(fleet) ? fleet.value.cores.map((core) => core.address) : [])])];
+  }
+  const node: Node = nodes.create(kernel, Option.isNone(parts) ? settings : { ...settings, seeds }, {
     role: 'core',
     votes: () => votes,
-    own: Option.some({ target: ownTarget, note: async (body) => Option.some(await notes.keep(body)), accepted: cells.accepted }),
+    own: Option.some({ target: ownTarget, note: async (body) => Option.some(await note(body)), accepted: cells.accepted }),
     caps: () => ({}),
     onObeyed: news,
     onHello,
@@ -198,6 +226,7 @@
         lessees: () => (Option.isSome(lessor) ? lessor.value.lessees() : []),
         released: (service, epoch, lessees) => Option.isSome(lessor) && lessor.value.released(service, epoch, lessees),
         onStance: news,
+        learn: (set) => (Option.isSome(coreSet) ? coreSet.value.learn(set) : undefined),
       },
     }),
   });
@@ -217,7 +246,7 @@
       const entry = cells.accepted(key);
       if (!watcher.watched(key) || Option.isNone(entry)) continue;
       ownNumber += 1;
-      node.changed(settings.node, { number: ownNumber, key, entry: forPush(key, entry.value) });
+      node.changed(settings.node, { number: ownNumber, key, entry: forPush(key, entry.value), ...stoodAt() });
     }
   }
 
@@ -247,13 +276,26 @@
 
   function open(known: Fleet): void {
     node.setFleet(known.fleet);
-    node.setCores(known.cores);
+    if (Option.isNone(parts)) node.setCores(known.cores);
+    else node.follow(coreSets.setOf(known));
     cells.open();
     notes.open();
     feedOwn();
     kernel.log('core.open', { fleet: known.fleet, cores: known.cores.length });
   }
 
+  /** What is watched is handed over anew at every set (design 4.8). */
+  function moved(known: Fleet): void {
+    node.follow(coreSets.setOf(known));
+    for (const key of cells.keys()) {
+      const accepted = cells.accepted(key);
+      if (!watcher.watched(key) || Option.isNone(accepted)) continue;
+      for (const [caller, entryOf] of watching) if (caller.open()) handOver(entryOf, key, accepted.value);
+    }
+    feedOwn();
+    news();
+  }
+
   async function becomeFormed(known: Fleet): Promise<void> {
     if (await keepFleet({ ...known, stage: 'formed' })) open(known);
   }
@@ -273,16 +315,25 @@
       return;
     }
     if (stage() === 'founding' && Option.isSome(fleet)) void becomeFormed(fleet.value);
+    if (Option.isSome(coreSet)) {
+      if (reply.set === undefined) return;
+      if (stage() === 'formed') coreSet.value.learn(reply.set);
+      else if (stage() !== 'founding') coreSet.value.met(reply.fleet, reply.set);
+      return;
+    }
     if (stage() === 'blank' && reply.cores.some((core) => core.node === settings.node)) {
       void copy({ fleet: reply.fleet, node: settings.node, cores: reply.cores, stage: 'copying' });
     }
   }
 
   /** All that another core holds, page after page; a page that did not arrive or did not sync is asked for again. */
-  async function copyPages(other: Seat, epochs: Record<string, number>): Promise<void> {
+  async function copyPages(other: Seat, epochs: Record<string, number>, set?: number, given: () => boolean = () => false): Promise<boolean> {
     const dialled = peer.dial(kernel, identifiers.address(other.address));
-    for (let after = '', whole = false; !whole && !stopped; ) {
+    let whole = false;
+    for (let after = ''; !whole && !stopped && !given(); ) {
       const reply = await dialled.call('copy', { after }, 2_000);
+      // A core that has left the set meanwhile tells nothing of it any more (design 4.8).
+      if (Option.isSome(reply) && reply.value.ready && reply.value.set !== set) break;
       if (Option.isNone(reply) || !reply.value.ready) {
         await kernel.clock.sleep(beatMilliseconds);
         continue;
@@ -299,6 +350,16 @@
       whole = next === '';
     }
     dialled.close();
+    return whole;
+  }
+
+  /** What it voted is lost with the disk. An epoch it may have helped to win has other voters, and theirs were copied. */
+  async function abstain(epochs: Readonly<Record<string, number>>): Promise<void> {
+    for (const [service, epoch] of Object.entries(epochs)) {
+      while (!stopped && ((await votes.epochs())[service] ?? 0) < epoch) {
+        if (!(await votes.record(service, { epoch, ...abstained }))) await kernel.clock.sleep(beatMilliseconds);
+      }
+    }
   }
 
   /** A blank disk in a formed fleet has been lost: it answers no ballot before it holds what all the others hold. */
@@ -313,12 +374,7 @@
     for (const other of others) {
       await copyPages(other, epochs);
     }
-    // What it voted is lost with the disk. An epoch it may have helped to win has other voters, and theirs were copied.
-    for (const [service, epoch] of Object.entries(epochs)) {
-      while (!stopped && ((await votes.epochs())[service] ?? 0) < epoch) {
-        if (!(await votes.record(service, { epoch, ...abstained }))) await kernel.clock.sleep(beatMilliseconds);
-      }
-    }
+    await abstain(epochs);
     while (!stopped && !cells.ready()) {
       await becomeFormed(known);
       await kernel.clock.sleep(beatMilliseconds);
@@ -328,12 +384,17 @@
   /** A disk that has taken fewer puts than others have heard of is an old copy: as good as lost (design 4.3). */
   async function reopen(known: Fleet): Promise<void> {
     const others = quorum.majority(known.cores.length) - 1;
+    const cores = new Set(known.cores.map((core) => core.node));
     while (!stopped && !cells.ready()) {
       if (knownPuts > disk.puts()) {
         kernel.log('core.old-disk', { puts: disk.puts(), known: knownPuts });
+        if (Option.isSome(coreSet)) {
+          if (await keepFleet({ ...known, stage: 'copying' })) return coreSet.value.met(known.fleet, coreSets.setOf(known));
+          continue;
+        }
         return copy({ ...known, stage: 'copying' });
       }
-      if ([...met.values()].filter((core) => core.fleet === known.fleet).length >= others) {
+      if ([...met.values()].filter((core) => core.fleet === known.fleet && cores.has(core.seat.node)).length >= others) {
         if (known.format === diskFormat) open(known);
         else await becomeFormed(known);
       }
@@ -424,6 +485,7 @@
   const membershipCommands = owner.create('membership', null);
 
   async function join(ask: Ask<'join'>): Promise<Reply<'join'>> {
+    if (Option.isSome(coreSet)) return coreSet.value.join(ask);
     if (!cells.ready()) return { joined: false, reason: 'this core is not open yet' };
     // A node that is listed as it is has only not read the table yet: no step, and what an operator drained stays drained.
     const done = await membershipCommands.ask(() => changeMembership((table) => {
@@ -442,6 +504,11 @@
     return Option.isSome(entry) ? entry.value.version : 0;
   }
 
+  /** The set of cores is the membership table where edges have no seat (design 4.8). */
+  function membershipVersion(): number {
+    return standing === undefined ? versionOf('membership') : Math.max(0, standing.number());
+  }
+
   /** Whoever asks over a held link is pushed what is watched from then on, and its acknowledgements are kept. */
   function enlist(named: string, acknowledged: number, obeyed: number, caller: Caller): Watching | undefined {
     let entry = watching.get(caller);
@@ -464,7 +531,7 @@
   function watch(ask: Ask<'watch'>, caller: Caller): Reply<'watch'> {
     const entry = enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
     return {
-      ready: cells.ready(), number: entry?.number ?? 0, configuration: versionOf('configuration'), membership: versionOf('membership'), puts: disk.puts(),
+      ready: cells.ready(), number: entry?.number ?? 0, configuration: versionOf('configuration'), membership: membershipVersion(), puts: disk.puts(),
       superseded: ask.incarnation > 0 && node.isStale(ask.node, ask.incarnation),
     };
   }
@@ -480,6 +547,25 @@
     return epochs;
   }
 
+  async function ownHolding(): Promise<Holding> {
+    const keys: string[] = [];
+    for (let after = ''; ; ) {
+      const { entries, next } = await cells.page(after);
+      keys.push(...entries.map((entry) => entry.key));
+      if (next === '') return { keys, votes: await votedEpochs(), notes: notes.all() };
+      after = next;
+    }
+  }
+
+  if (Option.isSome(parts)) {
+    coreSet = Option.some(coreSets.create(kernel, {
+      node, cells, fleet: () => fleet, keepFleet, open, moved, abstain, ownHolding, tolerance: parts.value.tolerance ?? 1,
+      copyPages: (other, set, epochs, given) => copyPages(other, epochs, set, given),
+    }, function change(now) {
+      between = now;
+    }));
+  }
+
   const handlers: Handlers = {
     ...node.handlers,
     hello: async function hello(ask, caller) {
@@ -489,26 +575,33 @@
         fleet: Option.isSome(fleet) && fleet.value.stage === 'formed' ? fleet.value.fleet : '',
         founding: Option.isSome(fleet) ? fleet.value.fleet : '',
         cores: Option.isSome(fleet) && fleet.value.stage === 'formed' ? fleet.value.cores.map((core) => quorum.seat(node.membership().value, core.node) ?? core) : [],
+        ...(Option.isSome(fleet) && Option.isSome(coreSet) && fleet.value.stage === 'formed' ? { set: coreSets.setOf(fleet.value) } : {}),
       };
     },
     form: agree,
-    copy: async (ask) => ({ ready: cells.ready(), votes: { ...(await votedEpochs()) }, notes: notes.all(), ...(await cells.page(ask.after)) }),
+    copy: async function copied(ask) {
+      const at = stoodAt();
+      return { ready: cells.ready() && (standing === undefined || at.set !== undefined), ...at, votes: { ...(await votedEpochs()) }, notes: notes.all(), ...(await cells.page(ask.after)) };
+    },
+    adopt: async (ask) => (Option.isSome(coreSet) ? coreSet.value.adopt(ask) : { adopted: false, silent: [] }),
     prepare: cells.prepare,
     accept: cells.accept,
     look: cells.look,
     watch,
     join,
-    note: notes.keep,
+    note,
     usageLook: (ask) => notes.look(ask.window),
     spread: function spread(ask) {
       if (Option.isSome(roster)) roster.value.take(ask.beats);
       return { taken: true };
     },
-    lease: function lease(ask, caller) {
+    lease: async function lease(ask, caller) {
       const granting = lessor;
       if (Option.isNone(granting)) throw new Error('this fleet holds no leases');
       enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
-      return granting.value.lease(ask);
+      const reply = await granting.value.lease(ask);
+      const newer = standing?.newer(ask.set ?? 0);
+      return { ...reply, ready: reply.ready && stoodAt().set !== undefined, ...stoodAt(), ...(newer === undefined ? {} : { newer }) };
     },
   };
 
@@ -530,7 +623,7 @@
     roster = Option.some(kept);
     kernel.services.offer(rosterService, kept);
     const granting = lessors.create(kernel, {
-      ready: () => cells.ready() && !ending, stances: node.epochs, configuration: () => versionOf('configuration'), membership: () => versionOf('membership'), puts: disk.puts,
+      ready: () => cells.ready() && !ending, stances: node.epochs, configuration: () => versionOf('configuration'), membership: membershipVersion, puts: disk.puts,
       roster: kept, onNotListening: lookAt,
     });
     lessor = Option.some(granting);
@@ -575,17 +668,22 @@
     }
   }
 
+  function notOpen(): Fault {
+    return fault.create({ kind: 'no-majority', message: 'this core is of no fleet yet', remedy: 'turn to another core', retryAfterSeconds: 1 });
+  }
+
   const door: Door = {
     ready: () => cells.ready() && !ending,
     configure: async function configure(external, sheet) {
+      if (!cells.ready()) return Either.left(notOpen());
       const checked = sheets.check(sheet);
       return Either.isLeft(checked) ? checked : administration.configure(external, checked.right);
     },
-    source: administration.source,
+    source: async () => (cells.ready() ? administration.source() : Either.left(notOpen())),
     // One that is of no fleet could tell nobody: who calls turns to another.
-    beat: (registration) => Option.isSome(roster) && node.cores().length > 0 && (roster.value.beat(registration) || true),
+    beat: (registration) => Option.isSome(roster) && cells.ready() && (roster.value.beat(registration) || true),
     leave: function leave(member) {
-      if (Option.isNone(roster) || node.cores().length === 0) return false;
+      if (Option.isNone(roster) || !cells.ready()) return false;
       roster.value.leave(member);
       return true;
     },
@@ -609,12 +707,14 @@
 
   node.start();
   usage.start();
+  if (Option.isSome(coreSet)) coreSet.value.start();
   if (stage() === 'formed' && Option.isSome(fleet)) void reopen(fleet.value);
-  else if (stage() === 'copying' && Option.isSome(fleet)) void copy(fleet.value);
+  else if (Option.isNone(coreSet) && stage() === 'copying' && Option.isSome(fleet)) void copy(fleet.value);
   else if (Option.isNone(parts) || parts.value.founds) void form();
 
   async function stop(): Promise<void> {
     stopped = true;
+    if (Option.isSome(coreSet)) coreSet.value.stop();
     if (Option.isSome(lessor)) lessor.value.stop();
     void usage.stop();
     node.stop();
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -193,7 +193,9 @@
     standing.voted = Option.some(vote);
     standing.votedAt = kernel.clock.now();
     view.onStance();
-    const durable = await votes.record(ask.service, vote);
+    const recorded = await votes.record(ask.service, vote);
+    // A vote that became durable as the set of cores changed is of no set: the barrier was asked for without it (design 4.8).
+    const durable = recorded && (Option.isNone(view.calls) || ask.membership === view.membershipVersion());
     return { accepted: durable, reason: durable ? 'accepted' : 'the vote did not become durable', epoch: ask.epoch, lessees: [...view.lessees()] };
   }
 
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -2,11 +2,11 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
 import {
-  MembershipSchema, message, SettledSchema, type Change, type LogPosition, type Reply, type RosterEntry, type Seat, type Settled,
+  message, SettledSchema, type Change, type CoreSet, type LogPosition, type Reply, type RosterEntry, type Seat, type Settled,
 } from '@stallstall/message';
 import { peer, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { notes, proposer, watcher, type Notes, type NoteTarget, type RegisterTarget } from '@stallstall/register';
+import { notes, proposer, watcher, type CoreSets, type Notes, type NoteTarget, type RegisterTarget } from '@stallstall/register';
 import { fence } from '@stallstall/fence';
 import type { Configuration, Obeyed } from '@stallstall/node';
 
@@ -56,6 +56,8 @@
 const greetMilliseconds = 100;
 const resolveMilliseconds = 200;
 const retryMilliseconds = 120;
+/** After so long without a grant the seeds are asked as well: all known cores may have been replaced (design 4.8). */
+const lostMilliseconds = 5_000;
 
 function create(kernel: Kernel, settings: LesseeSettings, parts: LesseeParts): Lessee {
   const grants = fence.create();
@@ -64,6 +66,9 @@
   const floors = new Map<string, number>();
   const greeting = new Set<string>();
   let cores: readonly Seat[] = [];
+  let setNumber = 0;
+  let fleetName = '';
+  let grantedAt = kernel.clock.now();
   let rosterNumber = 0;
   let stopped = false;
   const seat: Seat = { node: settings.node, role: 'edge', area: settings.area, address: '-', outward: '-', draining: false };
@@ -85,18 +90,31 @@
     });
   }
 
-  const register = proposer.create(kernel, settings.node, targets, () => cores.length);
-  const noted = notes.create(noteTargets, () => cores.length);
+  const sets: CoreSets = { number: () => setNumber, learn: follow };
+  const register = proposer.create(kernel, settings.node, targets, () => cores.length, sets);
+  const noted = notes.create(noteTargets, () => cores.length, sets);
   const watch = watcher.create(kernel, register, () => cores.length, function obeyed(key, entry) {
     kernel.log('lessee.obeyed', { key, version: entry.version });
-    if (key === 'membership' && message.fits(MembershipSchema, entry.value)) followCores(quorum.withRole(entry.value, 'core'));
     parts.onChange();
-  });
+  }, { number: () => setNumber, includes: (core) => cores.some((one) => one.node === core) });
 
-  /** The set of cores is as formed; where each can be reached may change (design 4.4). */
-  function followCores(seats: readonly Seat[]): void {
-    cores = cores.map((core) => seats.find((one) => one.node === core.node) ?? core);
+  /** The newest set of cores that any core told of; whoever has left it grants nothing any more (design 4.8). */
+  function follow(set: CoreSet): void {
+    if (stopped || set.number <= setNumber) return;
+    kernel.log('lessee.follows', { set: set.number, cores: set.seats.length });
+    setNumber = set.number;
+    cores = set.seats;
+    for (const [core, link] of held) {
+      if (names().includes(core)) continue;
+      held.delete(core);
+      told.delete(core);
+      link.peer.close();
+    }
     for (const core of cores) hold(core);
+    rosterNumber += 1;
+    watch.recount();
+    noteFloors();
+    parts.onChange();
   }
 
   function configuration(): Option.Option<Obeyed<Configuration>> {
@@ -171,7 +189,7 @@
     const current = configuration();
     const reply = await link.call('lease', {
       node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
-      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, notListening: [...parts.notListening()],
+      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, notListening: [...parts.notListening()], set: setNumber,
     }, hold + callMilliseconds);
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
     take(core, known, reply.value, sentAt);
@@ -186,7 +204,10 @@
     known.seen = reply.number;
     known.edges = reply.edges;
     known.at = sentAt;
-    if (!reply.ready) return;
+    if (reply.newer !== undefined) follow(reply.newer);
+    // A core at a later set than this edge counts nothing here: its set's elections need not meet this edge's majority (design 4.8).
+    if (!reply.ready || (reply.set ?? 0) > setNumber || !names().includes(core)) return;
+    grantedAt = kernel.clock.now();
     known.stances = reply.stances;
     noteFloors();
     grants.heard(core, { sentAt, epochs: reply.stances });
@@ -223,14 +244,18 @@
 
   // -- Finding the cores through the seeds (design 3.3).
 
+  function lost(): boolean {
+    return cores.length === 0 || kernel.clock.now() - grantedAt > lostMilliseconds;
+  }
+
   async function greet(address: string): Promise<void> {
     const link = peer.dial(kernel, identifiers.address(address));
-    while (!stopped && cores.length === 0 && settings.seeds().includes(address)) {
-      const reply = await link.call('hello', { seat, incarnation: 0, fleet: '' }, callMilliseconds);
-      if (Option.isSome(reply) && reply.value.fleet !== '' && reply.value.cores.length > 0 && cores.length === 0) {
-        cores = reply.value.cores;
-        kernel.log('lessee.found', { fleet: reply.value.fleet, cores: cores.length });
-        for (const core of cores) hold(core);
+    while (!stopped && lost() && settings.seeds().includes(address)) {
+      const reply = await link.call('hello', { seat, incarnation: 0, fleet: fleetName }, callMilliseconds);
+      if (Option.isSome(reply) && reply.value.fleet !== '' && (fleetName === '' || reply.value.fleet === fleetName) && reply.value.set !== undefined) {
+        if (fleetName === '') kernel.log('lessee.found', { fleet: reply.value.fleet, cores: reply.value.set.seats.length });
+        fleetName = reply.value.fleet;
+        follow(reply.value.set);
       }
       await kernel.clock.sleep(link.connected() ? greetMilliseconds : redialLookMilliseconds);
     }
@@ -239,7 +264,7 @@
   }
 
   function greetSeeds(): void {
-    if (cores.length > 0) return;
+    if (!lost()) return;
     for (const address of settings.seeds()) {
       if (greeting.has(address)) continue;
       greeting.add(address);
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -31,6 +31,15 @@
 export const MembershipSchema = Type.Object({ seats: Type.Array(SeatSchema, { maxItems: 1000 }), epochs: ServiceCounts });
 export type Membership = Readonly<{ seats: readonly Seat[]; epochs: Readonly<Record<string, number>> }>;
 
+/**
+ * The set of cores, in its order of steps: the first has number 1, each step changes one seat (design 4.8). `epochs` is the
+ * barrier of design 4.2. Number 0 stands for a set that never changes.
+ */
+export const CoreSetSchema = Type.Object({ number: Count, seats: Type.Array(SeatSchema, { maxItems: 100 }), epochs: ServiceCounts });
+export type CoreSet = Readonly<Static<typeof CoreSetSchema>>;
+const SetNumber = Type.Optional(Count);
+const NewerSet = Type.Optional(CoreSetSchema);
+
 export const SettledSchema = Type.Object({
   epoch: Count,
   primary: Name,
@@ -51,6 +60,8 @@
   /** The most puts this node has heard that the asking core's disk had taken. */
   knownPuts: Count,
   superseded: Type.Boolean(),
+  /** The set of cores that the sender stands at, where it may change (design 4.8). */
+  set: NewerSet,
 });
 
 const FormAsk = Type.Object({
@@ -78,8 +89,8 @@
 export type UsageReport = Readonly<Static<typeof UsageReportSchema>>;
 
 /** What an edge has a core's disk keep before it replies (design 7.5, 8.6). `through`: up to which wall time each edge has told all it counted. */
-const NoteAsk = Type.Object({ floors: Floors, reports: Type.Array(UsageReportSchema, { maxItems: 10_000 }), through: Type.Record(Type.String({ maxLength: 200 }), Moment) });
-const NoteReply = Type.Object({ ready: Type.Boolean(), floors: Floors });
+const NoteAsk = Type.Object({ floors: Floors, reports: Type.Array(UsageReportSchema, { maxItems: 10_000 }), through: Type.Record(Type.String({ maxLength: 200 }), Moment), set: SetNumber });
+const NoteReply = Type.Object({ ready: Type.Boolean(), floors: Floors, newer: NewerSet });
 
 /** A page of what a disk holds, after the key that ended the page before it; `next` is empty on the last (design 4.3). */
 const CopyAsk = Type.Object({ after: Type.String({ maxLength: 400 }) });
@@ -90,9 +101,21 @@
   notes: NoteAsk,
   entries: Type.Array(Type.Object({ key: Name, state: Type.Unknown() })),
   next: Type.String({ maxLength: 400 }),
+  /** The set that this core stood at before the page was read. */
+  set: SetNumber,
+});
+
+/** Asks a core to stand at a set, on its disk; one that stands at a later set tells it (design 4.8). */
+const AdoptAsk = Type.Object({ fleet: Name, set: CoreSetSchema });
+const AdoptReply = Type.Object({
+  adopted: Type.Boolean(),
+  newer: NewerSet,
+  /** Cores of its set that it has not heard for so long that they may be taken out. */
+  silent: Type.Array(Name, { maxItems: 100 }),
 });
 
-const JoinAsk = Type.Object({ seat: SeatSchema });
+/** `copied`: the number of the set that a core has copied which asks to be taken in (design 4.8). */
+const JoinAsk = Type.Object({ seat: SeatSchema, copied: SetNumber });
 const JoinReply = Type.Object({ joined: Type.Boolean(), reason: Type.String({ maxLength: 300 }) });
 
 const BeatAsk = Type.Object({
@@ -117,13 +140,15 @@
   accepted: Type.Boolean(), reason: Type.String({ maxLength: 300 }), epoch: Count, lessees: Type.Optional(Type.Array(Name, { maxItems: 20_000 })),
 });
 
-const RegisterAsk = Type.Object({ key: Name, ballot: BallotSchema });
-const AcceptAsk = Type.Object({ key: Name, entry: EntrySchema });
+/** `set`: the number of the set that the proposer counts majorities of; an acceptor at another gives no answer (design 4.8). */
+const RegisterAsk = Type.Object({ key: Name, ballot: BallotSchema, set: SetNumber });
+const AcceptAsk = Type.Object({ key: Name, entry: EntrySchema, set: SetNumber });
 const RegisterReply = Type.Object({
   ready: Type.Boolean(),
   agreed: Type.Boolean(),
   promised: BallotSchema,
   accepted: Type.Union([EntrySchema, Type.Null()]),
+  newer: NewerSet,
 });
 
 const WatchAsk = Type.Object({ node: Name, incarnation: Count, acknowledged: Count, obeyed: Count });
@@ -184,8 +209,11 @@
   positions: LogPositions,
   /** Members whose machines refused a connection of this edge. */
   notListening: Type.Array(Name, { maxItems: 1_000 }),
+  set: SetNumber,
 });
 const LeaseReply = Type.Object({
+  set: SetNumber,
+  newer: NewerSet,
   ready: Type.Boolean(),
   token: Type.String({ maxLength: 100 }),
   number: Count,
@@ -297,7 +325,8 @@
   propose: { ask: ProposeAsk, reply: ProposeReply },
   prepare: { ask: RegisterAsk, reply: RegisterReply },
   accept: { ask: AcceptAsk, reply: RegisterReply },
-  look: { ask: Type.Object({ key: Name }), reply: RegisterReply },
+  look: { ask: Type.Object({ key: Name, set: SetNumber }), reply: RegisterReply },
+  adopt: { ask: AdoptAsk, reply: AdoptReply },
   watch: { ask: WatchAsk, reply: WatchReply },
   note: { ask: NoteAsk, reply: NoteReply },
   usageLook: { ask: UsageLook, reply: UsageLookReply },
@@ -314,7 +343,7 @@
 export type Reply<Kind extends MessageKind> = Readonly<Static<(typeof messages)[Kind]['reply']>>;
 
 /** Numbered changes a core pushes down held links (design 5.2). */
-export const ChangeSchema = Type.Object({ number: Count, key: Name, entry: EntrySchema });
+export const ChangeSchema = Type.Object({ number: Count, key: Name, entry: EntrySchema, set: SetNumber });
 export type Change = Readonly<Static<typeof ChangeSchema>>;
 
 /** The first frame of each side: the versions it speaks; the highest that both speak is used (design 3.5). */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,11 +5,11 @@
   fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpMapping, type Instant, type Kernel,
 } from '@stallstall/kernel';
 import {
-  MembershipSchema, message, SettledSchema, type Ask, type Change, type Entry, type Membership, type NodeRole, type Reply, type Seat, type Settled,
+  MembershipSchema, message, SettledSchema, type Ask, type Change, type CoreSet, type Entry, type Membership, type NodeRole, type Reply, type Seat, type Settled,
 } from '@stallstall/message';
 import { peer, type Handlers, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { notes, notesService, proposer, registerService, watcher, type Notes, type NoteTarget, type Register, type RegisterTarget } from '@stallstall/register';
+import { notes, notesService, proposer, registerService, watcher, type CoreSets, type Notes, type NoteTarget, type Register, type RegisterTarget } from '@stallstall/register';
 import { fence, fenceService, termMilliseconds, type Fence } from '@stallstall/fence';
 import { election, electionService, liveness, livenessService, MemberStateSchema, type MemberProbe, type PlatformCalls, type VoteStore } from '@stallstall/elect';
 import { sheets, type Sheet, type SheetMember } from '@stallstall/sheet';
@@ -52,6 +52,8 @@
   lessees: () => readonly string[];
   released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
   onStance: () => void;
+  /** Another node tells of a newer set of cores (design 4.8). */
+  learn: (set: CoreSet) => void;
 }>;
 
 /** What differs between a core and an agent. */
@@ -87,6 +89,8 @@
   callPeer: (node: string) => Option.Option<Peer>;
   cores: () => readonly Seat[];
   setCores: (cores: readonly Seat[]) => void;
+  /** The set of cores that this node counts majorities of from now on, where it may change: its membership table as well (design 4.8). */
+  follow: (set: CoreSet) => void;
   incarnation: () => number;
   seat: () => Seat;
   fleet: () => string;
@@ -115,6 +119,7 @@
   const puts = new Map<string, number>();
   const greeting = new Set<string>();
   let cores: readonly Seat[] = [];
+  let followed: Option.Option<CoreSet> = Option.none;
   let fleetName = '';
   let incarnation = 0;
   let stopped = false;
@@ -143,8 +148,12 @@
     return Option.isSome(parts.own) ? [parts.own.value.note, ...remote] : remote;
   }
 
-  const register = proposer.create(kernel, settings.node, targets, () => cores.length);
-  const noted = notes.create(noteTargets, () => cores.length);
+  const sets: CoreSets = {
+    number: () => (Option.isSome(followed) ? followed.value.number : 0),
+    learn: (set) => (Option.isSome(registered) ? registered.value.learn(set) : undefined),
+  };
+  const register = proposer.create(kernel, settings.node, targets, () => cores.length, sets);
+  const noted = notes.create(noteTargets, () => cores.length, sets);
   kernel.services.offer(notesService, noted);
   kernel.services.offer(registerService, register);
   kernel.services.offer(livenessService, members);
@@ -153,7 +162,7 @@
     kernel.log('node.obeyed', { key, version: entry.version });
     if (key === 'membership') membershipChanged();
     parts.onObeyed(key);
-  });
+  }, { number: sets.number, includes: (core) => Option.isNone(followed) || cores.some((one) => one.node === core) });
 
   function configuration(): Option.Option<Obeyed<Configuration>> {
     const entry = watch.obeyed('configuration');
@@ -161,6 +170,7 @@
   }
 
   function membership(): Obeyed<Membership> {
+    if (Option.isSome(followed)) return { version: followed.value.number, value: followed.value };
     const entry = watch.obeyed('membership');
     return Option.isSome(entry) && message.fits(MembershipSchema, entry.value.value)
       ? { version: entry.value.version, value: entry.value.value }
@@ -275,9 +285,15 @@
     if (Option.isNone(reply) || peers.get(node)?.peer !== to) return;
     if (reply.value.superseded) return superseded();
     takeTold(node, reply.value);
+    if (Option.isSome(followed) && reply.value.membership > followed.value.number) void askNewer(to);
     terms.heard(node, { sentAt, epochs: reply.value.epochs });
   }
 
+  async function askNewer(to: Peer): Promise<void> {
+    const reply = await to.call('hello', { seat: ownSeat, incarnation, fleet: fleetName }, callMilliseconds);
+    if (Option.isSome(reply) && reply.value.fleet === fleetName && reply.value.set !== undefined) sets.learn(reply.value.set);
+  }
+
   async function watchCore(core: string, to: Peer): Promise<void> {
     if (!to.connected()) return;
     const sentAt = kernel.clock.now();
@@ -352,6 +368,14 @@
     for (const core of found) if (core.node !== settings.node) ensurePeer(core);
   }
 
+  function follow(set: CoreSet): void {
+    followed = Option.some(set);
+    setCores(set.seats);
+    for (const node of confirmations.keys()) if (quorum.seat(set, node) === undefined) confirmations.delete(node);
+    membershipChanged();
+    watch.recount();
+  }
+
   async function seed(address: string): Promise<void> {
     const dialled = peer.dial(kernel, identifiers.address(address));
     await kernels.every(kernel.clock, beatMilliseconds, async function greet() {
@@ -404,6 +428,8 @@
     let lastReason = '';
     while (goesOn()) {
       await kernel.clock.sleep(beatMilliseconds / 2);
+      // Where the set of cores changes by itself, a core asks to be taken in before it is of the fleet (design 4.8).
+      if (Option.isSome(registered)) continue;
       const table = membership().value;
       const standing = quorum.seat(table, settings.node);
       if (incarnation === 0 || (standing !== undefined && standing.address === settings.address && standing.outward === settings.outward)) continue;
@@ -492,7 +518,7 @@
   return {
     settings, handlers, mappings, configuration, membership, settled, controlUntil, fenceUntil,
     epochs,
-    notes: noted, start, stop, setCores, isStale,
+    notes: noted, start, stop, setCores, follow, isStale,
     changed: watch.changed,
     capsOfOthers: function capsOfOthers() {
       return quorum.withRole(membership().value, 'edge').filter((seat) => seat.node !== settings.node)
--- a/packages/register/src/acceptor.ts
+++ b/packages/register/src/acceptor.ts
@@ -2,12 +2,23 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, owner, type Disk, type Fault, type Owner } from '@stallstall/kernel';
-import { ballotZero, EntrySchema, BallotSchema, message, type Ask, type Ballot, type Entry, type Reply } from '@stallstall/message';
+import { ballotZero, EntrySchema, BallotSchema, message, type Ask, type Ballot, type CoreSet, type Entry, type Reply } from '@stallstall/message';
 
 export type CellState = Readonly<{ promised: Ballot; accepted: Entry | null }>;
 
 type Cell = { state: CellState };
 
+/** Where a disk stands in the order of the sets of cores (design 4.8). */
+export type Standing = Readonly<{
+  /** The number of the set stood at; below zero while it is between two. */
+  number: () => number;
+  /** What a proposer with an earlier set is told. */
+  newer: (told: number) => CoreSet | undefined;
+}>;
+
+/** A set that never changes. */
+const unchanging: Standing = { number: () => 0, newer: () => undefined };
+
 export type Acceptor = Readonly<{
   prepare: (ask: Ask<'prepare'>) => Promise<Reply<'prepare'>>;
   accept: (ask: Ask<'accept'>) => Promise<Reply<'accept'>>;
@@ -19,7 +30,10 @@
   page: (after: string) => Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>>;
   /** Takes over what another disk holds, never going back (design 4.3). */
   merge: (key: string, state: CellState) => Promise<boolean>;
+  /** Forgets all cells: a disk that was taken out of the set is as good as lost (design 4.8). */
+  wipe: () => Promise<boolean>;
   open: () => void;
+  close: () => void;
   ready: () => boolean;
 }>;
 
@@ -47,7 +61,9 @@
   return { promised, accepted: message.compareBallots(left.accepted.ballot, right.accepted.ballot) >= 0 ? left.accepted : right.accepted };
 }
 
-function create(disk: Disk, stored: ReadonlyMap<string, unknown>, onAccepted: (key: string, entry: Entry) => void, onDiskFailed: (error: Fault) => void): Acceptor {
+function create(
+  disk: Disk, stored: ReadonlyMap<string, unknown>, onAccepted: (key: string, entry: Entry) => void, onDiskFailed: (error: Fault) => void, standing: Standing = unchanging,
+): Acceptor {
   const cells = new Map<string, Owner<Cell>>();
   const states = new Map<string, CellState>();
   // The archive's cells share a few owners, so that a copy of many need not wait for one disk after another.
@@ -98,12 +114,22 @@
     return { ready: true, agreed, promised: state.promised, accepted: state.accepted };
   }
 
+  /** Whoever counts majorities of another set is given no answer; one that is behind is told the newer set (design 4.8). */
+  function stranger(set: number | undefined): Option.Option<Reply<'prepare'>> {
+    const told = set ?? 0;
+    if (told === standing.number()) return Option.none;
+    const newer = standing.newer(told);
+    return Option.some(newer === undefined ? unanswered : { ...unanswered, newer });
+  }
+
   function prepare(ask: Ask<'prepare'>): Promise<Reply<'prepare'>> {
     return on(ask.key, unanswered, async function promise(cell) {
       if (!open) return unanswered;
+      const strange = stranger(ask.set);
+      if (Option.isSome(strange)) return strange.value;
       if (message.compareBallots(ask.ballot, cell.state.promised) <= 0) return reply(cell.state, false);
       if (!(await keep(ask.key, cell, { promised: ask.ballot, accepted: cell.state.accepted }))) return unanswered;
-      return reply(cell.state, true);
+      return Option.getOrElse(() => reply(cell.state, true))(stranger(ask.set));
     });
   }
 
@@ -112,15 +138,20 @@
   function accept(ask: Ask<'accept'>): Promise<Reply<'accept'>> {
     return on(ask.key, unanswered, async function take(cell) {
       if (!open) return unanswered;
+      const strange = stranger(ask.set);
+      if (Option.isSome(strange)) return strange.value;
       if (message.compareBallots(ask.entry.ballot, cell.state.promised) !== 0) return reply(cell.state, false);
       if (!(await keep(ask.key, cell, { promised: ask.entry.ballot, accepted: ask.entry }))) return unanswered;
       onAccepted(ask.key, ask.entry);
-      return reply(cell.state, true);
+      // Looked at again: whoever reads this disk after it has left a set must find all that it ever agreed to in that set (design 4.8).
+      return Option.getOrElse(() => reply(cell.state, true))(stranger(ask.set));
     });
   }
 
   function look(ask: Ask<'look'>): Promise<Reply<'look'>> {
     if (!open) return Promise.resolve(unanswered);
+    const strange = stranger(ask.set);
+    if (Option.isSome(strange)) return Promise.resolve(strange.value);
     if (ask.key.startsWith(archivePrefix)) return on(ask.key, unanswered, (cell) => reply(cell.state, true));
     return Promise.resolve(reply(states.get(ask.key) ?? unborn, true));
   }
@@ -129,6 +160,14 @@
     return on(key, false, (cell) => keep(key, cell, higher(cell.state, state)));
   }
 
+  async function wipe(): Promise<boolean> {
+    let kept = true;
+    for (let found = await page(''); found.entries.length > 0; found = await page(found.next)) {
+      for (const { key } of found.entries) kept = (await on(key, false, (cell) => keep(key, cell, unborn))) && kept;
+    }
+    return kept;
+  }
+
   async function page(after: string): Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>> {
     const found = await disk.page(prefix, after === '' ? '' : prefix + after, pageBytes);
     const entries = found.map(([key, state]) => ({ key: key.slice(prefix.length), state }));
@@ -140,6 +179,7 @@
     accept,
     look,
     merge,
+    wipe,
     page,
     accepted: function accepted(key) {
       return Option.fromNullable(states.get(key)?.accepted);
@@ -155,6 +195,9 @@
     open: function start() {
       open = true;
     },
+    close: function close() {
+      open = false;
+    },
     ready: function ready() {
       return open;
     },
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -3,3 +3,4 @@
 export * from './watcher.js';
 export * from './keeper.js';
 export * from './notes.js';
+export * from './stepper.js';
--- a/packages/register/src/keeper.ts
+++ b/packages/register/src/keeper.ts
@@ -12,6 +12,7 @@
   /** Whether all that was told is on the disk. */
   synced: () => boolean;
   open: () => void;
+  close: () => void;
 }>;
 
 export const usageWindowMilliseconds = 5_000;
@@ -111,6 +112,9 @@
     open: function start() {
       open = true;
     },
+    close: function close() {
+      open = false;
+    },
   };
 }
 
--- a/packages/register/src/notes.ts
+++ b/packages/register/src/notes.ts
@@ -4,6 +4,7 @@
 import { fault, kernel as kernels, type Fault } from '@stallstall/kernel';
 import { message, type Ask, type Floors, type Reply } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
+import { unchangingSets, type CoreSets } from './proposer.js';
 
 export type NoteTarget = (body: Ask<'note'>, milliseconds: number) => Promise<Option.Option<Reply<'note'>>>;
 
@@ -16,25 +17,29 @@
 const noteMilliseconds = 800;
 const nothing: Ask<'note'> = { floors: {}, reports: [], through: {} };
 
-function create(targets: () => readonly NoteTarget[], total: () => number): Notes {
+function create(targets: () => readonly NoteTarget[], total: () => number, sets: CoreSets = unchangingSets): Notes {
   function note(body: Ask<'note'>): Promise<Either.Either<Fault, Floors>> {
     return new Promise(function collect(resolve) {
+      // One set from beginning to end: its disks, its majority, its number (design 4.8).
       const asked = targets();
-      const needed = quorum.majority(total());
+      const size = total();
+      const needed = quorum.majority(size);
+      const numbered: Ask<'note'> = sets.number() === 0 ? body : { ...body, set: sets.number() };
       let left = asked.length;
       let kept = 0;
       let floors: Floors = {};
       function settle(): void {
-        if (total() > 0 && kept >= needed) resolve(Either.right(floors));
+        if (size > 0 && kept >= needed) resolve(Either.right(floors));
         else if (left === 0) {
           resolve(Either.left(fault.create({
-            kind: 'no-majority', message: `only ${kept} of ${total()} core disks have noted it`, remedy: 'bring cores back, or mend their disks', retryAfterSeconds: 1,
+            kind: 'no-majority', message: `only ${kept} of ${size} core disks have noted it`, remedy: 'bring cores back, or mend their disks', retryAfterSeconds: 1,
           })));
         }
       }
       async function ask(target: NoteTarget): Promise<void> {
-        const reply = await target(body, noteMilliseconds);
+        const reply = await target(numbered, noteMilliseconds);
         left -= 1;
+        if (Option.isSome(reply) && reply.value.newer !== undefined) sets.learn(reply.value.newer);
         if (Option.isSome(reply) && reply.value.ready) {
           kept += 1;
           floors = message.higherFloors(floors, reply.value.floors);
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, identifiers, kernel as kernels, type Fault, type Kernel } from '@stallstall/kernel';
-import { ballotZero, message, type Ask, type Ballot, type Entry, type Reply } from '@stallstall/message';
+import { ballotZero, message, type Ask, type Ballot, type CoreSet, type Entry, type Reply } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
 
 type RegisterKind = 'prepare' | 'accept' | 'look';
@@ -13,6 +13,12 @@
   ask: <Kind extends RegisterKind>(kind: Kind, body: Ask<Kind>, milliseconds: number) => Promise<Option.Option<Reply<Kind>>>;
 }>;
 
+/** Which set of cores is counted, and who is told of a newer one (design 4.8). */
+export type CoreSets = Readonly<{ number: () => number; learn: (set: CoreSet) => void }>;
+
+/** A set that never changes. */
+export const unchangingSets: CoreSets = { number: () => 0, learn: () => undefined };
+
 export type Changed = Readonly<{ wrote: boolean; entry: Option.Option<Entry> }>;
 
 export type Register = Readonly<{
@@ -24,6 +30,11 @@
   change: (key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>, milliseconds?: number) => Promise<Either.Either<Fault, Changed>>;
 }>;
 
+export type NumberedRegister = Register & Readonly<{
+  /** The register under one set of cores alone: once another is stood at here, reads and changes fail (design 4.8). */
+  under: (set: number) => Register;
+}>;
+
 const callMilliseconds = 800;
 const defaultHorizonMilliseconds = 4_000;
 const backoffMilliseconds = 20;
@@ -32,7 +43,7 @@
 
 /** Asks every target and settles as soon as `enough` holds, or all have answered or fallen silent. */
 function gather<Kind extends RegisterKind>(
-  targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean,
+  targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean, learn: CoreSets['learn'],
 ): Promise<readonly Replied[]> {
   return new Promise(function collect(resolve) {
     const replies: Replied[] = [];
@@ -41,6 +52,7 @@
     async function ask(target: RegisterTarget): Promise<void> {
       const reply = await target.ask(kind, body, milliseconds);
       left -= 1;
+      if (Option.isSome(reply) && reply.value.newer !== undefined) learn(reply.value.newer);
       if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value as Reply<'prepare'> });
       if (left === 0 || enough(replies)) resolve([...replies]);
     }
@@ -70,7 +82,7 @@
   });
 }
 
-function create(kernel: Kernel, name: string, targets: () => readonly RegisterTarget[], total: () => number): Register {
+function create(kernel: Kernel, name: string, targets: () => readonly RegisterTarget[], total: () => number, sets: CoreSets = unchangingSets): NumberedRegister {
   const proposer = `${name}#${kernel.randomness.token()}`;
   let counter = 0;
 
@@ -92,15 +104,19 @@
     for (const one of replies) counter = Math.max(counter, one.reply.promised.counter);
   }
 
-  function majorityOf(replies: readonly Replied[]): boolean {
-    return total() > 0 && replies.length >= quorum.majority(total());
+  /** Taken once for each round: its disks, its majority and its number are of one set (design 4.8). */
+  type Round = Readonly<{ asked: readonly RegisterTarget[]; set: Readonly<{ set?: number }>; majorityOf: (replies: readonly Replied[]) => boolean }>;
+
+  function begin(): Round {
+    const size = total();
+    const number = sets.number();
+    return { asked: targets(), set: number === 0 ? {} : { set: number }, majorityOf: (replies) => size > 0 && replies.length >= quorum.majority(size) };
   }
 
   async function shot(key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>): Promise<Option.Option<Changed>> {
     const ballot = nextBallot();
-    const promised = await gather(targets(), 'prepare', { key, ballot }, callMilliseconds, function enough(replies) {
-      return majorityOf(agreed(replies));
-    });
+    const { asked, set, majorityOf } = begin();
+    const promised = await gather(asked, 'prepare', { key, ballot, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn);
     learn(promised);
     const promises = agreed(promised);
     if (!majorityOf(promises)) return Option.none;
@@ -111,47 +127,47 @@
       ? { ballot, version: Option.isSome(current) ? current.value.version + 1 : 1, value: decided.value }
       : { ...(current as Option.Some<Entry>).value, ballot };
     // Only those whose promises were counted are asked to accept (design 5.1).
-    const accepted = await gather(
-      promises.map(function target(one) {
-        return one.target;
-      }),
-      'accept', { key, entry }, callMilliseconds,
-      function enough(replies) {
-        return majorityOf(agreed(replies));
-      },
-    );
+    const accepted = await gather(promises.map((one) => one.target), 'accept', { key, entry, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn);
     learn(accepted);
     return majorityOf(agreed(accepted)) ? Option.some({ wrote: Option.isSome(decided), entry: Option.some(entry) }) : Option.none;
   }
 
-  async function change(
-    key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>, milliseconds = defaultHorizonMilliseconds,
-  ): Promise<Either.Either<Fault, Changed>> {
-    const horizon = identifiers.after(kernel.clock.now(), milliseconds);
-    for (let shots = 1; ; shots += 1) {
-      const outcome = await shot(key, decide);
-      if (Option.isSome(outcome)) return Either.right(outcome.value);
-      const pause = backoffMilliseconds * Math.min(shots, 10) * (0.5 + kernel.randomness.fraction());
-      if (kernel.clock.now() + pause >= horizon) return Either.left(noMajority(key));
-      await kernel.clock.sleep(pause);
-    }
-  }
-
   function keep(): Option.Option<unknown> {
     return Option.none;
   }
 
-  async function read(key: string, milliseconds = defaultHorizonMilliseconds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
-    const replies = await gather(targets(), 'look', { key }, callMilliseconds, majorityOf);
-    if (majorityOf(replies) && sameEverywhere(replies)) return Either.right(highestEntry(replies));
-    const completed = await change(key, keep, milliseconds);
-    return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
+  function counting(holds: () => boolean): Register {
+    async function change(
+      key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>, milliseconds = defaultHorizonMilliseconds,
+    ): Promise<Either.Either<Fault, Changed>> {
+      const horizon = identifiers.after(kernel.clock.now(), milliseconds);
+      for (let shots = 1; holds(); shots += 1) {
+        const outcome = await shot(key, decide);
+        if (Option.isSome(outcome)) return Either.right(outcome.value);
+        const pause = backoffMilliseconds * Math.min(shots, 10) * (0.5 + kernel.randomness.fraction());
+        if (kernel.clock.now() + pause >= horizon) return Either.left(noMajority(key));
+        await kernel.clock.sleep(pause);
+      }
+      return Either.left(noMajority(key));
+    }
+
+    async function read(key: string, milliseconds = defaultHorizonMilliseconds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
+      if (!holds()) return Either.left(noMajority(key));
+      const { asked, set, majorityOf } = begin();
+      const replies = await gather(asked, 'look', { key, ...set }, callMilliseconds, majorityOf, sets.learn);
+      if (majorityOf(replies) && sameEverywhere(replies)) return Either.right(highestEntry(replies));
+      const completed = await change(key, keep, milliseconds);
+      return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
+    }
+
+    return { read, change };
   }
 
-  return { read, change };
+  // The set can only change between two rounds of a caller that looks at it in the same turn in which a round begins.
+  return { ...counting(() => true), under: (set) => counting(() => sets.number() === set) };
 }
 
 /** The name under which a process's other services find its register (design 2.1). */
-export const registerService = kernels.serviceName<Register>('register');
+export const registerService = kernels.serviceName<NumberedRegister>('register');
 
 export const proposer = { create } as const;
--- a/packages/register/src/watcher.ts
+++ b/packages/register/src/watcher.ts
@@ -9,6 +9,8 @@
 
 export type Watcher = Readonly<{
   changed: (core: string, change: Change) => void;
+  /** The set of cores has changed: what was handed over is counted anew, over the cores that are left (design 4.8). */
+  recount: () => void;
   obeyed: (key: string) => Option.Option<Entry>;
   keys: () => readonly string[];
   /** Reads what is in doubt; called at each beat, so that an interrupted round is completed by whoever meets it. */
@@ -17,13 +19,18 @@
 
 const doubtMilliseconds = 300;
 
-type Known = { readonly fromCore: Map<string, Entry>; obeyed: Option.Option<Entry>; doubtSince: Option.Option<number>; reading: boolean };
+type Handed = Readonly<{ entry: Entry; set: number }>;
+type Known = { readonly fromCore: Map<string, Handed>; obeyed: Option.Option<Entry>; doubtSince: Option.Option<number>; reading: boolean };
 
 function watched(key: string): boolean {
   return key === 'configuration' || key === 'membership' || key.startsWith('epoch/');
 }
 
-function create(kernel: Kernel, register: Register, total: () => number, onObeyed: (key: string, entry: Entry) => void): Watcher {
+/** Cores of which set are counted, where it may change. */
+export type Counted = Readonly<{ number: () => number; includes: (core: string) => boolean }>;
+const everyCore: Counted = { number: () => 0, includes: () => true };
+
+function create(kernel: Kernel, register: Register, total: () => number, onObeyed: (key: string, entry: Entry) => void, cores: Counted = everyCore): Watcher {
   const known = new Map<string, Known>();
 
   function knownOf(key: string): Known {
@@ -44,20 +51,39 @@
 
   function inDoubt(knowledge: Known): boolean {
     const version = Option.isSome(knowledge.obeyed) ? knowledge.obeyed.value.version : 0;
-    for (const entry of knowledge.fromCore.values()) if (entry.version > version) return true;
+    for (const { entry } of knowledge.fromCore.values()) if (entry.version > version) return true;
     return false;
   }
 
-  function changed(core: string, change: Change): void {
-    const knowledge = knownOf(change.key);
-    knowledge.fromCore.set(core, change.entry);
+  /** Only what cores handed over while they stood at this very set is counted: each hands it over anew at every set (design 4.8). */
+  function count(key: string, knowledge: Known, ballot: Entry): void {
     let same = 0;
-    for (const entry of knowledge.fromCore.values()) if (message.compareBallots(entry.ballot, change.entry.ballot) === 0) same += 1;
-    if (total() > 0 && same >= quorum.majority(total())) obey(change.key, change.entry);
+    for (const [core, handed] of knowledge.fromCore) {
+      if (cores.includes(core) && handed.set === cores.number() && message.compareBallots(handed.entry.ballot, ballot.ballot) === 0) same += 1;
+    }
+    if (total() > 0 && same >= quorum.majority(total())) obey(key, ballot);
+  }
+
+  function doubt(knowledge: Known): void {
     if (!inDoubt(knowledge)) knowledge.doubtSince = Option.none;
     else if (Option.isNone(knowledge.doubtSince)) knowledge.doubtSince = Option.some(kernel.clock.now());
   }
 
+  function changed(core: string, change: Change): void {
+    const knowledge = knownOf(change.key);
+    knowledge.fromCore.set(core, { entry: change.entry, set: change.set ?? 0 });
+    count(change.key, knowledge, change.entry);
+    doubt(knowledge);
+  }
+
+  function recount(): void {
+    for (const [key, knowledge] of known) {
+      for (const core of knowledge.fromCore.keys()) if (!cores.includes(core)) knowledge.fromCore.delete(core);
+      for (const { entry } of [...knowledge.fromCore.values()]) count(key, knowledge, entry);
+      doubt(knowledge);
+    }
+  }
+
   async function readDoubtful(key: string, knowledge: Known): Promise<void> {
     knowledge.reading = true;
     const read = await register.read(key, 1_000);
@@ -75,6 +101,7 @@
 
   return {
     changed,
+    recount,
     resolve,
     obeyed: function obeyed(key) {
       return known.get(key)?.obeyed ?? Option.none;
--- a/packages/simulator/src/fuzz.ts
+++ b/packages/simulator/src/fuzz.ts
@@ -87,7 +87,7 @@
   usageLook: { ready: true, reports: [], through: {} },
   tell: { kept: true }, status: { status: {} },
   feed: { configuration: null, configurationVersion: 1, term: 900, services: [], shares: {}, draining: false, area: 'north', node: 'edge-1' },
-  spread: { taken: true },
+  spread: { taken: true }, adopt: { adopted: true, silent: ['core-3'] },
   lease: { ready: true, token: 't', number: 1, stances: { bookings: 1 }, configuration: 1, membership: 1, puts: 1, roster: [], whole: false, edges: 1 },
   placement: { token: 't', number: 1, configuration: null, configurationVersion: 1, services: [], roster: null, edges: 1, area: 'north', node: 'edge-1' },
 };
