--- /dev/null
+++ b/packages/simulator/src/core-fleet.ts
@@ -0,0 +1,218 @@
+// Cores alone, of a set that changes by itself, and one edge that follows them (design 4.8).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { core, type Core, type Door } from '@stallstall/core';
+import { fault, type HttpAsk } from '@stallstall/kernel';
+import { lessee as lessees, type Lessee } from '@stallstall/lease';
+import { registerService } from '@stallstall/register';
+import { areas, deployments, redComun } from '@stallstall/stand-in';
+import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
+
+export type CoreMachine = {
+  readonly name: string; readonly machine: string; readonly address: string; readonly outward: string;
+  disk: SimulatedDisk; process: Process | undefined; running: Core | undefined; door: Door | undefined;
+};
+
+export type CoreFleet = Readonly<{
+  world: World;
+  machines: CoreMachine[];
+  edge: Lessee;
+  /** Sends configurations one after the other, each to the next core that is there, until told to stop. */
+  startOperator: () => Readonly<{ stop: () => void }>;
+  /** The highest version that any core acknowledged. */
+  acknowledged: () => number;
+  /** The version that a core reads back as the newest; none when it cannot. */
+  readAt: (machine: CoreMachine) => Promise<Option.Option<number>>;
+  /** An acknowledged version was not read back, or none was obeyed by the edge's lease. */
+  violations: readonly string[];
+  /** How often the edge's lease was found to have run out while a majority could have granted it. */
+  leaseGaps: () => number;
+  start: (machine: CoreMachine, founds: boolean) => Promise<void>;
+  /** A machine that nobody has met, with an empty disk; its seeds may be any. */
+  spare: (seeds: readonly string[]) => Promise<CoreMachine>;
+  kill: (machine: CoreMachine) => void;
+  cutOff: (machine: CoreMachine) => void;
+  machine: (name: string) => CoreMachine;
+  setOf: (machine: CoreMachine) => Readonly<{ number: number; cores: readonly string[] }>;
+  until: (condition: () => boolean, milliseconds: number) => Promise<boolean>;
+}>;
+
+const service = redComun.services[0] as string;
+const restartMilliseconds = 500;
+const sendMilliseconds = 40;
+
+function nobody(): HttpAsk {
+  return { method: 'POST', path: '/none', body: {} };
+}
+
+async function create(seed: number, founded: number, tolerance = 1): Promise<CoreFleet> {
+  const world = worlds.create(seed);
+  const machines: CoreMachine[] = [];
+  const seedsOf = new Map<CoreMachine, readonly string[]>();
+  const violations: string[] = [];
+  let acknowledged = 0;
+  let sent = 0;
+  let gaps = 0;
+
+  function add(): CoreMachine {
+    const number = machines.length + 1;
+    const machine: CoreMachine = {
+      name: `core-${number}`, machine: `core-machine-${number}`, address: `10.1.0.${number}:7000`, outward: `10.1.0.${number}:7001`,
+      disk: world.disk(), process: undefined, running: undefined, door: undefined,
+    };
+    machines.push(machine);
+    return machine;
+  }
+
+  async function start(machine: CoreMachine, founds: boolean): Promise<void> {
+    const spawned = world.spawn(machine.name, machine.machine, machine.disk);
+    machine.process = spawned;
+    const seeds = seedsOf.get(machine) ?? [];
+    const started = await core.start(spawned.kernel, {
+      node: machine.name, area: areas[machines.indexOf(machine) % areas.length] as string, address: machine.address, outward: machine.outward,
+      seeds: () => seeds, platform: () => '10.4.0.1:9000', cores: 3,
+    }, Option.some({
+      calls: { promotion: nobody, usage: nobody, restMilliseconds: 3_000 },
+      probe: {
+        ask: () => Promise.resolve(Either.left(fault.create({ kind: 'unreachable', message: 'no member runs here', remedy: 'none is needed' }))),
+        hold: () => Promise.resolve(Either.right(null)),
+      },
+      pages: function capture(door) {
+        machine.door = door;
+        return [];
+      },
+      door: machine.outward.replace(':7001', ':7002'), founds, founders: seeds, tolerance,
+    }));
+    if (Either.isRight(started)) machine.running = started.right;
+    else spawned.kernel.stop(started.left);
+  }
+
+  /** What ended by itself is started again, as the platform does. */
+  function restartEnded(): void {
+    for (const machine of machines) {
+      if (machine.process !== undefined && !machine.process.alive() && Option.isSome(machine.process.stoppedBy())) void start(machine, false);
+    }
+    world.at(restartMilliseconds, restartEnded);
+  }
+
+  async function spare(seeds: readonly string[]): Promise<CoreMachine> {
+    const machine = add();
+    seedsOf.set(machine, seeds);
+    await start(machine, false);
+    return machine;
+  }
+
+  function kill(machine: CoreMachine): void {
+    if (machine.process !== undefined) world.kill(machine.process);
+    machine.process = undefined;
+    machine.running = undefined;
+    machine.door = undefined;
+  }
+
+  function cutOff(machine: CoreMachine): void {
+    for (const other of [...machines.map((one) => one.machine), 'edge-machine']) {
+      if (other === machine.machine) continue;
+      world.cut(other, machine.machine);
+      world.cut(machine.machine, other);
+    }
+  }
+
+  const sheet = deployments.sheet(redComun, redComun.services.flatMap((name, group) => areas.map((area, index) => (
+    { service: name, member: `${name}-${index + 1}`, area, address: `10.3.${group}.${index + 1}:5000`, control: `10.3.${group}.${index + 1}:5001` }
+  ))), 'sender-key-0001');
+
+  async function readAt(machine: CoreMachine): Promise<Option.Option<number>> {
+    if (machine.door === undefined || machine.process?.alive() !== true) return Option.none;
+    const reading = machine.door.source();
+    let read: Option.Option<Either.Either<unknown, string>> = Option.none;
+    void reading.then((text) => {
+      read = Option.some(text);
+    });
+    for (let spent = 0; Option.isNone(read) && spent < 10_000; spent += 20) await world.run(20);
+    const found = Option.toNullable(read as Option.Option<Either.Either<unknown, string>>);
+    return found !== null && Either.isRight(found) ? Option.some(Number(found.right)) : Option.none;
+  }
+
+  function startOperator(): Readonly<{ stop: () => void }> {
+    let stopped = false;
+    async function send(version: number, machine: CoreMachine): Promise<void> {
+      const { door, process } = machine;
+      if (door === undefined || process?.alive() !== true) return;
+      const taken = await door.configure({ version, source: String(version) }, sheet);
+      if (Either.isRight(taken) && process.alive()) acknowledged = Math.max(acknowledged, version);
+    }
+    async function check(machine: CoreMachine): Promise<void> {
+      const { door, process } = machine;
+      const before = acknowledged;
+      if (door === undefined || process?.alive() !== true) return;
+      const read = await door.source();
+      if (Either.isRight(read) && process.alive() && Number(read.right) < before) violations.push(`${machine.name} read ${read.right} after ${before} was acknowledged`);
+    }
+    function next(): void {
+      if (stopped) return;
+      sent += 1;
+      void send(sent, machines[sent % machines.length] as CoreMachine);
+      void check(machines[(sent * 7 + 3) % machines.length] as CoreMachine);
+      world.at(sendMilliseconds, next);
+    }
+    next();
+    return {
+      stop: function stop() {
+        stopped = true;
+      },
+    };
+  }
+
+  for (let index = 0; index < founded; index += 1) add();
+  const seeds = machines.slice(0, 3).map((machine) => machine.address);
+  for (const machine of machines) seedsOf.set(machine, seeds);
+  for (const machine of [...machines]) await start(machine, true);
+  const edgeProcess = world.spawn('edge-1', 'edge-machine');
+  const edge = lessees.create(edgeProcess.kernel, { node: 'edge-1', area: areas[0] as string, seeds: () => seeds }, {
+    released: () => ({}), positions: () => ({}), notListening: () => [], onChange: () => undefined,
+  });
+  edge.start();
+  world.at(restartMilliseconds, restartEnded);
+
+  async function until(condition: () => boolean, milliseconds: number): Promise<boolean> {
+    for (let spent = 0; spent < milliseconds; spent += 20) {
+      if (condition()) return true;
+      await world.run(20);
+    }
+    return condition();
+  }
+
+  function everyFounded(): boolean {
+    return machines.every((machine) => machine.running?.open() === true) && edge.cores() === founded;
+  }
+
+  if (!(await until(everyFounded, 10_000))) throw new Error('the cores did not found a fleet');
+  const first = machines[0] as CoreMachine;
+  const opened = first.door?.configure({ version: 0, source: '0' }, sheet);
+  const register = first.process?.kernel.services.find(registerService);
+  const settled = register?.change(`epoch/${service}`, () => Option.some({ epoch: 1, primary: `${service}-1`, wonBy: first.name, position: 0, settledAt: 0 }));
+  let done = false;
+  void Promise.all([opened, settled]).then(() => {
+    done = true;
+  });
+  if (!(await until(() => done && edge.leaseUntil(service) > edgeProcess.kernel.clock.now(), 10_000))) throw new Error('the edge was granted no lease');
+
+  function lookAtLease(): void {
+    if (edge.leaseUntil(service) <= edgeProcess.kernel.clock.now()) gaps += 1;
+    world.at(20, lookAtLease);
+  }
+  lookAtLease();
+
+  return {
+    world, machines, edge, startOperator, readAt, violations, start, spare, kill, cutOff, until,
+    acknowledged: () => acknowledged,
+    leaseGaps: () => gaps,
+    machine: (name) => machines.find((one) => one.name === name) as CoreMachine,
+    setOf: function setOf(machine) {
+      const membership = machine.running?.node.membership();
+      return { number: membership?.version ?? 0, cores: machine.running?.open() === true ? (membership?.value.seats ?? []).map((seat) => seat.node) : [] };
+    },
+  };
+}
+
+export const coreFleet = { create } as const;
