--- a/packages/core/src/cores.ts
+++ b/packages/core/src/cores.ts
@@ -115,6 +115,7 @@
     if (!kept) return false;
     if (!listed) {
       cells.close();
+      kernel.log('core.departed', { set: set.number });
       kernel.stop(fault.create({ kind: 'departed', message: `${node.settings.node} was taken out of the set of cores`, remedy: 'started again, it copies the others and joins anew' }));
       return true;
     }
@@ -193,6 +194,7 @@
     }
     if (isListed()) return { joined: true, reason: '' };
     const done: Either.Either<Fault, CoreSet> = await steps.step(function next(set) {
+      kernel.log('core.proposes', { node: ask.seat.node, set: set.number + 1 });
       const listed = quorum.seat(set, ask.seat.node);
       if (listed?.address === ask.seat.address || (listed === undefined && ask.copied !== set.number)) return Option.none;
       return Option.some(quorum.put({ seats: set.seats, epochs: {} }, ask.seat).seats);
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -64,6 +64,8 @@
   const held = new Map<string, Held>();
   const told = new Map<string, Told>();
   const floors = new Map<string, number>();
+  /** A lease that an earlier set granted runs to its end: the next step but one waits for that (design 4.8). */
+  const carried = new Map<string, Readonly<{ epoch: number; until: Instant }>>();
   const greeting = new Set<string>();
   let cores: readonly Seat[] = [];
   let setNumber = 0;
@@ -102,6 +104,10 @@
   function follow(set: CoreSet): void {
     if (stopped || set.number <= setNumber) return;
     kernel.log('lessee.follows', { set: set.number, cores: set.seats.length });
+    for (const service of services()) {
+      const known = settled(service);
+      if (Option.isSome(known)) carried.set(service, { epoch: known.value.epoch, until: leaseUntil(service) });
+    }
     setNumber = set.number;
     cores = set.seats;
     for (const [core, link] of held) {
@@ -139,7 +145,10 @@
   function leaseUntil(service: string): Instant {
     const known = settled(service);
     if (Option.isNone(known) || known.value.epoch < (floors.get(service) ?? 0)) return identifiers.instant(Number.NEGATIVE_INFINITY);
-    return grants.until(service, known.value.epoch, names(), cores.length, true, false);
+    const { epoch } = known.value;
+    const until = grants.until(service, epoch, names(), cores.length, true, false);
+    const before = carried.get(service);
+    return before !== undefined && before.epoch === epoch && before.until > until ? before.until : until;
   }
 
   /** Once a majority stands beyond the settled epoch the lease is gone for good: it is let go, and not taken up again (design 7.12). */
--- a/packages/simulator/src/core-fleet.ts
+++ b/packages/simulator/src/core-fleet.ts
@@ -21,6 +21,8 @@
   startOperator: () => Readonly<{ stop: () => void }>;
   /** The highest version that any core acknowledged. */
   acknowledged: () => number;
+  acknowledgedBy: (name: string) => number;
+  lastAcknowledger: () => string;
   /** The version that a core reads back as the newest; none when it cannot. */
   readAt: (machine: CoreMachine) => Promise<Option.Option<number>>;
   /** An acknowledged version was not read back, or none was obeyed by the edge's lease. */
@@ -50,7 +52,9 @@
   const machines: CoreMachine[] = [];
   const seedsOf = new Map<CoreMachine, readonly string[]>();
   const violations: string[] = [];
+  const byCore = new Map<string, number>();
   let acknowledged = 0;
+  let last = '';
   let sent = 0;
   let gaps = 0;
 
@@ -139,7 +143,10 @@
       const { door, process } = machine;
       if (door === undefined || process?.alive() !== true) return;
       const taken = await door.configure({ version, source: String(version) }, sheet);
-      if (Either.isRight(taken) && process.alive()) acknowledged = Math.max(acknowledged, version);
+      if (Either.isLeft(taken) || !process.alive()) return;
+      acknowledged = Math.max(acknowledged, version);
+      byCore.set(machine.name, (byCore.get(machine.name) ?? 0) + 1);
+      last = machine.name;
     }
     async function check(machine: CoreMachine): Promise<void> {
       const { door, process } = machine;
@@ -206,6 +213,8 @@
   return {
     world, machines, edge, startOperator, readAt, violations, start, spare, kill, cutOff, until,
     acknowledged: () => acknowledged,
+    acknowledgedBy: (name) => byCore.get(name) ?? 0,
+    lastAcknowledger: () => last,
     leaseGaps: () => gaps,
     machine: (name) => machines.find((one) => one.name === name) as CoreMachine,
     setOf: function setOf(machine) {
--- /dev/null
+++ b/packages/stories/src/cores.ts
@@ -0,0 +1,201 @@
+// Steps of the stories about a set of cores that changes by itself (design 4.8).
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { coreFleet, type CoreFleet, type CoreMachine } from '@stallstall/simulator';
+
+type CoreStory = { cores: CoreFleet; operator: Readonly<{ stop: () => void }>; lost: string[]; acknowledgedThen: number };
+
+function alive(fleet: CoreFleet): readonly CoreMachine[] {
+  return fleet.machines.filter((machine) => machine.process?.alive() === true);
+}
+
+/** All that run and are of the set stand at the same one, and it has these cores. */
+function standAt(fleet: CoreFleet, holds: (cores: readonly string[]) => boolean): boolean {
+  const sets = alive(fleet).map((machine) => ({ machine, set: fleet.setOf(machine) }));
+  const newest = Math.max(...sets.map((one) => one.set.number));
+  const cores = sets.find((one) => one.set.number === newest)?.set.cores ?? [];
+  return holds(cores) && sets.filter((one) => cores.includes(one.machine.name)).every((one) => one.set.number === newest && one.set.cores.length === cores.length);
+}
+
+function told(fleet: CoreFleet): string {
+  return JSON.stringify(fleet.machines.map((machine) => ({ name: machine.name, ...fleet.setOf(machine) })));
+}
+
+async function within(fleet: CoreFleet, seconds: number, holds: (cores: readonly string[]) => boolean): Promise<void> {
+  assert.ok(await fleet.until(() => standAt(fleet, holds), seconds * 1_000), told(fleet));
+}
+
+async function readBack(fleet: CoreFleet): Promise<void> {
+  assert.deepEqual(fleet.violations, []);
+  const before = fleet.acknowledged();
+  assert.ok(before > 0, 'nothing was acknowledged');
+  for (const machine of alive(fleet)) {
+    if (!fleet.setOf(machine).cores.includes(machine.name)) continue;
+    const read = await fleet.readAt(machine);
+    assert.ok(Option.isSome(read) && read.value >= before, `${machine.name} read ${JSON.stringify(read)} after ${before} was acknowledged`);
+  }
+}
+
+Given('{int} cores that founded a fleet, an edge with its lease, and an operator who sends configurations', async function given(this: CoreStory, founded: number) {
+  this.cores = await coreFleet.create(5, founded, founded > 5 ? 2 : 1);
+  this.operator = this.cores.startOperator();
+  this.lost = [];
+  await this.cores.world.run(1_500);
+});
+
+When('core-{int} is lost for good', function when(this: CoreStory, index: number) {
+  this.lost.push(`core-${index}`);
+  this.cores.kill(this.cores.machine(`core-${index}`));
+});
+
+When('a blank machine comes whose seeds name core-1 and core-2', async function when(this: CoreStory) {
+  await this.cores.spare(['core-1', 'core-2'].map((name) => this.cores.machine(name).address));
+});
+
+When('a blank machine comes that can reach nobody', async function when(this: CoreStory) {
+  await this.cores.spare(['10.9.9.9:7000']);
+  await this.cores.world.run(1_000);
+});
+
+When('core-{int} is killed and comes back after {int} s with its disk', async function when(this: CoreStory, index: number, seconds: number) {
+  const machine = this.cores.machine(`core-${index}`);
+  this.cores.kill(machine);
+  await this.cores.world.run(seconds * 1_000);
+  await this.cores.start(machine, false);
+});
+
+async function killAsItCopies(fleet: CoreFleet, index: number): Promise<CoreMachine> {
+  const machine = fleet.machine(`core-${index}`);
+  const seen = fleet.world.logs.length;
+  for (let spent = 0; !fleet.world.logs.slice(seen).some((line) => line.process === machine.name && line.event === 'core.copying'); spent += 1) {
+    assert.ok(spent < 10_000, 'it never copied');
+    await fleet.world.run(1);
+  }
+  await fleet.world.run(2);
+  assert.equal(machine.running?.open(), false);
+  fleet.kill(machine);
+  return machine;
+}
+
+When('core-{int} is killed as it copies, and comes back with its disk', async function when(this: CoreStory, index: number) {
+  const machine = await killAsItCopies(this.cores, index);
+  await this.cores.world.run(800);
+  await this.cores.start(machine, false);
+});
+
+When('core-{int} is killed as it copies, for good', async function when(this: CoreStory, index: number) {
+  await killAsItCopies(this.cores, index);
+});
+
+When('{int} s of cores pass', async function when(this: CoreStory, seconds: number) {
+  await this.cores.world.run(seconds * 1_000);
+});
+
+When('core-{int} is cut off', function when(this: CoreStory, index: number) {
+  this.cores.cutOff(this.cores.machine(`core-${index}`));
+  this.acknowledgedThen = this.cores.acknowledgedBy(`core-${index}`);
+});
+
+When('the cuts are healed', function when(this: CoreStory) {
+  this.cores.world.healAll();
+});
+
+Then('core-{int} has acknowledged nothing since it was cut off', function then(this: CoreStory, index: number) {
+  assert.equal(this.cores.acknowledgedBy(`core-${index}`), this.acknowledgedThen);
+});
+
+Then('core-{int} logged that it departed, and copied', function then(this: CoreStory, index: number) {
+  const lines = this.cores.world.logs.filter((line) => line.process === `core-${index}`).map((line) => line.event);
+  assert.ok(lines.includes('core.departed') && lines.lastIndexOf('core.copying') > lines.indexOf('core.departed'), lines.filter((line) => line.startsWith('core.')).join(' '));
+});
+
+async function lastAcknowledger(fleet: CoreFleet): Promise<CoreMachine> {
+  const before = fleet.acknowledged();
+  assert.ok(await fleet.until(() => fleet.acknowledged() > before, 2_000));
+  return fleet.machine(fleet.lastAcknowledger());
+}
+
+When('the core that acknowledged last is lost for good, at once, and a blank machine takes its place', async function when(this: CoreStory) {
+  const machine = await lastAcknowledger(this.cores);
+  this.lost.push(machine.name);
+  this.cores.kill(machine);
+  await this.cores.world.run(1_000);
+  await this.cores.spare(alive(this.cores).map((one) => one.address));
+});
+
+When('the core that acknowledged last loses its disk, at once, and comes back', async function when(this: CoreStory) {
+  const machine = await lastAcknowledger(this.cores);
+  this.cores.kill(machine);
+  machine.disk = this.cores.world.disk();
+  await this.cores.world.run(800);
+  await this.cores.start(machine, false);
+});
+
+Then('within {int} s the cores are {int}, without one that was lost', async function then(this: CoreStory, seconds: number, count: number) {
+  await within(this.cores, seconds, (cores) => cores.length === count && this.lost.some((name) => !cores.includes(name)));
+});
+
+Then('within {int} s the cores are {int}, without the one that was lost', async function then(this: CoreStory, seconds: number, count: number) {
+  await within(this.cores, seconds, (cores) => cores.length === count && this.lost.every((name) => !cores.includes(name)));
+});
+
+Then(/^within (\d+) s the cores are (core-[^\d]*\d.*)$/, async function then(this: CoreStory, seconds: string, names: string) {
+  const wanted = names.split(/, | and /);
+  await within(this.cores, Number(seconds), (cores) => cores.join(' ') === wanted.join(' '));
+});
+
+Then('the edge follows {int} cores and its lease never ran out', async function then(this: CoreStory, count: number) {
+  await this.cores.world.run(1_000);
+  assert.equal(this.cores.edge.cores(), count);
+  assert.equal(this.cores.leaseGaps(), 0);
+});
+
+Then('every core reads back what was acknowledged', async function then(this: CoreStory) {
+  const before = this.cores.acknowledged();
+  assert.ok(await this.cores.until(() => this.cores.acknowledged() > before, 5_000), 'nothing is acknowledged any more');
+  this.operator.stop();
+  await this.cores.world.run(2_000);
+  await readBack(this.cores);
+});
+
+Then('core-{int} turns away a beat, a leave, a configuration and a read within 1 ms', async function then(this: CoreStory, index: number) {
+  const { door } = this.cores.machine(`core-${index}`);
+  assert.ok(door !== undefined && !door.ready());
+  assert.equal(door.beat({ member: 'bookings-1', service: 'bookings', address: '10.3.0.1:5000', area: 'north', draining: false, role: 'replica', slots: 4, sequence: 1 }), false);
+  assert.equal(door.leave('bookings-1'), false);
+  const replies: Either.Either<unknown, unknown>[] = [];
+  void door.configure({ version: 9, source: '9' }, {}).then((reply) => replies.push(reply));
+  void door.source().then((reply) => replies.push(reply));
+  await this.cores.world.run(1);
+  assert.deepEqual(replies.map(Either.isLeft), [true, true]);
+  this.operator.stop();
+});
+
+/** From before the step is decided until it has been told to everyone. */
+async function killProposerAt(moment: number): Promise<void> {
+  const fleet = await coreFleet.create(20 + moment, 3);
+  const operator = fleet.startOperator();
+  await fleet.world.run(1_000);
+  const spare = await fleet.spare(fleet.machines.map((machine) => machine.address));
+  let proposer: string | undefined;
+  for (let spent = 0; proposer === undefined && spent < 10_000; spent += 1) {
+    await fleet.world.run(1);
+    proposer = fleet.world.logs.find((line) => line.event === 'core.proposes')?.process;
+  }
+  assert.ok(proposer !== undefined, 'nobody proposed a step');
+  await fleet.world.run(moment / 2);
+  const machine = fleet.machine(proposer);
+  fleet.kill(machine);
+  assert.ok(await fleet.until(() => standAt(fleet, (cores) => cores.length === 4 && cores.includes(spare.name)), 15_000), `${moment}: ${told(fleet)}`);
+  await fleet.start(machine, false);
+  await within(fleet, 5, (cores) => cores.length === 4);
+  operator.stop();
+  await fleet.world.run(2_000);
+  await readBack(fleet);
+}
+
+Then('a step ends well though its proposer is killed at any of {int} moments around it', async function then(this: CoreStory, moments: number) {
+  for (let moment = 0; moment < moments; moment += 1) await killProposerAt(moment);
+});
