--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -286,6 +286,8 @@
     if (reply.value.superseded) return superseded();
     takeTold(node, reply.value);
     if (Option.isSome(followed) && reply.value.membership > followed.value.number) void askNewer(to);
+    // One that is behind may hold no link to anybody who is further (design 4.8).
+    if (Option.isSome(followed) && reply.value.membership < followed.value.number) void to.call('adopt', { fleet: fleetName, set: followed.value }, callMilliseconds);
     terms.heard(node, { sentAt, epochs: reply.value.epochs });
   }
 
--- a/packages/simulator/src/core-fleet.ts
+++ b/packages/simulator/src/core-fleet.ts
@@ -33,7 +33,9 @@
   /** A machine that nobody has met, with an empty disk; its seeds may be any. */
   spare: (seeds: readonly string[]) => Promise<CoreMachine>;
   kill: (machine: CoreMachine) => void;
+  /** From every other machine, also from those that come later, until all are healed. */
   cutOff: (machine: CoreMachine) => void;
+  healAll: () => void;
   machine: (name: string) => CoreMachine;
   setOf: (machine: CoreMachine) => Readonly<{ number: number; cores: readonly string[] }>;
   until: (condition: () => boolean, milliseconds: number) => Promise<boolean>;
@@ -52,6 +54,7 @@
   const machines: CoreMachine[] = [];
   const seedsOf = new Map<CoreMachine, readonly string[]>();
   const violations: string[] = [];
+  const cut = new Set<CoreMachine>();
   const byCore = new Map<string, number>();
   let acknowledged = 0;
   let last = '';
@@ -102,6 +105,7 @@
   async function spare(seeds: readonly string[]): Promise<CoreMachine> {
     const machine = add();
     seedsOf.set(machine, seeds);
+    for (const one of cut) cutOff(one);
     await start(machine, false);
     return machine;
   }
@@ -114,6 +118,7 @@
   }
 
   function cutOff(machine: CoreMachine): void {
+    cut.add(machine);
     for (const other of [...machines.map((one) => one.machine), 'edge-machine']) {
       if (other === machine.machine) continue;
       world.cut(other, machine.machine);
@@ -212,6 +217,10 @@
 
   return {
     world, machines, edge, startOperator, readAt, violations, start, spare, kill, cutOff, until,
+    healAll: function healAll() {
+      cut.clear();
+      world.healAll();
+    },
     acknowledged: () => acknowledged,
     acknowledgedBy: (name) => byCore.get(name) ?? 0,
     lastAcknowledger: () => last,
--- a/packages/stories/src/cores.ts
+++ b/packages/stories/src/cores.ts
@@ -99,7 +99,7 @@
 });
 
 When('the cuts are healed', function when(this: CoreStory) {
-  this.cores.world.healAll();
+  this.cores.healAll();
 });
 
 Then('core-{int} has acknowledged nothing since it was cut off', function then(this: CoreStory, index: number) {
