--- a/packages/stories/features/cores.feature
+++ b/packages/stories/features/cores.feature
@@ -48,7 +48,7 @@
     And every core reads back what was acknowledged
 
   Scenario: Whoever proposes a step is killed at any moment around it
-    Then a step ends well though its proposer is killed at any of 16 moments around it
+    Then a step ends well though its proposer is killed at any of 28 moments around it
 
   Scenario: A core that is cut off during the steps acknowledges nothing, and comes back as a stranger
     Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
