--- a/packages/register/src/stepper.ts
+++ b/packages/register/src/stepper.ts
@@ -38,8 +38,9 @@
   return `cores/${after + 1}`;
 }
 
+/** Seats that come, go, or are found elsewhere by now. */
 function changedSeats(from: readonly Seat[], to: readonly Seat[]): number {
-  const added = to.filter((seat) => !from.some((one) => one.node === seat.node)).length;
+  const added = to.filter((seat) => !from.some((one) => one.node === seat.node && one.address === seat.address && one.outward === seat.outward)).length;
   return added + from.filter((seat) => !to.some((one) => one.node === seat.node)).length;
 }
 
--- a/packages/simulator/src/core-fleet.ts
+++ b/packages/simulator/src/core-fleet.ts
@@ -9,7 +9,7 @@
 import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
 
 export type CoreMachine = {
-  readonly name: string; readonly machine: string; readonly address: string; readonly outward: string;
+  readonly name: string; readonly machine: string; address: string; outward: string;
   disk: SimulatedDisk; process: Process | undefined; running: Core | undefined; door: Door | undefined;
 };
 
--- a/packages/simulator/src/explore.ts
+++ b/packages/simulator/src/explore.ts
@@ -21,7 +21,7 @@
 
 const names = ['a', 'b', 'c', 'd'];
 const founded = 3;
-const clients = 3;
+const writers = 3;
 const shots = 8;
 const stepsWanted = 6;
 const mostHappenings = 9_000;
@@ -249,10 +249,10 @@
     return Option.some([...kept, seatOf(comer.name)]);
   }
 
-  let working = clients;
+  let working = writers;
   const reads = random() * 0.6;
 
-  async function client(name: string): Promise<void> {
+  async function writer(name: string): Promise<void> {
     let set: CoreSet = coreOf('a').record.set;
     const sets: CoreSets = {
       number: () => set.number,
@@ -311,7 +311,7 @@
   async function begin(): Promise<void> {
     if (random() < 0.5) await copy(coreOf(names[founded] as string));
     if (sparse) await brokenOff();
-    for (let index = 0; index < clients; index += 1) void client(`x${index}`);
+    for (let index = 0; index < writers; index += 1) void writer(`x${index}`);
   }
 
   void begin();
--- a/packages/simulator/src/schedules.ts
+++ b/packages/simulator/src/schedules.ts
@@ -13,7 +13,7 @@
   reach: (names: string, readable?: string) => void;
   step: (proposer: string, seats: string) => Promise<boolean>;
   /** Somebody new, with nothing but the set that a core stands at. */
-  client: (at: string) => NumberedRegister;
+  writer: (at: string) => NumberedRegister;
   adopt: (name: string, from: string) => void;
 }>;
 
@@ -104,7 +104,7 @@
     step: async (name, seats) => Either.isRight(await core(name).stepper.step((set) => (
       set.seats.length === seats.length ? Option.none : Option.some([...seats].map((one) => quorum.seat(set, one) ?? seatOf(one)))
     ))),
-    client: (at) => registerAt('client', () => core(at).set),
+    writer: (at) => registerAt('writer', () => core(at).set),
     adopt: function adopt(name, from) {
       core(name).set = core(from).set;
     },
@@ -135,10 +135,10 @@
   cores.reach('bcd');
   if (!(await cores.step('c', 'abcd')) || !(await cores.step('c', 'acd'))) return 'the steps did not go through';
   cores.reach('cd');
-  if (!(await put(cores.client('c'), 'kept'))) return 'nothing could be put';
+  if (!(await put(cores.writer('c'), 'kept'))) return 'nothing could be put';
   cores.adopt('a', 'c');
   cores.reach('ac');
-  const found = await reads(cores.client('c'));
+  const found = await reads(cores.writer('c'));
   return found?.includes('kept') === true ? undefined : `acknowledged "kept", read back ${JSON.stringify(found)}`;
 }
 
@@ -146,7 +146,7 @@
 async function pagesOfTwo(): Promise<string | undefined> {
   const cores = table();
   cores.reach('ab');
-  if (!(await put(cores.client('a'), 'kept'))) return 'nothing could be put';
+  if (!(await put(cores.writer('a'), 'kept'))) return 'nothing could be put';
   cores.reach('bcd');
   if (!(await cores.step('c', 'abcd'))) return 'the step did not go through';
   cores.reach('bcd', 'cd');
@@ -154,7 +154,7 @@
   cores.reach('abcd');
   await cores.step('c', 'acd');
   cores.reach('cd');
-  const found = await reads(cores.client('c'));
+  const found = await reads(cores.writer('c'));
   return found?.includes('kept') === true ? undefined : `acknowledged "kept", read back ${JSON.stringify(found)}`;
 }
 
--- a/packages/stories/features/cores.feature
+++ b/packages/stories/features/cores.feature
@@ -83,3 +83,17 @@
     Then within 1 s the cores are 5, without one that was lost
     And the edge follows 5 cores and its lease never ran out
     And every core reads back what was acknowledged
+
+  Scenario: A core that comes back with an old copy of its disk copies the others before it answers
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-2 comes back with a copy of its disk that is 2 s old
+    Then core-2 logged that its disk is old, and copied
+    And within 5 s the cores are core-1, core-2 and core-3
+    And every core reads back what was acknowledged
+
+  Scenario: A core that was started at another address is listed there
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-3 comes back with its disk at "10.1.0.33"
+    Then within 10 s every core lists core-3 at "10.1.0.33:7000"
+    When core-1 is lost for good
+    Then every core reads back what was acknowledged
--- a/packages/stories/src/cores.ts
+++ b/packages/stories/src/cores.ts
@@ -173,6 +173,38 @@
   this.operator.stop();
 });
 
+When('core-{int} comes back with a copy of its disk that is {int} s old', async function when(this: CoreStory, index: number, seconds: number) {
+  const machine = this.cores.machine(`core-${index}`);
+  const old = new Map(machine.disk.entries);
+  await this.cores.world.run(seconds * 1_000);
+  this.cores.kill(machine);
+  machine.disk = this.cores.world.disk();
+  for (const [key, value] of old) machine.disk.entries.set(key, value);
+  await this.cores.world.run(500);
+  await this.cores.start(machine, false);
+  await this.cores.world.run(2_000);
+});
+
+Then('core-{int} logged that its disk is old, and copied', function then(this: CoreStory, index: number) {
+  const lines = this.cores.world.logs.filter((line) => line.process === `core-${index}`).map((line) => line.event);
+  assert.ok(lines.includes('core.old-disk') && lines.indexOf('core.copying') > lines.indexOf('core.old-disk'), lines.filter((line) => line.startsWith('core.')).join(' '));
+});
+
+When('core-{int} comes back with its disk at {string}', async function when(this: CoreStory, index: number, host: string) {
+  const machine = this.cores.machine(`core-${index}`);
+  this.cores.kill(machine);
+  machine.address = `${host}:7000`;
+  machine.outward = `${host}:7001`;
+  await this.cores.world.run(500);
+  await this.cores.start(machine, false);
+});
+
+Then('within {int} s every core lists core-{int} at {string}', async function then(this: CoreStory, seconds: number, index: number, address: string) {
+  assert.ok(await this.cores.until(() => alive(this.cores).every((machine) => (
+    machine.running?.node.membership().value.seats.find((seat) => seat.node === `core-${index}`)?.address === address
+  )), seconds * 1_000), told(this.cores));
+});
+
 /** From before the step is decided until it has been told to everyone. */
 async function killProposerAt(moment: number): Promise<void> {
   const fleet = await coreFleet.create(20 + moment, 3);
