--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -2,18 +2,22 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
-import type { Ask, LogPosition, Placement, Reply } from '@stallstall/message';
-import { peer } from '@stallstall/peer';
+import type { Ask, LogPosition, Marks, Placement, Reply } from '@stallstall/message';
+import { peer, type Caller } from '@stallstall/peer';
 import { lessee as lessees } from '@stallstall/lease';
 import { termMilliseconds } from '@stallstall/fence';
 
 export type LesseeAgentSettings = Readonly<{ node: string; area: string; feed: string; seeds: () => readonly string[] }>;
 export type LesseeAgent = Readonly<{ drain: () => Promise<void>; stop: () => Promise<void> }>;
 
-/** A proxy that has been silent for so long is gone, or has nothing under way that could still be told. */
-const proxyQuietMilliseconds = 1_200;
 const graceMilliseconds = 5_600;
-const drainLookMilliseconds = 50;
+/** A proxy that asks this often misses a leader somewhere. */
+export const troubledHoldMilliseconds = 100;
+const serialsKept = 100;
+const endingHoldMilliseconds = 50;
+/** Nothing is known of what the proxy has told its senders. */
+const noPositionsMilliseconds = 3_600_000;
+const drainLookMilliseconds = 10;
 const drainLeastMilliseconds = 300;
 
 async function start(kernel: Kernel, settings: LesseeAgentSettings): Promise<LesseeAgent> {
@@ -23,11 +27,21 @@
   let gathering = false;
   let released: Readonly<Record<string, number>> = {};
   let positions: Readonly<Record<string, LogPosition>> = {};
+  /** As the proxy told them, with the moment it asked. */
+  let seenMarks: Marks = {};
+  /** What the proxy told last was all there was at this moment or later. */
+  let positionsAt: Instant | undefined;
+  let troubled = false;
+  let demand = 0;
+  let serial = 0;
+  const repliedAt = new Map<number, Instant>();
   let notListening: readonly string[] = [];
   let askedAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
   let said = '';
   let rosterAt = -1;
   let rosterNumber = 0;
+  /** The link its proxy asks over. */
+  let proxy: Caller | undefined;
   let telling = 0;
   let ending = false;
   /** What the proxy would see: a change of it wakes whoever waits. */
@@ -36,10 +50,20 @@
   const lessee = lessees.create(kernel, { node: settings.node, area: settings.area, seeds: settings.seeds }, {
     released: () => released,
     positions: () => positions,
+    marks: aged,
+    positionsAgo: () => (positionsAt === undefined ? noPositionsMilliseconds : Math.max(0, kernel.clock.now() - positionsAt)),
+    troubled: () => troubled,
     notListening: () => notListening,
+    demand: () => demand,
     onChange: changed,
   });
 
+  /** What the proxy saw so long before it asked was seen that much longer ago by now. */
+  function aged(): Marks {
+    const since = Math.max(0, kernel.clock.now() - askedAt);
+    return Object.fromEntries(Object.entries(seenMarks).map(([service, mark]) => [service, { ...mark, ago: mark.ago + since }]));
+  }
+
   function placements(): readonly Placement[] {
     const now = kernel.clock.now();
     return lessee.services().map((service): Placement => {
@@ -66,7 +90,7 @@
   function changed(): void {
     const configuration = lessee.configuration();
     const seen = [
-      Option.isSome(configuration) ? configuration.value.version : 0, lessee.rosterNumber(), lessee.edges(),
+      Option.isSome(configuration) ? configuration.value.version : 0, lessee.rosterNumber(), JSON.stringify(lessee.edges()),
       ...placements().map((one) => `${one.epoch}/${one.release}/${one.left > 0 ? 1 : 0}`),
     ].join(' ');
     if (seen === seenBefore) return;
@@ -97,6 +121,11 @@
     askedAt = kernel.clock.now();
     released = ask.released;
     positions = ask.positions;
+    seenMarks = ask.marks;
+    const noOlder = ask.token === token ? repliedAt.get(ask.serial) : undefined;
+    if (noOlder !== undefined && (positionsAt === undefined || noOlder > positionsAt)) positionsAt = noOlder;
+    demand = ask.demand;
+    troubled = ask.hold > 0 && ask.hold <= troubledHoldMilliseconds;
     notListening = ask.notListening;
     const now = `${JSON.stringify(released)}${notListening.join(' ')}`;
     if (now === said) return;
@@ -104,20 +133,27 @@
     lessee.tell();
   }
 
-  async function placement(ask: Ask<'placement'>): Promise<Reply<'placement'>> {
+  async function placement(ask: Ask<'placement'>, caller: Caller): Promise<Reply<'placement'>> {
+    proxy = caller;
     take(ask);
-    if (ask.token === token && ask.seen === number && ask.hold > 0 && !ending) await hold(ask.hold);
+    if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ending ? Math.min(ask.hold, endingHoldMilliseconds) : ask.hold);
     const configuration = lessee.configuration();
     const version = Option.isSome(configuration) ? configuration.value.version : 0;
     const known = ask.token === token && ask.seen >= rosterNumber;
+    serial += 1;
+    repliedAt.set(serial, kernel.clock.now());
+    repliedAt.delete(serial - serialsKept);
     return {
       token,
       number,
+      serial,
       configuration: Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
       configurationVersion: version,
       services: [...placements()],
       roster: known ? null : [...lessee.roster()],
-      edges: lessee.edges(),
+      edges: { ...lessee.edges() },
+      demand: { ...lessee.demand() },
+      marks: Object.fromEntries([...lessee.marks()].map(([service, mark]) => [service, { ...mark.position, ago: Math.max(0, kernel.clock.now() - mark.at) }])),
       area: settings.area,
       node: settings.node,
     };
@@ -142,15 +178,12 @@
     await listening.stop();
   }
 
-  /** It stays for as long as its proxy asks: a proxy that ends needs its leases for what is under way (design 7.10). */
+  /** It stays for as long as its proxy is there: one that ends needs its leases for what is under way; the next one's agent is the next (design 7.10). */
   async function drain(): Promise<void> {
     ending = true;
     const began = kernel.clock.now();
     const horizon = identifiers.after(began, graceMilliseconds);
-    function proxyAsks(): boolean {
-      return kernel.clock.now() - askedAt < proxyQuietMilliseconds;
-    }
-    while (kernel.clock.now() < horizon && (telling > 0 || proxyAsks() || kernel.clock.now() - began < drainLeastMilliseconds)) await kernel.clock.sleep(drainLookMilliseconds);
+    while (kernel.clock.now() < horizon && (telling > 0 || proxy?.open() === true || kernel.clock.now() - began < drainLeastMilliseconds)) await kernel.clock.sleep(drainLookMilliseconds);
     await stop();
   }
 
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -2,7 +2,7 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
 import {
-  message, SettledSchema, type Change, type CoreSet, type LogPosition, type Reply, type RosterEntry, type Seat, type Settled,
+  message, SettledSchema, type Change, type CoreSet, type LogPosition, type Marks, type Reply, type RosterEntry, type Seat, type Settled,
 } from '@stallstall/message';
 import { peer, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
@@ -21,7 +21,12 @@
   /** What the proxy has let go of: below this epoch it has nothing under way. */
   released: () => Readonly<Record<string, number>>;
   positions: () => Readonly<Record<string, LogPosition>>;
+  marks: () => Marks;
+  positionsAgo: () => number;
+  /** A leader is missing somewhere: news is asked for more often. */
+  troubled: () => boolean;
   notListening: () => readonly string[];
+  demand: () => number;
   onChange: () => void;
 }>;
 
@@ -37,7 +42,12 @@
   release: (service: string) => number;
   roster: () => readonly RosterEntry[];
   rosterNumber: () => number;
-  edges: () => number;
+  /** How many edges hold leases, by area, as the core that counts most of them says. */
+  edges: () => Readonly<Record<string, number>>;
+  /** What is asked of all of them, by area, as the same core says. */
+  demand: () => Readonly<Record<string, number>>;
+  /** The latest mark of each service that any core has told, and when it held in this process's own moments. */
+  marks: () => ReadonlyMap<string, Readonly<{ position: LogPosition; at: Instant }>>;
   notes: Notes;
   cores: () => number;
   /** How many cores granted within the last term. */
@@ -47,18 +57,23 @@
 }>;
 
 /** The last told of one core. */
-type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: number; at: Instant; acknowledged: number };
+type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: Readonly<Record<string, number>>; demand: Readonly<Record<string, number>>; at: Instant; acknowledged: number };
 type Held = Readonly<{ address: string; peer: Peer }>;
 
 const holdMilliseconds = 450;
+const troubledHoldMilliseconds = 120;
 const callMilliseconds = 700;
-const redialLookMilliseconds = 60;
-const greetMilliseconds = 100;
+const redialLookMilliseconds = 20;
+const greetMilliseconds = 50;
 const resolveMilliseconds = 200;
 const retryMilliseconds = 120;
 /** After so long without a grant the seeds are asked as well: all known cores may have been replaced (design 4.8). */
 const lostMilliseconds = 5_000;
 
+function sum(counts: Readonly<Record<string, number>>): number {
+  return Object.values(counts).reduce((total, count) => total + count, 0);
+}
+
 function create(kernel: Kernel, settings: LesseeSettings, parts: LesseeParts): Lessee {
   const grants = fence.create();
   const held = new Map<string, Held>();
@@ -66,6 +81,7 @@
   const floors = new Map<string, number>();
   /** A lease that an earlier set granted runs to its end: the next step but one waits for that (design 4.8). */
   const carried = new Map<string, Readonly<{ epoch: number; until: Instant }>>();
+  const marks = new Map<string, Readonly<{ position: LogPosition; at: Instant }>>();
   const greeting = new Set<string>();
   let cores: readonly Seat[] = [];
   let setNumber = 0;
@@ -163,7 +179,7 @@
   function toldOf(core: string): Told {
     let known = told.get(core);
     if (known === undefined) {
-      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: 0, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
+      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: {}, demand: {}, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0 };
       told.set(core, known);
     }
     return known;
@@ -192,17 +208,24 @@
     return [...merged.values()].filter((entry) => !entry.gone);
   }
 
+  /** The core that counts most edges knows most of what is asked of them. */
+  function fullest(): Readonly<Pick<Told, 'edges' | 'demand'>> {
+    let most: Readonly<Pick<Told, 'edges' | 'demand'>> = { edges: {}, demand: {} };
+    for (const known of told.values()) if (sum(known.edges) > sum(most.edges)) most = known;
+    return most;
+  }
+
   async function ask(core: string, link: Peer, hold: number): Promise<boolean> {
     const known = toldOf(core);
     const sentAt = kernel.clock.now();
     const current = configuration();
     const reply = await link.call('lease', {
       node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
-      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, notListening: [...parts.notListening()], set: setNumber,
+      obeyed: Option.isSome(current) ? current.value.version : 0, released: { ...parts.released() }, positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo(), notListening: [...parts.notListening()], demand: parts.demand(), set: setNumber,
     }, hold + callMilliseconds);
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
     take(core, known, reply.value, sentAt);
-    return reply.value.ready;
+    return true;
   }
 
   function take(core: string, known: Told, reply: Reply<'lease'>, sentAt: Instant): void {
@@ -212,25 +235,36 @@
     known.token = reply.token;
     known.seen = reply.number;
     known.edges = reply.edges;
+    known.demand = reply.demand;
     known.at = sentAt;
     if (reply.newer !== undefined) follow(reply.newer);
     // A core at a later set than this edge counts nothing here: its set's elections need not meet this edge's majority (design 4.8).
     if (!reply.ready || (reply.set ?? 0) > setNumber || !names().includes(core)) return;
     grantedAt = kernel.clock.now();
     known.stances = reply.stances;
+    takeMarks(reply.marks, sentAt);
     noteFloors();
     grants.heard(core, { sentAt, epochs: reply.stances });
     parts.onChange();
   }
 
+  /** The reply was made after the question left, so what held so long before the reply held later than so long before the question. */
+  function takeMarks(toldMarks: Marks, sentAt: Instant): void {
+    for (const [service, mark] of Object.entries(toldMarks)) {
+      const at = identifiers.after(sentAt, -mark.ago);
+      const known = marks.get(service);
+      if (known === undefined || at > known.at) marks.set(service, { at, position: { term: mark.term, number: mark.number } });
+    }
+  }
+
   async function task(core: string, link: Peer): Promise<void> {
     while (!stopped && held.get(core)?.peer === link) {
       if (!link.connected()) {
         await kernel.clock.sleep(redialLookMilliseconds);
         continue;
       }
-      const ready = await ask(core, link, holdMilliseconds);
-      if (!ready) await kernel.clock.sleep(retryMilliseconds);
+      const replied = await ask(core, link, parts.troubled() ? troubledHoldMilliseconds : holdMilliseconds);
+      if (!replied) await kernel.clock.sleep(retryMilliseconds);
     }
   }
 
@@ -299,7 +333,9 @@
     release: (service) => floors.get(service) ?? 0,
     roster,
     rosterNumber: () => rosterNumber,
-    edges: () => Math.max(1, ...[...told.values()].map((known) => known.edges)),
+    edges: () => fullest().edges,
+    demand: () => fullest().demand,
+    marks: () => marks,
     notes: noted,
     cores: () => cores.length,
     granting: () => names().filter((core) => kernel.clock.now() - toldOf(core).at < 2_000).length,
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -3,6 +3,7 @@
 import type { Ask, LogPosition, Reply } from '@stallstall/message';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
 import type { Roster } from '@stallstall/roster';
+import { marks as markTables } from './marks.js';
 
 export type LessorView = Readonly<{
   ready: () => boolean;
@@ -42,8 +43,11 @@
 function create(kernel: Kernel, view: LessorView): Lessor {
   const token = kernel.randomness.token();
   const askedAt = new Map<string, Instant>();
+  const areas = new Map<string, string>();
+  const demands = new Map<string, number>();
   const released = new Map<string, Readonly<Record<string, number>>>();
   const positions = new Map<string, LogPosition>();
+  const seen = markTables.create(kernel);
   const waiting = new Set<() => void>();
   /** Where the roster's own number stood at each number of the news. */
   const rosterAt = new Map<number, number>();
@@ -79,11 +83,24 @@
     return [...askedAt].filter(([, at]) => now - at <= milliseconds).map(([node]) => node);
   }
 
+  /** What holds of each edge that holds leases, added up by area. */
+  function byArea(of: (node: string) => number): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const node of within(termMilliseconds + marginMilliseconds)) {
+      const area = areas.get(node) ?? '';
+      counts[area] = (counts[area] ?? 0) + of(node);
+    }
+    return counts;
+  }
+
   async function lease(ask: Ask<'lease'>): Promise<Reply<'lease'>> {
     if (!askedAt.has(ask.node)) kernel.log('lease.asked', { node: ask.node, area: ask.area });
     askedAt.set(ask.node, kernel.clock.now());
+    areas.set(ask.node, ask.area);
+    demands.set(ask.node, ask.demand);
     released.set(ask.node, { ...ask.released });
     for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
+    seen.told(ask.node, ask.marks, ask.positions, ask.positionsAgo);
     for (const member of ask.notListening) view.onNotListening(member);
     if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ask.hold);
     const ready = view.ready();
@@ -98,7 +115,9 @@
       puts: view.puts(),
       roster: [...view.roster.since(whole ? 0 : (rosterAt.get(ask.seen) ?? 0))],
       whole,
-      edges: within(termMilliseconds + marginMilliseconds).length,
+      edges: byArea(() => 1),
+      demand: byArea((node) => demands.get(node) ?? 0),
+      marks: seen.all(),
     };
   }
 
--- a/packages/machine/src/lean.ts
+++ b/packages/machine/src/lean.ts
@@ -1,4 +1,5 @@
 // A real machine's kernel for programs whose every start is paid for: HTTP from the runtime alone (design 2.7).
+import './log-on.js';
 import type http from 'node:http';
 import type net from 'node:net';
 import { ROARR, Roarr } from 'roarr';
@@ -78,6 +79,7 @@
   return new Promise((resolve, reject) => {
     listener.on('error', reject);
     listener.listen(links.parts(address), () => resolve({
+      deafen: () => void listener.close(),
       stop: () => new Promise((stopped) => {
         listener.close(() => stopped());
         listener.closeAllConnections();
@@ -107,7 +109,7 @@
     return new Promise((resolve) => {
       const text = ask.body === undefined ? undefined : JSON.stringify(ask.body);
       const alarm = setTimeout(close, milliseconds);
-      const connecting = setTimeout(() => (connected ? undefined : close()), Math.min(connectMilliseconds, milliseconds));
+      const connecting = setTimeout(() => (connected ? undefined : close()), Math.min(2 * connectMilliseconds, milliseconds));
       function settle(result: Either.Either<Fault, HttpReply>): void {
         clearTimeout(alarm);
         clearTimeout(connecting);
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -3,8 +3,8 @@
 import { identifiers, kernel as kernels, type HttpMapping, type Instant, type Kernel, type Listening, type Stream } from '@stallstall/kernel';
 import { peer } from '@stallstall/peer';
 import type { SheetDatabase } from '@stallstall/sheet';
-import type { Command, Condition, Dialect, Incoming, StatementReply } from '@stallstall/statement';
-import { connections as connectionTables } from './connections.js';
+import type { Command, Condition, Dialect, Incoming, MemberPlace, StatementReply } from '@stallstall/statement';
+import { connections as connectionTables, type Share } from './connections.js';
 import { freshness as freshnessTables } from './freshness.js';
 import { requests as requestTables } from './requests.js';
 import { sessions as sessionTables, type Session, type Transaction } from './sessions.js';
@@ -35,10 +35,15 @@
 }>;
 
 const feedMilliseconds = 400;
+/** While a leader is missing somewhere: news is worth more. */
+const troubledMilliseconds = 100;
 const feedCallMilliseconds = 1_200;
 const feedPauseMilliseconds = 50;
 const tendMilliseconds = 250;
-const tellMilliseconds = 1_000;
+/** What an edge has counted since it told last is lost with it. */
+const tellMilliseconds = 300;
+/** So often the log says where this process stands. */
+const countsMilliseconds = 10_000;
 /** A sender that opens before anything is known is held for so long: it gives up after two seconds. */
 const openingMilliseconds = 1_800;
 const openingLookMilliseconds = 25;
@@ -46,8 +51,19 @@
 const handoverMilliseconds = 300;
 /** Connections of each member kept free for the cores' own questions. */
 const reservedConnections = 6;
+const farConnections = 2;
+/** Of what a member lets in this much is used, so that machines back from the dark find room beside the connections they had. */
+const usedShare = 0.75;
+/** Of a member's connections this part is shared alike, the rest by need. */
+const evenPart = 0.25;
+const demandWeight = 0.05;
+/** Of its share an edge keeps this much when nobody asks: members count the connections of a machine that went dark for seconds more. */
+const keptShare = 0.7;
 /** After SIGTERM new sessions still arrive for a moment. */
-const lameMilliseconds = 1_600;
+const lameMilliseconds = 2_300;
+/** One that was let in but says nothing is not waited for any longer. */
+const silentMilliseconds = 400;
+const restMilliseconds = 150;
 const rollbackMilliseconds = 1_000;
 const drainLookMilliseconds = 20;
 const mostOpeningBytes = 16_384;
@@ -55,17 +71,24 @@
 async function start(kernel: Kernel, settings: PoolerSettings, parts: PoolerParts): Promise<Pooler> {
   const { dialect } = parts;
   const agent = peer.dial(kernel, identifiers.address(settings.feed));
-  const freshness = freshnessTables.create();
+  const freshness = freshnessTables.create(kernel.clock.now);
   const usage = usageTables.create(kernel, agent);
   const sessions = new Map<Session, Stream>();
   /** Sessions that wait for a reply. */
   const asked = new Set<Session>();
+  /** Since when nothing is asked of a session. */
+  const restsSince = new Map<Session, Instant>();
   const released: Record<string, number> = {};
   /** Since when a service's epoch is to be let go. */
   const releasing = new Map<string, Instant>();
+  const beganAt = kernel.clock.now();
+  let demand = 0;
+  let servedBefore = 0;
+  let servedAt = beganAt;
   let view: View = views.empty;
   let token = '';
   let seen = 0;
+  let serial = 0;
   let lastSession = 0;
   let ending = false;
   let endingSince: Instant = never;
@@ -75,9 +98,51 @@
   const requests = requestTables.create(kernel, dialect, () => view, connections, freshness, usage);
 
   /** This edge's part of what a member lets in, of all edges that hold leases (design 8.3). */
-  function share(service: string): number {
-    const known = Option.isSome(view.sheet) ? view.sheet.value.services.find((one) => one.service === service) : undefined;
-    return Math.max(1, Math.floor(((known?.connectionLimit ?? 0) - reservedConnections) / Math.max(1, view.edges)));
+  function share(place: MemberPlace): Share {
+    const known = Option.isSome(view.sheet) ? view.sheet.value.services.find((one) => one.service === place.service) : undefined;
+    const limit = Math.max(0, (known?.connectionLimit ?? 0) - reservedConnections) * usedShare;
+    const whole = shareOf(place, limit);
+    return { most: Math.max(1, Math.floor(whole)), kept: Math.max(1, Math.ceil(whole * keptShare)) };
+  }
+
+  function total(counts: Readonly<Record<string, number>>): number {
+    return Object.values(counts).reduce((sum, count) => sum + count, 0);
+  }
+
+  /** A part of a whole for each edge alike, the rest by what is asked of it. */
+  function byNeed(limit: number, edges: number, asked: number): number {
+    const own = asked > 0 ? Math.min(1, demand / asked) : 1 / edges;
+    return limit * (evenPart / edges + (1 - evenPart) * own);
+  }
+
+  /** All edges need whoever leads; a replica is read in its own area, and from elsewhere only now and then. */
+  function shareOf(place: MemberPlace, limit: number): number {
+    const edges = Math.max(1, total(view.edges));
+    if (view.leaders.get(place.service)?.primary === place.member) return byNeed(limit, edges, total(view.demand));
+    const area = view.members.get(place.member)?.area ?? '';
+    const near = view.edges[area] ?? 0;
+    if (near === 0) return limit / edges;
+    const far = Math.min(farConnections, limit / edges);
+    return area === view.area ? byNeed(limit - far * (edges - near), near, view.demand[area] ?? 0) : far;
+  }
+
+  /** Smoothed over some seconds. */
+  function noteDemand(): void {
+    const served = requests.totals()['sent'] ?? 0;
+    const now = kernel.clock.now();
+    const rate = (served - servedBefore) * 1_000 / Math.max(1, now - servedAt);
+    demand += (rate - demand) * demandWeight;
+    servedBefore = served;
+    servedAt = now;
+  }
+
+  /** A session that opens will want its leader, or a member nearby, before long. */
+  function warm(database: SheetDatabase, tenant: string): void {
+    const leader = view.members.get(view.leaders.get(database.service)?.primary ?? '');
+    if (leader !== undefined) connections.warm({ service: leader.service, member: leader.member, address: leader.address }, tenant);
+    if (database.reads === 'leader') return;
+    const near = (view.byService.get(database.service) ?? []).find((entry) => entry.area === view.area && !entry.draining && !entry.down);
+    if (near !== undefined) connections.warm({ service: near.service, member: near.member, address: near.address }, tenant);
   }
 
   // -- Fed by the agent; leases are counted from this process's own send time (design 7.3).
@@ -85,26 +150,44 @@
   async function feed(hold: number): Promise<boolean> {
     const sentAt = kernel.clock.now();
     const reply = await agent.call('placement', {
-      token, seen, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, notListening: [...connections.notListening()],
+      token, seen, serial, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, marks: { ...freshness.marks() }, notListening: [...connections.notListening()], demand,
       metrics: { ...requests.totals(), ...connections.describe(), sessions: sessions.size },
     }, hold + feedCallMilliseconds);
     if (Option.isNone(reply)) return false;
     const news = reply.value.token !== token || reply.value.number > seen;
     if (reply.value.token === token && reply.value.number < seen) return true;
+    const led = leadersOf(view);
     view = views.fed(view, reply.value, sentAt, kernel.clock.now());
+    for (const [service, mark] of Object.entries(reply.value.marks)) freshness.learnt(service, identifiers.after(sentAt, -mark.ago), { term: mark.term, number: mark.number });
     token = reply.value.token;
     seen = reply.value.number;
+    serial = reply.value.serial;
     if (news) {
       noteReleases();
+      if (led !== leadersOf(view)) for (const session of sessions.keys()) warmSession(session);
       connections.tend(view.members);
     }
     requests.sweep();
     return true;
   }
 
+  function isTroubled(): boolean {
+    const now = kernel.clock.now();
+    return [...view.leaders.values()].some((leader) => leader.epoch > 0 && (leader.until <= now || view.members.get(leader.primary)?.down === true || connections.failing(leader.primary)));
+  }
+
+  function leadersOf(of: View): string {
+    return [...of.leaders.values()].map((leader) => `${leader.primary} ${leader.epoch}`).join(' ');
+  }
+
+  function warmSession(session: Session): void {
+    const found = letIn(session.database, session.who);
+    if (typeof found !== 'string') warm(found.database, found.tenant);
+  }
+
   async function feedTask(): Promise<void> {
     while (!stopped) {
-      const fed = agent.connected() && (await feed(feedMilliseconds));
+      const fed = agent.connected() && (await feed(isTroubled() ? troubledMilliseconds : feedMilliseconds));
       if (!fed) await kernel.clock.sleep(feedPauseMilliseconds);
     }
   }
@@ -121,7 +204,7 @@
 
   function noteReleases(): void {
     for (const [service, leader] of view.leaders) {
-      if (leader.release > (released[service] ?? 0) && !releasing.has(service)) releasing.set(service, kernel.clock.now());
+      if (leader.release > leader.epoch && leader.release > (released[service] ?? 0) && !releasing.has(service)) releasing.set(service, kernel.clock.now());
     }
     lookAtReleases();
   }
@@ -269,15 +352,23 @@
     lastSession += 1;
     const session = sessionTables.create(`s${lastSession}`, incoming.database, incoming.who);
     sessions.set(session, stream);
+    restsSince.set(session, kernel.clock.now());
+    unopened.delete(stream);
+    warm(found.database, found.tenant);
     stream.write(dialect.rest('idle', Option.none));
     return session;
   }
 
-  function mayEnd(session: Session): boolean {
-    return ending && Option.isNone(session.transaction);
-  }
+  /** Connections that have not opened a session yet, and since when. */
+  const unopened = new Map<Stream, Instant>();
 
   async function sender(stream: Stream): Promise<void> {
+    unopened.set(stream, kernel.clock.now());
+    await serve(stream);
+    unopened.delete(stream);
+  }
+
+  async function serve(stream: Stream): Promise<void> {
     const framer = dialect.framer(Option.isSome(view.sheet) ? view.sheet.value.bounds.messageBytes : mostOpeningBytes * 64);
     let session: Session | undefined;
     reading: for (;;) {
@@ -299,8 +390,8 @@
         asked.add(session);
         const reply = await handle(session, incoming);
         asked.delete(session);
+        restsSince.set(session, kernel.clock.now());
         stream.write(dialect.reply({ ...reply, stance: sessionTables.stance(session) }));
-        if (mayEnd(session)) break reading;
       }
       if (oversize) {
         stream.write(dialect.fault('oversize', 'the message is too long'));
@@ -310,12 +401,14 @@
     stream.close();
     if (session === undefined) return;
     sessions.delete(session);
+    restsSince.delete(session);
     if (Option.isSome(session.transaction)) void rollback(session.transaction.value);
   }
 
   // -- What must be looked at from time to time.
 
   function tend(): void {
+    noteDemand();
     const now = kernel.clock.now();
     connections.tend(view.members);
     const rest = Option.isSome(view.sheet) ? view.sheet.value.bounds.restMilliseconds : openingMilliseconds;
@@ -333,12 +426,11 @@
     return view.leaders.size > 0 && [...view.leaders.values()].some((leader) => leader.until > now);
   }
 
-  const listening: readonly Listening[] = [
-    await kernel.network.serve(identifiers.address(settings.outward), { mappings: parts.pages(ready) }),
-    await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void sender(stream)),
-  ];
+  const door = await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void sender(stream));
+  const listening: readonly Listening[] = [door, await kernel.network.serve(identifiers.address(settings.outward), { mappings: parts.pages(ready) })];
   void feedTask();
   void kernels.every(kernel.clock, tendMilliseconds, tend, () => !stopped);
+  void kernels.every(kernel.clock, countsMilliseconds, () => kernel.log('pooler.counts', { sessions: sessions.size, inFlight: requests.inFlight(), ...connections.describe(), ...requests.totals() }), () => !stopped);
   void kernels.every(kernel.clock, tellMilliseconds, async function tell() {
     if (agent.connected()) await usage.tell();
   }, () => !stopped);
@@ -351,15 +443,29 @@
     for (const entry of listening) await entry.stop();
   }
 
+  /** Who has rested for a while is least likely to ask just now; right after a reply or a setting a sender is about to go on. */
+  function letGo(rest: number): void {
+    const now = kernel.clock.now();
+    for (const [session, stream] of sessions) {
+      if (Option.isNone(session.transaction) && !asked.has(session) && now - (restsSince.get(session) ?? now) >= rest) stream.close();
+    }
+    for (const [stream, since] of unopened) if (now - since > silentMilliseconds) stream.close();
+  }
+
   /** Readiness fails first; what is asked is served; whoever rests is let go; open transactions have half of the grace (design 7.10). */
   async function drain(): Promise<void> {
     ending = true;
     endingSince = kernel.clock.now();
     const horizon = identifiers.after(endingSince, settings.graceMilliseconds - 500);
-    await kernel.clock.sleep(lameMilliseconds);
+    let deaf = false;
     while (kernel.clock.now() < horizon) {
-      for (const [session, stream] of sessions) if (Option.isNone(session.transaction) && !asked.has(session)) stream.close();
-      if (sessions.size === 0) break;
+      // Nobody new from a while on, so that who is left can only become fewer.
+      if (!deaf && kernel.clock.now() - endingSince >= lameMilliseconds) {
+        deaf = true;
+        door.deafen();
+      }
+      letGo(deaf ? restMilliseconds / 3 : restMilliseconds);
+      if (deaf && sessions.size + unopened.size === 0) break;
       await kernel.clock.sleep(drainLookMilliseconds);
     }
     await usage.tell();
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -38,14 +38,20 @@
 const callMilliseconds = 800;
 const defaultHorizonMilliseconds = 4_000;
 const backoffMilliseconds = 20;
+/** So much longer promises are waited for: a disk that is asked to accept as well does not fall behind, and is no matter of doubt later. */
+const lateMilliseconds = 6;
 
 type Replied = Readonly<{ target: RegisterTarget; reply: Reply<'prepare'> }>;
 
-/** Asks every target and settles as soon as `enough` holds, or all have answered or fallen silent. */
+/**
+ * Asks every target and settles once `enough` holds, after a moment more for those that are about to reply, or when all have answered or
+ * fallen silent.
+ */
 function gather<Kind extends RegisterKind>(
-  targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean, learn: CoreSets['learn'],
+  kernel: Kernel, targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean, learn: CoreSets['learn'], more = 0,
 ): Promise<readonly Replied[]> {
   return new Promise(function collect(resolve) {
+    let settling = false;
     const replies: Replied[] = [];
     let left = targets.length;
     if (left === 0) resolve(replies);
@@ -54,7 +60,11 @@
       left -= 1;
       if (Option.isSome(reply) && reply.value.newer !== undefined) learn(reply.value.newer);
       if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value as Reply<'prepare'> });
-      if (left === 0 || enough(replies)) resolve([...replies]);
+      if (left === 0 || (more === 0 && enough(replies))) resolve([...replies]);
+      else if (!settling && enough(replies)) {
+        settling = true;
+        kernel.clock.alarm(more, () => resolve([...replies]));
+      }
     }
     for (const target of targets) void ask(target);
   });
@@ -116,7 +126,7 @@
   async function shot(key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>): Promise<Option.Option<Changed>> {
     const ballot = nextBallot();
     const { asked, set, majorityOf } = begin();
-    const promised = await gather(asked, 'prepare', { key, ballot, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn);
+    const promised = await gather(kernel, asked, 'prepare', { key, ballot, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn, lateMilliseconds);
     learn(promised);
     const promises = agreed(promised);
     if (!majorityOf(promises)) return Option.none;
@@ -127,7 +137,7 @@
       ? { ballot, version: Option.isSome(current) ? current.value.version + 1 : 1, value: decided.value }
       : { ...(current as Option.Some<Entry>).value, ballot };
     // Only those whose promises were counted are asked to accept (design 5.1).
-    const accepted = await gather(promises.map((one) => one.target), 'accept', { key, entry, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn);
+    const accepted = await gather(kernel, promises.map((one) => one.target), 'accept', { key, entry, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn);
     learn(accepted);
     return majorityOf(agreed(accepted)) ? Option.some({ wrote: Option.isSome(decided), entry: Option.some(entry) }) : Option.none;
   }
@@ -154,7 +164,7 @@
     async function read(key: string, milliseconds = defaultHorizonMilliseconds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
       if (!holds()) return Either.left(noMajority(key));
       const { asked, set, majorityOf } = begin();
-      const replies = await gather(asked, 'look', { key, ...set }, callMilliseconds, majorityOf, sets.learn);
+      const replies = await gather(kernel, asked, 'look', { key, ...set }, callMilliseconds, majorityOf, sets.learn);
       if (majorityOf(replies) && sameEverywhere(replies)) return Either.right(highestEntry(replies));
       const completed = await change(key, keep, milliseconds);
       return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
--- a/packages/simulator/src/core-fleet.ts
+++ b/packages/simulator/src/core-fleet.ts
@@ -181,7 +181,7 @@
   for (const machine of [...machines]) await start(machine, true);
   const edgeProcess = world.spawn('edge-1', 'edge-machine');
   const edge = lessees.create(edgeProcess.kernel, { node: 'edge-1', area: areas[0] as string, seeds: () => seeds }, {
-    released: () => ({}), positions: () => ({}), notListening: () => [], onChange: () => undefined,
+    released: () => ({}), positions: () => ({}), marks: () => ({}), positionsAgo: () => 0, troubled: () => false, notListening: () => [], demand: () => 0, onChange: () => undefined,
   });
   edge.start();
   world.at(restartMilliseconds, restartEnded);
--- a/packages/simulator/src/schedules.ts
+++ b/packages/simulator/src/schedules.ts
@@ -43,6 +43,10 @@
   return {
     clock: {
       now: () => identifiers.instant(now),
+      alarm: function alarm(_milliseconds: number, act: () => void) {
+        setImmediate(act);
+        return { cancel: () => undefined };
+      },
       sleep: function sleep(milliseconds: number) {
         now += milliseconds;
         return new Promise((resolve) => setImmediate(resolve));
