--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -176,7 +176,7 @@
         if (Option.isSome(beyond) || Option.isSome(conflict)) return Option.none;
         overtaken = version !== archived.right;
         if (overtaken) return Option.none;
-        return Option.some({ ...sent, recent: [...(before === undefined ? [] : recentOf(before)), { version: version + 1, sendId }].slice(-recentKept) });
+        return Option.some({ ...sent, ...(before?.external === undefined ? {} : { external: before.external }), recent: [...(before === undefined ? [] : recentOf(before)), { version: version + 1, sendId }].slice(-recentKept) });
       });
     }
     let changed = await shot();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -228,7 +228,7 @@
         calls: parts.value.calls,
         probe: parts.value.probe,
         membersOf,
-        lessees: () => (Option.isSome(lessor) ? lessor.value.lessees() : []),
+        lessees: () => (Option.isSome(lessor) ? lessor.value.lessees() : Option.none),
         released: (service, epoch, lessees) => Option.isSome(lessor) && lessor.value.released(service, epoch, lessees),
         onStance: news,
         learn: (set) => (Option.isSome(coreSet) ? coreSet.value.learn(set) : undefined),
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -33,8 +33,8 @@
 export type ElectionView = Readonly<{
   /** None: members are told epochs over this product's own HTTP. */
   calls: Option.Option<PlatformCalls>;
-  /** Edges that were granted a lease by this node within a term and its margin. */
-  lessees: () => readonly string[];
+  /** Edges that were granted a lease by this node within a term and its margin; none while a process before this one may have granted some. */
+  lessees: () => Option.Option<readonly string[]>;
   /** Whether these edges have told that nothing of theirs is under way below an epoch (design 7.12). */
   released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
   /** Told once this node stands at another epoch. */
@@ -84,8 +84,8 @@
   lastOutcome: string;
 };
 
-/** When the majority of ACCEPTs was complete, and which edges its voters had granted leases. */
-type Majority = Readonly<{ at: Instant; lessees: readonly string[] }>;
+/** When the majority of ACCEPTs was complete, and which edges its voters had granted leases; none if one of them can't say. */
+type Majority = Readonly<{ at: Instant; lessees: Option.Option<readonly string[]> }>;
 
 type Found = Readonly<{ member: SheetMember; state: MemberState }>;
 
@@ -198,9 +198,10 @@
     standing.votedAt = kernel.clock.now();
     view.onStance();
     const recorded = await votes.record(ask.service, vote);
+    const known = view.lessees();
     // A vote that became durable as the set of cores changed is of no set: the barrier was asked for without it (design 4.8).
     const durable = recorded && (Option.isNone(view.calls) || ask.membership === view.membershipVersion());
-    return { accepted: durable, reason: durable ? 'accepted' : 'the vote did not become durable', epoch: ask.epoch, lessees: [...view.lessees()] };
+    return { accepted: durable, reason: durable ? 'accepted' : 'the vote did not become durable', epoch: ask.epoch, ...(Option.isSome(known) ? { lessees: [...known.value] } : {}) };
   }
 
   async function states(service: SheetService): Promise<readonly Found[]> {
@@ -250,6 +251,7 @@
       let left = nodes.length;
       let lastReason = 'no answer';
       const lessees = new Set<string>();
+      let blind = false;
       kernel.clock.alarm(electionTimeoutMilliseconds, function late() {
         resolve(Either.left(`${accepts} of ${needed} ACCEPTs in time; ${lastReason}`));
       });
@@ -258,9 +260,10 @@
         left -= 1;
         if (Option.isSome(reply) && reply.value.accepted) {
           accepts += 1;
+          if (reply.value.lessees === undefined) blind = true;
           for (const lessee of reply.value.lessees ?? []) lessees.add(lessee);
         } else if (Option.isSome(reply)) lastReason = reply.value.reason;
-        if (accepts >= needed) resolve(Either.right({ at: kernel.clock.now(), lessees: [...lessees] }));
+        if (accepts >= needed) resolve(Either.right({ at: kernel.clock.now(), lessees: blind ? Option.none : Option.some([...lessees]) }));
         else if (left === 0) resolve(Either.left(`${accepts} of ${needed} ACCEPTs; ${lastReason}`));
       }
       for (const node of nodes) void askNode(node);
@@ -275,7 +278,7 @@
   async function waitOut(service: SheetService, chosen: Found, epoch: number, majority: Majority): Promise<boolean> {
     const opensAt = identifiers.after(majority.at, termMilliseconds + marginMilliseconds);
     // Where every edge that any of these voters granted a lease has let go of it, nobody is left to be waited out (design 7.12).
-    while (kernel.clock.now() < opensAt && !(Option.isSome(view.calls) && view.released(service.service, epoch, majority.lessees))) {
+    while (kernel.clock.now() < opensAt && !(Option.isSome(view.calls) && Option.isSome(majority.lessees) && view.released(service.service, epoch, majority.lessees.value))) {
       await kernel.clock.sleep(Option.isSome(view.calls) ? Math.min(releaseLookMilliseconds, opensAt - kernel.clock.now()) : opensAt - kernel.clock.now());
     }
     const horizon = identifiers.after(kernel.clock.now(), catchUpMilliseconds);
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -1,4 +1,5 @@
 // The core's half of the leases: tells edges where it stands, at once when that changes (design 7.12).
+import * as Option from 'fp-ts/lib/Option.js';
 import { kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
 import type { Ask, LogPosition, Reply } from '@stallstall/message';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
@@ -22,8 +23,8 @@
   lease: (ask: Ask<'lease'>) => Promise<Reply<'lease'>>;
   /** There is news: whoever waits is told. */
   changed: () => void;
-  /** Edges that were granted a lease here within a term and its margin, so that theirs may still run. */
-  lessees: () => readonly string[];
+  /** Edges that were granted a lease here within a term and its margin, so that theirs may still run; none while one that an earlier process granted may. */
+  lessees: () => Option.Option<readonly string[]>;
   /** Edges that asked within so many milliseconds. */
   recent: (milliseconds: number) => readonly string[];
   released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
@@ -34,7 +35,8 @@
 
 /** Changes within this span go out together. */
 const gatherMilliseconds = 2;
-const rememberMilliseconds = 60_000;
+/** An edge may have acknowledged what nobody else knows of: it is remembered far beyond any time without a leader. */
+const rememberMilliseconds = 900_000;
 /** Whoever is further behind is told everything. */
 const numbersKept = 1_000;
 /** An edge that was never asked says this much. */
@@ -46,6 +48,7 @@
 
 function create(kernel: Kernel, view: LessorView): Lessor {
   const token = kernel.randomness.token();
+  const beganAt = kernel.clock.now();
   const askedAt = new Map<string, Instant>();
   const areas = new Map<string, string>();
   const demands = new Map<string, number>();
@@ -157,7 +160,7 @@
       gathering = true;
       kernel.clock.alarm(gatherMilliseconds, wake);
     },
-    lessees: () => within(termMilliseconds + marginMilliseconds),
+    lessees: () => (kernel.clock.now() - beganAt < termMilliseconds + marginMilliseconds ? Option.none : Option.some(within(termMilliseconds + marginMilliseconds))),
     recent: within,
     released: (service, epoch, lessees) => lessees.every((node) => (released.get(node)?.[service] ?? 0) >= epoch),
     position: (service) => positions.get(service) ?? { term: 0, number: 0 },
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -49,7 +49,7 @@
   calls: PlatformCalls;
   probe: MemberProbe;
   membersOf: (service: string) => readonly SheetMember[];
-  lessees: () => readonly string[];
+  lessees: () => Option.Option<readonly string[]>;
   released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
   onStance: () => void;
   /** Another node tells of a newer set of cores (design 4.8). */
@@ -272,6 +272,11 @@
     return stances;
   }
 
+  /** Where edges hold leases no core holds a fence of its own: cores tell edges where they stand, and each other only that they run. */
+  function toldEpochs(): Record<string, number> {
+    return Option.isSome(registered) ? {} : { ...epochs() };
+  }
+
   function takeTold(node: string, body: Readonly<{ epochs: Record<string, number>; caps: Record<string, number>; membership: number }>): void {
     told.set(node, { membership: body.membership, epochs: body.epochs, caps: body.caps, at: kernel.clock.now() });
   }
@@ -280,7 +285,7 @@
     if (incarnation === 0 || !to.connected()) return;
     const sentAt = kernel.clock.now();
     const reply = await to.call('beat', {
-      node: settings.node, incarnation, epochs: epochs(), caps: parts.caps(), membership: membership().version,
+      node: settings.node, incarnation, epochs: toldEpochs(), caps: parts.caps(), membership: membership().version,
     }, callMilliseconds);
     if (Option.isNone(reply) || peers.get(node)?.peer !== to) return;
     if (reply.value.superseded) return superseded();
@@ -346,7 +351,7 @@
     {
       self: settings.node,
       calls: Option.map((known: Registered) => known.calls)(registered),
-      lessees: () => (Option.isSome(registered) ? registered.value.lessees() : []),
+      lessees: () => (Option.isSome(registered) ? registered.value.lessees() : Option.none),
       released: (service, epoch, lessees) => Option.isSome(registered) && registered.value.released(service, epoch, lessees),
       onStance: () => (Option.isSome(registered) ? registered.value.onStance() : undefined),
       membership: () => membership().value,
@@ -462,7 +467,7 @@
     beat: function heard(ask): Reply<'beat'> {
       const stale = isStale(ask.node, ask.incarnation);
       if (!stale) takeTold(ask.node, ask);
-      return { epochs: epochs(), caps: parts.caps(), membership: membership().version, superseded: stale };
+      return { epochs: toldEpochs(), caps: parts.caps(), membership: membership().version, superseded: stale };
     },
     propose: function propose(ask: Ask<'propose'>) {
       return elections.consider(ask);
--- a/packages/pooler/src/connections.ts
+++ b/packages/pooler/src/connections.ts
@@ -56,6 +56,7 @@
 const surplusMilliseconds = 4_000;
 /** A member that has too many connections is asked for no more than stand, and for one more after each such span. */
 const scarceMilliseconds = 250;
+const unusedMilliseconds = 300;
 const leastPauseMilliseconds = 150;
 const mostPauseMilliseconds = 1_500;
 const notListeningMilliseconds = 1_000;
@@ -153,7 +154,9 @@
 
   /** One of this edge's own that rests for another tenant gives way. */
   function makeRoom(tenant: string, known: MemberLines): boolean {
-    const index = known.idle.findIndex((one) => one.pooled.tenant !== tenant);
+    const now = kernel.clock.now();
+    // One that was opened a moment ago and not used yet is meant for somebody who waits.
+    const index = known.idle.findIndex((one) => one.pooled.tenant !== tenant && (one.session !== '' || now - one.since > unusedMilliseconds));
     if (index < 0) return false;
     const [given] = known.idle.splice(index, 1);
     given?.pooled.line.close();
@@ -179,10 +182,7 @@
     if (total(known) >= mostOf(place, known)) {
       // Another tenant's idle connection makes room: the one that rested longest.
       dropClosed(known);
-      const [oldest] = known.idle;
-      if (oldest === undefined || oldest.pooled.tenant === tenant) return false;
-      known.idle.shift();
-      oldest.pooled.line.close();
+      if (!makeRoom(tenant, known)) return false;
     }
     void open(place, tenant, known);
     return true;
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -6,7 +6,7 @@
 import { positions, type Condition, type Dialect, type MemberPlace, type Position, type StatementReply } from '@stallstall/statement';
 import type { Connections, PooledLine } from './connections.js';
 import type { Freshness } from './freshness.js';
-import { sessions, type Held, type Prepared, type Session, type Transaction } from './sessions.js';
+import { sessions, type Prepared, type Session, type Transaction } from './sessions.js';
 import type { Usage } from './usage.js';
 import type { View } from './view.js';
 
@@ -37,8 +37,6 @@
   holdUntil: Instant;
   patientUntil: Instant;
   shots: number;
-  /** It began its transaction on the member: nothing of that has been told to the sender. */
-  firstOfTransaction: boolean;
   without: ReadonlySet<string>;
   /** The member a connection was asked to be opened to on its behalf. */
   wanted: string;
@@ -414,15 +412,8 @@
       reply(record, { rows: [], ending: { kind: 'fault', condition: 'outcome-unknown', text: 'the reply was lost; it may have run' }, stance: 'idle', position: Option.none });
       return;
     }
-    if (held && Option.isSome(ask.transaction)) {
-      // Its connection is broken off, so that nothing of the transaction can be kept; before its sender has heard anything of it, it can begin elsewhere.
-      if (record.firstOfTransaction && !ask.transaction.value.failed && mayRepeat(record)) {
-        const { pooled: broken } = (ask.transaction.value.held as Option.Some<Held>).value;
-        ask.transaction.value.held = Option.none;
-        connections.giveBack(broken, false);
-        retry(record, Option.isSome(record.target) && !record.target.value.leader ? [record.target.value.place.member] : []);
-        return;
-      }
+    if (held) {
+      // Its connection is broken off, so that nothing of the transaction can be kept; a statement of it that ran is run nowhere else.
       deny(record, 'aborted', retryText(100));
       return;
     }
@@ -438,6 +429,14 @@
     return !record.ask.writes && (condition === 'saturated' || condition === 'lagging' || condition === 'failed' || condition === 'read-only');
   }
 
+  /** Whether the lease of the epoch under which a statement was placed still ran as it left. */
+  function wasLed(record: RequestRecord, sentAt: Instant): boolean {
+    const { transaction, database } = record.ask;
+    const placed = Option.isSome(transaction) && Option.isSome(transaction.value.held) ? transaction.value.held.value.epoch : Option.isSome(record.target) ? record.target.value.epoch : 0;
+    const known = view().leaders.get(database.service);
+    return known !== undefined && known.epoch === placed && known.until > sentAt;
+  }
+
   function settle(record: RequestRecord, pooled: PooledLine, replied: StatementReply, sentAt: Instant): void {
     const { ask } = record;
     const service = ask.database.service;
@@ -456,8 +455,8 @@
       reply(record, { rows: [], ending: replied.ending, stance: 'idle', position: replied.position });
       return;
     }
-    // Asked under a lease, so the leader's position covers all that was acknowledged before it was asked (design 8.11).
-    if (leader && Option.isSome(replied.position)) freshness.learnt(service, sentAt, replied.position.value);
+    // Asked under a lease that still ran, so the leader's position covers all that was acknowledged before it was asked (design 8.11).
+    if (leader && wasLed(record, sentAt) && Option.isSome(replied.position)) freshness.learnt(service, sentAt, replied.position.value);
     if ((ask.commit || (ask.writes && transaction === undefined)) && Option.isSome(replied.position)) {
       sessions.committed(ask.session, service, replied.position.value);
       if (leader) freshness.committed(service, replied.position.value);
@@ -480,7 +479,7 @@
       const hold = Math.max(leastHoldMilliseconds, asked.database.aimMilliseconds * holdShare);
       const record: RequestRecord = {
         id: lastId, ask: asked, stage: 'waiting', arrivedAt: now, startedAt: Option.isSome(asked.transaction) ? asked.transaction.value.startedAt : now,
-        horizon: identifiers.after(now, asked.database.horizonMilliseconds), holdUntil: identifiers.after(now, hold), patientUntil: identifiers.after(now, asked.database.horizonMilliseconds * patientShare), shots: 0, firstOfTransaction: Option.isSome(asked.transaction) && Option.isNone(asked.transaction.value.held), without: new Set(), wanted: '',
+        horizon: identifiers.after(now, asked.database.horizonMilliseconds), holdUntil: identifiers.after(now, hold), patientUntil: identifiers.after(now, asked.database.horizonMilliseconds * patientShare), shots: 0, without: new Set(), wanted: '',
         target: Option.none, connection: Option.none,
       };
       table.set(record.id, record);
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -33,6 +33,8 @@
 /** `left`: it said so itself; one that is gone by its silence alone is back with its next beat. */
 type Known = { entry: RosterEntry; changedAt: number; takenAt: Instant; left: boolean };
 
+/** No beat is late by more than this: a lower count after such a silence is that of a member that began anew. */
+const lateMilliseconds = 3_000;
 /** A member that left is remembered so long, so that no late beat brings it back. */
 const goneMilliseconds = 120_000;
 /** A member silent for so long is of no service any more: it crashed for good and said nothing. */
@@ -61,7 +63,7 @@
   function isLate(entry: RosterEntry): boolean {
     const known = table.get(entry.member);
     if (known === undefined) return false;
-    return (known.left && !entry.gone) || (!entry.gone && entry.sequence < known.entry.sequence);
+    return (known.left && !entry.gone) || (!entry.gone && entry.sequence < known.entry.sequence && kernel.clock.now() - known.takenAt < lateMilliseconds);
   }
 
   function heard(entry: RosterEntry, ago: number): boolean {
--- a/packages/stories/src/units.ts
+++ b/packages/stories/src/units.ts
@@ -319,6 +319,12 @@
 
 // -- The core's half.
 
+function lesseesOf(story: UnitStory): readonly string[] {
+  const known = story.lessor.lessees();
+  assert.ok(Option.isSome(known), 'it does not say');
+  return known.value;
+}
+
 async function startLessor(story: UnitStory, ready: boolean): Promise<void> {
   story.world = worlds.create(45);
   story.roster = rosterOn(story.world, 'core-1');
@@ -329,6 +335,9 @@
     ready: () => ready, stances: () => ({ ferries: story.stance }), configuration: () => 1, membership: () => 1, puts: () => 1, roster: story.roster, troubled: () => false, onNotListening: () => undefined,
   });
   await story.world.run(10);
+  // A process before it may have granted some: it names none until these have ended.
+  assert.ok(Option.isNone(story.lessor.lessees()));
+  await story.world.run(2_600);
 }
 
 Given('a core\'s half of the leases, standing at 5', async function given(this: UnitStory) {
@@ -354,7 +363,7 @@
 });
 
 Then('both count, and the epoch {int} is not released by both', function then(this: UnitStory, epoch: number) {
-  assert.deepEqual([...this.lessor.lessees()].sort(), ['edge-1', 'edge-2']);
+  assert.deepEqual([...lesseesOf(this)].sort(), ['edge-1', 'edge-2']);
   assert.equal(this.lessor.released('ferries', epoch, ['edge-1', 'edge-2']), false);
   assert.equal(this.lessor.released('ferries', epoch, ['edge-2']), true);
   assert.equal(this.lessor.released('ferries', epoch, ['edge-3']), false);
@@ -367,12 +376,12 @@
 
 When('{float} s pass since the asks', async function when(this: UnitStory, seconds: number) {
   await this.world.run(seconds * 1_000 - 200);
-  assert.deepEqual(this.lessor.lessees().length, 2);
+  assert.deepEqual(lesseesOf(this).length, 2);
   await this.world.run(200);
 });
 
 Then('none counts', function then(this: UnitStory) {
-  assert.deepEqual(this.lessor.lessees(), []);
+  assert.deepEqual(lesseesOf(this), []);
 });
 
 Then('a reply to {string} names no stance', async function then(this: UnitStory, node: string) {
