--- a/packages/stories/features/units.feature
+++ b/packages/stories/features/units.feature
@@ -78,6 +78,15 @@
     When the cores fall silent
     Then the lease is over within 2 s and does not come back
 
+  Scenario: A lease runs from the reply where the core says for how long it held the question
+    Given an edge and cores that hold each question for 600 ms and say so, standing at 5, with epoch 5 settled
+    When the edge has its first lease
+    Then between 1.9 s and 2.0 s of it are left
+
+  Scenario: A configuration that nobody hands over whole is asked for under the number of the set
+    Given an edge whose cores tell of a configuration without its content, and show it to whoever asks under their set
+    Then within 1 s the edge obeys it
+
   Scenario: A floor is never taken back
     Given an edge and cores that stand at 5, 5, 5, and epoch 5 settled
     When the cores stand at 6, 6, 5
--- a/packages/stories/src/units.ts
+++ b/packages/stories/src/units.ts
@@ -14,7 +14,7 @@
 import { world as worlds, type Process, type World } from '@stallstall/simulator';
 import { positions, type MemberPlace, type Position } from '@stallstall/statement';
 
-type StubCore = { stance: number | undefined; silent: boolean; ready: boolean; number: number; settled: number; delay: number; lessees: Set<Caller>; reply: ((ask: Ask<'lease'>) => Promise<Partial<Reply<'lease'>>>) | undefined };
+type StubCore = { stance: number | undefined; silent: boolean; ready: boolean; number: number; settled: number; delay: number; held: number; lessees: Set<Caller>; reply: ((ask: Ask<'lease'>) => Promise<Partial<Reply<'lease'>>>) | undefined };
 
 type UnitStory = {
   world: World;
@@ -187,7 +187,7 @@
       stub.number += 1;
       return {
         ready: stub.ready, token: `life-${index}`, number: stub.number, stances: stub.stance === undefined ? {} : { ferries: stub.stance }, configuration: 1, membership: 1, puts: 1,
-        roster: [], whole: false, edges: { north: 1 }, demand: {}, wants: false, marks: {}, held: 0, set: 1, ...told,
+        roster: [], whole: false, edges: { north: 1 }, demand: {}, wants: false, marks: {}, held: stub.held, set: 1, ...told,
       };
     },
   });
@@ -195,7 +195,7 @@
 
 async function startEdge(story: UnitStory, stubs: ReadonlyArray<Partial<StubCore>>): Promise<void> {
   story.world = worlds.create(43);
-  story.cores = stubs.map((stub) => ({ stance: 5, silent: false, ready: true, number: 0, settled: 5, delay: 20, lessees: new Set(), reply: undefined, ...stub }));
+  story.cores = stubs.map((stub) => ({ stance: 5, silent: false, ready: true, number: 0, settled: 5, delay: 20, held: 0, lessees: new Set(), reply: undefined, ...stub }));
   const seats = stubs.map((_stub, index) => seatOf(index));
   for (const index of stubs.keys()) await startStub(story, index, seats);
   const { kernel } = story.world.spawn('edge-1', 'edge-machine');
@@ -206,6 +206,50 @@
   story.lessee.start();
 }
 
+Given(/^an edge and cores that hold each question for (\d+) ms and say so, standing at 5, with epoch 5 settled$/, async function given(this: UnitStory, milliseconds: string) {
+  await startEdge(this, [0, 1, 2].map(() => ({ delay: Number(milliseconds), held: Number(milliseconds) })));
+});
+
+Then(/^between ([\d.]+) s and ([\d.]+) s of it are left$/, function then(this: UnitStory, least: string, most: string) {
+  const left = this.lessee.leaseUntil('ferries') - this.kernel.clock.now();
+  assert.ok(left >= Number(least) * 1_000 && left <= Number(most) * 1_000, `${left} ms are left`);
+});
+
+Given('an edge whose cores tell of a configuration without its content, and show it to whoever asks under their set', async function given(this: UnitStory) {
+  this.world = worlds.create(44);
+  const seats = [0, 1, 2].map(seatOf);
+  const ballot = { counter: 1, node: 'core-1' };
+  for (const [index, seat] of seats.entries()) {
+    const { kernel } = this.world.spawn(`core-${index + 1}`, `core-machine-${index + 1}`);
+    const told = new Set<Caller>();
+    await peer.listen(kernel, identifiers.address(seat.address), {
+      hello: () => ({ node: seat.node, role: 'core', incarnation: 1, fleet: 'fleet', founding: '', cores: [...seats], set: { number: 1, seats: [...seats], epochs: {} }, knownPuts: 0, superseded: false }) as Reply<'hello'>,
+      lease: async function lease(ask, caller) {
+        if (!told.has(caller)) caller.change({ number: 1, set: 1, key: 'configuration', entry: { ballot, version: 1, value: null } });
+        told.add(caller);
+        await kernel.clock.sleep(Math.min(ask.hold, 300));
+        return {
+          ready: true, held: 0, token: `life-${index}`, number: 1, stances: {}, configuration: 1, membership: 1, puts: 1, roster: [], whole: false, edges: { north: 1 }, demand: {}, wants: false, marks: {}, set: 1,
+        };
+      },
+      look: (ask) => (ask.set === 1
+        ? { ready: true, agreed: true, promised: ballot, accepted: { ballot, version: 1, value: { sheet: { services: [{ service: 'ferries' }] } } } }
+        : { ready: false, agreed: false, promised: ballot, accepted: null }),
+    });
+  }
+  const { kernel } = this.world.spawn('edge-1', 'edge-machine');
+  this.kernel = kernel;
+  this.lessee = lessee.create(kernel, { node: 'edge-1', area: 'north', seeds: () => seats.map((seat) => seat.address) }, {
+    released: () => ({}), positions: () => ({}), marks: () => ({}), positionsAgo: () => 0, troubled: () => false, demand: () => 0, notListening: () => [], onChange: () => undefined,
+  });
+  this.lessee.start();
+});
+
+Then('within 1 s the edge obeys it', async function then(this: UnitStory) {
+  await this.world.run(1_000);
+  assert.deepEqual([...this.lessee.services()], ['ferries']);
+});
+
 function hasLease(story: UnitStory): boolean {
   return story.lessee.leaseUntil('ferries') > story.kernel.clock.now();
 }
