Reads are replied from an edge's copy through announced outages of its site

Cause: sites that lose their uplink on a known schedule were denied everything, reads too. The sheet's `outages` (left out: none) name site, edges, databases and windows; an edge that is named holds what its sessions read before, and replies it in the window where no member can be had (design 8.13). Writes, transactions, leader reads, other tenants or values, moved databases and sessions whose own commit the copy lacks are denied as before.

Ruled out: replicas on sites (another member everywhere), queues of writes (they settle what must not be settled there), copies on disk (edges have none). `outages` is optional in the checked sheet and has no default, so that sheets without it stay what they were. Read-only transactions are denied too: two copies stem from two moments. A story with two sites on one edge found a copy made from another copy; mended.

--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -6,8 +6,9 @@
 import type { SheetDatabase } from '@stallstall/sheet';
 import type { Command, Condition, Dialect, Incoming, MemberPlace, StatementReply } from '@stallstall/statement';
 import { connections as connectionTables, type Share } from './connections.js';
+import { copies as copyTables, type Copies } from './copies.js';
 import { freshness as freshnessTables } from './freshness.js';
-import { requests as requestTables } from './requests.js';
+import { requests as requestTables, type Ask } from './requests.js';
 import { sessions as sessionTables, type Session, type Transaction } from './sessions.js';
 import { usage as usageTables } from './usage.js';
 import { never, views, type View } from './view.js';
@@ -33,6 +34,7 @@
   view: () => View;
   ready: () => boolean;
   totals: () => Readonly<Record<string, number>>;
+  copied: () => ReturnType<Copies['describe']>;
 }>;
 
 const feedMilliseconds = 400;
@@ -98,7 +100,8 @@
   let stopped = false;
 
   const connections = connectionTables.create(kernel, dialect, share, () => requests.sweep());
-  const requests = requestTables.create(kernel, dialect, () => view, connections, freshness, usage);
+  const copies = copyTables.create(kernel, () => view, (ask) => requests.ask(ask));
+  const requests = requestTables.create(kernel, dialect, () => view, connections, freshness, usage, copies);
 
   /** This edge's part of what a member lets in, of all edges that hold leases (design 8.3). */
   function share(place: MemberPlace): Share {
@@ -167,6 +170,7 @@
     seen = reply.value.number;
     serial = reply.value.serial;
     if (news) {
+      copies.follow();
       noteReleases();
       if (led !== leadersOf(view)) for (const session of sessions.keys()) warmSession(session);
       connections.tend(view.members);
@@ -289,11 +293,13 @@
     const found = Option.isSome(transaction) ? { database: transaction.value.database, tenant: transaction.value.tenant } : letIn(session.database, session.who);
     if (typeof found === 'string') return fault(found, 'not let in');
     if (Option.isSome(transaction)) transaction.value.busy = true;
-    const reply = await requests.ask({
+    const asked: Ask = {
       session, identifier, text, transaction, database: found.database, tenant: found.tenant,
       prepared: command.kind === 'execute' && prepared !== undefined ? Option.some({ shape: prepared, rest: command.rest }) : Option.none,
-      writes: command.kind === 'write' || prepared?.writes === true, commit: command.kind === 'commit',
-    });
+      writes: command.kind === 'write' || prepared?.writes === true, commit: command.kind === 'commit', copying: false,
+    };
+    const reply = await requests.ask(asked);
+    copies.note(asked, reply);
     if (Option.isSome(transaction)) {
       transaction.value.busy = false;
       if (reply.ending.kind === 'fault') transaction.value.told = true;
@@ -459,6 +465,7 @@
 
   async function stop(): Promise<void> {
     stopped = true;
+    copies.stop();
     connections.closeAll();
     agent.close();
     for (const stream of sessions.values()) stream.close();
@@ -495,7 +502,7 @@
     await stop();
   }
 
-  return { drain, stop, view: () => view, ready, totals: requests.totals };
+  return { drain, stop, view: () => view, ready, totals: requests.totals, copied: copies.describe };
 }
 
 export const pooler = { start } as const;
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -5,6 +5,7 @@
 import type { SheetDatabase } from '@stallstall/sheet';
 import { positions, type Condition, type Dialect, type MemberPlace, type Position, type StatementReply } from '@stallstall/statement';
 import type { Connections, PooledLine } from './connections.js';
+import type { Copies } from './copies.js';
 import type { Freshness } from './freshness.js';
 import { sessions, type Held, type Prepared, type Session, type Transaction } from './sessions.js';
 import type { Usage } from './usage.js';
@@ -21,6 +22,8 @@
   transaction: Option.Option<Transaction>;
   database: SheetDatabase;
   tenant: string;
+  /** Read for a copy, not for a sender: nobody's usage (design 8.13). */
+  copying: boolean;
 }>;
 
 type Target = Readonly<{ place: MemberPlace; epoch: number; leader: boolean; since: Option.Option<Position> }>;
@@ -78,7 +81,7 @@
 const leaderWeight = 1;
 
 function create(
-  kernel: Kernel, dialect: Dialect, view: () => View, connections: Connections, freshness: Freshness, usage: Usage,
+  kernel: Kernel, dialect: Dialect, view: () => View, connections: Connections, freshness: Freshness, usage: Usage, copies: Copies,
 ): Requests {
   const table = new Map<number, RequestRecord>();
   const repliers = new Map<number, (reply: StatementReply) => void>();
@@ -109,6 +112,14 @@
     return reply(record, { rows: [], ending: { kind: 'fault', condition, text }, stance: 'idle', position: Option.none });
   }
 
+  /** No member can be reached for it: within an announced outage a read is replied from the copy made for it, if there is one (design 8.13). */
+  function denyUnplaced(record: RequestRecord, condition: Condition, text: string): RequestRecord {
+    if (record.ask.copying || !copies.open(record.ask)) return deny(record, condition, text);
+    const copied = copies.reply(record.ask);
+    count(Option.isSome(copied) ? 'copy.served' : 'copy.missed');
+    return Option.isSome(copied) ? reply(record, copied.value) : deny(record, condition, text);
+  }
+
   function abandon(transaction: Transaction): void {
     transaction.failed = true;
     if (Option.isNone(transaction.held)) return;
@@ -192,7 +203,7 @@
       count('waits.leader');
       return { ...record, stage: 'waiting' };
     }
-    return deny(record, 'read-only', retryText(300));
+    return denyUnplaced(record, 'read-only', retryText(300));
   }
 
   /** A leader that still runs was asked to let go a moment ago: another follows soon. */
@@ -222,10 +233,14 @@
     const waits: RequestRecord = { ...record, stage: 'waiting', wanted };
     count('waits.line');
     const now = kernel.clock.now();
-    if (!connections.failing(member.member)) return now < record.patientUntil ? waits : deny(record, 'saturated', retryText(200));
+    if (!connections.failing(member.member)) {
+      if (now < record.patientUntil) return waits;
+      // With nothing under way there it is no crowd that is in the way: it doesn't open.
+      return connections.busy(member.member) === 0 ? denyUnplaced(record, 'saturated', retryText(200)) : deny(record, 'saturated', retryText(200));
+    }
     // Nothing is open to it and the last opening failed: a read goes elsewhere, what needs the leader is not kept waiting.
     if (!leader && record.without.size < 8) return { ...waits, without: new Set([...record.without, member.member]) };
-    return now < record.holdUntil ? waits : deny(record, 'read-only', retryText(300));
+    return now < record.holdUntil ? waits : denyUnplaced(record, 'read-only', retryText(300));
   }
 
   function dispatch(record: RequestRecord): RequestRecord {
@@ -379,7 +394,7 @@
     const sentAt = kernel.clock.now();
     count('sent');
     // An operation is one request, however many statements its transaction holds (design 8.6).
-    if (begins && record.shots === 1) usage.count(ask.tenant);
+    if (begins && record.shots === 1 && !ask.copying) usage.count(ask.tenant);
     const left = record.horizon - sentAt;
     const ran = await pooled.line.run([dialect.query(ask.identifier, textOf(record, pooled))], mayBreakOff(record) ? Math.min(left, patience(ask.database)) : left);
     const replied = ran.replies[0];
@@ -410,6 +425,7 @@
     if (!held) connections.giveBack(pooled, false);
     if (ask.commit || (ask.writes && Option.isNone(ask.transaction))) {
       if (Option.isSome(ask.transaction)) abandon(ask.transaction.value);
+      ask.session.unsettled = true;
       count('outcome-unknown');
       reply(record, { rows: [], ending: { kind: 'fault', condition: 'outcome-unknown', text: 'the reply was lost; it may have run' }, stance: 'idle', position: Option.none });
       return;
@@ -428,7 +444,7 @@
     }
     const member = Option.isSome(record.target) ? record.target.value.place.member : '';
     if (mayRepeat(record)) retry(record, [member]);
-    else deny(record, kernel.clock.now() >= record.horizon ? 'expired' : 'failed', 'no member replied to the read');
+    else denyUnplaced(record, kernel.clock.now() >= record.horizon ? 'expired' : 'failed', 'no member replied to the read');
   }
 
   /** A member said that it did not run: a read goes on to another, anything else is told. */
--- a/packages/pooler/src/sessions.ts
+++ b/packages/pooler/src/sessions.ts
@@ -32,11 +32,13 @@
   readonly values: Map<string, string>;
   readonly prepared: Map<string, Prepared>;
   readonly commits: Map<string, Position>;
+  /** The outcome of a commit of it is not known. */
+  unsettled: boolean;
   transaction: Option.Option<Transaction>;
 };
 
 function create(id: string, database: string, who: string): Session {
-  return { id, database, who, values: new Map(), prepared: new Map(), commits: new Map(), transaction: Option.none };
+  return { id, database, who, values: new Map(), prepared: new Map(), commits: new Map(), unsettled: false, transaction: Option.none };
 }
 
 function stance(session: Session): Stance {
--- a/packages/sheet/src/index.ts
+++ b/packages/sheet/src/index.ts
@@ -73,6 +73,30 @@
   rank: z.number().int().min(0).max(1_000).default(0),
 });
 
+export const weekdays = ['sunday', 'monday', 'tuesday', 'wednesday', 'thursday', 'friday', 'saturday'] as const;
+
+const weeklySchema = z.strictObject({
+  day: z.enum(weekdays),
+  /** Minutes of that day by UTC; what ends after midnight ends beyond 1440. */
+  from: z.number().int().min(0).max(1_439),
+  to: z.number().int().min(1).max(2_880),
+});
+
+/** Announced windows in which a site's uplink is away, and what its edges hold through them (design 8.13). */
+const outageSchema = z.strictObject({
+  site: name,
+  nodes: z.array(name).min(1).max(99),
+  databases: z.array(z.string()).min(1).max(1_000),
+  from: z.iso.datetime().optional(),
+  to: z.iso.datetime().optional(),
+  weekly: z.array(weeklySchema).max(50).default([]),
+  /** So long before a window its copy is made. */
+  holdMilliseconds: z.number().int().min(1_000).max(86_400_000).default(600_000),
+  mostBytes: z.number().int().min(1_024).max(67_108_864).default(16_777_216),
+  /** Reads to be held whether or not anybody asked them. */
+  things: z.array(z.strictObject({ database: z.string(), tenant: z.string(), text: z.string().min(1).max(65_536) })).max(5_000).default([]),
+});
+
 const boundsSchema = z.strictObject({
   /** How long a transaction may rest before it may be ended. */
   restMilliseconds: z.number().int().min(1).max(600_000).default(5_000),
@@ -86,6 +110,8 @@
   mappings: z.array(mappingSchema).max(5_000).default([]),
   databases: z.array(databaseSchema).max(20_000).default([]),
   tenants: z.array(tenantSchema).max(10_000).default([]),
+  /** None when left out: a sheet without any stays, byte for byte, what it was. */
+  outages: z.array(outageSchema).max(500).optional(),
   bounds: boundsSchema.default({ restMilliseconds: 5_000, messageBytes: 1_048_576 }),
 });
 
@@ -98,6 +124,10 @@
 export type SheetDatabase = Sheet['databases'][number];
 export type SheetTenant = Sheet['tenants'][number];
 
+export type SheetOutage = NonNullable<Sheet['outages']>[number];
+/** By the wall clock. */
+export type OutageWindow = Readonly<{ from: number; to: number }>;
+
 export type SheetFault = Readonly<{ row: string; column: string; message: string; remedy: string }>;
 
 /** Where an issue stands, as an operator would point at it: `rows[3] (bookings/north)`, column `weights.bookings-2`. */
@@ -121,6 +151,67 @@
   }))];
 }
 
+const minuteMilliseconds = 60_000;
+const dayMilliseconds = 86_400_000;
+const weekMilliseconds = 7 * dayMilliseconds;
+/** The first of January 1970 was a Thursday. */
+const firstSunday = 3 * dayMilliseconds;
+
+/** The windows of an outage that touch a span of the wall clock, the earliest first. */
+function windows(outage: SheetOutage, from: number, to: number): readonly OutageWindow[] {
+  const dated = outage.from === undefined || outage.to === undefined ? [] : [{ from: Date.parse(outage.from), to: Date.parse(outage.to) }];
+  const week = firstSunday + Math.floor((from - firstSunday) / weekMilliseconds) * weekMilliseconds;
+  const weeks = Array.from({ length: Math.ceil((to - week) / weekMilliseconds) + 1 }, (_, index) => week + (index - 1) * weekMilliseconds);
+  const recurring = weeks.flatMap((sunday) => outage.weekly.map((one) => {
+    const day = sunday + weekdays.indexOf(one.day) * dayMilliseconds;
+    return { from: day + one.from * minuteMilliseconds, to: day + one.to * minuteMilliseconds };
+  }));
+  return [...dated, ...recurring].filter((one) => one.from < to && one.to > from).sort((left, right) => left.from - right.from);
+}
+
+function meet(left: OutageWindow, right: OutageWindow): boolean {
+  return left.from < right.to && right.from < left.to;
+}
+
+/** Dated windows are looked at where they stand; weekly ones over two weeks of any. */
+function overlap(left: SheetOutage, right: SheetOutage): boolean {
+  const [dated] = [left, right].flatMap((one) => (one.from === undefined || one.to === undefined ? [] : [{ from: Date.parse(one.from), to: Date.parse(one.to) }]));
+  const span = dated ?? { from: firstSunday, to: firstSunday + 2 * weekMilliseconds };
+  const others = windows(right, span.from, span.to);
+  return windows(left, span.from, span.to).some((one, index) => others.some((other, place) => (left !== right || index < place) && meet(one, other)));
+}
+
+function outageFaults(sheet: Sheet): readonly SheetFault[] {
+  const faults: SheetFault[] = [];
+  const databases = new Set(sheet.databases.map((database) => database.database));
+  const tenants = new Set(sheet.tenants.map((tenant) => tenant.tenant));
+  const outages = sheet.outages ?? [];
+  for (const [index, outage] of outages.entries()) {
+    const row = `outages[${index}] (${outage.site})`;
+    const isDated = outage.from !== undefined && outage.to !== undefined;
+    if (isDated === outage.weekly.length > 0 || (outage.from === undefined) !== (outage.to === undefined)) {
+      faults.push({ row, column: 'from', message: 'it has no window, or more than one sort of it', remedy: 'give from and to, or weekly windows' });
+      continue;
+    }
+    if (Date.parse(outage.from ?? '') >= Date.parse(outage.to ?? '') || outage.weekly.some((one) => one.from >= one.to)) {
+      faults.push({ row, column: 'to', message: 'a window ends before it begins', remedy: 'let it end later; after midnight is beyond minute 1440' });
+      continue;
+    }
+    for (const named of [...outage.databases, ...outage.things.map((thing) => thing.database)]) {
+      if (!databases.has(named)) faults.push({ row, column: 'databases', message: `there is no database ${named}`, remedy: 'add it under databases, or mend the name' });
+    }
+    for (const thing of outage.things) {
+      if (!tenants.has(thing.tenant)) faults.push({ row, column: 'things.tenant', message: `there is no tenant ${thing.tenant}`, remedy: 'add it under tenants, or mend the name' });
+      if (!outage.databases.includes(thing.database)) faults.push({ row, column: 'things.database', message: `${thing.database} is not held in this outage`, remedy: 'name it under databases of the outage as well' });
+    }
+    for (const other of outages.slice(index)) {
+      const shared = other.site === outage.site ? other.databases.filter((named) => outage.databases.includes(named)) : [];
+      if (shared.length > 0 && overlap(outage, other)) faults.push({ row, column: 'from', message: `windows of ${outage.site} overlap for ${shared[0]}`, remedy: 'make one window of them, or move one' });
+    }
+  }
+  return faults;
+}
+
 function crossFaults(sheet: Sheet): readonly SheetFault[] {
   const faults: SheetFault[] = [];
   function add(row: string, column: string, message: string, remedy: string): void {
@@ -194,7 +285,7 @@
   for (const twice of repeated(sheet.tenants.flatMap((tenant) => [...new Set(tenant.keys)]))) {
     add('tenants', 'keys', `${twice.slice(0, 4)}… is held by two tenants`, 'give each tenant keys of its own');
   }
-  return faults;
+  return [...faults, ...outageFaults(sheet)];
 }
 
 /** One answer that lists every fault; nothing is taken from a sheet that has one. */
@@ -245,4 +336,4 @@
   return edges === 0 ? 0 : Math.max(0, Math.floor((limit - nodes) / edges));
 }
 
-export const sheets = { check, service, member, row, mapping, allows, share } as const;
+export const sheets = { check, service, member, row, mapping, allows, share, windows } as const;
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -10,6 +10,7 @@
 const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 const requests = 'pooler/build/requests.js';
 const pooler = 'pooler/build/pooler.js';
+const copies = 'pooler/build/copies.js';
 const lag = ['replica-deaf', 'replica-crashed'];
 const sends = ['configuration-changed', 'key-withdrawn'];
 const mutations = [
@@ -21,7 +22,7 @@
   { name: 'position-learnt-from-anyone', story: 'bounded age', file: requests, from: 'if (leader && Option.isSome(replied.position))', to: 'if (Option.isSome(replied.position))' },
   { name: 'moved-database-not-followed', story: 'follows it', file: requests, from: 'ask: { ...record.ask, database }', to: 'ask: record.ask' },
   { name: 'abandoned-transaction-given-on', story: 'leaves nothing on its connection', file: requests, from: 'connections.giveBack(pooled, false);\n    }\n    // -- The passes', to: 'connections.giveBack(pooled, true);\n    }\n    // -- The passes' },
-  { name: 'every-statement-counted', expect: 'usage', only: sends, file: requests, from: 'if (begins && record.shots === 1)', to: 'if (true)' },
+  { name: 'every-statement-counted', expect: 'usage', only: sends, file: requests, from: 'if (begins && record.shots === 1 && !ask.copying)', to: 'if (true)' },
   { name: 'any-key-lets-in', story: 'withdrawn|typed fault', expect: 'configuration|route', only: sends, file: pooler, from: 'const tenant = view.tenants.get(who);', to: "const tenant = view.tenants.get(who) ?? { tenant: 'tenant-one' };" },
   { name: 'rest-not-ended', story: 'rests too long', file: pooler, from: 'now - transaction.restsSince >= rest', to: 'false' },
   { name: 'left-transaction-stays', story: 'leaves midway', file: pooler, from: 'if (Option.isSome(session.transaction))\n            void rollback(session.transaction.value);', to: '' },
@@ -36,6 +37,26 @@
   { name: 'beats-taken-by-no-fleet', story: 'no fleet', file: 'core/build/index.js', from: '&& node.cores().length > 0 && (roster', to: '&& (roster' },
   { name: 'late-beats-taken', story: 'late beat', file: 'roster/build/index.js', from: 'entry.sequence < known.entry.sequence', to: 'false' },
   { name: 'whoever-left-comes-back', story: 'late beat', file: 'roster/build/index.js', from: '(known.entry.gone && !entry.gone)', to: 'false' },
+  { name: 'copy-before-its-window', story: 'Before its window', file: copies, from: 'wall >= holding.window.from && wall < holding.window.to', to: 'wall < holding.window.to' },
+  { name: 'copy-after-its-window', story: 'clock that is set on', file: copies, from: 'wall >= holding.window.from && wall < holding.window.to + outageGraceMilliseconds', to: 'wall >= holding.window.from' },
+  { name: 'copy-not-dropped', story: 'copy is gone', file: copies, from: 'wall - outageGraceMilliseconds, wall', to: 'wall - 10 * outageGraceMilliseconds, wall' },
+  { name: 'copies-of-all-tenants', story: "Another tenant's copy", file: copies, from: 'ask.database.database, ask.tenant, values', to: 'ask.database.database, values' },
+  { name: 'copies-under-any-values', story: 'other session values', file: copies, from: 'ask.tenant, values, words', to: 'ask.tenant, words' },
+  { name: 'incomplete-copy-used', story: 'not completed', file: copies, from: '!holding.complete || !windowIsOpen', to: '!windowIsOpen' },
+  { name: 'copy-filled-in-its-window', story: 'not finished in it', file: copies, from: 'holding.outage.holdMilliseconds && wall < holding.window.from', to: 'holding.outage.holdMilliseconds' },
+  { name: 'own-commit-not-in-copy', story: 'own commit after the copy', file: copies, from: 'own === undefined ||', to: 'true ||' },
+  { name: 'unknown-commit-not-in-copy', story: 'unknown end', file: copies, from: 'if (ask.session.unsettled)', to: 'if (false)' },
+  { name: 'write-from-a-copy', story: 'settles nothing', file: copies, from: '!ask.writes && ', to: '' },
+  { name: 'transaction-from-a-copy', story: 'settles nothing', file: copies, from: 'Option.isNone(ask.transaction) && ', to: '' },
+  { name: 'leader-read-from-a-copy', story: 'settles nothing', file: copies, from: "ask.database.reads !== 'leader' && ", to: '' },
+  { name: 'any-database-held', story: 'settles nothing', file: copies, from: 'outage.databases.includes(ask.database.database)', to: 'true' },
+  { name: 'moved-database-from-its-copy', story: 'has moved since', file: copies, from: 'copied.service !== asked.database.service || ', to: '' },
+  { name: 'any-edge-holds', story: "doesn't name", file: copies, from: 'outage.nodes.includes(known.node)', to: 'true' },
+  { name: 'copies-without-bound', story: 'within its bound', file: copies, from: 'new LRUCache({\n                maxSize: outage.mostBytes', to: 'new LRUCache({\n                maxSize: 1_000_000' },
+  { name: 'copy-of-a-copy', story: 'never made from another copy', file: requests, from: 'record.ask.copying || ', to: '' },
+  { name: 'copying-counted-as-usage', story: "nobody's usage", file: requests, from: ' && !ask.copying', to: '' },
+  { name: 'copy-before-any-member', story: 'can be placed goes to a member', file: requests, from: 'const target = needsLeader(record.ask)', to: "if (copies.open(record.ask))\n            return denyUnplaced(record, 'read-only', '');\n        const target = needsLeader(record.ask)" },
+  { name: 'overlapping-windows-taken', story: 'outages are checked whole', file: 'sheet/build/index.js', from: 'shared.length > 0 && overlap(outage, other)', to: 'false' },
   { name: 'turn-taken-at-once', expect: 'one-holder', only: ['core-cut', 'core-killed', 'primary-crashed', 'platform-slow'], file: 'elect/build/duty.js', from: 'if (state.released)', to: 'if (true)' },
 ];
 
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -36,6 +36,7 @@
   rows: readonly never[];
   keys: readonly never[];
   bounds: Readonly<{ restMilliseconds: number }>;
+  outages?: readonly unknown[];
 }>;
 /** A version as sent; `acknowledgedAt` is infinite while nobody has acknowledged it. */
 export type PooledVersion = { readonly version: number; readonly sheet: PooledSheet; readonly sentAt: number; acknowledgedAt: number };
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -26,6 +26,8 @@
   frozenUntil: number;
   /** Each product process has a clock of its own: where it began, and how fast it goes. */
   readonly clockOffset: number;
+  /** How far its wall clock was stepped. */
+  wallOffset: number;
   readonly clockRate: number;
   stoppedBy: Option.Option<Fault>;
   readonly closers: Set<() => void>;
@@ -46,6 +48,8 @@
   /** The machine from which an HTTP connection came. */
   machineOf: (connection: string) => string;
   freeze: (process: Process, milliseconds: number) => void;
+  /** Sets the wall clock of a process on, or back. */
+  stepWall: (process: Process, milliseconds: number) => void;
   frozen: (process: Process) => boolean;
   /** Messages from one machine to another are held until the cut is healed. */
   cut: (from: string, to: string) => void;
@@ -466,7 +470,7 @@
   function kernelOf(body: Body, disk: SimulatedDisk | undefined, protocols: Protocols): Kernel {
     const clock = {
       now: () => (body.clockOffset + now * body.clockRate) as Instant,
-      wall: () => identifiers.wallTime(wallStart + now),
+      wall: () => identifiers.wallTime(wallStart + now + body.wallOffset),
       alarm: function alarm(milliseconds: number, action: () => void) {
         let live = true;
         at(milliseconds / body.clockRate, () => inside(body, () => {
@@ -612,7 +616,7 @@
     const product = /^(core|edge)-/.test(name);
     const body: Body = {
       name, machine, alive: true, frozenUntil: 0,
-      clockOffset: product ? random() * 1e7 : 0, clockRate: product ? 0.985 + random() * 0.03 : 1, stoppedBy: Option.none, closers: new Set(), puts: new Set(),
+      wallOffset: 0, clockOffset: product ? random() * 1e7 : 0, clockRate: product ? 0.985 + random() * 0.03 : 1, stoppedBy: Option.none, closers: new Set(), puts: new Set(),
     };
     const process: Process = { name, machine, kernel: kernelOf(body, disk, protocols), alive: () => body.alive, stoppedBy: () => body.stoppedBy };
     bodies.set(process, body);
@@ -667,6 +671,9 @@
       const body = bodies.get(process) as Body;
       body.frozenUntil = Math.max(body.frozenUntil, now + milliseconds);
     },
+    stepWall: function stepWall(process, milliseconds) {
+      (bodies.get(process) as Body).wallOffset += milliseconds;
+    },
     darken,
     light,
     machineOf: (connection) => origins.get(connection) ?? '',
--- a/packages/stand-in/src/session-dialect.ts
+++ b/packages/stand-in/src/session-dialect.ts
@@ -69,7 +69,7 @@
 }
 
 function reply(of: StatementReply): string {
-  const ending = of.ending.kind === 'done' ? `yes ${of.ending.stamp}\n` : faultLine(of.ending.condition, of.ending.text);
+  const ending = of.ending.kind === 'done' ? `yes ${of.ending.stamp}${of.copiedAt === undefined ? '' : ` copied ${of.copiedAt}`}\n` : faultLine(of.ending.condition, of.ending.text);
   return `${of.rows.map((row) => `${row}\n`).join('')}${ending}${rest(of.stance, of.position)}`;
 }
 
--- a/packages/statement/src/dialect.ts
+++ b/packages/statement/src/dialect.ts
@@ -37,7 +37,11 @@
   | Readonly<{ kind: 'rest'; stance: Stance; position: Option.Option<Position> }>
   | Readonly<{ kind: 'unreadable' }>;
 
-export type StatementReply = Readonly<{ rows: readonly string[]; ending: Ending; stance: Stance; position: Option.Option<Position> }>;
+export type StatementReply = Readonly<{
+  rows: readonly string[]; ending: Ending; stance: Stance; position: Option.Option<Position>;
+  /** By the wall clock: it is no member's reply but a copy of one, held through an outage; a dialect may show it (design 8.13). */
+  copiedAt?: number;
+}>;
 
 /** What a member says of itself when asked for its STATE. */
 export type MemberStanding = Readonly<{ role: 'primary' | 'replica'; term: number; received: Position; lagMilliseconds: number }>;
--- a/packages/stories/features/platform.feature
+++ b/packages/stories/features/platform.feature
@@ -7,6 +7,10 @@
     And of two prefixes of one host the shorter one's route stands for the database
     And a key that stands twice with one tenant is sound
 
+  Scenario: Announced outages in a configuration are put into the sheet
+    Given the configuration of the stories
+    Then outages that it names stand in its sheet, and a fault in one is told
+
   Scenario: An invalid configuration is refused whole, with a typed fault that names the remedy
     Given the configuration of the stories
     Then each of these makes it invalid:
--- a/packages/stories/src/platform.ts
+++ b/packages/stories/src/platform.ts
@@ -140,6 +140,12 @@
   assert.ok(Either.isRight(translated) && translated.right.version === 12);
 });
 
+Then('outages that it names stand in its sheet, and a fault in one is told', function then() {
+  const outage = { site: 'quay', nodes: ['edge-1'], databases: ['lighthouse'], weekly: [{ day: 'monday', from: 60, to: 120 }], holdMilliseconds: 60_000 };
+  assert.deepEqual(sound({ ...sample(), Outages: [outage] }), Either.right({ ...expectedSheet, outages: [{ ...outage, mostBytes: 16_777_216, things: [] }] }));
+  assert.ok(Either.isLeft(taken({ ...sample(), Outages: [{ ...outage, databases: ['nowhere'] }] })));
+});
+
 Then('with fields that are not known at every level it is the same sheet', function then() {
   const strange = { Novelty: { deep: [1] } };
   const whole = sample();
