--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -66,8 +66,9 @@
 const callMilliseconds = 500;
 /** Told where nobody wants to know. */
 const untoldMilliseconds = 3_600_000;
-/** A configuration that another core was to hand over whole is asked for after so long. */
-const contentMilliseconds = 120;
+/** A configuration that another core was to hand over whole is asked for after so long; of one core at a time, since an edge's link may be narrow. */
+const contentMilliseconds = 500;
+const contentCallMilliseconds = 3_000;
 const redialLookMilliseconds = 20;
 const greetMilliseconds = 50;
 const resolveMilliseconds = 200;
@@ -273,14 +274,23 @@
     watch.changed(core, { ...change, entry: { ...change.entry, value } });
   }
 
+  let fetching = false;
+
   async function fetchContent(core: string, link: Peer, change: Change): Promise<void> {
     if (slim.get(core) !== change || stopped) return;
-    const reply = await link.call('look', { key: change.key, set: setNumber }, callMilliseconds);
+    if (fetching) {
+      kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
+      return;
+    }
+    fetching = true;
+    const reply = await link.call('look', { key: change.key, set: setNumber }, contentCallMilliseconds);
+    fetching = false;
     const entry = Option.isSome(reply) ? reply.value.accepted : null;
-    if (entry !== null && slim.get(core) === change) {
+    if (slim.get(core) !== change) return;
+    if (entry !== null) {
       slim.delete(core);
       takeChange(core, link, { ...change, entry });
-    } else if (slim.get(core) === change) kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
+    } else kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
   }
 
   async function ask(core: string, link: Peer, hold: number): Promise<boolean> {
