One waiting room for held asks; lessors add up their edges once a reply

Found on reading the change again: the agent and the lessor each held asks by the same lines; the lessor kept positions that nothing reads, walked all edges and all services twice for each reply. Behaviour is as it was.

--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -1,7 +1,7 @@
 // The agent of an edge that holds leases: no vote, no seat in the table; it feeds its proxy with placement (design 7.12, 8.10).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { identifiers, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
+import { identifiers, waiters, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
 import type { Ask, LogPosition, Marks, Placement, Reply } from '@stallstall/message';
 import { peer, type Caller } from '@stallstall/peer';
 import { lessee as lessees } from '@stallstall/lease';
@@ -22,7 +22,7 @@
 
 async function start(kernel: Kernel, settings: LesseeAgentSettings): Promise<LesseeAgent> {
   const token = kernel.randomness.token();
-  const waiting = new Set<() => void>();
+  const asking = waiters.create(kernel.clock);
   let number = 1;
   let gathering = false;
   let released: Readonly<Record<string, number>> = {};
@@ -81,9 +81,7 @@
   function wake(): void {
     gathering = false;
     number += 1;
-    const resolvers = [...waiting];
-    waiting.clear();
-    for (const resolve of resolvers) resolve();
+    asking.wake();
   }
 
   /** Renewed leases are no news: whoever asks is told them anyway. */
@@ -104,18 +102,6 @@
     kernel.clock.alarm(1, wake);
   }
 
-  function hold(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const alarm = kernel.clock.alarm(milliseconds, over);
-      function over(): void {
-        alarm.cancel();
-        waiting.delete(over);
-        resolve();
-      }
-      waiting.add(over);
-    });
-  }
-
   /** What a proxy lets go of, or is refused by, the cores hear at once. */
   function take(ask: Ask<'placement'>): void {
     askedAt = kernel.clock.now();
@@ -137,7 +123,7 @@
     proxy = caller;
     const cameAt = kernel.clock.now();
     take(ask);
-    if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ending ? Math.min(ask.hold, endingHoldMilliseconds) : ask.hold);
+    if (ask.token === token && ask.seen === number && ask.hold > 0) await asking.hold(ending ? Math.min(ask.hold, endingHoldMilliseconds) : ask.hold);
     const configuration = lessee.configuration();
     const version = Option.isSome(configuration) ? configuration.value.version : 0;
     const known = ask.token === token && ask.seen >= rosterNumber;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -3,3 +3,4 @@
 export * from './owner.js';
 export * from './kernel.js';
 export * from './http.js';
+export * from './waiters.js';
--- /dev/null
+++ b/packages/kernel/src/waiters.ts
@@ -0,0 +1,32 @@
+// Whoever asks for news and is held until there is some, or for so long at the most (design 7.12).
+import type { Clock } from './kernel.js';
+
+export type Waiters = Readonly<{
+  /** Resolves at the next wake, or after so many milliseconds. */
+  hold: (milliseconds: number) => Promise<void>;
+  wake: () => void;
+}>;
+
+function create(clock: Clock): Waiters {
+  const waiting = new Set<() => void>();
+
+  function hold(milliseconds: number): Promise<void> {
+    return new Promise((resolve) => {
+      const alarm = clock.alarm(milliseconds, over);
+      function over(): void {
+        alarm.cancel();
+        waiting.delete(over);
+        resolve();
+      }
+      waiting.add(over);
+    });
+  }
+
+  function wake(): void {
+    for (const resolve of [...waiting]) resolve();
+  }
+
+  return { hold, wake };
+}
+
+export const waiters = { create } as const;
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -1,7 +1,7 @@
 // The core's half of the leases: tells edges where it stands, at once when that changes (design 7.12).
 import * as Option from 'fp-ts/lib/Option.js';
-import { kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
-import type { Ask, LogPosition, Reply } from '@stallstall/message';
+import { kernel as kernels, waiters, type Instant, type Kernel } from '@stallstall/kernel';
+import type { Ask, Reply } from '@stallstall/message';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
 import type { Roster } from '@stallstall/roster';
 import { marks as markTables } from './marks.js';
@@ -28,8 +28,6 @@
   /** Edges that asked within so many milliseconds. */
   recent: (milliseconds: number) => readonly string[];
   released: (service: string, epoch: number, lessees: readonly string[]) => boolean;
-  /** How far the commits reach that any edge told of. */
-  position: (service: string) => LogPosition;
   stop: () => void;
 }>;
 
@@ -42,10 +40,6 @@
 /** An edge that was never asked says this much. */
 const untoldMilliseconds = 600_000;
 
-function higher(left: LogPosition, right: LogPosition): LogPosition {
-  return left.term === right.term ? (left.number >= right.number ? left : right) : left.term > right.term ? left : right;
-}
-
 function create(kernel: Kernel, view: LessorView): Lessor {
   const token = kernel.randomness.token();
   const beganAt = kernel.clock.now();
@@ -53,9 +47,8 @@
   const areas = new Map<string, string>();
   const demands = new Map<string, number>();
   const released = new Map<string, Readonly<Record<string, number>>>();
-  const positions = new Map<string, LogPosition>();
   const seen = markTables.create(kernel);
-  const waiting = new Set<() => void>();
+  const held = waiters.create(kernel.clock);
   /** Where the roster's own number stood at each number of the news. */
   const rosterAt = new Map<number, number>();
   let number = 1;
@@ -67,21 +60,7 @@
     number += 1;
     rosterAt.set(number, view.roster.number());
     rosterAt.delete(number - numbersKept);
-    const resolvers = [...waiting];
-    waiting.clear();
-    for (const resolve of resolvers) resolve();
-  }
-
-  function hold(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const alarm = kernel.clock.alarm(milliseconds, over);
-      function over(): void {
-        alarm.cancel();
-        waiting.delete(over);
-        resolve();
-      }
-      waiting.add(over);
-    });
+    held.wake();
   }
 
   function within(milliseconds: number): readonly string[] {
@@ -107,9 +86,9 @@
   }
 
   /** What holds of each edge that holds leases, added up by area. */
-  function byArea(of: (node: string) => number): Record<string, number> {
+  function byArea(nodes: readonly string[], of: (node: string) => number): Record<string, number> {
     const counts: Record<string, number> = {};
-    for (const node of within(termMilliseconds + marginMilliseconds)) {
+    for (const node of nodes) {
       const area = areas.get(node) ?? '';
       counts[area] = (counts[area] ?? 0) + of(node);
     }
@@ -123,11 +102,10 @@
     areas.set(ask.node, ask.area);
     demands.set(ask.node, ask.demand);
     released.set(ask.node, { ...ask.released });
-    for (const [service, position] of Object.entries(ask.positions)) positions.set(service, higher(position, positions.get(service) ?? { term: 0, number: 0 }));
     // One that tells of no positions has not been asked to: nothing is known of it then.
     if (ask.positionsAgo < untoldMilliseconds) seen.told(ask.node, ask.marks, ask.positions, ask.positionsAgo);
     for (const member of ask.notListening) view.onNotListening(member);
-    if (ask.token === token && ask.seen === number && ask.hold > 0) await hold(ask.hold);
+    if (ask.token === token && ask.seen === number && ask.hold > 0) await held.hold(ask.hold);
     const ready = view.ready();
     // Nothing that was told before this core was ready is built on.
     if (ready && !wasReady) stanceAt.clear();
@@ -135,6 +113,8 @@
     const whole = ask.token !== token;
     // The grant runs from the reply: until then and a term beyond, this edge is one to be waited out.
     askedAt.set(ask.node, kernel.clock.now());
+    const holders = within(termMilliseconds + marginMilliseconds);
+    const troubled = view.troubled();
     return {
       ready,
       held: Math.max(0, kernel.clock.now() - cameAt),
@@ -146,10 +126,10 @@
       puts: view.puts(),
       roster: [...view.roster.since(whole ? 0 : (rosterAt.get(ask.seen) ?? 0))],
       whole,
-      edges: byArea(() => 1),
-      demand: byArea((node) => demands.get(node) ?? 0),
-      wants: view.troubled(),
-      marks: view.troubled() ? seen.all(within(rememberMilliseconds), askedAt) : {},
+      edges: byArea(holders, () => 1),
+      demand: byArea(holders, (node) => demands.get(node) ?? 0),
+      wants: troubled,
+      marks: troubled ? seen.all(within(rememberMilliseconds), askedAt) : {},
     };
   }
 
@@ -163,7 +143,6 @@
     lessees: () => (kernel.clock.now() - beganAt < termMilliseconds + marginMilliseconds ? Option.none : Option.some(within(termMilliseconds + marginMilliseconds))),
     recent: within,
     released: (service, epoch, lessees) => lessees.every((node) => (released.get(node)?.[service] ?? 0) >= epoch),
-    position: (service) => positions.get(service) ?? { term: 0, number: 0 },
     stop: function stop() {
       stopped = true;
       wake();
@@ -173,4 +152,4 @@
 
 export const lessorService = kernels.serviceName<Lessor>('lessor');
 
-export const lessor = { create, higher } as const;
+export const lessor = { create } as const;
