--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,8 @@
 const strangeWords = ['refus', 'admit', 'zone', 'forward', 'deadline', 'route', 'answer', 'timer', 'attempt', 'client', 'health'];
 const capitals = strangeWords.map((word) => word[0].toUpperCase() + word.slice(1));
 const strange = `/^(${strangeWords.join('|')})|(^|[a-z])(${capitals.join('|')})/`;
-const strangeMessage = 'a word of the house stands for this one: deny, let in, area, relay, horizon, mapping, reply, alarm, shot, term, sender or liveness';
+const strangeMessage =
+  'a word of the house stands for this one: deny, let in, area, relay, horizon, mapping, reply, alarm, shot, term, sender or liveness';
 
 export default tseslint.config(
   { ignores: ['**/build/**', '**/node_modules/**', 'scratch/**', 'data/**', 'target/**'] },
@@ -18,10 +19,22 @@
       'max-lines': ['error', { max: 700, skipBlankLines: true, skipComments: true }],
       'no-restricted-syntax': [
         'error',
-        { selector: 'ClassDeclaration:not([superClass.name="Command"])', message: 'object literals as modules; classes only where oclif forces them' },
-        { selector: `:matches(VariableDeclarator, FunctionDeclaration, TSTypeAliasDeclaration, ClassDeclaration) > Identifier.id[name=${strange}]`, message: strangeMessage },
-        { selector: `:matches(FunctionDeclaration, FunctionExpression, ArrowFunctionExpression) > Identifier.params[name=${strange}]`, message: strangeMessage },
-        { selector: `:matches(TSPropertySignature, Property[parent.type="ObjectExpression"]) > Identifier.key[name=${strange}]`, message: strangeMessage },
+        {
+          selector: 'ClassDeclaration:not([superClass.name="Command"])',
+          message: 'object literals as modules; classes only where oclif forces them',
+        },
+        {
+          selector: `:matches(VariableDeclarator, FunctionDeclaration, TSTypeAliasDeclaration, ClassDeclaration) > Identifier.id[name=${strange}]`,
+          message: strangeMessage,
+        },
+        {
+          selector: `:matches(FunctionDeclaration, FunctionExpression, ArrowFunctionExpression) > Identifier.params[name=${strange}]`,
+          message: strangeMessage,
+        },
+        {
+          selector: `:matches(TSPropertySignature, Property[parent.type="ObjectExpression"]) > Identifier.key[name=${strange}]`,
+          message: strangeMessage,
+        },
       ],
       'id-length': ['error', { min: 2, properties: 'never', exceptions: ['_'] }],
       eqeqeq: 'error',
@@ -38,8 +51,14 @@
       'no-restricted-syntax': [
         'error',
         { selector: 'ClassDeclaration', message: 'object literals as modules' },
-        { selector: `:matches(VariableDeclarator, FunctionDeclaration, TSTypeAliasDeclaration) > Identifier.id[name=${strange}]`, message: strangeMessage },
-        { selector: `:matches(FunctionDeclaration, FunctionExpression, ArrowFunctionExpression) > Identifier.params[name=${strange}]`, message: strangeMessage },
+        {
+          selector: `:matches(VariableDeclarator, FunctionDeclaration, TSTypeAliasDeclaration) > Identifier.id[name=${strange}]`,
+          message: strangeMessage,
+        },
+        {
+          selector: `:matches(FunctionDeclaration, FunctionExpression, ArrowFunctionExpression) > Identifier.params[name=${strange}]`,
+          message: strangeMessage,
+        },
       ],
     },
   },
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,7 +1,17 @@
 // The agent beside each proxy: keeps the link to the control plane and feeds its proxy over loopback (design 3.4).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { fault, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpMapping, type Instant, type Kernel, type Listening } from '@stallstall/kernel';
+import {
+  fault,
+  identifiers,
+  kernel as kernels,
+  type Fault,
+  type HttpReply,
+  type HttpMapping,
+  type Instant,
+  type Kernel,
+  type Listening,
+} from '@stallstall/kernel';
 import { message, type Ask, type Reply, type ServiceFeed, type Target } from '@stallstall/message';
 import { peer, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
@@ -33,13 +43,19 @@
       const read = await register.read(keyOf(service), 1_500);
       if (Either.isLeft(read)) return read;
       const entry = read.right;
-      return Either.right(Option.isSome(entry) && message.fits(VoteSchema, entry.value.value) ? Option.some(entry.value.value as Vote) : Option.none);
+      return Either.right(
+        Option.isSome(entry) && message.fits(VoteSchema, entry.value.value) ? Option.some(entry.value.value as Vote) : Option.none,
+      );
     },
     record: async function record(service, vote) {
-      const written = await register.change(keyOf(service), function next(current) {
-        const standing = Option.isSome(current) && message.fits(VoteSchema, current.value.value) ? current.value.value.epoch : 0;
-        return standing >= vote.epoch ? Option.none : Option.some(vote);
-      }, 2_000);
+      const written = await register.change(
+        keyOf(service),
+        function next(current) {
+          const standing = Option.isSome(current) && message.fits(VoteSchema, current.value.value) ? current.value.value.epoch : 0;
+          return standing >= vote.epoch ? Option.none : Option.some(vote);
+        },
+        2_000,
+      );
       if (Either.isLeft(written) || Option.isNone(written.right.entry)) return false;
       const kept = written.right.entry.value.value as Vote;
       return kept.epoch === vote.epoch && kept.candidate === vote.candidate && kept.proposer === vote.proposer;
@@ -50,7 +66,8 @@
 type Sample = Readonly<{ at: Instant; position: number }>;
 
 async function start(kernel: Kernel, settings: AgentSettings): Promise<Either.Either<Fault, Agent>> {
-  if (settings.node === '') return Either.left(fault.create({ kind: 'bad-settings', message: 'the agent has no node id', remedy: 'name one with --node' }));
+  if (settings.node === '')
+    return Either.left(fault.create({ kind: 'bad-settings', message: 'the agent has no node id', remedy: 'name one with --node' }));
   const caps = new Map<string, number>();
   let proxyOpen: Readonly<Record<string, number>> = {};
   let proxyToldAt: Option.Option<Instant> = Option.none;
@@ -99,7 +116,9 @@
       if (share <= current) caps.set(service.service, share);
       else caps.set(service.service, current);
       if (share > current && mayGrow) {
-        const others = node.capsOfOthers().reduce((sum, told) => sum + (Option.isSome(told) ? (told.value[service.service] ?? 0) : share), 0);
+        const others = node
+          .capsOfOthers()
+          .reduce((sum, told) => sum + (Option.isSome(told) ? (told.value[service.service] ?? 0) : share), 0);
         caps.set(service.service, Math.max(current, Math.min(share, service.connectionLimit - table.seats.length - others)));
       }
     }
@@ -112,7 +131,13 @@
   async function probeMember(service: SheetService, member: SheetService['members'][number]): Promise<void> {
     const settled = node.settled(service.service);
     const state = await members.probe(member.member, member.address, probeMilliseconds);
-    if (Either.isLeft(state) || Option.isNone(settled) || settled.value.primary !== member.member || state.right.state.epoch !== settled.value.epoch) return;
+    if (
+      Either.isLeft(state) ||
+      Option.isNone(settled) ||
+      settled.value.primary !== member.member ||
+      state.right.state.epoch !== settled.value.epoch
+    )
+      return;
     const key = `${service.service}|${settled.value.epoch}`;
     const kept = samples.get(key) ?? [];
     samples.set(key, [...kept, { at: state.right.sentAt, position: state.right.state.received }].slice(-samplesKept));
@@ -172,7 +197,8 @@
     const seat = quorum.seat(node.membership().value, settings.node);
     const version = Option.isSome(configuration) ? configuration.value.version : 0;
     return {
-      configuration: Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
+      configuration:
+        Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
       configurationVersion: version,
       term: within(node.controlUntil() - kernel.clock.now()),
       services: Option.isSome(configuration) ? configuration.value.value.sheet.services.map(serviceFeed) : [],
@@ -191,8 +217,15 @@
     proxyToldAt = Option.some(kernel.clock.now());
     telling += 1;
     const noted = await node.notes.note({
-      floors: ask.floors, through: { [settings.node]: ask.through },
-      reports: ask.usage.map((told) => ({ node: settings.node, incarnation: ask.incarnation, number: ask.number, window: told.window, counts: { ...told.counts } })),
+      floors: ask.floors,
+      through: { [settings.node]: ask.through },
+      reports: ask.usage.map((told) => ({
+        node: settings.node,
+        incarnation: ask.incarnation,
+        number: ask.number,
+        window: told.window,
+        counts: { ...told.counts },
+      })),
     });
     telling -= 1;
     return { kept: Either.isRight(noted) };
@@ -201,7 +234,8 @@
   /** A proxy that has told nothing for a while serves nothing more that could still be told. */
   function tellQuiet(): void {
     const quiet = Option.isNone(proxyToldAt) || kernel.clock.now() - proxyToldAt.value > quietMilliseconds;
-    if (quiet && node.cores().length > 0) void node.notes.note({ floors: {}, reports: [], through: { [settings.node]: kernel.clock.wall() - quietMilliseconds } });
+    if (quiet && node.cores().length > 0)
+      void node.notes.note({ floors: {}, reports: [], through: { [settings.node]: kernel.clock.wall() - quietMilliseconds } });
   }
 
   // -- Pages in the shape of the cores' own (design 9.5).
@@ -213,10 +247,13 @@
   }
 
   function heard(): number {
-    return 1 + node.membership().value.seats.filter((seat) => {
-      const at = node.heardAt(seat.node);
-      return Option.isSome(at) && kernel.clock.now() - at.value < termMilliseconds;
-    }).length;
+    return (
+      1 +
+      node.membership().value.seats.filter((seat) => {
+        const at = node.heardAt(seat.node);
+        return Option.isSome(at) && kernel.clock.now() - at.value < termMilliseconds;
+      }).length
+    );
   }
 
   async function metrics(): Promise<HttpReply> {
@@ -225,8 +262,12 @@
     return {
       status: 200,
       body: {
-        nodes: node.membership().value.seats.length, heard: heard(), configuration: Option.isSome(configuration) ? configuration.value.version : 0,
-        membership: node.membership().version, controlTermMilliseconds: Math.round(within(node.controlUntil() - now)), fencedServices: fenced().length,
+        nodes: node.membership().value.seats.length,
+        heard: heard(),
+        configuration: Option.isSome(configuration) ? configuration.value.version : 0,
+        membership: node.membership().version,
+        controlTermMilliseconds: Math.round(within(node.controlUntil() - now)),
+        fencedServices: fenced().length,
         ...Object.fromEntries(Object.entries(proxyMetrics).map(([name, count]) => [`proxy.${name}`, count])),
       },
     };
@@ -239,10 +280,30 @@
     const controlled = node.controlUntil() > now;
     const fed = Option.isSome(proxyAskedAt) && now - proxyAskedAt.value < quietMilliseconds;
     const checks = [
-      { check: 'control', sound: controlled, detail: controlled ? 'a majority of cores confirms this edge' : 'no majority of cores has confirmed this edge within its term', remedy: 'see whether this machine reaches the cores' },
-      { check: 'nodes', sound: heard() >= quorum.majority(table.seats.length), detail: `${heard()} of ${table.seats.length} heard`, remedy: 'see whether this machine reaches the others' },
-      { check: 'fence', sound: shut.length === 0, detail: shut.length === 0 ? 'open for every service' : `shut for ${shut.join(' ')}`, remedy: 'see stallstall elections' },
-      { check: 'proxy', sound: fed, detail: fed ? 'the proxy asks' : 'the proxy does not ask', remedy: 'start the proxy of this edge, with the feed address of this agent' },
+      {
+        check: 'control',
+        sound: controlled,
+        detail: controlled ? 'a majority of cores confirms this edge' : 'no majority of cores has confirmed this edge within its term',
+        remedy: 'see whether this machine reaches the cores',
+      },
+      {
+        check: 'nodes',
+        sound: heard() >= quorum.majority(table.seats.length),
+        detail: `${heard()} of ${table.seats.length} heard`,
+        remedy: 'see whether this machine reaches the others',
+      },
+      {
+        check: 'fence',
+        sound: shut.length === 0,
+        detail: shut.length === 0 ? 'open for every service' : `shut for ${shut.join(' ')}`,
+        remedy: 'see stallstall elections',
+      },
+      {
+        check: 'proxy',
+        sound: fed,
+        detail: fed ? 'the proxy asks' : 'the proxy does not ask',
+        remedy: 'start the proxy of this edge, with the feed address of this agent',
+      },
     ];
     return { status: checks.every((one) => one.sound) ? 200 : 503, body: { node: settings.node, checks } };
   }
--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -47,16 +47,20 @@
   /** What the proxy would see: a change of it wakes whoever waits. */
   let seenBefore = '';
 
-  const lessee = lessees.create(kernel, { node: settings.node, area: settings.area, seeds: settings.seeds }, {
-    released: () => released,
-    positions: () => positions,
-    marks: aged,
-    positionsAgo: () => (positionsAt === undefined ? noPositionsMilliseconds : Math.max(0, kernel.clock.now() - positionsAt)),
-    troubled: () => troubled,
-    notListening: () => notListening,
-    demand: () => demand,
-    onChange: changed,
-  });
+  const lessee = lessees.create(
+    kernel,
+    { node: settings.node, area: settings.area, seeds: settings.seeds },
+    {
+      released: () => released,
+      positions: () => positions,
+      marks: aged,
+      positionsAgo: () => (positionsAt === undefined ? noPositionsMilliseconds : Math.max(0, kernel.clock.now() - positionsAt)),
+      troubled: () => troubled,
+      notListening: () => notListening,
+      demand: () => demand,
+      onChange: changed,
+    },
+  );
 
   /** What the proxy saw so long before it asked was seen that much longer ago by now. */
   function aged(): Marks {
@@ -88,7 +92,9 @@
   function changed(): void {
     const configuration = lessee.configuration();
     const seen = [
-      Option.isSome(configuration) ? configuration.value.version : 0, lessee.rosterNumber(), JSON.stringify(lessee.edges()),
+      Option.isSome(configuration) ? configuration.value.version : 0,
+      lessee.rosterNumber(),
+      JSON.stringify(lessee.edges()),
       ...placements().map((one) => `${one.epoch}/${one.release}/${one.left > 0 ? 1 : 0}`),
     ].join(' ');
     if (seen === seenBefore) return;
@@ -123,7 +129,8 @@
     proxy = caller;
     const cameAt = kernel.clock.now();
     take(ask);
-    if (ask.token === token && ask.seen === number && ask.hold > 0) await asking.hold(ending ? Math.min(ask.hold, endingHoldMilliseconds) : ask.hold);
+    if (ask.token === token && ask.seen === number && ask.hold > 0)
+      await asking.hold(ending ? Math.min(ask.hold, endingHoldMilliseconds) : ask.hold);
     const configuration = lessee.configuration();
     const version = Option.isSome(configuration) ? configuration.value.version : 0;
     const known = ask.token === token && ask.seen >= rosterNumber;
@@ -135,13 +142,16 @@
       number,
       serial,
       held: Math.max(0, kernel.clock.now() - cameAt),
-      configuration: Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
+      configuration:
+        Option.isSome(configuration) && version !== ask.configuration ? { version, sheet: configuration.value.value.sheet } : null,
       configurationVersion: version,
       services: [...placements()],
       roster: known ? null : [...lessee.roster()],
       edges: { ...lessee.edges() },
       demand: { ...lessee.demand() },
-      marks: Object.fromEntries([...lessee.marks()].map(([service, mark]) => [service, { ...mark.position, ago: Math.max(0, kernel.clock.now() - mark.at) }])),
+      marks: Object.fromEntries(
+        [...lessee.marks()].map(([service, mark]) => [service, { ...mark.position, ago: Math.max(0, kernel.clock.now() - mark.at) }]),
+      ),
       area: settings.area,
       node: settings.node,
     };
@@ -151,8 +161,15 @@
   async function tell(ask: Ask<'tell'>): Promise<Reply<'tell'>> {
     telling += 1;
     const noted = await lessee.notes.note({
-      floors: ask.floors, through: { [settings.node]: ask.through },
-      reports: ask.usage.map((one) => ({ node: settings.node, incarnation: ask.incarnation, number: ask.number, window: one.window, counts: { ...one.counts } })),
+      floors: ask.floors,
+      through: { [settings.node]: ask.through },
+      reports: ask.usage.map((one) => ({
+        node: settings.node,
+        incarnation: ask.incarnation,
+        number: ask.number,
+        window: one.window,
+        counts: { ...one.counts },
+      })),
     });
     telling -= 1;
     return { kept: Either.isRight(noted) };
@@ -171,7 +188,8 @@
     ending = true;
     const began = kernel.clock.now();
     const horizon = identifiers.after(began, graceMilliseconds);
-    while (kernel.clock.now() < horizon && (telling > 0 || proxy?.open() === true || kernel.clock.now() - began < drainLeastMilliseconds)) await kernel.clock.sleep(drainLookMilliseconds);
+    while (kernel.clock.now() < horizon && (telling > 0 || proxy?.open() === true || kernel.clock.now() - began < drainLeastMilliseconds))
+      await kernel.clock.sleep(drainLookMilliseconds);
     await stop();
   }
 
--- a/packages/bench/src/hollow.ts
+++ b/packages/bench/src/hollow.ts
@@ -24,8 +24,17 @@
 function say(outcome: HollowOutcome): void {
   const { size, weights, timings } = outcome;
   console.log(`run ${fields.map((field) => `${field}=${size[field]}`).join(' ')} load=${os.loadavg()[0]?.toFixed(1)}`);
-  for (const weight of weights) console.log(`  ${weight.role} x${weight.processes}: ${Object.entries(weight.values).map(([name, value]) => `${name}=${figure(value)}`).join(' ')}`);
-  console.log(`  timings: ${Object.entries(timings).map(([name, value]) => `${name}=${figure(value)}`).join(' ')}`);
+  for (const weight of weights)
+    console.log(
+      `  ${weight.role} x${weight.processes}: ${Object.entries(weight.values)
+        .map(([name, value]) => `${name}=${figure(value)}`)
+        .join(' ')}`,
+    );
+  console.log(
+    `  timings: ${Object.entries(timings)
+      .map(([name, value]) => `${name}=${figure(value)}`)
+      .join(' ')}`,
+  );
 }
 
 function points(outcomes: readonly HollowOutcome[], field: keyof HollowSize): ReadonlyMap<string, readonly Point[]> {
@@ -35,7 +44,8 @@
   }
   for (const outcome of outcomes) {
     const size = outcome.size[field];
-    for (const weight of outcome.weights) for (const [name, value] of Object.entries(weight.values)) add(`${weight.role}.${name}`, size, value);
+    for (const weight of outcome.weights)
+      for (const [name, value] of Object.entries(weight.values)) add(`${weight.role}.${name}`, size, value);
     for (const [name, value] of Object.entries(outcome.timings)) add(name, size, value);
   }
   return found;
@@ -48,12 +58,16 @@
     const { slope, base, lowest, highest, straightness, from, to } = found.value;
     const grows = Math.abs(slope) * (to - from) > flat * Math.abs(base + (slope * (from + to)) / 2);
     const note = !grows ? ' FLAT' : straightness < straight ? ' NOT STRAIGHT' : '';
-    console.log(`slope ${name} a unit of ${field}: ${figure(slope)} (steps ${figure(lowest)} to ${figure(highest)}), at nought ${figure(base)}, ${field} ${from}-${to}, ${measured.length} runs, r2=${straightness.toFixed(3)}${note}`);
+    console.log(
+      `slope ${name} a unit of ${field}: ${figure(slope)} (steps ${figure(lowest)} to ${figure(highest)}), at nought ${figure(base)}, ${field} ${from}-${to}, ${measured.length} runs, r2=${straightness.toFixed(3)}${note}`,
+    );
   }
 }
 
 function wrong(text: string): never {
-  console.error(`${text}\nusage: hollow FIELD SIZE SIZE SIZE [--repeat=2] [--weigh] [FIELD=SIZE ...] | --smoke; fields: ${fields.join(', ')}`);
+  console.error(
+    `${text}\nusage: hollow FIELD SIZE SIZE SIZE [--repeat=2] [--weigh] [FIELD=SIZE ...] | --smoke; fields: ${fields.join(', ')}`,
+  );
   process.exit(2);
 }
 
@@ -61,10 +75,14 @@
 const isSmoke = words.includes('--smoke');
 const [first = 'edges', ...others] = words.filter((word) => !word.startsWith('--') && !word.includes('='));
 const field = fieldOf(first) ?? wrong(`${first} is no field`);
-const set = Object.fromEntries(words.filter((word) => !word.startsWith('--') && word.includes('=')).map((word) => {
-  const [name = '', value] = word.split('=');
-  return [fieldOf(name) ?? wrong(`${name} is no field`), Number(value)];
-})) as Partial<HollowSize>;
+const set = Object.fromEntries(
+  words
+    .filter((word) => !word.startsWith('--') && word.includes('='))
+    .map((word) => {
+      const [name = '', value] = word.split('=');
+      return [fieldOf(name) ?? wrong(`${name} is no field`), Number(value)];
+    }),
+) as Partial<HollowSize>;
 const repeat = Math.min(5, Number(words.find((word) => word.startsWith('--repeat='))?.split('=')[1] ?? 1));
 const wanted = others.length > 0 ? others.map(Number) : isSmoke ? [smoke.edges] : [10, 40, 120, 300];
 const sizes: readonly HollowSize[] = wanted.map((value) => ({ ...(isSmoke ? smoke : usual), ...set, [field]: value }));
--- a/packages/bench/src/hollow/child.ts
+++ b/packages/bench/src/hollow/child.ts
@@ -24,9 +24,14 @@
 
 function pages(door: Door): readonly HttpMapping[] {
   return [
-    { method: 'POST', path: '/beats', handle: async (request) => ({ status: door.beat(request.body as Registration) ? 200 : 503, body: {} }) },
     {
-      method: 'PUT', path: '/configuration',
+      method: 'POST',
+      path: '/beats',
+      handle: async (request) => ({ status: door.beat(request.body as Registration) ? 200 : 503, body: {} }),
+    },
+    {
+      method: 'PUT',
+      path: '/configuration',
       handle: async function configure(request) {
         const { version, sheet } = request.body as { version: number; sheet: unknown };
         const taken = await door.configure({ version, source: JSON.stringify(sheet) }, sheet);
@@ -42,25 +47,45 @@
   if (Either.isLeft(opened)) throw opened.left;
   const own = kernel(Option.some(opened.right));
   const probes = prober.create(own, plainDialect, '-');
-  const started = await core.start(own, {
-    node: role.node, area: role.area, address: role.address, outward: role.outward, seeds: () => role.founders, platform: () => role.platform, cores: role.founders.length,
-  }, Option.some({
-    calls: {
-      restMilliseconds,
-      promotion: ({ service, member }) => ({ method: 'POST', path: '/promotions', body: { service, member } }),
-      usage: ({ window, counts: told }) => ({ method: 'POST', path: '/usage', body: { window, told } }),
+  const started = await core.start(
+    own,
+    {
+      node: role.node,
+      area: role.area,
+      address: role.address,
+      outward: role.outward,
+      seeds: () => role.founders,
+      platform: () => role.platform,
+      cores: role.founders.length,
     },
-    probe: {
-      hold: probes.hold,
-      ask: async function ask(service, member, address, milliseconds) {
-        const standing = await probes.ask(service, member, address, milliseconds);
-        if (Either.isLeft(standing)) return standing;
-        const { role: memberRole, term, received } = standing.right;
-        return Either.right({ member, role: memberRole, epoch: received.term, received: received.number, applied: received.number, term });
+    Option.some({
+      calls: {
+        restMilliseconds,
+        promotion: ({ service, member }) => ({ method: 'POST', path: '/promotions', body: { service, member } }),
+        usage: ({ window, counts: told }) => ({ method: 'POST', path: '/usage', body: { window, told } }),
       },
-    },
-    pages, door: role.door, founds: true, founders: role.founders,
-  }));
+      probe: {
+        hold: probes.hold,
+        ask: async function ask(service, member, address, milliseconds) {
+          const standing = await probes.ask(service, member, address, milliseconds);
+          if (Either.isLeft(standing)) return standing;
+          const { role: memberRole, term, received } = standing.right;
+          return Either.right({
+            member,
+            role: memberRole,
+            epoch: received.term,
+            received: received.number,
+            applied: received.number,
+            term,
+          });
+        },
+      },
+      pages,
+      door: role.door,
+      founds: true,
+      founders: role.founders,
+    }),
+  );
   if (Either.isLeft(started)) throw started.left;
   return { reply: (ask): Values => (ask.kind === 'open' ? { open: started.right.open() ? 1 : 0 } : {}) };
 }
@@ -73,7 +98,11 @@
       await lesseeAgent.start(kernel(Option.none), { node: role.node, area: role.area, feed: role.feed, seeds: () => role.seeds });
       return { reply: () => ({}) };
     case 'proxy': {
-      const started = await pooler.start(kernel(Option.none), { address: role.address, outward: role.outward, feed: role.feed, graceMilliseconds }, { dialect: plainDialect, pages: () => [] });
+      const started = await pooler.start(
+        kernel(Option.none),
+        { address: role.address, outward: role.outward, feed: role.feed, graceMilliseconds },
+        { dialect: plainDialect, pages: () => [] },
+      );
       return { reply: (): Values => ({ ready: started.ready() ? 1 : 0, version: started.view().version }) };
     }
     case 'edges':
@@ -87,7 +116,9 @@
 
 const frames: Frames = { sent: 0, received: 0, exchanges: 0 };
 process.on('disconnect', () => process.exit(0));
-const playing = await play(JSON.parse(process.argv[2] ?? '') as HollowRole, (disk) => counts.counted(leanMachine.create('hollow', disk), frames));
+const playing = await play(JSON.parse(process.argv[2] ?? '') as HollowRole, (disk) =>
+  counts.counted(leanMachine.create('hollow', disk), frames),
+);
 
 function reply(number: number, ask: HollowAsk): HollowReply {
   return { number, values: ask.kind === 'frames' ? { ...frames } : playing.reply(ask) };
--- a/packages/bench/src/hollow/counts.ts
+++ b/packages/bench/src/hollow/counts.ts
@@ -8,8 +8,15 @@
 
 /** Bytes are what it read and wrote, sockets and files alike; `anonymous` is memory of its own, without the runtime's mapped file. */
 export type Spent = Readonly<{
-  processorMilliseconds: number; readBytes: number; writtenBytes: number; diskBytes: number; reads: number; writes: number;
-  residentKilobytes: number; peakKilobytes: number; anonymousKilobytes: number;
+  processorMilliseconds: number;
+  readBytes: number;
+  writtenBytes: number;
+  diskBytes: number;
+  reads: number;
+  writes: number;
+  residentKilobytes: number;
+  peakKilobytes: number;
+  anonymousKilobytes: number;
 }>;
 
 function countedLink(link: Link, frames: Frames): Link {
@@ -39,26 +46,29 @@
         const opened = await network.open(address);
         return Either.isRight(opened) ? Either.right(countedLink(opened.right, frames)) : opened;
       },
-      serve: (address, server) => network.serve(address, {
-        ...server,
-        mappings: server.mappings.map((mapping) => ({
-          ...mapping,
-          handle: function handle(request) {
-            frames.exchanges += 1;
-            return mapping.handle(request);
-          },
-        })),
-      }),
+      serve: (address, server) =>
+        network.serve(address, {
+          ...server,
+          mappings: server.mappings.map((mapping) => ({
+            ...mapping,
+            handle: function handle(request) {
+              frames.exchanges += 1;
+              return mapping.handle(request);
+            },
+          })),
+        }),
     },
   };
 }
 
 function numbers(file: string): ReadonlyMap<string, number> {
   const lines = fs.readFileSync(file, 'utf8').split('\n');
-  return new Map(lines.flatMap((line) => {
-    const found = /^(\w+):\s+(\d+)/.exec(line);
-    return found === null ? [] : [[found[1] as string, Number(found[2])] as const];
-  }));
+  return new Map(
+    lines.flatMap((line) => {
+      const found = /^(\w+):\s+(\d+)/.exec(line);
+      return found === null ? [] : [[found[1] as string, Number(found[2])] as const];
+    }),
+  );
 }
 
 const millisecondsPerTick = 10;
@@ -66,7 +76,10 @@
 /** Processor time to the nanosecond where the kernel tells it, else by ticks. */
 function processorMilliseconds(identifier: number): number {
   const tasks = fs.readdirSync(`/proc/${identifier}/task`);
-  const nanoseconds = tasks.reduce((sum, task) => sum + Number(fs.readFileSync(`/proc/${identifier}/task/${task}/schedstat`, 'utf8').split(' ')[0]), 0);
+  const nanoseconds = tasks.reduce(
+    (sum, task) => sum + Number(fs.readFileSync(`/proc/${identifier}/task/${task}/schedstat`, 'utf8').split(' ')[0]),
+    0,
+  );
   if (nanoseconds > 0) return nanoseconds / 1e6;
   const stat = fs.readFileSync(`/proc/${identifier}/stat`, 'utf8');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
@@ -78,9 +91,14 @@
   const status = numbers(`/proc/${identifier}/status`);
   return {
     processorMilliseconds: processorMilliseconds(identifier),
-    readBytes: traffic.get('rchar') ?? 0, writtenBytes: traffic.get('wchar') ?? 0, diskBytes: traffic.get('write_bytes') ?? 0,
-    reads: traffic.get('syscr') ?? 0, writes: traffic.get('syscw') ?? 0,
-    residentKilobytes: status.get('VmRSS') ?? 0, peakKilobytes: status.get('VmHWM') ?? 0, anonymousKilobytes: status.get('RssAnon') ?? 0,
+    readBytes: traffic.get('rchar') ?? 0,
+    writtenBytes: traffic.get('wchar') ?? 0,
+    diskBytes: traffic.get('write_bytes') ?? 0,
+    reads: traffic.get('syscr') ?? 0,
+    writes: traffic.get('syscw') ?? 0,
+    residentKilobytes: status.get('VmRSS') ?? 0,
+    peakKilobytes: status.get('VmHWM') ?? 0,
+    anonymousKilobytes: status.get('RssAnon') ?? 0,
   };
 }
 
--- a/packages/bench/src/hollow/edges.ts
+++ b/packages/bench/src/hollow/edges.ts
@@ -20,42 +20,59 @@
   const leasedAt = new Map<string, number>();
   let released: Record<string, number> = {};
   let version = 0;
-  const lessee = lessees.create(kernel, { node, area: settings.areas[index % settings.areas.length] as string, seeds: () => settings.seeds }, {
-    released: () => released,
-    positions: () => ({}),
-    notListening: () => [], marks: () => ({}), positionsAgo: () => 0, troubled: () => false, demand: () => 1,
-    onChange: function changed() {
-      const configuration = lessee.configuration();
-      if (Option.isSome(configuration) && configuration.value.version !== version) {
-        version = configuration.value.version;
-        obeyedAt.set(version, Date.now());
-      }
-      const now = kernel.clock.now();
-      let lets = false;
-      for (const service of lessee.services()) {
-        const settled = lessee.settled(service);
-        // Nothing is under way in a hollow edge: it lets go at once.
-        if (lessee.release(service) > (released[service] ?? 0)) {
-          released = { ...released, [service]: lessee.release(service) };
-          lets = true;
+  const lessee = lessees.create(
+    kernel,
+    { node, area: settings.areas[index % settings.areas.length] as string, seeds: () => settings.seeds },
+    {
+      released: () => released,
+      positions: () => ({}),
+      notListening: () => [],
+      marks: () => ({}),
+      positionsAgo: () => 0,
+      troubled: () => false,
+      demand: () => 1,
+      onChange: function changed() {
+        const configuration = lessee.configuration();
+        if (Option.isSome(configuration) && configuration.value.version !== version) {
+          version = configuration.value.version;
+          obeyedAt.set(version, Date.now());
         }
-        if (Option.isNone(settled)) continue;
-        const name = `${service}/${settled.value.epoch}`;
-        if (!leasedAt.has(name) && lessee.leaseUntil(service) > now) leasedAt.set(name, Date.now());
-      }
-      if (lets) lessee.tell();
+        const now = kernel.clock.now();
+        let lets = false;
+        for (const service of lessee.services()) {
+          const settled = lessee.settled(service);
+          // Nothing is under way in a hollow edge: it lets go at once.
+          if (lessee.release(service) > (released[service] ?? 0)) {
+            released = { ...released, [service]: lessee.release(service) };
+            lets = true;
+          }
+          if (Option.isNone(settled)) continue;
+          const name = `${service}/${settled.value.epoch}`;
+          if (!leasedAt.has(name) && lessee.leaseUntil(service) > now) leasedAt.set(name, Date.now());
+        }
+        if (lets) lessee.tell();
+      },
     },
-  });
+  );
   const incarnation = kernel.randomness.token();
   let number = 0;
-  void kernels.every(kernel.clock, tellMilliseconds, async function tell() {
-    if (lessee.cores() === 0) return;
-    number += 1;
-    const wall = kernel.clock.wall();
-    const window = Math.floor(wall / windowMilliseconds);
-    const counts = Object.fromEntries(Array.from({ length: settings.tenants }, (_, tenant) => [`tenant-${tenant + 1}`, served * number]));
-    await lessee.notes.note({ floors: {}, through: { [node]: wall }, reports: [window - 1, window].map((one) => ({ node, incarnation, number, window: one, counts })) });
-  }, () => true);
+  void kernels.every(
+    kernel.clock,
+    tellMilliseconds,
+    async function tell() {
+      if (lessee.cores() === 0) return;
+      number += 1;
+      const wall = kernel.clock.wall();
+      const window = Math.floor(wall / windowMilliseconds);
+      const counts = Object.fromEntries(Array.from({ length: settings.tenants }, (_, tenant) => [`tenant-${tenant + 1}`, served * number]));
+      await lessee.notes.note({
+        floors: {},
+        through: { [node]: wall },
+        reports: [window - 1, window].map((one) => ({ node, incarnation, number, window: one, counts })),
+      });
+    },
+    () => true,
+  );
   lessee.start();
   return { lessee, obeyedAt, leasedAt };
 }
@@ -69,14 +86,24 @@
 
   function moments(found: ReadonlyArray<number | undefined>): Readonly<Record<string, number>> {
     const known = found.flatMap((one) => (one === undefined ? [] : [one])).sort((left, right) => left - right);
-    return { of: known.length, all: edges.length, first: known[0] ?? 0, middle: known[Math.floor(known.length / 2)] ?? 0, last: known.at(-1) ?? 0 };
+    return {
+      of: known.length,
+      all: edges.length,
+      first: known[0] ?? 0,
+      middle: known[Math.floor(known.length / 2)] ?? 0,
+      last: known.at(-1) ?? 0,
+    };
   }
 
   return {
     reply: function reply(ask) {
       const now = kernel.clock.now();
       if (ask.kind === 'view') {
-        const leased = edges.filter((edge) => edge.lessee.services().length === ask.services && edge.lessee.services().every((service) => edge.lessee.leaseUntil(service) > now));
+        const leased = edges.filter(
+          (edge) =>
+            edge.lessee.services().length === ask.services &&
+            edge.lessee.services().every((service) => edge.lessee.leaseUntil(service) > now),
+        );
         return { all: edges.length, leased: leased.length, roster: edges[0]?.lessee.roster().length ?? 0 };
       }
       if (ask.kind === 'obeyedAt') return moments(edges.map((edge) => edge.obeyedAt.get(ask.version)));
--- a/packages/bench/src/hollow/fit.ts
+++ b/packages/bench/src/hollow/fit.ts
@@ -32,10 +32,18 @@
   const varies = points.reduce((sum, point) => sum + (point.value - level) ** 2, 0);
   const left = points.reduce((sum, point) => sum + (point.value - level - slope * (point.size - middle)) ** 2, 0);
   const means = sizes.map((size) => mean(points.filter((point) => point.size === size).map((point) => point.value)));
-  const steps = sizes.slice(1).map((size, index) => ((means[index + 1] as number) - (means[index] as number)) / (size - (sizes[index] as number)));
+  const steps = sizes
+    .slice(1)
+    .map((size, index) => ((means[index + 1] as number) - (means[index] as number)) / (size - (sizes[index] as number)));
   return Option.some({
-    slope, base: level - slope * middle, lowest: Math.min(...steps), highest: Math.max(...steps), straightness: varies === 0 ? 1 : 1 - left / varies,
-    from: sizes[0] as number, to: sizes.at(-1) as number, points: points.length,
+    slope,
+    base: level - slope * middle,
+    lowest: Math.min(...steps),
+    highest: Math.max(...steps),
+    straightness: varies === 0 ? 1 : 1 - left / varies,
+    from: sizes[0] as number,
+    to: sizes.at(-1) as number,
+    points: points.length,
   });
 }
 
--- a/packages/bench/src/hollow/members.ts
+++ b/packages/bench/src/hollow/members.ts
@@ -5,7 +5,17 @@
 import { hollowRoles, type HollowAsk, type HollowRole } from './roles.js';
 
 type MembersRole = Extract<HollowRole, { role: 'members' }>;
-type Member = { readonly member: string; readonly service: string; readonly area: string; primary: boolean; draining: boolean; silent: boolean; sequence: number; term: number; number: number };
+type Member = {
+  readonly member: string;
+  readonly service: string;
+  readonly area: string;
+  primary: boolean;
+  draining: boolean;
+  silent: boolean;
+  sequence: number;
+  term: number;
+  number: number;
+};
 
 export type Members = Readonly<{ reply: (ask: HollowAsk) => Readonly<Record<string, number>> }>;
 
@@ -22,7 +32,15 @@
     const service = hollowRoles.serviceName(Math.floor(index / membersOfService));
     const member = `${service}-${(index % membersOfService) + 1}`;
     table.set(member, {
-      member, service, area: settings.areas[index % settings.areas.length] as string, primary: index % membersOfService === 0, draining: false, silent: false, sequence: 0, term: 1, number: 1,
+      member,
+      service,
+      area: settings.areas[index % settings.areas.length] as string,
+      primary: index % membersOfService === 0,
+      draining: false,
+      silent: false,
+      sequence: 0,
+      term: 1,
+      number: 1,
     });
   }
 
@@ -38,10 +56,23 @@
     if (member.silent) return;
     member.sequence += 1;
     const door = settings.doors[index % settings.doors.length] as string;
-    const reply = await doorOf(door).exchange({
-      method: 'POST', path: '/beats',
-      body: { member: member.member, service: member.service, address: settings.address, area: member.area, draining: member.draining, role: member.primary ? 'primary' : 'replica', slots: 10, sequence: member.sequence },
-    }, beatHorizonMilliseconds);
+    const reply = await doorOf(door).exchange(
+      {
+        method: 'POST',
+        path: '/beats',
+        body: {
+          member: member.member,
+          service: member.service,
+          address: settings.address,
+          area: member.area,
+          draining: member.draining,
+          role: member.primary ? 'primary' : 'replica',
+          slots: 10,
+          sequence: member.sequence,
+        },
+      },
+      beatHorizonMilliseconds,
+    );
     if (reply._tag === 'Left' || reply.right.status !== 200) deniedBeats += 1;
   }
 
@@ -66,7 +97,8 @@
 
   async function query(member: Member, text: string): Promise<string> {
     const at = Option.some({ term: member.term, number: member.number });
-    if (text === 'state') return `row ${member.primary ? 'primary' : 'replica'} ${member.term} ${member.term}.${member.number}\ndone -\n${plainDialect.rest('idle', at)}`;
+    if (text === 'state')
+      return `row ${member.primary ? 'primary' : 'replica'} ${member.term} ${member.term}.${member.number}\ndone -\n${plainDialect.rest('idle', at)}`;
     if (settings.runMilliseconds > 0) await kernel.clock.sleep(settings.runMilliseconds);
     if (text.includes('write ')) write(member);
     return `row value\ndone -\n${plainDialect.rest('idle', Option.some({ term: member.term, number: member.number }))}`;
@@ -112,14 +144,16 @@
     if (before !== undefined) before.primary = false;
     promoted.primary = true;
     promoted.term = term;
-    for (const one of table.values()) if (one.service === promoted.service && !one.silent) Object.assign(one, { term, number: promoted.number });
+    for (const one of table.values())
+      if (one.service === promoted.service && !one.silent) Object.assign(one, { term, number: promoted.number });
   }
 
   await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void serve(stream));
   await kernel.network.serve(identifiers.address(settings.platform), {
     mappings: [
       {
-        method: 'POST', path: '/promotions',
+        method: 'POST',
+        path: '/promotions',
         handle: async function take(request) {
           promote((request.body as { member: string }).member);
           return { status: 200, body: {} };
--- a/packages/bench/src/hollow/roles.ts
+++ b/packages/bench/src/hollow/roles.ts
@@ -2,11 +2,30 @@
 export type HollowSheet = Readonly<{ services: number; connectionLimit: number; tenants: number }>;
 
 export type HollowRole =
-  | Readonly<{ role: 'core'; node: string; area: string; address: string; outward: string; door: string; founders: readonly string[]; platform: string; data: string }>
+  | Readonly<{
+      role: 'core';
+      node: string;
+      area: string;
+      address: string;
+      outward: string;
+      door: string;
+      founders: readonly string[];
+      platform: string;
+      data: string;
+    }>
   | Readonly<{ role: 'agent'; node: string; area: string; feed: string; seeds: readonly string[] }>
   | Readonly<{ role: 'proxy'; address: string; outward: string; feed: string }>
   | Readonly<{ role: 'edges'; first: number; count: number; areas: readonly string[]; seeds: readonly string[]; tenants: number }>
-  | Readonly<{ role: 'members'; address: string; platform: string; doors: readonly string[]; services: number; areas: readonly string[]; beatMilliseconds: number; runMilliseconds: number }>
+  | Readonly<{
+      role: 'members';
+      address: string;
+      platform: string;
+      doors: readonly string[];
+      services: number;
+      areas: readonly string[];
+      beatMilliseconds: number;
+      runMilliseconds: number;
+    }>
   | Readonly<{ role: 'senders'; proxies: readonly string[]; sessions: number; statements: number; services: number }>;
 
 export type HollowAsk =
@@ -31,10 +50,19 @@
 
 function sheet(of: HollowSheet): unknown {
   return {
-    services: Array.from({ length: of.services }, (_, index) => ({ service: serviceName(index), connectionLimit: of.connectionLimit, registered: true })),
+    services: Array.from({ length: of.services }, (_, index) => ({
+      service: serviceName(index),
+      connectionLimit: of.connectionLimit,
+      registered: true,
+    })),
     rows: [],
     keys: [],
-    databases: Array.from({ length: of.services }, (_, index) => ({ database: `database-${index + 1}`, service: serviceName(index), reads: 'leader', horizonMilliseconds: 2_000 })),
+    databases: Array.from({ length: of.services }, (_, index) => ({
+      database: `database-${index + 1}`,
+      service: serviceName(index),
+      reads: 'leader',
+      horizonMilliseconds: 2_000,
+    })),
     tenants: Array.from({ length: of.tenants }, (_, index) => ({ tenant: `tenant-${index + 1}`, keys: [`hollow-key-${index + 1}`] })),
   };
 }
--- a/packages/bench/src/hollow/run.ts
+++ b/packages/bench/src/hollow/run.ts
@@ -25,7 +25,12 @@
 export type RoleWeight = Readonly<{ role: string; processes: number; values: Readonly<Record<string, number>> }>;
 export type HollowOutcome = Readonly<{ size: HollowSize; weights: readonly RoleWeight[]; timings: Readonly<Record<string, number>> }>;
 
-type Child = { readonly name: string; readonly process: ChildProcess; readonly waiting: Map<number, (reply: HollowReply) => void>; last: number };
+type Child = {
+  readonly name: string;
+  readonly process: ChildProcess;
+  readonly waiting: Map<number, (reply: HollowReply) => void>;
+  last: number;
+};
 
 const here = path.dirname(fileURLToPath(import.meta.url));
 const areas = ['north', 'south', 'west'];
@@ -50,7 +55,13 @@
 
 function denied(size: HollowSize): string {
   const bounds: ReadonlyArray<readonly [keyof HollowSize, number]> = [
-    ['cores', mostCores], ['edges', mostEdges], ['agents', mostAgents], ['services', mostServices], ['sessions', mostSessions], ['statements', mostStatements], ['seconds', mostSeconds],
+    ['cores', mostCores],
+    ['edges', mostEdges],
+    ['agents', mostAgents],
+    ['services', mostServices],
+    ['sessions', mostSessions],
+    ['statements', mostStatements],
+    ['seconds', mostSeconds],
   ];
   const beyond = bounds.find(([field, most]) => !(size[field] >= 0 && size[field] <= most));
   return beyond === undefined ? '' : `${beyond[0]} is ${size[beyond[0]]}; a run takes at most ${beyond[1]}`;
@@ -74,16 +85,23 @@
   }
 
   async function start(name: string, role: HollowRole): Promise<Child> {
-    const started: Child = { name, process: fork(path.join(here, 'child.js'), [JSON.stringify(role)], { stdio: ['ignore', 'ignore', 'inherit', 'ipc'] }), waiting: new Map(), last: 0 };
+    const started: Child = {
+      name,
+      process: fork(path.join(here, 'child.js'), [JSON.stringify(role)], { stdio: ['ignore', 'ignore', 'inherit', 'ipc'] }),
+      waiting: new Map(),
+      last: 0,
+    };
     children.push(started);
     started.process.on('exit', () => {
       over ||= `${name} ended`;
     });
     let begins = false;
-    const begun = new Promise<void>((resolve) => started.waiting.set(0, () => {
-      begins = true;
-      resolve();
-    }));
+    const begun = new Promise<void>((resolve) =>
+      started.waiting.set(0, () => {
+        begins = true;
+        resolve();
+      }),
+    );
     started.process.on('message', (told) => {
       const reply = told as HollowReply;
       started.waiting.get(reply.number)?.(reply);
@@ -138,7 +156,11 @@
   /** Over all hollow edges: how many have come so far, and when the last did. */
   async function reached(what: HollowAsk): Promise<Readonly<{ of: number; all: number; last: number }>> {
     const replies = await Promise.all(named('edges').map((child) => ask(child, what)));
-    return { of: replies.reduce((sum, one) => sum + (one['of'] ?? 0), 0), all: size.edges, last: Math.max(0, ...replies.map((one) => one['last'] ?? 0)) };
+    return {
+      of: replies.reduce((sum, one) => sum + (one['of'] ?? 0), 0),
+      all: size.edges,
+      last: Math.max(0, ...replies.map((one) => one['last'] ?? 0)),
+    };
   }
 
   type Reading = Readonly<{ spent: Spent; frames: Readonly<Record<string, number>>; at: number }>;
@@ -154,9 +176,12 @@
       return readings.reduce((sum, [before, after]) => sum + of(before, after, (after.at - before.at) / 1_000), 0) / count;
     }
     return {
-      role, processes: count,
+      role,
+      processes: count,
       values: {
-        processorShare: mean((before, after, seconds) => (after.spent.processorMilliseconds - before.spent.processorMilliseconds) / seconds / 10),
+        processorShare: mean(
+          (before, after, seconds) => (after.spent.processorMilliseconds - before.spent.processorMilliseconds) / seconds / 10,
+        ),
         framesIn: mean((before, after, seconds) => ((after.frames['received'] ?? 0) - (before.frames['received'] ?? 0)) / seconds),
         framesOut: mean((before, after, seconds) => ((after.frames['sent'] ?? 0) - (before.frames['sent'] ?? 0)) / seconds),
         exchanges: mean((before, after, seconds) => ((after.frames['exchanges'] ?? 0) - (before.frames['exchanges'] ?? 0)) / seconds),
@@ -176,7 +201,8 @@
     if (size.sessions > 0) await total('senders', { kind: 'served' });
     await kernel.clock.sleep(size.seconds * 1_000);
     if (size.sessions > 0) {
-      for (const [name, value] of Object.entries(await total('senders', { kind: 'served' }))) timings[`senders-${name}`] = name === 'done' || name === 'faults' || name === 'skipped' ? value / size.seconds : value;
+      for (const [name, value] of Object.entries(await total('senders', { kind: 'served' })))
+        timings[`senders-${name}`] = name === 'done' || name === 'faults' || name === 'skipped' ? value / size.seconds : value;
     }
     const pairs = new Map<string, Array<readonly [Reading, Reading]>>();
     for (const child of children) {
@@ -198,7 +224,8 @@
     const sentAt = Date.now();
     const reply = await connection.exchange({ method: 'PUT', path: '/configuration', body }, replyMilliseconds);
     connection.close();
-    if (Either.isLeft(reply) || reply.right.status !== 200) throw new Error(`the configuration was denied: ${JSON.stringify(Either.isLeft(reply) ? reply.left.message : reply.right)}`);
+    if (Either.isLeft(reply) || reply.right.status !== 200)
+      throw new Error(`the configuration was denied: ${JSON.stringify(Either.isLeft(reply) ? reply.left.message : reply.right)}`);
     timings['configurationTakenMs'] = Math.max(timings['configurationTakenMs'] ?? 0, Date.now() - sentAt);
     return sentAt;
   }
@@ -234,15 +261,43 @@
     const founders = Array.from({ length: size.cores }, (_, index) => at(index * 5));
     const doors = Array.from({ length: size.cores }, (_, index) => at(index * 5 + 2));
     const platform = at(91);
-    await start('members-1', { role: 'members', address: at(90), platform, doors, services: size.services, areas, beatMilliseconds, runMilliseconds: memberRunMilliseconds });
-    await Promise.all(Array.from({ length: size.cores }, (_, index) => start(`core-${index + 1}`, {
-      role: 'core', node: `core-${index + 1}`, area: areas[index % 3] as string, address: at(index * 5), outward: at(index * 5 + 1), door: at(index * 5 + 2), founders, platform, data: path.join(folder, `core-${index + 1}`),
-    })));
+    await start('members-1', {
+      role: 'members',
+      address: at(90),
+      platform,
+      doors,
+      services: size.services,
+      areas,
+      beatMilliseconds,
+      runMilliseconds: memberRunMilliseconds,
+    });
+    await Promise.all(
+      Array.from({ length: size.cores }, (_, index) =>
+        start(`core-${index + 1}`, {
+          role: 'core',
+          node: `core-${index + 1}`,
+          area: areas[index % 3] as string,
+          address: at(index * 5),
+          outward: at(index * 5 + 1),
+          door: at(index * 5 + 2),
+          founders,
+          platform,
+          data: path.join(folder, `core-${index + 1}`),
+        }),
+      ),
+    );
     await until('the fleet', 20_000, async () => ((await total('core', { kind: 'open' }))['open'] ?? 0) === size.cores);
     await send();
     const startedAt = Date.now();
     for (let first = 0; first < size.edges; first += edgesOfProcess) {
-      await start(`edges-${first + 1}`, { role: 'edges', first, count: Math.min(edgesOfProcess, size.edges - first), areas, seeds, tenants: size.tenants });
+      await start(`edges-${first + 1}`, {
+        role: 'edges',
+        first,
+        count: Math.min(edgesOfProcess, size.edges - first),
+        areas,
+        seeds,
+        tenants: size.tenants,
+      });
     }
     const proxies: string[] = [];
     for (let index = 0; index < size.agents; index += 1) {
@@ -251,10 +306,18 @@
       await start(`proxy-${index + 1}`, { role: 'proxy', address, outward, feed });
       proxies.push(address);
     }
-    await until('leases at every edge', 60_000, async () => ((await total('edges', { kind: 'view', services: size.services }))['leased'] ?? 0) === size.edges);
+    await until(
+      'leases at every edge',
+      60_000,
+      async () => ((await total('edges', { kind: 'view', services: size.services }))['leased'] ?? 0) === size.edges,
+    );
     timings['everyLeaseMs'] = Date.now() - startedAt;
     if (size.sessions > 0 && size.agents > 0) {
-      await until('ready proxies', 20_000, async () => ((await total('proxy', { kind: 'view', services: size.services }))['ready'] ?? 0) === size.agents);
+      await until(
+        'ready proxies',
+        20_000,
+        async () => ((await total('proxy', { kind: 'view', services: size.services }))['ready'] ?? 0) === size.agents,
+      );
       await start('senders-1', { role: 'senders', proxies, sessions: size.sessions, statements: size.statements, services: size.services });
     }
     await kernel.clock.sleep(calmMilliseconds);
@@ -271,11 +334,16 @@
     return await whole();
   } finally {
     process.removeListener('exit', end);
-    await Promise.all(children.map((child) => new Promise<void>((resolve) => {
-      if (child.process.exitCode !== null || child.process.signalCode !== null) resolve();
-      child.process.once('exit', () => resolve());
-      child.process.kill('SIGKILL');
-    })));
+    await Promise.all(
+      children.map(
+        (child) =>
+          new Promise<void>((resolve) => {
+            if (child.process.exitCode !== null || child.process.signalCode !== null) resolve();
+            child.process.once('exit', () => resolve());
+            child.process.kill('SIGKILL');
+          }),
+      ),
+    );
     fs.rmSync(folder, { recursive: true, force: true });
   }
 }
--- a/packages/bench/src/hollow/senders.ts
+++ b/packages/bench/src/hollow/senders.ts
@@ -41,7 +41,10 @@
   }
 
   async function open(index: number): Promise<void> {
-    const opened = await kernel.network.openStream(identifiers.address(settings.proxies[index % settings.proxies.length] as string), openMilliseconds);
+    const opened = await kernel.network.openStream(
+      identifiers.address(settings.proxies[index % settings.proxies.length] as string),
+      openMilliseconds,
+    );
     if (Either.isLeft(opened)) return;
     const sender: Sender = { stream: opened.right, busy: false, askedAt: 0 };
     sender.stream.write(`open database-${(index % settings.services) + 1} hollow-key-1\n`);
@@ -79,7 +82,14 @@
   return {
     reply: function reply(_ask) {
       const sorted = waits.splice(0).sort((left, right) => left - right);
-      const values = { sessions: senders.filter((sender) => !sender.stream.closed()).length, done, faults, skipped, middle: sorted[Math.floor(sorted.length / 2)] ?? 0, late: sorted[Math.floor(sorted.length * 0.99)] ?? 0 };
+      const values = {
+        sessions: senders.filter((sender) => !sender.stream.closed()).length,
+        done,
+        faults,
+        skipped,
+        middle: sorted[Math.floor(sorted.length / 2)] ?? 0,
+        late: sorted[Math.floor(sorted.length * 0.99)] ?? 0,
+      };
       done = 0;
       faults = 0;
       skipped = 0;
--- a/packages/bench/src/real-fleet.ts
+++ b/packages/bench/src/real-fleet.ts
@@ -30,14 +30,29 @@
 function create(deployment: Deployment, folder: string, base = 17_000, edgeCount = 6): RealFleet {
   fs.mkdirSync(folder, { recursive: true });
   const running = new Map<string, Running>();
-  const cores = [0, 1, 2].map((index) => ({ node: `core-${index + 1}`, address: `127.0.0.1:${base + index * 10}`, outward: `127.0.0.1:${base + index * 10 + 1}`, area: areas[index] as string }));
+  const cores = [0, 1, 2].map((index) => ({
+    node: `core-${index + 1}`,
+    address: `127.0.0.1:${base + index * 10}`,
+    outward: `127.0.0.1:${base + index * 10 + 1}`,
+    area: areas[index] as string,
+  }));
   const edges = Array.from({ length: edgeCount }, (_, index) => ({
-    node: `edge-${index + 1}`, area: areas[index % 3] as string, address: `127.0.0.1:${base + 100 + index * 10}`, outward: `127.0.0.1:${base + 100 + index * 10 + 1}`,
-    feed: `127.0.0.1:${base + 100 + index * 10 + 2}`, proxy: `127.0.0.1:${base + 100 + index * 10 + 3}`,
+    node: `edge-${index + 1}`,
+    area: areas[index % 3] as string,
+    address: `127.0.0.1:${base + 100 + index * 10}`,
+    outward: `127.0.0.1:${base + 100 + index * 10 + 1}`,
+    feed: `127.0.0.1:${base + 100 + index * 10 + 2}`,
+    proxy: `127.0.0.1:${base + 100 + index * 10 + 3}`,
   }));
-  const members: readonly MemberPlace[] = deployment.services.flatMap((service, serviceIndex) => areas.map((area, index) => ({
-    service, member: `${service}-${index + 1}`, area, address: `127.0.0.1:${base + 1_000 + serviceIndex * 30 + index * 10}`, control: `127.0.0.1:${base + 1_000 + serviceIndex * 30 + index * 10 + 1}`,
-  })));
+  const members: readonly MemberPlace[] = deployment.services.flatMap((service, serviceIndex) =>
+    areas.map((area, index) => ({
+      service,
+      member: `${service}-${index + 1}`,
+      area,
+      address: `127.0.0.1:${base + 1_000 + serviceIndex * 30 + index * 10}`,
+      control: `127.0.0.1:${base + 1_000 + serviceIndex * 30 + index * 10 + 1}`,
+    })),
+  );
   const platform = `127.0.0.1:${base + 1_500}`;
   const seeds = cores.map((core) => core.address);
 
@@ -56,12 +71,28 @@
     launch(name, program, ['run', kind, '--settings', file]);
   }
 
-  launch('platform', standIn, ['platform', JSON.stringify({ address: platform, members: members.map((one) => ({ service: one.service, member: one.member, control: one.control })) })]);
+  launch('platform', standIn, [
+    'platform',
+    JSON.stringify({
+      address: platform,
+      members: members.map((one) => ({ service: one.service, member: one.member, control: one.control })),
+    }),
+  ]);
   for (const place of members) {
-    launch(place.member, standIn, ['member', JSON.stringify({
-      member: place.member, service: place.service, address: place.address, control: place.control, connectionLimit: deployment.connectionLimit,
-      nodes: [...cores, ...edges].map((one) => one.outward), runMilliseconds: 4, replicateMilliseconds: 20, synchronous: 1,
-    })]);
+    launch(place.member, standIn, [
+      'member',
+      JSON.stringify({
+        member: place.member,
+        service: place.service,
+        address: place.address,
+        control: place.control,
+        connectionLimit: deployment.connectionLimit,
+        nodes: [...cores, ...edges].map((one) => one.outward),
+        runMilliseconds: 4,
+        replicateMilliseconds: 20,
+        synchronous: 1,
+      }),
+    ]);
   }
   for (const core of cores) daemon('core', core.node, { ...core, seeds, platform, data: path.join(folder, `${core.node}-data`) });
   for (const edge of edges) {
@@ -77,15 +108,29 @@
   }
 
   async function stop(): Promise<void> {
-    await Promise.all([...running.values()].map((entry) => new Promise<void>((resolve) => {
-      if (entry.child.exitCode !== null || entry.child.signalCode !== null) resolve();
-      entry.child.once('exit', () => resolve());
-      entry.child.kill('SIGKILL');
-    })));
+    await Promise.all(
+      [...running.values()].map(
+        (entry) =>
+          new Promise<void>((resolve) => {
+            if (entry.child.exitCode !== null || entry.child.signalCode !== null) resolve();
+            entry.child.once('exit', () => resolve());
+            entry.child.kill('SIGKILL');
+          }),
+      ),
+    );
   }
 
   return {
-    folder, sheetFile, cores: cores.map((core) => core.outward), proxies: edges.map((edge) => edge.proxy), members, platform, key: senderKey, running, signal, stop,
+    folder,
+    sheetFile,
+    cores: cores.map((core) => core.outward),
+    proxies: edges.map((edge) => edge.proxy),
+    members,
+    platform,
+    key: senderKey,
+    running,
+    signal,
+    stop,
     restart: function restart(name) {
       running.get(name)?.start();
     },
--- a/packages/bench/src/rehearse.ts
+++ b/packages/bench/src/rehearse.ts
@@ -38,7 +38,9 @@
   function each(name: string, of: string): string {
     return ((totals[name] ?? 0) / Math.max(1, totals[of] ?? 0)).toFixed(1);
   }
-  console.log(`mean ms of a statement: in the line ${each('waitMilliseconds', 'exchanges')}, at the member ${each('exchangeMilliseconds', 'exchanges')}, for its note ${each('notingMilliseconds', 'served')}; of a note ${each('noteMilliseconds', 'notes')}, notes ${totals['notes']}, served ${totals['served']}`);
+  console.log(
+    `mean ms of a statement: in the line ${each('waitMilliseconds', 'exchanges')}, at the member ${each('exchangeMilliseconds', 'exchanges')}, for its note ${each('notingMilliseconds', 'served')}; of a note ${each('noteMilliseconds', 'notes')}, notes ${totals['notes']}, served ${totals['served']}`,
+  );
 }
 
 async function leaders(kernel: Kernel, fleet: RealFleet): Promise<ReadonlyMap<string, string>> {
@@ -73,10 +75,25 @@
     for (let number = 0; run(); number += 1) {
       const startedAt = kernel.clock.now();
       const write = kernel.randomness.fraction() < 0.6;
-      const reply = await connection.exchange({
-        method: 'POST', path: '/run',
-        body: { readOnly: !write, transaction: 'none', reset: true, values: {}, shapes: {}, statements: [write ? { text: 'put', parameters: [`direct/${index}/${number}`, number] } : { text: 'get', parameters: [`direct/${index}/0`] }] },
-      }, 5_000);
+      const reply = await connection.exchange(
+        {
+          method: 'POST',
+          path: '/run',
+          body: {
+            readOnly: !write,
+            transaction: 'none',
+            reset: true,
+            values: {},
+            shapes: {},
+            statements: [
+              write
+                ? { text: 'put', parameters: [`direct/${index}/${number}`, number] }
+                : { text: 'get', parameters: [`direct/${index}/0`] },
+            ],
+          },
+        },
+        5_000,
+      );
       if (Either.isRight(reply) && reply.right.status === 200) taken.push(kernel.clock.now() - startedAt);
       await kernel.clock.sleep(Math.max(1, period - (kernel.clock.now() - startedAt)));
     }
@@ -88,7 +105,13 @@
 
 type Windows = Readonly<{ from: number; until: number; wallOffset: number }>;
 
-async function verdict(kernel: Kernel, fleet: RealFleet, ledger: Ledger, sends: readonly SentSheet[], windows: Windows): Promise<readonly string[]> {
+async function verdict(
+  kernel: Kernel,
+  fleet: RealFleet,
+  ledger: Ledger,
+  sends: readonly SentSheet[],
+  windows: Windows,
+): Promise<readonly string[]> {
   const led = await leaders(kernel, fleet);
   const logs = new Map<string, ReadonlyMap<string, number>>();
   for (const [service, member] of led) {
@@ -107,14 +130,24 @@
   }
   const record = (await get(kernel, fleet.platform, '/v1/record')).body as { promotions: never[]; usage: never[] };
   const violations: Violation[] = [
-    ...checks.writes(ledger, logs), ...checks.reads(ledger), ...checks.sessions(ledger, crossings), ...checks.promotions(record),
-    ...checks.usage(record, ledger.usageByWindow, windows.from, windows.until, checks.uncertain(ledger.exchanges, (moment) => moment + windows.wallOffset)),
+    ...checks.writes(ledger, logs),
+    ...checks.reads(ledger),
+    ...checks.sessions(ledger, crossings),
+    ...checks.promotions(record),
+    ...checks.usage(
+      record,
+      ledger.usageByWindow,
+      windows.from,
+      windows.until,
+      checks.uncertain(ledger.exchanges, (moment) => moment + windows.wallOffset),
+    ),
   ];
   for (const sent of sends) {
     for (const core of fleet.cores) {
       const reply = await get(kernel, core, `/v1/sheet?version=${sent.version}`);
       const keys = (reply.body as { sheet?: { keys: ReadonlyArray<{ key: string }> } } | null)?.sheet?.keys;
-      if (reply.status !== 200 || keys?.at(-1)?.key !== sent.mark) violations.push({ check: 'configuration-missing', detail: `version ${sent.version} read back through ${core} as ${reply.status}` });
+      if (reply.status !== 200 || keys?.at(-1)?.key !== sent.mark)
+        violations.push({ check: 'configuration-missing', detail: `version ${sent.version} read back through ${core} as ${reply.status}` });
     }
   }
   console.log(`sheets sent=${sends.length} usage windows held=${Math.max(0, windows.until - windows.from + 1)}`);
@@ -129,7 +162,9 @@
 
 /** How long after a signal the statements of a service are written again: from the ledger, by the sender's own clock. */
 function gapAfter(ledger: Ledger, service: string, at: number): number {
-  const later = ledger.writes.filter((write) => write.service === service && write.fate === 'kept' && write.startedAt > at).map((write) => write.endedAt);
+  const later = ledger.writes
+    .filter((write) => write.service === service && write.fate === 'kept' && write.startedAt > at)
+    .map((write) => write.endedAt);
   return later.length === 0 ? Number.POSITIVE_INFINITY : Math.min(...later) - at;
 }
 
@@ -143,15 +178,47 @@
     back();
     await kernel.clock.sleep(4_000);
     const rate = (served(ledger) - before) / ((kernel.clock.now() - at) / 1_000);
-    console.log(`${title}: first write of ${service} kept ${(gapAfter(ledger, service, at) / 1_000).toFixed(2)} s after, ${rate.toFixed(0)} served a second over the step`);
+    console.log(
+      `${title}: first write of ${service} kept ${(gapAfter(ledger, service, at) / 1_000).toFixed(2)} s after, ${rate.toFixed(0)} served a second over the step`,
+    );
   }
   const primary = (await leaders(kernel, fleet)).get(service) as string;
-  await step(`primary ${primary} killed`, () => fleet.signal(primary, 'SIGKILL'), 12_000, () => fleet.restart(primary));
-  await step('core-1 killed', () => fleet.signal('core-1', 'SIGKILL'), 4_000, () => fleet.restart('core-1'));
-  await step('agent of edge-2 killed', () => fleet.signal('edge-2', 'SIGKILL'), 3_000, () => fleet.restart('edge-2'));
-  await step('proxy of edge-3 killed', () => fleet.signal('edge-3-proxy', 'SIGKILL'), 3_000, () => fleet.restart('edge-3-proxy'));
-  await step('agent of edge-4 stopped for 6 s', () => fleet.signal('edge-4', 'SIGSTOP'), 6_000, () => fleet.signal('edge-4', 'SIGCONT'));
-  await step('proxy of edge-5 ended as planned', () => fleet.signal('edge-5-proxy', 'SIGTERM'), 4_000, () => fleet.restart('edge-5-proxy'));
+  await step(
+    `primary ${primary} killed`,
+    () => fleet.signal(primary, 'SIGKILL'),
+    12_000,
+    () => fleet.restart(primary),
+  );
+  await step(
+    'core-1 killed',
+    () => fleet.signal('core-1', 'SIGKILL'),
+    4_000,
+    () => fleet.restart('core-1'),
+  );
+  await step(
+    'agent of edge-2 killed',
+    () => fleet.signal('edge-2', 'SIGKILL'),
+    3_000,
+    () => fleet.restart('edge-2'),
+  );
+  await step(
+    'proxy of edge-3 killed',
+    () => fleet.signal('edge-3-proxy', 'SIGKILL'),
+    3_000,
+    () => fleet.restart('edge-3-proxy'),
+  );
+  await step(
+    'agent of edge-4 stopped for 6 s',
+    () => fleet.signal('edge-4', 'SIGSTOP'),
+    6_000,
+    () => fleet.signal('edge-4', 'SIGCONT'),
+  );
+  await step(
+    'proxy of edge-5 ended as planned',
+    () => fleet.signal('edge-5-proxy', 'SIGTERM'),
+    4_000,
+    () => fleet.restart('edge-5-proxy'),
+  );
 }
 
 type SentSheet = Readonly<{ version: number; mark: string }>;
@@ -164,8 +231,16 @@
   const sheet = JSON.parse(fs.readFileSync(fleet.sheetFile, 'utf8')) as { keys: unknown[] };
   for (let number = 0; goesOn(); number += 1) {
     const mark = `mark-of-${number}`;
-    const body = { sheet: { ...sheet, keys: [...sheet.keys, { key: mark, services: [deployment.services[0]], kinds: ['leader-read'] }] }, sentBy: 'rehearsal' };
-    const reply = await http.once(kernel, identifiers.address(fleet.cores[number % 3] as string), { method: 'PUT', path: '/v1/sheet', body }, 8_000);
+    const body = {
+      sheet: { ...sheet, keys: [...sheet.keys, { key: mark, services: [deployment.services[0]], kinds: ['leader-read'] }] },
+      sentBy: 'rehearsal',
+    };
+    const reply = await http.once(
+      kernel,
+      identifiers.address(fleet.cores[number % 3] as string),
+      { method: 'PUT', path: '/v1/sheet', body },
+      8_000,
+    );
     if (Either.isLeft(reply) || reply.right.status !== 200) {
       await kernel.clock.sleep(500);
       continue;
@@ -183,10 +258,22 @@
 }
 
 async function probe(kernel: Kernel, proxy: string, key: string): Promise<string> {
-  const reply = await http.once(kernel, identifiers.address(proxy), {
-    method: 'POST', path: `/v1/services/${deployment.services[0]}/statements`, headers: { 'x-stallstall-key': key }, body: { kind: 'leader-read', statements: [{ text: 'get any' }], horizonMilliseconds: 1_000 },
-  }, 1_500);
-  return Either.isLeft(reply) ? reply.left.name : reply.right.status === 200 ? 'served' : String((reply.right.body as { error?: unknown } | null)?.error);
+  const reply = await http.once(
+    kernel,
+    identifiers.address(proxy),
+    {
+      method: 'POST',
+      path: `/v1/services/${deployment.services[0]}/statements`,
+      headers: { 'x-stallstall-key': key },
+      body: { kind: 'leader-read', statements: [{ text: 'get any' }], horizonMilliseconds: 1_000 },
+    },
+    1_500,
+  );
+  return Either.isLeft(reply)
+    ? reply.left.name
+    : reply.right.status === 200
+      ? 'served'
+      : String((reply.right.body as { error?: unknown } | null)?.error);
 }
 
 /** Every machine in turn: cores and edges are killed one after another, each back before the next goes. */
@@ -208,7 +295,13 @@
 /** SIGSTOP is silence without a closed connection: a core, an agent, a proxy and a primary, each for a while. */
 async function freezes(kernel: Kernel, fleet: RealFleet): Promise<void> {
   const primary = (await leaders(kernel, fleet)).get(deployment.services[0] as string) as string;
-  for (const [name, milliseconds] of [['core-2', 4_000], ['edge-3', 4_000], ['edge-5-proxy', 3_000], [primary, 9_000], ['core-1', 6_000]] as const) {
+  for (const [name, milliseconds] of [
+    ['core-2', 4_000],
+    ['edge-3', 4_000],
+    ['edge-5-proxy', 3_000],
+    [primary, 9_000],
+    ['core-1', 6_000],
+  ] as const) {
     fleet.signal(name, 'SIGSTOP');
     await kernel.clock.sleep(milliseconds);
     fleet.signal(name, 'SIGCONT');
@@ -225,9 +318,15 @@
   const at = kernel.clock.now();
   await kernel.clock.sleep(15_000);
   const quarter = deployment.requestsPerSecond / 4;
-  const second = [...ledger.bySecond].filter(([moment, slot]) => moment * 1_000 > at && slot.served >= quarter).map(([moment]) => moment).sort((left, right) => left - right)[0];
-  console.log(`all ${names.length} processes killed and started: a quarter of normal again ${second === undefined ? 'never' : `in the second that began ${(second - at / 1_000).toFixed(1)} s after the start`}`);
-  for (const service of deployment.services) console.log(`  first write of ${service} kept ${(gapAfter(ledger, service, at) / 1_000).toFixed(2)} s after the start`);
+  const second = [...ledger.bySecond]
+    .filter(([moment, slot]) => moment * 1_000 > at && slot.served >= quarter)
+    .map(([moment]) => moment)
+    .sort((left, right) => left - right)[0];
+  console.log(
+    `all ${names.length} processes killed and started: a quarter of normal again ${second === undefined ? 'never' : `in the second that began ${(second - at / 1_000).toFixed(1)} s after the start`}`,
+  );
+  for (const service of deployment.services)
+    console.log(`  first write of ${service} kept ${(gapAfter(ledger, service, at) / 1_000).toFixed(2)} s after the start`);
 }
 
 async function main(): Promise<void> {
@@ -235,16 +334,35 @@
   const kernel = await machine.create('rehearsal', Option.none);
   const fleet = realFleet.create(deployment, folder, Number(baseText));
   try {
-    await waitFor(kernel, 'the fleet', async () => ((await get(kernel, fleet.cores[0] as string, '/v1/fleet')).body as { size?: number } | null)?.size === 9);
+    await waitFor(
+      kernel,
+      'the fleet',
+      async () => ((await get(kernel, fleet.cores[0] as string, '/v1/fleet')).body as { size?: number } | null)?.size === 9,
+    );
     const sheet: unknown = JSON.parse(fs.readFileSync(fleet.sheetFile, 'utf8'));
-    const sent = await http.once(kernel, identifiers.address(fleet.cores[0] as string), { method: 'PUT', path: '/v1/sheet', body: { sheet, sentBy: 'rehearsal' } }, 8_000);
+    const sent = await http.once(
+      kernel,
+      identifiers.address(fleet.cores[0] as string),
+      { method: 'PUT', path: '/v1/sheet', body: { sheet, sentBy: 'rehearsal' } },
+      8_000,
+    );
     if (Either.isLeft(sent) || sent.right.status !== 200) throw new Error('the sheet was not taken');
     await waitFor(kernel, 'leaders', async () => (await leaders(kernel, fleet)).size === deployment.services.length);
     await kernel.clock.sleep(4_000);
     const ledger = sender.emptyLedger();
-    const senders = sender.start(kernel, {
-      deployment, edges: () => fleet.proxies, key: fleet.key, sessions: deployment.sessions, requestsPerSecond: deployment.requestsPerSecond, horizonMilliseconds: 3_000, tag: 's',
-    }, ledger);
+    const senders = sender.start(
+      kernel,
+      {
+        deployment,
+        edges: () => fleet.proxies,
+        key: fleet.key,
+        sessions: deployment.sessions,
+        requestsPerSecond: deployment.requestsPerSecond,
+        horizonMilliseconds: 3_000,
+        tag: 's',
+      },
+      ledger,
+    );
     await kernel.clock.sleep(2_000);
     const from = kernel.clock.now();
     const sends: SentSheet[] = [];
@@ -263,7 +381,9 @@
     const stoppedAt = kernel.clock.wall();
     senders.stop();
     await kernel.clock.sleep(2_000);
-    const pooled = ledger.exchanges.filter((one) => one.reason === 'served' && one.startedAt >= from && one.path.endsWith('/statements')).map((one) => one.endedAt - one.startedAt);
+    const pooled = ledger.exchanges
+      .filter((one) => one.reason === 'served' && one.startedAt >= from && one.path.endsWith('/statements'))
+      .map((one) => one.endedAt - one.startedAt);
     await showWaits(kernel, fleet);
     console.log(`${deployment.name} ${mode}: ${rate.toFixed(0)} served a second; through the pooler in ms: ${spread(pooled)}`);
     console.log(`outcomes: ${[...ledger.reasons].map(([reason, count]) => `${reason}=${count}`).join(' ')}`);
@@ -273,14 +393,18 @@
         going = false;
       }, seconds * 1_000);
       const straight = await direct(kernel, fleet, () => going);
-      console.log(`straight at the members in ms: ${spread(straight)}; ratio of p50 ${(percentile(pooled, 0.5) / percentile(straight, 0.5)).toFixed(2)}, of p99 ${(percentile(pooled, 0.99) / percentile(straight, 0.99)).toFixed(2)}`);
+      console.log(
+        `straight at the members in ms: ${spread(straight)}; ratio of p50 ${(percentile(pooled, 0.5) / percentile(straight, 0.5)).toFixed(2)}, of p99 ${(percentile(pooled, 0.99) / percentile(straight, 0.99)).toFixed(2)}`,
+      );
     }
     // Windows arrive up to ten seconds after they end.
     await kernel.clock.sleep(Math.max(0, stoppedAt + 11_000 - kernel.clock.wall()));
     const wallOffset = kernel.clock.wall() - kernel.clock.now();
     const windows = { from: Math.floor((from + wallOffset) / 5_000) + 1, until: Math.floor(stoppedAt / 5_000) - 1, wallOffset };
     const violations = [...probed, ...(await verdict(kernel, fleet, ledger, sends, windows))];
-    console.log(violations.length === 0 ? 'checkers: clean' : `checkers: ${violations.length} violations\n  ${violations.slice(0, 8).join('\n  ')}`);
+    console.log(
+      violations.length === 0 ? 'checkers: clean' : `checkers: ${violations.length} violations\n  ${violations.slice(0, 8).join('\n  ')}`,
+    );
     if (violations.length > 0) process.exitCode = 1;
   } finally {
     await fleet.stop();
--- a/packages/bench/src/weigh.ts
+++ b/packages/bench/src/weigh.ts
@@ -44,14 +44,25 @@
     await kernel.clock.sleep(10_000);
     const before = new Map([...fleet.running].map(([name, entry]) => [name, weigh(entry.child.pid as number)]));
     await kernel.clock.sleep(countMilliseconds);
-    for (const [kind, pattern] of [['core', /^core-\d+$/], ['agent', /^edge-\d+$/], ['proxy', /^edge-\d+-proxy$/]] as const) {
-      const weights = [...fleet.running].filter(([name]) => pattern.test(name)).map(([name, entry]) => {
-        const now = weigh(entry.child.pid as number);
-        return { share: (now.ticks - (before.get(name)?.ticks ?? 0)) / ticksPerSecond / (countMilliseconds / 1_000), megabytes: now.kilobytes / 1_024 };
-      });
+    for (const [kind, pattern] of [
+      ['core', /^core-\d+$/],
+      ['agent', /^edge-\d+$/],
+      ['proxy', /^edge-\d+-proxy$/],
+    ] as const) {
+      const weights = [...fleet.running]
+        .filter(([name]) => pattern.test(name))
+        .map(([name, entry]) => {
+          const now = weigh(entry.child.pid as number);
+          return {
+            share: (now.ticks - (before.get(name)?.ticks ?? 0)) / ticksPerSecond / (countMilliseconds / 1_000),
+            megabytes: now.kilobytes / 1_024,
+          };
+        });
       const shares = weights.map((one) => one.share * 100).sort((left, right) => left - right);
       const megabytes = weights.map((one) => one.megabytes).sort((left, right) => left - right);
-      console.log(`nodes=${edges + 3} ${kind}: ${shares[0]?.toFixed(1)}-${shares.at(-1)?.toFixed(1)} % of a processor, ${megabytes[0]?.toFixed(0)}-${megabytes.at(-1)?.toFixed(0)} MB`);
+      console.log(
+        `nodes=${edges + 3} ${kind}: ${shares[0]?.toFixed(1)}-${shares.at(-1)?.toFixed(1)} % of a processor, ${megabytes[0]?.toFixed(0)}-${megabytes.at(-1)?.toFixed(0)} MB`,
+      );
     }
   } finally {
     await fleet.stop();
--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -26,7 +26,9 @@
 const configureMilliseconds = 850;
 
 const SendSchema = Type.Object({
-  sheet: Type.Unknown(), sentBy: Type.Optional(Type.String({ maxLength: 200 })), sendId: Type.Optional(Type.String({ maxLength: 200 })),
+  sheet: Type.Unknown(),
+  sentBy: Type.Optional(Type.String({ maxLength: 200 })),
+  sendId: Type.Optional(Type.String({ maxLength: 200 })),
 });
 
 export type AdministrationParts = Readonly<{
@@ -131,31 +133,47 @@
   }
 
   /** A version by its number: the current one, or one of the archive. */
-  async function versionAt(wanted: number, current: Omit<Configuration, 'recent'> & Readonly<{ version: number }>): Promise<Either.Either<Fault, Option.Option<SentVersion>>> {
+  async function versionAt(
+    wanted: number,
+    current: Omit<Configuration, 'recent'> & Readonly<{ version: number }>,
+  ): Promise<Either.Either<Fault, Option.Option<SentVersion>>> {
     if (wanted === current.version) return Either.right(Option.some(current));
     if (!Number.isInteger(wanted) || wanted > current.version || wanted < oldestOf(current.version)) return Either.right(Option.none);
     const read = await register.read(slotOf(wanted));
     if (Either.isLeft(read)) return read;
     const kept = Option.isSome(read.right) ? (read.right.value.value as ArchivedVersion) : undefined;
-    return Either.right(kept?.number === wanted ? Option.some(kept) : Option.fromNullable(current.history?.find((old) => old.version === wanted)));
+    return Either.right(
+      kept?.number === wanted ? Option.some(kept) : Option.fromNullable(current.history?.find((old) => old.version === wanted)),
+    );
   }
 
   async function sendSheet(request: HttpRequest, caller: Caller): Promise<HttpReply> {
     const body = request.body;
     if (!message.fits(SendSchema, body)) {
-      return http.denied(fault.create({
-        kind: 'bad-request', message: 'a sheet is sent as {"sheet": {...}, "sentBy": "..."}', remedy: 'send that shape, or use stallstall sheet send',
-      }));
+      return http.denied(
+        fault.create({
+          kind: 'bad-request',
+          message: 'a sheet is sent as {"sheet": {...}, "sentBy": "..."}',
+          remedy: 'send that shape, or use stallstall sheet send',
+        }),
+      );
     }
     const checked = sheets.check(body.sheet);
     if (Either.isLeft(checked)) return http.denied(checked.left);
     const sheet = checked.right;
     const expected = request.headers['if-match'];
     if (expected !== undefined && !/^"?\d+"?$/.test(expected)) {
-      return http.denied(fault.create({ kind: 'bad-request', message: 'If-Match names no version', remedy: 'give a version number, as in If-Match: 7' }));
+      return http.denied(
+        fault.create({ kind: 'bad-request', message: 'If-Match names no version', remedy: 'give a version number, as in If-Match: 7' }),
+      );
     }
     const sendId = body.sendId ?? kernel.randomness.token();
-    const sent = { sheet, sendId, sentBy: caller.operator === 'anyone' ? (body.sentBy ?? 'unnamed') : caller.operator, sentAt: kernel.clock.wall() };
+    const sent = {
+      sheet,
+      sendId,
+      sentBy: caller.operator === 'anyone' ? (body.sentBy ?? 'unnamed') : caller.operator,
+      sentAt: kernel.clock.wall(),
+    };
     let conflict: Option.Option<number> = Option.none;
     let beyond: Option.Option<Fault> = Option.none;
     let overtaken = false;
@@ -176,25 +194,46 @@
         if (Option.isSome(beyond) || Option.isSome(conflict)) return Option.none;
         overtaken = version !== archived.right;
         if (overtaken) return Option.none;
-        return Option.some({ ...sent, ...(before?.external === undefined ? {} : { external: before.external }), recent: [...(before === undefined ? [] : recentOf(before)), { version: version + 1, sendId }].slice(-recentKept) });
+        return Option.some({
+          ...sent,
+          ...(before?.external === undefined ? {} : { external: before.external }),
+          recent: [...(before === undefined ? [] : recentOf(before)), { version: version + 1, sendId }].slice(-recentKept),
+        });
       });
     }
     let changed = await shot();
     for (let shots = 1; overtaken && Either.isRight(changed) && shots < mostShots; shots += 1) changed = await shot();
     if (overtaken && Either.isRight(changed)) {
-      return http.denied(fault.create({ kind: 'overloaded', message: 'other operators sent sheets all the while; nothing was changed', remedy: 'send it again', retryAfterSeconds: 1 }));
+      return http.denied(
+        fault.create({
+          kind: 'overloaded',
+          message: 'other operators sent sheets all the while; nothing was changed',
+          remedy: 'send it again',
+          retryAfterSeconds: 1,
+        }),
+      );
     }
     if (Either.isLeft(changed)) {
-      return http.denied(fault.create({
-        kind: 'outcome-unknown', message: 'it is not known whether the sheet was taken: no majority of disks answered in time',
-        remedy: 'read the sheet back, or send it again with the same sendId', retryAfterSeconds: 1, details: { sendId },
-      }));
+      return http.denied(
+        fault.create({
+          kind: 'outcome-unknown',
+          message: 'it is not known whether the sheet was taken: no majority of disks answered in time',
+          remedy: 'read the sheet back, or send it again with the same sendId',
+          retryAfterSeconds: 1,
+          details: { sendId },
+        }),
+      );
     }
     if (Option.isSome(beyond)) return http.denied(beyond.value);
     if (Option.isSome(conflict)) {
-      return http.denied(fault.create({
-        kind: 'version-conflict', message: `the current version is ${conflict.value}`, remedy: 'read it, merge, and send again', details: { version: conflict.value },
-      }));
+      return http.denied(
+        fault.create({
+          kind: 'version-conflict',
+          message: `the current version is ${conflict.value}`,
+          remedy: 'read it, merge, and send again',
+          details: { version: conflict.value },
+        }),
+      );
     }
     const entry = (changed.right.entry as Option.Some<Entry>).value;
     const version = recentOf(entry.value as Configuration).find((old) => old.sendId === sendId)?.version ?? entry.version;
@@ -208,22 +247,44 @@
       const archived = await archiveCurrent();
       if (Either.isLeft(archived)) return archived;
       let overtaken = false;
-      const changed = await register.change('configuration', function next(current) {
-        overtaken = false;
-        const before = Option.isSome(current) ? (current.value.value as Configuration) : undefined;
-        if (before?.external !== undefined && before.external.version >= external.version) return Option.none;
-        overtaken = (Option.isSome(current) ? current.value.version : 0) !== archived.right;
-        if (overtaken) return Option.none;
-        return Option.some({ sheet, sendId: `external ${external.version}`, sentBy: 'external', sentAt: kernel.clock.wall(), recent: before === undefined ? [] : recentOf(before), external });
-      }, configureMilliseconds);
+      const changed = await register.change(
+        'configuration',
+        function next(current) {
+          overtaken = false;
+          const before = Option.isSome(current) ? (current.value.value as Configuration) : undefined;
+          if (before?.external !== undefined && before.external.version >= external.version) return Option.none;
+          overtaken = (Option.isSome(current) ? current.value.version : 0) !== archived.right;
+          if (overtaken) return Option.none;
+          return Option.some({
+            sheet,
+            sendId: `external ${external.version}`,
+            sentBy: 'external',
+            sentAt: kernel.clock.wall(),
+            recent: before === undefined ? [] : recentOf(before),
+            external,
+          });
+        },
+        configureMilliseconds,
+      );
       if (Either.isLeft(changed)) return changed;
       if (!overtaken) {
         const standing = Option.isSome(changed.right.entry) ? (changed.right.entry.value.value as Configuration) : undefined;
-        kernel.log('configuration.taken', { external: external.version, standing: standing?.external?.version ?? 0, wrote: changed.right.wrote });
+        kernel.log('configuration.taken', {
+          external: external.version,
+          standing: standing?.external?.version ?? 0,
+          wrote: changed.right.wrote,
+        });
         return Either.right({ version: standing?.external?.version ?? 0 });
       }
     }
-    return Either.left(fault.create({ kind: 'no-majority', message: 'the configuration was not settled in time', remedy: 'send it again unchanged', retryAfterSeconds: 1 }));
+    return Either.left(
+      fault.create({
+        kind: 'no-majority',
+        message: 'the configuration was not settled in time',
+        remedy: 'send it again unchanged',
+        retryAfterSeconds: 1,
+      }),
+    );
   }
 
   async function source(): Promise<Either.Either<Fault, string>> {
@@ -239,28 +300,40 @@
     const read = await readConfiguration();
     if (Either.isLeft(read)) return http.denied(read.left);
     if (Option.isNone(read.right)) {
-      return http.denied(fault.create({ kind: 'not-found', message: 'no sheet has been sent yet', remedy: 'send one with stallstall sheet send' }));
+      return http.denied(
+        fault.create({ kind: 'not-found', message: 'no sheet has been sent yet', remedy: 'send one with stallstall sheet send' }),
+      );
     }
     const { version, value } = read.right.value;
     const wanted = request.query['version'] === undefined ? version : Number(request.query['version']);
     const found = await versionAt(wanted, { version, ...value });
     if (Either.isLeft(found)) return http.denied(found.left);
     if (Option.isNone(found.right)) {
-      return http.denied(fault.create({
-        kind: wanted > version || !Number.isInteger(wanted) || wanted < 1 ? 'not-found' : 'version-forgotten',
-        message: `version ${request.query['version']} is not kept`, remedy: `ask for ${oldestOf(version)} to ${version}`,
-      }));
+      return http.denied(
+        fault.create({
+          kind: wanted > version || !Number.isInteger(wanted) || wanted < 1 ? 'not-found' : 'version-forgotten',
+          message: `version ${request.query['version']} is not kept`,
+          remedy: `ask for ${oldestOf(version)} to ${version}`,
+        }),
+      );
     }
     const { sheet, sentBy, sentAt } = found.right.value;
-    return { status: 200, headers: { etag: `"${wanted}"` }, body: { version: wanted, sheet, sentBy, sentAt, oldest: oldestOf(version), latest: version } };
+    return {
+      status: 200,
+      headers: { etag: `"${wanted}"` },
+      body: { version: wanted, sheet, sentBy, sentAt, oldest: oldestOf(version), latest: version },
+    };
   }
 
   /** The nodes heard within a term, this one among them. */
   function reachable(): readonly string[] {
-    return node.membership().value.seats.map((seat) => seat.node).filter((named) => {
-      const heard = node.heardAt(named);
-      return named === node.settings.node || (Option.isSome(heard) && kernel.clock.now() - heard.value < 2_000);
-    });
+    return node
+      .membership()
+      .value.seats.map((seat) => seat.node)
+      .filter((named) => {
+        const heard = node.heardAt(named);
+        return named === node.settings.node || (Option.isSome(heard) && kernel.clock.now() - heard.value < 2_000);
+      });
   }
 
   function fleetStatus(): Readonly<Record<string, unknown>> {
@@ -282,9 +355,17 @@
         const heard = node.heardAt(seat.node);
         const acknowledged = obeying.get(seat.node);
         return {
-          node: seat.node, role: seat.role, area: seat.area, address: seat.address, outward: seat.outward, draining: seat.draining,
+          node: seat.node,
+          role: seat.role,
+          area: seat.area,
+          address: seat.address,
+          outward: seat.outward,
+          draining: seat.draining,
           heardMilliseconds: seat.node === node.settings.node ? 0 : Option.isSome(heard) ? Math.round(now - heard.value) : -1,
-          protocol: seat.node === node.settings.node ? kernel.protocols.to : Option.getOrElse(() => 0)(Option.map((held: Peer) => held.protocol())(node.callPeer(seat.node))),
+          protocol:
+            seat.node === node.settings.node
+              ? kernel.protocols.to
+              : Option.getOrElse(() => 0)(Option.map((held: Peer) => held.protocol())(node.callPeer(seat.node))),
           obeys: seat.node === node.settings.node ? (Option.isSome(configuration) ? configuration.value.version : 0) : (acknowledged ?? -1),
         };
       }),
@@ -294,30 +375,38 @@
   function memberStatus(): readonly Readonly<Record<string, unknown>>[] {
     const configuration = node.configuration();
     if (Option.isNone(configuration)) return [];
-    return configuration.value.value.sheet.services.flatMap((service) => service.members.map(function describe(member) {
-      const settled = node.settled(service.service);
-      const state = members.state(member.member);
-      const heard = members.lastHeard(member.member);
-      return {
-        service: service.service, member: member.member, area: member.area, address: member.address, state: member.state,
-        alive: members.alive(member.member),
-        heardMilliseconds: Option.isSome(heard) ? Math.round(kernel.clock.now() - heard.value) : -1,
-        leads: Option.isSome(settled) && settled.value.primary === member.member,
-        epoch: Option.isSome(state) ? state.value.epoch : 0,
-        received: Option.isSome(state) ? state.value.received : 0,
-        applied: Option.isSome(state) ? state.value.applied : 0,
-      };
-    }));
+    return configuration.value.value.sheet.services.flatMap((service) =>
+      service.members.map(function describe(member) {
+        const settled = node.settled(service.service);
+        const state = members.state(member.member);
+        const heard = members.lastHeard(member.member);
+        return {
+          service: service.service,
+          member: member.member,
+          area: member.area,
+          address: member.address,
+          state: member.state,
+          alive: members.alive(member.member),
+          heardMilliseconds: Option.isSome(heard) ? Math.round(kernel.clock.now() - heard.value) : -1,
+          leads: Option.isSome(settled) && settled.value.primary === member.member,
+          epoch: Option.isSome(state) ? state.value.epoch : 0,
+          received: Option.isSome(state) ? state.value.received : 0,
+          applied: Option.isSome(state) ? state.value.applied : 0,
+        };
+      }),
+    );
   }
 
   /** Each service with its floor: what any candidate must hold (design 7.5). */
   async function electionRows(): Promise<Either.Either<Fault, readonly unknown[]>> {
     const floors = await notes.floors();
     if (Either.isLeft(floors)) return floors;
-    return Either.right(elections.describe().map((one) => {
-      const floor = floors.right[String(one['service'])] ?? { epoch: 0, position: 0 };
-      return { ...one, floor: `${floor.epoch}/${floor.position}` };
-    }));
+    return Either.right(
+      elections.describe().map((one) => {
+        const floor = floors.right[String(one['service'])] ?? { epoch: 0, position: 0 };
+        return { ...one, floor: `${floor.epoch}/${floor.position}` };
+      }),
+    );
   }
 
   /** The word of an operator that commits up to the floor of this moment may be lost, if their primary never comes back (design 7.11). */
@@ -325,12 +414,20 @@
     const named = request.query['service'] ?? '';
     const configuration = node.configuration();
     if (Option.isNone(configuration) || sheets.service(configuration.value.value.sheet, named) === undefined) {
-      return http.denied(fault.create({ kind: 'not-found', message: `no sheet names a service ${named}`, remedy: 'see stallstall elections' }));
+      return http.denied(
+        fault.create({ kind: 'not-found', message: `no sheet names a service ${named}`, remedy: 'see stallstall elections' }),
+      );
     }
     if (!operators.covers(caller.scope, named)) return http.denied(operators.denied(`${caller.operator} may not change ${named}`));
     const settled = node.settled(named);
     if (Option.isSome(settled) && members.alive(settled.value.primary)) {
-      return http.denied(fault.create({ kind: 'unsafe-step', message: `${settled.value.primary} leads ${named} and is alive: nothing needs to be lost`, remedy: 'leave it, or retire that member' }));
+      return http.denied(
+        fault.create({
+          kind: 'unsafe-step',
+          message: `${settled.value.primary} leads ${named} and is alive: nothing needs to be lost`,
+          remedy: 'leave it, or retire that member',
+        }),
+      );
     }
     const floors = await notes.floors();
     if (Either.isLeft(floors)) return http.denied(floors.left);
@@ -345,7 +442,13 @@
     const named = request.query['node'] ?? '';
     const seat = quorum.seat(node.membership().value, named);
     if (seat === undefined || seat.role !== 'edge') {
-      return http.denied(fault.create({ kind: 'not-found', message: `the membership table names no edge ${named}`, remedy: 'see stallstall status for the names' }));
+      return http.denied(
+        fault.create({
+          kind: 'not-found',
+          message: `the membership table names no edge ${named}`,
+          remedy: 'see stallstall status for the names',
+        }),
+      );
     }
     const done = await parts.changeMembership((before) => {
       const current = quorum.seat(before, named);
@@ -359,19 +462,34 @@
     const named = request.query['node'] ?? '';
     const seat = quorum.seat(node.membership().value, named);
     if (seat === undefined || seat.role !== 'edge') {
-      return http.denied(fault.create({ kind: 'not-found', message: `the membership table names no edge ${named}`, remedy: 'see stallstall status for the names' }));
+      return http.denied(
+        fault.create({
+          kind: 'not-found',
+          message: `the membership table names no edge ${named}`,
+          remedy: 'see stallstall status for the names',
+        }),
+      );
     }
     const heard = node.heardAt(named);
     if (!seat.draining && Option.isSome(heard) && kernel.clock.now() - heard.value < 5_000) {
-      return http.denied(fault.create({ kind: 'unsafe-step', message: `${named} still runs and is not drained`, remedy: `run stallstall drain ${named} first` }));
+      return http.denied(
+        fault.create({
+          kind: 'unsafe-step',
+          message: `${named} still runs and is not drained`,
+          remedy: `run stallstall drain ${named} first`,
+        }),
+      );
     }
     const { seats } = node.membership().value;
     const heardNodes = reachable().filter((one) => one !== named).length;
     if (request.query['force'] !== 'true' && heardNodes < quorum.majority(seats.length - 1)) {
-      return http.denied(fault.create({
-        kind: 'unsafe-step', message: `only ${heardNodes} other nodes are heard, and ${seats.length - 1} nodes need ${quorum.majority(seats.length - 1)}`,
-        remedy: 'bring nodes back first, or repeat it with force',
-      }));
+      return http.denied(
+        fault.create({
+          kind: 'unsafe-step',
+          message: `only ${heardNodes} other nodes are heard, and ${seats.length - 1} nodes need ${quorum.majority(seats.length - 1)}`,
+          remedy: 'bring nodes back first, or repeat it with force',
+        }),
+      );
     }
     const done = await parts.changeMembership((current) => quorum.remove(current, named));
     if (Either.isRight(done)) await table.note(caller.operator, 'remove', named);
@@ -383,12 +501,21 @@
   async function putOperator(request: HttpRequest, caller: Caller): Promise<HttpReply> {
     const named = request.query['operator'] ?? '';
     if (!message.fits(ScopeSchema, request.body) || !/^[a-z0-9][a-z0-9._-]{0,62}$/i.test(named) || named === 'root') {
-      return http.denied(fault.create({
-        kind: 'bad-request', message: 'an operator has a name and {services: [...], nodes: truth, operators: truth}', remedy: 'send that shape; the name root is taken',
-      }));
+      return http.denied(
+        fault.create({
+          kind: 'bad-request',
+          message: 'an operator has a name and {services: [...], nodes: truth, operators: truth}',
+          remedy: 'send that shape; the name root is taken',
+        }),
+      );
     }
     const key = await table.put(named, request.body);
-    if (Either.isRight(key)) await table.note(caller.operator, 'operator-put', `${named} services=${request.body.services.join('+')} nodes=${request.body.nodes} operators=${request.body.operators}`);
+    if (Either.isRight(key))
+      await table.note(
+        caller.operator,
+        'operator-put',
+        `${named} services=${request.body.services.join('+')} nodes=${request.body.nodes} operators=${request.body.operators}`,
+      );
     return http.replied(Either.map((made: string) => ({ operator: named, key: made }))(key));
   }
 
@@ -396,7 +523,8 @@
     const named = request.query['operator'] ?? '';
     const removed = await table.remove(named);
     if (Either.isLeft(removed)) return http.denied(removed.left);
-    if (!removed.right) return http.denied(fault.create({ kind: 'not-found', message: `there is no operator ${named}`, remedy: 'see stallstall operators' }));
+    if (!removed.right)
+      return http.denied(fault.create({ kind: 'not-found', message: `there is no operator ${named}`, remedy: 'see stallstall operators' }));
     await table.note(caller.operator, 'operator-removed', named);
     return { status: 200, body: { operator: named, removed: true } };
   }
@@ -412,10 +540,14 @@
     const current = { version: read.right.value.version, ...read.right.value.value };
     const numbers = Array.from({ length: current.version - oldestOf(current.version) + 1 }, (_, index) => current.version - index);
     const shown = page(numbers, request);
-    const rows = await Promise.all((shown.rows as readonly number[]).map(async function row(version) {
-      const found = await versionAt(version, current);
-      return Either.isRight(found) && Option.isSome(found.right) ? { version, sentBy: found.right.value.sentBy, sentAt: found.right.value.sentAt } : { version };
-    }));
+    const rows = await Promise.all(
+      (shown.rows as readonly number[]).map(async function row(version) {
+        const found = await versionAt(version, current);
+        return Either.isRight(found) && Option.isSome(found.right)
+          ? { version, sentBy: found.right.value.sentBy, sentAt: found.right.value.sentAt }
+          : { version };
+      }),
+    );
     return { status: 200, body: { ...shown, rows } };
   }
 
@@ -427,28 +559,74 @@
     const coresHeard = node.cores().filter((core) => heard.includes(core.node)).length;
     const configuration = node.configuration();
     const version = Option.isSome(configuration) ? configuration.value.version : 0;
-    const behind = [...parts.obeyed()].filter(([named, obeyed]) => obeyed < version && quorum.seat(membership, named) !== undefined).map(([named]) => named);
+    const behind = [...parts.obeyed()]
+      .filter(([named, obeyed]) => obeyed < version && quorum.seat(membership, named) !== undefined)
+      .map(([named]) => named);
     const services = Option.isSome(configuration) ? configuration.value.value.sheet.services : [];
-    const leaderless = services.filter((service) => {
-      const settled = node.settled(service.service);
-      return Option.isNone(settled) || !members.alive(settled.value.primary);
-    }).map((service) => service.service);
+    const leaderless = services
+      .filter((service) => {
+        const settled = node.settled(service.service);
+        return Option.isNone(settled) || !members.alive(settled.value.primary);
+      })
+      .map((service) => service.service);
     const windows = await usage.windows();
-    const unsent = Either.isRight(windows) ? windows.right.filter((one) => !one.sent && (one.window + 1) * usageWindowMilliseconds + usageLateMilliseconds < kernel.clock.wall()).map((one) => one.window) : [];
+    const unsent = Either.isRight(windows)
+      ? windows.right
+          .filter((one) => !one.sent && (one.window + 1) * usageWindowMilliseconds + usageLateMilliseconds < kernel.clock.wall())
+          .map((one) => one.window)
+      : [];
     const checks = [
-      { check: 'cores', sound: coresHeard >= quorum.majority(node.cores().length), detail: `${coresHeard} of ${node.cores().length} heard`, remedy: 'bring a core back' },
-      { check: 'nodes', sound: heard.length >= needed, detail: `${heard.length} of ${membership.seats.length} heard, ${needed} needed`, remedy: 'bring nodes back' },
-      { check: 'configuration', sound: behind.length === 0, detail: behind.length === 0 ? `all obey ${version}` : `behind ${version}: ${behind.join(' ')}`, remedy: 'see whether these nodes reach a majority of cores' },
-      { check: 'leaders', sound: leaderless.length === 0, detail: leaderless.length === 0 ? 'each service has one' : `none alive: ${leaderless.join(' ')}`, remedy: 'see stallstall elections and members' },
-      { check: 'usage', sound: unsent.length === 0, detail: unsent.length === 0 ? 'sent in time' : `late windows: ${unsent.join(' ')}`, remedy: 'see whether the platform answers' },
-      { check: 'disk', sound: parts.diskBytes() < diskBytesMost, detail: `${Math.round(parts.diskBytes() / 1e6)} MB of ${Math.round(diskBytesMost / 1e6)} MB`, remedy: 'send smaller sheets: the last ten thousand are kept' },
+      {
+        check: 'cores',
+        sound: coresHeard >= quorum.majority(node.cores().length),
+        detail: `${coresHeard} of ${node.cores().length} heard`,
+        remedy: 'bring a core back',
+      },
+      {
+        check: 'nodes',
+        sound: heard.length >= needed,
+        detail: `${heard.length} of ${membership.seats.length} heard, ${needed} needed`,
+        remedy: 'bring nodes back',
+      },
+      {
+        check: 'configuration',
+        sound: behind.length === 0,
+        detail: behind.length === 0 ? `all obey ${version}` : `behind ${version}: ${behind.join(' ')}`,
+        remedy: 'see whether these nodes reach a majority of cores',
+      },
+      {
+        check: 'leaders',
+        sound: leaderless.length === 0,
+        detail: leaderless.length === 0 ? 'each service has one' : `none alive: ${leaderless.join(' ')}`,
+        remedy: 'see stallstall elections and members',
+      },
+      {
+        check: 'usage',
+        sound: unsent.length === 0,
+        detail: unsent.length === 0 ? 'sent in time' : `late windows: ${unsent.join(' ')}`,
+        remedy: 'see whether the platform answers',
+      },
+      {
+        check: 'disk',
+        sound: parts.diskBytes() < diskBytesMost,
+        detail: `${Math.round(parts.diskBytes() / 1e6)} MB of ${Math.round(diskBytesMost / 1e6)} MB`,
+        remedy: 'send smaller sheets: the last ten thousand are kept',
+      },
     ];
     return { status: checks.every((one) => one.sound) ? 200 : 503, body: { core: node.settings.node, checks } };
   }
 
   async function beaten(): Promise<HttpReply> {
     const stances = node.stances();
-    return { status: 200, body: { ...parts.metrics(), nodes: stances.length, configuration: parts.versionOf('configuration'), membership: node.membership().version } };
+    return {
+      status: 200,
+      body: {
+        ...parts.metrics(),
+        nodes: stances.length,
+        configuration: parts.versionOf('configuration'),
+        membership: node.membership().version,
+      },
+    };
   }
 
   async function checkSheet(request: HttpRequest): Promise<HttpReply> {
@@ -456,15 +634,29 @@
   }
 
   const mappings: readonly HttpMapping[] = [
-    { method: 'GET', path: '/ready', handle: async () => ({ status: parts.ready() ? 200 : 503, body: { node: node.settings.node, ready: parts.ready() } }) },
+    {
+      method: 'GET',
+      path: '/ready',
+      handle: async () => ({ status: parts.ready() ? 200 : 503, body: { node: node.settings.node, ready: parts.ready() } }),
+    },
     { method: 'GET', path: '/v1/liveness', handle: liveness },
     { method: 'GET', path: '/v1/metrics', handle: beaten },
     { method: 'GET', path: '/v1/fleet', handle: guarded('read', async () => ({ status: 200, body: fleetStatus() })) },
-    { method: 'GET', path: '/v1/members', handle: guarded('read', async (request) => ({ status: 200, body: page(memberStatus(), request) })) },
+    {
+      method: 'GET',
+      path: '/v1/members',
+      handle: guarded('read', async (request) => ({ status: 200, body: page(memberStatus(), request) })),
+    },
     { method: 'GET', path: '/v1/elections', handle: guarded('read', async (request) => listed(await electionRows(), request)) },
     { method: 'POST', path: '/v1/services/:service/accept-loss', handle: guarded('read', acceptLoss) },
     { method: 'GET', path: '/v1/usage', handle: guarded('read', async (request) => listed(await usage.windows(), request)) },
-    { method: 'GET', path: '/v1/audit', handle: guarded('read', async (request) => listed(Either.map((entries: readonly unknown[]) => [...entries].reverse())(await table.trail()), request)) },
+    {
+      method: 'GET',
+      path: '/v1/audit',
+      handle: guarded('read', async (request) =>
+        listed(Either.map((entries: readonly unknown[]) => [...entries].reverse())(await table.trail()), request),
+      ),
+    },
     { method: 'GET', path: '/v1/operators', handle: guarded('operators', async (request) => listed(await table.list(), request)) },
     { method: 'PUT', path: '/v1/operators/:operator', handle: guarded('operators', putOperator) },
     { method: 'DELETE', path: '/v1/operators/:operator', handle: guarded('operators', removeOperator) },
--- a/packages/core/src/cores.ts
+++ b/packages/core/src/cores.ts
@@ -5,14 +5,27 @@
 import { type Ask, type CoreSet, type Reply, type Seat } from '@stallstall/message';
 import { peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { registerService, notesService, stepKey, stepper, type Acceptor, type Holding, type Standing, type Stepper } from '@stallstall/register';
+import {
+  registerService,
+  notesService,
+  stepKey,
+  stepper,
+  type Acceptor,
+  type Holding,
+  type Standing,
+  type Stepper,
+} from '@stallstall/register';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
 import { beatMilliseconds, type Node } from '@stallstall/node';
 
 /** joining: blank, or taken out, and not yet a copy; copied: of the set that `number` names, and asking to be taken in. */
 export type Stage = 'founding' | 'copying' | 'joining' | 'copied' | 'formed' | 'out';
 export type Fleet = Readonly<{
-  format?: number; fleet: string; node: string; cores: readonly Seat[]; stage: Stage;
+  format?: number;
+  fleet: string;
+  node: string;
+  cores: readonly Seat[];
+  stage: Stage;
   /** Of the set of cores, where it may change. */
   number?: number;
   epochs?: Readonly<Record<string, number>>;
@@ -116,7 +129,13 @@
     if (!listed) {
       cells.close();
       kernel.log('core.departed', { set: set.number });
-      kernel.stop(fault.create({ kind: 'departed', message: `${node.settings.node} was taken out of the set of cores`, remedy: 'started again, it copies the others and joins anew' }));
+      kernel.stop(
+        fault.create({
+          kind: 'departed',
+          message: `${node.settings.node} was taken out of the set of cores`,
+          remedy: 'started again, it copies the others and joins anew',
+        }),
+      );
       return true;
     }
     kernel.log('core.set', { number: set.number, cores: set.seats.length });
@@ -130,14 +149,20 @@
 
   function learn(set: CoreSet): void {
     const known = parts.fleet();
-    if (Option.isSome(known) && known.value.stage === 'formed' && set.number > own().number) void commands.ask(() => take(known.value.fleet, set));
+    if (Option.isSome(known) && known.value.stage === 'formed' && set.number > own().number)
+      void commands.ask(() => take(known.value.fleet, set));
   }
 
   /** Cores that were not heard for long; whoever has just begun to listen tells of none. */
   function silent(): readonly string[] {
     const now = kernel.clock.now();
-    return own().seats.map((seat) => seat.node).filter((core) => core !== node.settings.node &&
-      now - Math.max(openedAt, Option.getOrElse(() => openedAt)(node.heardAt(core))) > silentMilliseconds);
+    return own()
+      .seats.map((seat) => seat.node)
+      .filter(
+        (core) =>
+          core !== node.settings.node &&
+          now - Math.max(openedAt, Option.getOrElse(() => openedAt)(node.heardAt(core))) > silentMilliseconds,
+      );
   }
 
   async function adopt(ask: Ask<'adopt'>): Promise<Reply<'adopt'>> {
@@ -158,7 +183,7 @@
     const link = node.callPeer(seat.node);
     if (Option.isNone(link)) return Option.none;
     const keys: string[] = [];
-    for (let after = ''; ; ) {
+    for (let after = ''; ;) {
       const reply = await link.value.call('copy', { after }, pageMilliseconds);
       if (Option.isNone(reply) || !reply.value.ready || reply.value.set !== set) return Option.none;
       keys.push(...reply.value.entries.map((entry) => entry.key));
@@ -183,7 +208,14 @@
   }
 
   const steps: Stepper = stepper.create({
-    clock: kernel.clock, set: own, under: register.under, adopt: askAdopt, holding, note: notes.note, learn, settleMilliseconds: termMilliseconds + marginMilliseconds,
+    clock: kernel.clock,
+    set: own,
+    under: register.under,
+    adopt: askAdopt,
+    holding,
+    note: notes.note,
+    learn,
+    settleMilliseconds: termMilliseconds + marginMilliseconds,
   });
 
   /** Takes in whoever has copied this very set; one that is listed under another address is listed anew. */
@@ -218,7 +250,9 @@
     const unheard = silent();
     const first = set.seats.find((seat) => !unheard.includes(seat.node));
     if (first?.node !== node.settings.node || Option.isNone(withoutSilent(set, (core) => unheard.includes(core)))) return;
-    const done = await steps.step((current, confirmed) => withoutSilent(current, (core) => confirmed.silent.has(core) && !confirmed.standing.includes(core)));
+    const done = await steps.step((current, confirmed) =>
+      withoutSilent(current, (core) => confirmed.silent.has(core) && !confirmed.standing.includes(core)),
+    );
     if (Either.isRight(done)) kernel.log('core.taken-out', { set: done.right.number, cores: done.right.seats.length });
   }
 
@@ -243,7 +277,14 @@
     const known = parts.fleet();
     const stage = Option.isSome(known) ? known.value.stage : 'blank';
     const listed = quorum.seat(set, node.settings.node) !== undefined;
-    const next: Fleet = { fleet, node: node.settings.node, cores: set.seats, number: set.number, epochs: set.epochs, stage: listed ? 'copying' : 'joining' };
+    const next: Fleet = {
+      fleet,
+      node: node.settings.node,
+      cores: set.seats,
+      number: set.number,
+      epochs: set.epochs,
+      stage: listed ? 'copying' : 'joining',
+    };
     node.setFleet(fleet);
     if (stage === 'copied' && listed) return void (await commands.ask(() => take(fleet, set)));
     if (stage === 'copied' && set.number === own().number) return askToJoin(set);
@@ -266,10 +307,14 @@
     function given(): boolean {
       return stopped || left || copied >= needed || (Option.isSome(newest) && newest.value.number > set.number);
     }
-    await Promise.all(set.seats.filter((seat) => seat.node !== node.settings.node).map(async function one(other) {
-      if (await parts.copyPages(other, set.number, epochs, given)) copied += 1;
-      else if (!given()) left = true;
-    }));
+    await Promise.all(
+      set.seats
+        .filter((seat) => seat.node !== node.settings.node)
+        .map(async function one(other) {
+          if (await parts.copyPages(other, set.number, epochs, given)) copied += 1;
+          else if (!given()) left = true;
+        }),
+    );
     if (copied < needed || stopped) return false;
     await parts.abstain(epochs);
     return true;
@@ -280,7 +325,9 @@
       if (stopped || cells.ready() || own().number !== set.number || Option.toNullable(newest)?.number !== set.number) return;
       const dialled = peer.dial(kernel, identifiers.address(core.address));
       for (let looks = 0; looks < 10 && !dialled.connected(); looks += 1) await kernel.clock.sleep(20);
-      const reply = dialled.connected() ? await dialled.call('join', { seat: node.seat(), copied: set.number }, joinMilliseconds) : Option.none;
+      const reply = dialled.connected()
+        ? await dialled.call('join', { seat: node.seat(), copied: set.number }, joinMilliseconds)
+        : Option.none;
       dialled.close();
       if (Option.isSome(reply) && reply.value.joined) return;
       if (Option.isSome(reply)) kernel.log('core.join-waits', { reason: reply.value.reason });
@@ -301,10 +348,15 @@
     learn,
     met,
     start: function start() {
-      void kernels.every(kernel.clock, roundMilliseconds, async function look() {
-        await round();
-        await seeAddress();
-      }, () => !stopped);
+      void kernels.every(
+        kernel.clock,
+        roundMilliseconds,
+        async function look() {
+          await round();
+          await seeAddress();
+        },
+        () => !stopped,
+      );
     },
     stop: function stop() {
       stopped = true;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,10 +2,27 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, kernel as kernels, owner, type Disk, type Fault, type HttpMapping, type Kernel, type Listening,
+  fault,
+  http,
+  identifiers,
+  kernel as kernels,
+  owner,
+  type Disk,
+  type Fault,
+  type HttpMapping,
+  type Kernel,
+  type Listening,
 } from '@stallstall/kernel';
 import {
-  MembershipSchema, message, RosterEntrySchema, SeatSchema, type Ask, type Entry, type Membership, type Reply, type Seat,
+  MembershipSchema,
+  message,
+  RosterEntrySchema,
+  SeatSchema,
+  type Ask,
+  type Entry,
+  type Membership,
+  type Reply,
+  type Seat,
 } from '@stallstall/message';
 import { peer, type Caller, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
@@ -80,30 +97,42 @@
 function diskFault(stored: ReadonlyMap<string, unknown>, settings: CoreSettings): Option.Option<Fault> {
   const fleet = stored.get('fleet');
   if (fleet === undefined && [...stored.keys()].some((key) => key !== rosterKey)) {
-    return Option.some(fault.create({
-      kind: 'foreign-disk', message: 'the data folder holds entries but no fleet',
-      remedy: 'the folder is damaged: move it away and start with an empty one, so that this core copies the others',
-    }));
+    return Option.some(
+      fault.create({
+        kind: 'foreign-disk',
+        message: 'the data folder holds entries but no fleet',
+        remedy: 'the folder is damaged: move it away and start with an empty one, so that this core copies the others',
+      }),
+    );
   }
   if (fleet === undefined) return Option.none;
   if (!message.fits(FleetSchema, fleet) || fleet.node !== settings.node) {
-    return Option.some(fault.create({
-      kind: 'foreign-disk', message: 'the data folder belongs to another node or is damaged',
-      remedy: `point --data at the folder of ${settings.node}, or start with an empty one`,
-    }));
+    return Option.some(
+      fault.create({
+        kind: 'foreign-disk',
+        message: 'the data folder belongs to another node or is damaged',
+        remedy: `point --data at the folder of ${settings.node}, or start with an empty one`,
+      }),
+    );
   }
   if ((fleet.format ?? 1) > diskFormat) {
-    return Option.some(fault.create({
-      kind: 'foreign-disk', message: `the data folder has format ${fleet.format}, this version knows ${diskFormat} and those before it`,
-      remedy: 'run the version that wrote it or a later one, or start with an empty folder, so that this core copies the others',
-    }));
+    return Option.some(
+      fault.create({
+        kind: 'foreign-disk',
+        message: `the data folder has format ${fleet.format}, this version knows ${diskFormat} and those before it`,
+        remedy: 'run the version that wrote it or a later one, or start with an empty folder, so that this core copies the others',
+      }),
+    );
   }
   for (const [key, value] of stored) {
     if (key.startsWith('register/') && !acceptor.isCellState(value)) {
-      return Option.some(fault.create({
-        kind: 'foreign-disk', message: `the entry ${key} in the data folder cannot be read`,
-        remedy: 'move the folder away and start with an empty one, so that this core copies the others',
-      }));
+      return Option.some(
+        fault.create({
+          kind: 'foreign-disk',
+          message: `the entry ${key} in the data folder cannot be read`,
+          remedy: 'move the folder away and start with an empty one, so that this core copies the others',
+        }),
+      );
     }
   }
   return Option.none;
@@ -134,17 +163,22 @@
   return {
     epochs: () => votes.ask((table) => Object.fromEntries([...table].map(([service, vote]) => [service, vote.epoch]))),
     load: (service) => votes.ask((table) => Either.right(Option.fromNullable(table.get(service)))),
-    record: (service, vote) => votes.ask(async function record(table) {
-      if ((table.get(service)?.epoch ?? 0) >= vote.epoch) return false;
-      const kept = await disk.put(`vote/${service}`, vote);
-      if (Either.isLeft(kept)) return false;
-      table.set(service, vote);
-      return true;
-    }),
+    record: (service, vote) =>
+      votes.ask(async function record(table) {
+        if ((table.get(service)?.epoch ?? 0) >= vote.epoch) return false;
+        const kept = await disk.put(`vote/${service}`, vote);
+        if (Either.isLeft(kept)) return false;
+        table.set(service, vote);
+        return true;
+      }),
   };
 }
 
-async function start(kernel: Kernel, settings: CoreSettings, parts: Option.Option<CoreParts> = Option.none): Promise<Either.Either<Fault, Core>> {
+async function start(
+  kernel: Kernel,
+  settings: CoreSettings,
+  parts: Option.Option<CoreParts> = Option.none,
+): Promise<Either.Either<Fault, Core>> {
   if (Option.isNone(kernel.disk)) {
     return Either.left(fault.create({ kind: 'bad-settings', message: 'a core needs a data folder', remedy: 'name one with --data' }));
   }
@@ -166,15 +200,26 @@
   }
 
   let between = false;
-  const standing = Option.isNone(parts) ? undefined : coreSets.standing(() => fleet, () => between);
+  const standing = Option.isNone(parts)
+    ? undefined
+    : coreSets.standing(
+        () => fleet,
+        () => between,
+      );
   let coreSet: Option.Option<Cores> = Option.none;
 
-  const cells = acceptor.create(disk, stored, function push(key, entry) {
-    if (!watcher.watched(key)) return;
-    news();
-    for (const [caller, entryOf] of watching) if (caller.open()) handOver(entryOf, key, entry);
-    feedOwn();
-  }, diskFailed, standing);
+  const cells = acceptor.create(
+    disk,
+    stored,
+    function push(key, entry) {
+      if (!watcher.watched(key)) return;
+      news();
+      for (const [caller, entryOf] of watching) if (caller.open()) handOver(entryOf, key, entry);
+      feedOwn();
+    },
+    diskFailed,
+    standing,
+  );
   const notes = keeper.create(kernel, disk, stored, diskFailed);
 
   function diskFailed(error: Fault): void {
@@ -184,7 +229,12 @@
   function handOver(to: Watching, key: string, entry: Entry): void {
     to.number += 1;
     // A configuration goes over whole to whoever asked for that here; the others learn that there is one.
-    to.caller.change({ number: to.number, key, entry: key === 'configuration' && !to.content ? { ...entry, value: null } : forPush(key, entry), ...stoodAt() });
+    to.caller.change({
+      number: to.number,
+      key,
+      entry: key === 'configuration' && !to.content ? { ...entry, value: null } : forPush(key, entry),
+      ...stoodAt(),
+    });
   }
 
   /** The number of the set that this core stands at, where it may change (design 4.8). */
@@ -223,17 +273,19 @@
     caps: () => ({}),
     onObeyed: news,
     onHello,
-    ...(Option.isNone(parts) ? {} : {
-      registered: {
-        calls: parts.value.calls,
-        probe: parts.value.probe,
-        membersOf,
-        lessees: () => (Option.isSome(lessor) ? lessor.value.lessees() : Option.none),
-        released: (service, epoch, lessees) => Option.isSome(lessor) && lessor.value.released(service, epoch, lessees),
-        onStance: news,
-        learn: (set) => (Option.isSome(coreSet) ? coreSet.value.learn(set) : undefined),
-      },
-    }),
+    ...(Option.isNone(parts)
+      ? {}
+      : {
+          registered: {
+            calls: parts.value.calls,
+            probe: parts.value.probe,
+            membersOf,
+            lessees: () => (Option.isSome(lessor) ? lessor.value.lessees() : Option.none),
+            released: (service, epoch, lessees) => Option.isSome(lessor) && lessor.value.released(service, epoch, lessees),
+            onStance: news,
+            learn: (set) => (Option.isSome(coreSet) ? coreSet.value.learn(set) : undefined),
+          },
+        }),
   });
 
   /** A primary that no beat has named yet is not gone: liveness tells whether it is DOWN (design 7.1). */
@@ -256,10 +308,17 @@
   }
 
   const register = kernel.services.find(registerService);
-  const usage = usages.create(kernel, node, notes, Option.isNone(parts) ? Option.none : Option.some({
-    calls: parts.value.calls,
-    edges: () => (Option.isSome(lessor) ? lessor.value.recent(edgeMemoryMilliseconds) : []),
-  }));
+  const usage = usages.create(
+    kernel,
+    node,
+    notes,
+    Option.isNone(parts)
+      ? Option.none
+      : Option.some({
+          calls: parts.value.calls,
+          edges: () => (Option.isSome(lessor) ? lessor.value.recent(edgeMemoryMilliseconds) : []),
+        }),
+  );
 
   // -- Forming the fleet once, or coming back to it (design 4.3).
 
@@ -309,15 +368,21 @@
   function onHello(reply: Reply<'hello'>, address: string): void {
     if (reply.role !== 'core' || reply.node === settings.node) return;
     met.set(reply.node, {
-      seat: { ...node.seat(), node: reply.node, address }, fleet: reply.fleet, founding: reply.founding, at: kernel.clock.now(),
+      seat: { ...node.seat(), node: reply.node, address },
+      fleet: reply.fleet,
+      founding: reply.founding,
+      at: kernel.clock.now(),
     });
     knownPuts = Math.max(knownPuts, reply.knownPuts);
     if (reply.fleet === '') return;
     if (Option.isSome(fleet) && fleet.value.fleet !== reply.fleet) {
-      kernel.stop(fault.create({
-        kind: 'foreign-disk', message: `this disk is of fleet ${fleet.value.fleet}, ${reply.node} is of fleet ${reply.fleet}`,
-        remedy: 'point the seeds or --data at the right fleet',
-      }));
+      kernel.stop(
+        fault.create({
+          kind: 'foreign-disk',
+          message: `this disk is of fleet ${fleet.value.fleet}, ${reply.node} is of fleet ${reply.fleet}`,
+          remedy: 'point the seeds or --data at the right fleet',
+        }),
+      );
       return;
     }
     if (stage() === 'founding' && Option.isSome(fleet)) void becomeFormed(fleet.value);
@@ -333,10 +398,15 @@
   }
 
   /** All that another core holds, page after page; a page that did not arrive or did not sync is asked for again. */
-  async function copyPages(other: Seat, epochs: Record<string, number>, set?: number, given: () => boolean = () => false): Promise<boolean> {
+  async function copyPages(
+    other: Seat,
+    epochs: Record<string, number>,
+    set?: number,
+    given: () => boolean = () => false,
+  ): Promise<boolean> {
     const dialled = peer.dial(kernel, identifiers.address(other.address));
     let whole = false;
-    for (let after = ''; !whole && !stopped && !given(); ) {
+    for (let after = ''; !whole && !stopped && !given();) {
       const reply = await dialled.call('copy', { after }, 2_000);
       // A core that has left the set meanwhile tells nothing of it any more (design 4.8).
       if (Option.isSome(reply) && reply.value.ready && reply.value.set !== set) break;
@@ -345,7 +415,9 @@
         continue;
       }
       const { entries, votes: voted, notes: noted, next } = reply.value;
-      const merged = await Promise.all(entries.map((entry) => (acceptor.isCellState(entry.state) ? cells.merge(entry.key, entry.state) : false)));
+      const merged = await Promise.all(
+        entries.map((entry) => (acceptor.isCellState(entry.state) ? cells.merge(entry.key, entry.state) : false)),
+      );
       await notes.keep(noted);
       if (!merged.every(Boolean) || !notes.synced()) {
         await kernel.clock.sleep(beatMilliseconds);
@@ -420,8 +492,11 @@
       gatheredSince = kernel.clock.now();
     }
     const { founders } = parts.value;
-    return settings.address === [...founders].sort()[0] && founders.every((founder) => everyone.some((seat) => seat.address === founder)) &&
-      kernel.clock.now() - gatheredSince >= gatherMilliseconds;
+    return (
+      settings.address === [...founders].sort()[0] &&
+      founders.every((founder) => everyone.some((seat) => seat.address === founder)) &&
+      kernel.clock.now() - gatheredSince >= gatherMilliseconds
+    );
   }
 
   async function form(): Promise<void> {
@@ -430,7 +505,9 @@
       const others = [...met.values()].filter((core) => kernel.clock.now() - core.at < 2_000);
       const everyone = [node.seat(), ...others.map((core) => core.seat)].sort((left, right) => (left.node < right.node ? -1 : 1));
       if (!mayPropose(everyone) || others.some((core) => core.fleet !== '')) continue;
-      const known: Fleet = Option.isSome(fleet) ? fleet.value : { fleet: kernel.randomness.token(), node: settings.node, cores: everyone, stage: 'founding' };
+      const known: Fleet = Option.isSome(fleet)
+        ? fleet.value
+        : { fleet: kernel.randomness.token(), node: settings.node, cores: everyone, stage: 'founding' };
       if (Option.isNone(fleet) && !(await keepFleet(known))) continue;
       if (!(await ask(known, 'propose'))) continue;
       await becomeFormed(known);
@@ -439,13 +516,17 @@
   }
 
   async function ask(known: Fleet, step: 'propose' | 'formed'): Promise<boolean> {
-    const replies = await Promise.all(known.cores.filter((core) => core.node !== settings.node).map(async function one(core) {
-      const dialled = peer.dial(kernel, identifiers.address(core.address));
-      await kernel.clock.sleep(50);
-      const reply = await dialled.call('form', { step, fleet: known.fleet, cores: [...known.cores] }, 1_000);
-      dialled.close();
-      return Option.isSome(reply) && reply.value.agreed;
-    }));
+    const replies = await Promise.all(
+      known.cores
+        .filter((core) => core.node !== settings.node)
+        .map(async function one(core) {
+          const dialled = peer.dial(kernel, identifiers.address(core.address));
+          await kernel.clock.sleep(50);
+          const reply = await dialled.call('form', { step, fleet: known.fleet, cores: [...known.cores] }, 1_000);
+          dialled.close();
+          return Option.isSome(reply) && reply.value.agreed;
+        }),
+    );
     return replies.every(Boolean);
   }
 
@@ -463,27 +544,40 @@
     const read = await register.read('membership');
     if (Either.isLeft(read)) return read;
     const version = Option.isSome(read.right) ? read.right.value.version : 0;
-    const table = Option.isSome(read.right) && message.fits(MembershipSchema, read.right.value.value) ? read.right.value.value : quorum.empty;
+    const table =
+      Option.isSome(read.right) && message.fits(MembershipSchema, read.right.value.value) ? read.right.value.value : quorum.empty;
     const wanted = next(table);
     if (wanted === table) return Either.right(table);
-    const obeying = node.stances().filter((stance) => stance.membership === version && (version === 0 || quorum.seat(table, stance.node) !== undefined));
+    const obeying = node
+      .stances()
+      .filter((stance) => stance.membership === version && (version === 0 || quorum.seat(table, stance.node) !== undefined));
     if (version > 0 && obeying.length < quorum.majority(table.seats.length)) {
-      return Either.left(fault.create({
-        kind: 'no-majority', message: `only ${obeying.length} of ${table.seats.length} nodes obey membership ${version} so far`,
-        remedy: 'wait until a majority does, then try again', retryAfterSeconds: 1,
-      }));
+      return Either.left(
+        fault.create({
+          kind: 'no-majority',
+          message: `only ${obeying.length} of ${table.seats.length} nodes obey membership ${version} so far`,
+          remedy: 'wait until a majority does, then try again',
+          retryAfterSeconds: 1,
+        }),
+      );
     }
     const barrier: Record<string, number> = { ...table.epochs };
-    for (const stance of obeying) for (const [service, epoch] of Object.entries(stance.epochs)) barrier[service] = Math.max(epoch, barrier[service] ?? 0);
+    for (const stance of obeying)
+      for (const [service, epoch] of Object.entries(stance.epochs)) barrier[service] = Math.max(epoch, barrier[service] ?? 0);
     const changed: Membership = { ...wanted, epochs: barrier };
     const written = await register.change('membership', function put(current) {
       return (Option.isSome(current) ? current.value.version : 0) === version ? Option.some(changed) : Option.none;
     });
     if (Either.isLeft(written)) return written;
     if (!written.right.wrote) {
-      return Either.left(fault.create({
-        kind: 'version-conflict', message: 'the membership table changed meanwhile', remedy: 'try again', retryAfterSeconds: 1,
-      }));
+      return Either.left(
+        fault.create({
+          kind: 'version-conflict',
+          message: 'the membership table changed meanwhile',
+          remedy: 'try again',
+          retryAfterSeconds: 1,
+        }),
+      );
     }
     return Either.right(changed);
   }
@@ -494,12 +588,16 @@
     if (Option.isSome(coreSet)) return coreSet.value.join(ask);
     if (!cells.ready()) return { joined: false, reason: 'this core is not open yet' };
     // A node that is listed as it is has only not read the table yet: no step, and what an operator drained stays drained.
-    const done = await membershipCommands.ask(() => changeMembership((table) => {
-      const listed = quorum.seat(table, ask.seat.node);
-      return listed === undefined ? quorum.put(table, ask.seat)
-        : listed.address === ask.seat.address && listed.outward === ask.seat.outward && listed.area === ask.seat.area ? table
-        : quorum.put(table, { ...ask.seat, draining: listed.draining });
-    }));
+    const done = await membershipCommands.ask(() =>
+      changeMembership((table) => {
+        const listed = quorum.seat(table, ask.seat.node);
+        return listed === undefined
+          ? quorum.put(table, ask.seat)
+          : listed.address === ask.seat.address && listed.outward === ask.seat.outward && listed.area === ask.seat.area
+            ? table
+            : quorum.put(table, { ...ask.seat, draining: listed.draining });
+      }),
+    );
     return Either.isRight(done) ? { joined: true, reason: '' } : { joined: false, reason: done.left.message.slice(0, 300) };
   }
 
@@ -538,7 +636,11 @@
   function watch(ask: Ask<'watch'>, caller: Caller): Reply<'watch'> {
     const entry = enlist(ask.node, ask.acknowledged, ask.obeyed, caller);
     return {
-      ready: cells.ready(), number: entry?.number ?? 0, configuration: versionOf('configuration'), membership: membershipVersion(), puts: disk.puts(),
+      ready: cells.ready(),
+      number: entry?.number ?? 0,
+      configuration: versionOf('configuration'),
+      membership: membershipVersion(),
+      puts: disk.puts(),
       superseded: ask.incarnation > 0 && node.isStale(ask.node, ask.incarnation),
     };
   }
@@ -549,14 +651,15 @@
     for (const cell of cells.cells()) {
       const [kind, service] = cell.key.split('/');
       const vote = cell.state.accepted?.value as Partial<Vote> | undefined;
-      if (kind === 'vote' && service !== undefined && typeof vote?.epoch === 'number') epochs[service] = Math.max(vote.epoch, epochs[service] ?? 0);
+      if (kind === 'vote' && service !== undefined && typeof vote?.epoch === 'number')
+        epochs[service] = Math.max(vote.epoch, epochs[service] ?? 0);
     }
     return epochs;
   }
 
   async function ownHolding(): Promise<Holding> {
     const keys: string[] = [];
-    for (let after = ''; ; ) {
+    for (let after = ''; ;) {
       const { entries, next } = await cells.page(after);
       keys.push(...entries.map((entry) => entry.key));
       if (next === '') return { keys, votes: await votedEpochs(), notes: notes.all() };
@@ -565,12 +668,26 @@
   }
 
   if (Option.isSome(parts)) {
-    coreSet = Option.some(coreSets.create(kernel, {
-      node, cells, fleet: () => fleet, keepFleet, open, moved, abstain, ownHolding, tolerance: parts.value.tolerance ?? 1,
-      copyPages: (other, set, epochs, given) => copyPages(other, epochs, set, given),
-    }, function change(now) {
-      between = now;
-    }));
+    coreSet = Option.some(
+      coreSets.create(
+        kernel,
+        {
+          node,
+          cells,
+          fleet: () => fleet,
+          keepFleet,
+          open,
+          moved,
+          abstain,
+          ownHolding,
+          tolerance: parts.value.tolerance ?? 1,
+          copyPages: (other, set, epochs, given) => copyPages(other, epochs, set, given),
+        },
+        function change(now) {
+          between = now;
+        },
+      ),
+    );
   }
 
   const handlers: Handlers = {
@@ -581,14 +698,23 @@
         ...reply,
         fleet: Option.isSome(fleet) && fleet.value.stage === 'formed' ? fleet.value.fleet : '',
         founding: Option.isSome(fleet) ? fleet.value.fleet : '',
-        cores: Option.isSome(fleet) && fleet.value.stage === 'formed' ? fleet.value.cores.map((core) => quorum.seat(node.membership().value, core.node) ?? core) : [],
+        cores:
+          Option.isSome(fleet) && fleet.value.stage === 'formed'
+            ? fleet.value.cores.map((core) => quorum.seat(node.membership().value, core.node) ?? core)
+            : [],
         ...(Option.isSome(fleet) && Option.isSome(coreSet) && fleet.value.stage === 'formed' ? { set: coreSets.setOf(fleet.value) } : {}),
       };
     },
     form: agree,
     copy: async function copied(ask) {
       const at = stoodAt();
-      return { ready: cells.ready() && (standing === undefined || at.set !== undefined), ...at, votes: { ...(await votedEpochs()) }, notes: notes.all(), ...(await cells.page(ask.after)) };
+      return {
+        ready: cells.ready() && (standing === undefined || at.set !== undefined),
+        ...at,
+        votes: { ...(await votedEpochs()) },
+        notes: notes.all(),
+        ...(await cells.page(ask.after)),
+      };
     },
     adopt: async (ask) => (Option.isSome(coreSet) ? coreSet.value.adopt(ask) : { adopted: false, silent: [] }),
     prepare: cells.prepare,
@@ -615,13 +741,23 @@
   };
 
   const administration = administrations.create(kernel, {
-    node, usage, rootKey: settings.operatorKey, ready: () => cells.ready() && !ending, versionOf, changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
+    node,
+    usage,
+    rootKey: settings.operatorKey,
+    ready: () => cells.ready() && !ending,
+    versionOf,
+    changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
     obeyed: () => new Map([...watching.values()].filter((entry) => entry.caller.open()).map((entry) => [entry.node, entry.obeyed])),
     diskBytes: disk.size,
     metrics: () => ({
-      cells: cells.keys().length, puts: disk.puts(), diskBytes: disk.size(), watching: [...watching.keys()].filter((caller) => caller.open()).length,
+      cells: cells.keys().length,
+      puts: disk.puts(),
+      diskBytes: disk.size(),
+      watching: [...watching.keys()].filter((caller) => caller.open()).length,
       pushed: [...watching.values()].reduce((sum, entry) => sum + entry.number, 0),
-      unacknowledged: [...watching.values()].filter((entry) => entry.caller.open()).reduce((sum, entry) => sum + Math.max(0, entry.number - entry.acknowledged), 0),
+      unacknowledged: [...watching.values()]
+        .filter((entry) => entry.caller.open())
+        .reduce((sum, entry) => sum + Math.max(0, entry.number - entry.acknowledged), 0),
     }),
   });
 
@@ -638,8 +774,14 @@
     roster = Option.some(kept);
     kernel.services.offer(rosterService, kept);
     const granting = lessors.create(kernel, {
-      ready: () => cells.ready() && !ending, stances: node.epochs, configuration: () => versionOf('configuration'), membership: membershipVersion, puts: disk.puts,
-      roster: kept, troubled: isTroubled, onNotListening: lookAt,
+      ready: () => cells.ready() && !ending,
+      stances: node.epochs,
+      configuration: () => versionOf('configuration'),
+      membership: membershipVersion,
+      puts: disk.puts,
+      roster: kept,
+      troubled: isTroubled,
+      onNotListening: lookAt,
     });
     lessor = Option.some(granting);
     kernel.services.offer(lessorService, granting);
@@ -652,7 +794,8 @@
     if (beats.length === 0) return;
     for (const other of node.cores()) {
       const held = node.callPeer(other.node);
-      if (other.node !== settings.node && Option.isSome(held)) void held.value.call('spread', { beats: [...beats] }, spreadHorizonMilliseconds);
+      if (other.node !== settings.node && Option.isSome(held))
+        void held.value.call('spread', { beats: [...beats] }, spreadHorizonMilliseconds);
     }
   }
 
@@ -680,7 +823,8 @@
   /** A look of this core's own at a member, whose outcome liveness keeps. */
   function lookAt(member: string): void {
     const entry = Option.isSome(roster) ? roster.value.entryOf(member) : Option.none;
-    if (Option.isSome(entry) && !entry.value.gone) void kernel.services.find(livenessService).hold(entry.value.service, member, entry.value.address, lookHorizonMilliseconds);
+    if (Option.isSome(entry) && !entry.value.gone)
+      void kernel.services.find(livenessService).hold(entry.value.service, member, entry.value.address, lookHorizonMilliseconds);
   }
 
   /** Some service has no leader that is up and stands where all agree. */
@@ -706,7 +850,12 @@
   }
 
   function notOpen(): Fault {
-    return fault.create({ kind: 'no-majority', message: 'this core is of no fleet yet', remedy: 'turn to another core', retryAfterSeconds: 1 });
+    return fault.create({
+      kind: 'no-majority',
+      message: 'this core is of no fleet yet',
+      remedy: 'turn to another core',
+      retryAfterSeconds: 1,
+    });
   }
 
   const door: Door = {
@@ -727,10 +876,15 @@
   };
 
   if (Option.isSome(parts)) {
-    void kernels.every(kernel.clock, spreadMilliseconds, function round() {
-      if (Option.isSome(roster)) roster.value.step();
-      spreadBeats();
-    }, () => !stopped);
+    void kernels.every(
+      kernel.clock,
+      spreadMilliseconds,
+      function round() {
+        if (Option.isSome(roster)) roster.value.step();
+        spreadBeats();
+      },
+      () => !stopped,
+    );
     void kernels.every(kernel.clock, lookMilliseconds, lookAtPrimaries, () => !stopped);
   }
 
@@ -738,8 +892,16 @@
   const doorPages = Option.isSome(parts) ? new Set(parts.value.pages(door).map((one) => `${one.method} ${one.path}`)) : new Set<string>();
   const listening: readonly Listening[] = [
     await peer.listen(kernel, identifiers.address(settings.address), handlers),
-    await kernel.network.serve(identifiers.address(settings.outward), { mappings: pages.mappings.filter((one) => !doorPages.has(`${one.method} ${one.path}`)) }),
-    ...(Option.isSome(parts) ? [await kernel.network.serve(identifiers.address(parts.value.door), { mappings: pages.mappings.filter((one) => doorPages.has(`${one.method} ${one.path}`)) })] : []),
+    await kernel.network.serve(identifiers.address(settings.outward), {
+      mappings: pages.mappings.filter((one) => !doorPages.has(`${one.method} ${one.path}`)),
+    }),
+    ...(Option.isSome(parts)
+      ? [
+          await kernel.network.serve(identifiers.address(parts.value.door), {
+            mappings: pages.mappings.filter((one) => doorPages.has(`${one.method} ${one.path}`)),
+          }),
+        ]
+      : []),
   ];
 
   node.start();
--- a/packages/core/src/operators.ts
+++ b/packages/core/src/operators.ts
@@ -22,7 +22,9 @@
 type Operators = Readonly<Static<typeof OperatorsSchema>>;
 
 const TrailSchema = Type.Object({
-  entries: Type.Array(Type.Object({ number: Type.Integer(), at: Type.Number(), by: Type.String(), action: Type.String(), detail: Type.String() })),
+  entries: Type.Array(
+    Type.Object({ number: Type.Integer(), at: Type.Number(), by: Type.String(), action: Type.String(), detail: Type.String() }),
+  ),
 });
 type Trail = Readonly<Static<typeof TrailSchema>>;
 export type TrailEntry = Trail['entries'][number];
@@ -49,7 +51,11 @@
 }
 
 function denied(what: string): Fault {
-  return fault.create({ kind: 'key-denied', message: what, remedy: 'send a key that may in x-stallstall-operator, or ask who holds the root key' });
+  return fault.create({
+    kind: 'key-denied',
+    message: what,
+    remedy: 'send a key that may in x-stallstall-operator, or ask who holds the root key',
+  });
 }
 
 function covers(scope: Scope, service: string): boolean {
@@ -60,8 +66,10 @@
 function changedServices(before: Sheet | undefined, after: Sheet): readonly string[] {
   function facts(sheet: Sheet | undefined, service: string): string {
     return JSON.stringify([
-      sheet?.services.filter((one) => one.service === service) ?? [], sheet?.rows.filter((one) => one.service === service) ?? [],
-      sheet?.keys.filter((one) => one.services.includes(service)) ?? [], sheet?.mappings.filter((one) => one.service === service) ?? [],
+      sheet?.services.filter((one) => one.service === service) ?? [],
+      sheet?.rows.filter((one) => one.service === service) ?? [],
+      sheet?.keys.filter((one) => one.services.includes(service)) ?? [],
+      sheet?.mappings.filter((one) => one.service === service) ?? [],
     ]);
   }
   const names = new Set([...(before?.services ?? []), ...after.services].map((one) => one.service));
@@ -92,7 +100,9 @@
     const read = await register.read('operators');
     if (Either.isLeft(read)) return read;
     const known = operatorsOf(read.right).operators.find((one) => one.digest === given);
-    return known === undefined ? Either.left(denied('no operator holds this key')) : Either.right({ operator: known.operator, scope: known });
+    return known === undefined
+      ? Either.left(denied('no operator holds this key'))
+      : Either.right({ operator: known.operator, scope: known });
   }
 
   async function put(operator: string, scope: Scope): Promise<Either.Either<Fault, string>> {
@@ -104,7 +114,9 @@
     });
     if (Either.isLeft(changed)) return changed;
     if (operatorsOf(changed.right.entry).operators.some((one) => one.digest === added.digest)) return Either.right(key);
-    return Either.left(fault.create({ kind: 'unsafe-step', message: `there are ${operatorsKept} operators already`, remedy: 'remove one first' }));
+    return Either.left(
+      fault.create({ kind: 'unsafe-step', message: `there are ${operatorsKept} operators already`, remedy: 'remove one first' }),
+    );
   }
 
   async function remove(operator: string): Promise<Either.Either<Fault, boolean>> {
@@ -112,7 +124,9 @@
     const changed = await register.change('operators', function next(current) {
       const standing = operatorsOf(current).operators;
       known = known || standing.some((one) => one.operator === operator);
-      return standing.some((one) => one.operator === operator) ? Option.some({ operators: standing.filter((one) => one.operator !== operator) }) : Option.none;
+      return standing.some((one) => one.operator === operator)
+        ? Option.some({ operators: standing.filter((one) => one.operator !== operator) })
+        : Option.none;
     });
     return Either.map(() => known)(changed);
   }
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -22,11 +22,13 @@
 const latestSendMilliseconds = 9_000;
 
 const FixedSchema = Type.Object({
-  windows: Type.Array(Type.Object({
-    window: Type.Integer({ minimum: 0 }),
-    counts: Type.Record(Type.String(), Type.Integer({ minimum: 0 })),
-    sent: Type.Boolean(),
-  })),
+  windows: Type.Array(
+    Type.Object({
+      window: Type.Integer({ minimum: 0 }),
+      counts: Type.Record(Type.String(), Type.Integer({ minimum: 0 })),
+      sent: Type.Boolean(),
+    }),
+  ),
 });
 type Fixed = Readonly<Static<typeof FixedSchema>>;
 type FixedWindow = Fixed['windows'][number];
@@ -56,12 +58,18 @@
 
   /** The counts of a window as a majority of disks holds them; none while an edge may still have some to tell. */
   async function gather(window: number): Promise<Option.Option<Readonly<Record<string, number>>>> {
-    const replies = (await Promise.all(node.cores().map(async function ask(core): Promise<readonly Told[]> {
-      if (core.node === node.settings.node) return [notes.look(window)];
-      const held = node.callPeer(core.node);
-      const reply = Option.isNone(held) ? Option.none : await held.value.call('usageLook', { window }, 500);
-      return Option.isSome(reply) ? [reply.value] : [];
-    }))).flat().filter((told) => told.ready);
+    const replies = (
+      await Promise.all(
+        node.cores().map(async function ask(core): Promise<readonly Told[]> {
+          if (core.node === node.settings.node) return [notes.look(window)];
+          const held = node.callPeer(core.node);
+          const reply = Option.isNone(held) ? Option.none : await held.value.call('usageLook', { window }, 500);
+          return Option.isSome(reply) ? [reply.value] : [];
+        }),
+      )
+    )
+      .flat()
+      .filter((told) => told.ready);
     if (replies.length < quorum.majority(node.cores().length)) return Option.none;
     const end = (window + 1) * usageWindowMilliseconds;
     const edges = Option.isSome(parts) ? parts.value.edges() : quorum.withRole(node.membership().value, 'edge').map((edge) => edge.node);
@@ -72,12 +80,16 @@
 
   /** Fixes the counts of a window once; whoever comes later finds them standing. */
   async function fix(window: number, counts: Readonly<Record<string, number>>): Promise<Option.Option<FixedWindow>> {
-    const changed = await register.change('usage', function next(current) {
-      const fixed = fixedOf(current);
-      if (fixed.windows.some((known) => known.window >= window)) return Option.none;
-      const added: FixedWindow = { window, counts: { ...counts }, sent: false };
-      return Option.some({ windows: [...fixed.windows, added].slice(-2 * keptWindows) });
-    }, 1_500);
+    const changed = await register.change(
+      'usage',
+      function next(current) {
+        const fixed = fixedOf(current);
+        if (fixed.windows.some((known) => known.window >= window)) return Option.none;
+        const added: FixedWindow = { window, counts: { ...counts }, sent: false };
+        return Option.some({ windows: [...fixed.windows, added].slice(-2 * keptWindows) });
+      },
+      1_500,
+    );
     if (Either.isLeft(changed)) return Option.none;
     return Option.fromNullable(fixedOf(changed.right.entry).windows.find((known) => known.window === window));
   }
@@ -88,17 +100,30 @@
     const ask: HttpAsk = Option.isSome(parts)
       ? parts.value.calls.usage({ window: fixed.window, counts: fixed.counts, turn: holding.turn, holder: node.settings.node })
       : {
-        method: 'POST', path: '/v1/usage',
-        body: { window: fixed.window, endsAt: (fixed.window + 1) * usageWindowMilliseconds, counts: fixed.counts, turn: holding.turn, holder: node.settings.node },
-      };
+          method: 'POST',
+          path: '/v1/usage',
+          body: {
+            window: fixed.window,
+            endsAt: (fixed.window + 1) * usageWindowMilliseconds,
+            counts: fixed.counts,
+            turn: holding.turn,
+            holder: node.settings.node,
+          },
+        };
     const reply = await holding.act(identifiers.address(node.settings.platform()), ask, sendMilliseconds);
     sending.delete(fixed.window);
     if (Either.isLeft(reply) || reply.right.status !== 200) return;
-    await register.change('usage', function mark(current) {
-      const standing = fixedOf(current);
-      if (!standing.windows.some((known) => known.window === fixed.window && !known.sent)) return Option.none;
-      return Option.some({ windows: standing.windows.map((known) => (known.window === fixed.window ? { ...known, sent: true } : known)) });
-    }, 1_000);
+    await register.change(
+      'usage',
+      function mark(current) {
+        const standing = fixedOf(current);
+        if (!standing.windows.some((known) => known.window === fixed.window && !known.sent)) return Option.none;
+        return Option.some({
+          windows: standing.windows.map((known) => (known.window === fixed.window ? { ...known, sent: true } : known)),
+        });
+      },
+      1_000,
+    );
   }
 
   /** One round of the holder: fix every window that has ended, also one that is too late to send, then send what can still arrive in time. */
--- a/packages/elect/src/duty.ts
+++ b/packages/elect/src/duty.ts
@@ -66,12 +66,16 @@
 
     async function replace(lastTime: boolean): Promise<boolean> {
       const sentAt = kernel.clock.now();
-      const changed = await register.change(key, function next(entry) {
-        const state = stateOf(entry);
-        return Option.isSome(state) && state.value.holder === holder && state.value.turn === turn && !state.value.released
-          ? Option.some({ ...state.value, renewals: state.value.renewals + 1, released: lastTime })
-          : Option.none;
-      }, 1_000);
+      const changed = await register.change(
+        key,
+        function next(entry) {
+          const state = stateOf(entry);
+          return Option.isSome(state) && state.value.holder === holder && state.value.turn === turn && !state.value.released
+            ? Option.some({ ...state.value, renewals: state.value.renewals + 1, released: lastTime })
+            : Option.none;
+        },
+        1_000,
+      );
       const kept = Either.isRight(changed) && changed.right.wrote;
       if (kept && !released) until = identifiers.after(sentAt, termMilliseconds);
       return kept;
@@ -84,7 +88,13 @@
     async function act(address: Address, ask: HttpAsk, milliseconds: number): Promise<Either.Either<Fault, HttpReply>> {
       if (left() < termMilliseconds / 2) await renew();
       if (left() < wayMilliseconds) {
-        return Either.left(fault.create({ kind: 'superseded', message: `the term of ${name} under turn ${turn} has no room for a call`, remedy: 'who holds the duty next makes it' }));
+        return Either.left(
+          fault.create({
+            kind: 'superseded',
+            message: `the term of ${name} under turn ${turn} has no room for a call`,
+            remedy: 'who holds the duty next makes it',
+          }),
+        );
       }
       const connection = kernel.network.connect(address);
       let under = true;
@@ -139,12 +149,16 @@
       if (!mayTake(state)) return Option.none;
     }
     const sentAt = kernel.clock.now();
-    const taken = await register.change(key, function take(entry) {
-      const state = stateOf(entry);
-      if (Option.isNone(state)) return Option.some({ holder, turn: 1, renewals: 0, released: false });
-      if (!mayTake(state.value)) return Option.none;
-      return Option.some({ holder, turn: state.value.turn + 1, renewals: 0, released: false });
-    }, 1_000);
+    const taken = await register.change(
+      key,
+      function take(entry) {
+        const state = stateOf(entry);
+        if (Option.isNone(state)) return Option.some({ holder, turn: 1, renewals: 0, released: false });
+        if (!mayTake(state.value)) return Option.none;
+        return Option.some({ holder, turn: state.value.turn + 1, renewals: 0, released: false });
+      },
+      1_000,
+    );
     if (Either.isLeft(taken) || !taken.right.wrote) return Option.none;
     const state = stateOf(taken.right.entry);
     return Option.isSome(state) && state.value.holder === holder ? Option.some(hold(state.value.turn, sentAt)) : Option.none;
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -121,8 +121,14 @@
     if (standing === undefined) {
       const now = kernel.clock.now();
       standing = {
-        voted: Option.none, loaded: false, loading: false, votedAt: now, knownSince: now,
-        wantedSince: Option.none, running: false, lastOutcome: 'none yet',
+        voted: Option.none,
+        loaded: false,
+        loading: false,
+        votedAt: now,
+        knownSince: now,
+        wantedSince: Option.none,
+        running: false,
+        lastOutcome: 'none yet',
       };
       standings.set(service, standing);
     }
@@ -201,7 +207,12 @@
     const known = view.lessees();
     // A vote that became durable as the set of cores changed is of no set: the barrier was asked for without it (design 4.8).
     const durable = recorded && (Option.isNone(view.calls) || ask.membership === view.membershipVersion());
-    return { accepted: durable, reason: durable ? 'accepted' : 'the vote did not become durable', epoch: ask.epoch, ...(Option.isSome(known) ? { lessees: [...known.value] } : {}) };
+    return {
+      accepted: durable,
+      reason: durable ? 'accepted' : 'the vote did not become durable',
+      epoch: ask.epoch,
+      ...(Option.isSome(known) ? { lessees: [...known.value] } : {}),
+    };
   }
 
   async function states(service: SheetService): Promise<readonly Found[]> {
@@ -227,11 +238,13 @@
   /** Highest received position among the eligible, lowest id on ties; never below the floor (design 7.5). */
   function choose(service: SheetService, found: readonly Found[], floor: Floor): Option.Option<Found> {
     const primary = livePrimary(service);
-    const eligible = found.filter((one) =>
-      one.member.state === 'serving' &&
-      (primary === undefined || one.member.member === primary.member) &&
-      (Option.isSome(view.calls) || one.state.epoch >= settledEpoch(service.service)) &&
-      reaches(one.state, floor));
+    const eligible = found.filter(
+      (one) =>
+        one.member.state === 'serving' &&
+        (primary === undefined || one.member.member === primary.member) &&
+        (Option.isSome(view.calls) || one.state.epoch >= settledEpoch(service.service)) &&
+        reaches(one.state, floor),
+    );
     return Option.fromNullable([...eligible].sort(better)[0]);
   }
 
@@ -240,7 +253,9 @@
    * at least one that has it (design 7.5).
    */
   function holdsAll(service: SheetService, found: readonly Found[]): boolean {
-    return Option.isNone(view.calls) || service.synchronousReplicas === 0 || found.length >= service.members.length - service.synchronousReplicas;
+    return (
+      Option.isNone(view.calls) || service.synchronousReplicas === 0 || found.length >= service.members.length - service.synchronousReplicas
+    );
   }
 
   function collectAccepts(ask: Ask<'propose'>): Promise<Either.Either<string, Majority>> {
@@ -278,8 +293,13 @@
   async function waitOut(service: SheetService, chosen: Found, epoch: number, majority: Majority): Promise<boolean> {
     const opensAt = identifiers.after(majority.at, termMilliseconds + marginMilliseconds);
     // Where every edge that any of these voters granted a lease has let go of it, nobody is left to be waited out (design 7.12).
-    while (kernel.clock.now() < opensAt && !(Option.isSome(view.calls) && Option.isSome(majority.lessees) && view.released(service.service, epoch, majority.lessees.value))) {
-      await kernel.clock.sleep(Option.isSome(view.calls) ? Math.min(releaseLookMilliseconds, opensAt - kernel.clock.now()) : opensAt - kernel.clock.now());
+    while (
+      kernel.clock.now() < opensAt &&
+      !(Option.isSome(view.calls) && Option.isSome(majority.lessees) && view.released(service.service, epoch, majority.lessees.value))
+    ) {
+      await kernel.clock.sleep(
+        Option.isSome(view.calls) ? Math.min(releaseLookMilliseconds, opensAt - kernel.clock.now()) : opensAt - kernel.clock.now(),
+      );
     }
     const horizon = identifiers.after(kernel.clock.now(), catchUpMilliseconds);
     const before = primaryOf(service);
@@ -289,10 +309,22 @@
       const candidate = found.find((one) => one.member.member === chosen.member.member);
       // Whoever holds most of what was received when all were asked holds all that was acknowledged.
       const furthest = Option.isSome(view.calls) && service.synchronousReplicas > 0 ? [...found].sort(better)[0] : undefined;
-      const complete = furthest === undefined || (holdsAll(service, found) && candidate !== undefined && candidate.state.epoch === furthest.state.epoch && candidate.state.received >= furthest.state.received);
+      const complete =
+        furthest === undefined ||
+        (holdsAll(service, found) &&
+          candidate !== undefined &&
+          candidate.state.epoch === furthest.state.epoch &&
+          candidate.state.received >= furthest.state.received);
       const old = found.find((one) => one.member.member === before?.member && one.state.epoch === chosen.state.epoch);
       const target = old === undefined || old === candidate ? 0 : old.state.received;
-      if (complete && candidate !== undefined && Option.isSome(floor) && reaches(candidate.state, floor.value) && candidate.state.received >= target) return true;
+      if (
+        complete &&
+        candidate !== undefined &&
+        Option.isSome(floor) &&
+        reaches(candidate.state, floor.value) &&
+        candidate.state.received >= target
+      )
+        return true;
       await kernel.clock.sleep(Option.isSome(view.calls) ? catchUpLookMilliseconds : 100);
     }
     return false;
@@ -302,7 +334,9 @@
   const duties = new Map<string, Duty>();
 
   function dutyOf(service: string): Duty {
-    const known = duties.get(service) ?? duty.create(kernel, `promotion/${service}`, view.self, Option.isSome(view.calls) ? view.calls.value.restMilliseconds : 0);
+    const known =
+      duties.get(service) ??
+      duty.create(kernel, `promotion/${service}`, view.self, Option.isSome(view.calls) ? view.calls.value.restMilliseconds : 0);
     duties.set(service, known);
     return known;
   }
@@ -332,13 +366,21 @@
     const ask: HttpAsk = Option.isSome(view.calls)
       ? view.calls.value.promotion({ service: service.service, member: member.member, epoch, turn: holding.turn, holder: view.self })
       : { method: 'POST', path: '/v1/promotions', body: { service: service.service, member: member.member, epoch, turn: holding.turn } };
-    const reply = await holding.act(identifiers.address(view.platform()), ask, Option.isSome(view.calls) ? promoteAgainMilliseconds : promoteMilliseconds);
+    const reply = await holding.act(
+      identifiers.address(view.platform()),
+      ask,
+      Option.isSome(view.calls) ? promoteAgainMilliseconds : promoteMilliseconds,
+    );
     if (Either.isLeft(reply)) return reply;
     if (reply.right.status === 200) return Either.right(null);
     const over = reply.right.status === 409;
-    return Either.left(fault.create({
-      kind: over ? 'superseded' : 'unreachable', message: `the platform replied a promotion with ${reply.right.status}`, remedy: over ? 'a later turn is known there; this one is over' : 'it is asked again',
-    }));
+    return Either.left(
+      fault.create({
+        kind: over ? 'superseded' : 'unreachable',
+        message: `the platform replied a promotion with ${reply.right.status}`,
+        remedy: over ? 'a later turn is known there; this one is over' : 'it is asked again',
+      }),
+    );
   }
 
   async function order(service: SheetService, chosen: Found, epoch: number, holding: Holding): Promise<Either.Either<string, null>> {
@@ -370,7 +412,9 @@
       const standing = Option.isSome(current) ? (current.value.value as Settled) : undefined;
       return standing !== undefined && standing.epoch >= settled.epoch ? Option.none : Option.some(settled);
     });
-    return Either.isRight(written) && Option.isSome(written.right.entry) && (written.right.entry.value.value as Settled).epoch === settled.epoch;
+    return (
+      Either.isRight(written) && Option.isSome(written.right.entry) && (written.right.entry.value.value as Settled).epoch === settled.epoch
+    );
   }
 
   /** One candidacy, written straight down: STATE, PROPOSE, the wait, the promotion, the settled epoch. */
@@ -381,18 +425,25 @@
     const chosen = choose(service, found, floor.value);
     if (Option.isNone(chosen)) return 'no eligible replica: each is out of reach or lacks acknowledged writes';
     const standing = standingOf(service.service);
-    const epoch = 1 + Math.max(settledEpoch(service.service), votedEpoch(service.service, standing), ...found.map((one) => one.state.epoch));
+    const epoch =
+      1 + Math.max(settledEpoch(service.service), votedEpoch(service.service, standing), ...found.map((one) => one.state.epoch));
     const candidate = chosen.value;
-    kernel.log('elect.propose', { service: service.service, epoch, candidate: candidate.member.member, position: candidate.state.received });
+    kernel.log('elect.propose', {
+      service: service.service,
+      epoch,
+      candidate: candidate.member.member,
+      position: candidate.state.received,
+    });
     const majority = await collectAccepts({
-      service: service.service, epoch, candidate: candidate.member.member, position: candidate.state.received, node: view.self,
+      service: service.service,
+      epoch,
+      candidate: candidate.member.member,
+      position: candidate.state.received,
+      node: view.self,
       membership: view.membershipVersion(),
     });
     if (Either.isLeft(majority)) return `epoch ${epoch} not won: ${majority.left}`;
-    const [waited, holding] = await Promise.all([
-      waitOut(service, candidate, epoch, majority.right),
-      seekDuty(service.service, epoch),
-    ]);
+    const [waited, holding] = await Promise.all([waitOut(service, candidate, epoch, majority.right), seekDuty(service.service, epoch)]);
     if (Option.isNone(holding)) return `epoch ${epoch} given up: another holds the promotion duty`;
     if (!waited) {
       await holding.value.release();
@@ -402,7 +453,11 @@
     await holding.value.release();
     if (Either.isLeft(promoted)) return `epoch ${epoch} given up: ${promoted.left}`;
     const done = await settle(service.service, {
-      epoch, primary: candidate.member.member, wonBy: view.self, position: candidate.state.received, settledAt: kernel.clock.wall(),
+      epoch,
+      primary: candidate.member.member,
+      wonBy: view.self,
+      position: candidate.state.received,
+      settledAt: kernel.clock.wall(),
     });
     return done ? `epoch ${epoch} settled on ${candidate.member.member}` : `epoch ${epoch} promoted but not settled`;
   }
@@ -416,7 +471,10 @@
   }
 
   function rank(): number {
-    return Math.max(0, view.membership().seats.findIndex((seat) => seat.node === view.self));
+    return Math.max(
+      0,
+      view.membership().seats.findIndex((seat) => seat.node === view.self),
+    );
   }
 
   async function run(service: SheetService, standing: Standing): Promise<void> {
@@ -443,7 +501,10 @@
     }
     const startsAt = Option.isSome(standing.wantedSince)
       ? standing.wantedSince.value
-      : identifiers.after(now, Option.isSome(view.calls) ? rank() * rankApartMilliseconds : (rank() + kernel.randomness.fraction()) * rankMilliseconds);
+      : identifiers.after(
+          now,
+          Option.isSome(view.calls) ? rank() * rankApartMilliseconds : (rank() + kernel.randomness.fraction()) * rankMilliseconds,
+        );
     standing.wantedSince = Option.some(startsAt);
     if (now < startsAt) return;
     // Who cannot see a majority does not stand: it would only raise its own epoch out of step with the rest.
--- a/packages/elect/src/liveness.ts
+++ b/packages/elect/src/liveness.ts
@@ -101,7 +101,13 @@
     return connection;
   }
 
-  async function askLine(way: MemberProbe, service: string, member: string, address: string, milliseconds: number): Promise<Either.Either<Fault, Probed>> {
+  async function askLine(
+    way: MemberProbe,
+    service: string,
+    member: string,
+    address: string,
+    milliseconds: number,
+  ): Promise<Either.Either<Fault, Probed>> {
     const sentAt = kernel.clock.now();
     const state = await way.ask(service, member, address, milliseconds);
     asking.delete(member);
@@ -120,11 +126,13 @@
     asking.delete(member);
     if (Either.isLeft(reply)) return reply;
     if (!message.fits(MemberStateSchema, reply.right.body) || reply.right.body.member !== member) {
-      return Either.left(fault.create({
-        kind: 'unreachable',
-        message: `${member} at ${address} gave no STATE that can be read`,
-        remedy: 'check that the sheet names the right address',
-      }));
+      return Either.left(
+        fault.create({
+          kind: 'unreachable',
+          message: `${member} at ${address} gave no STATE that can be read`,
+          remedy: 'check that the sheet names the right address',
+        }),
+      );
     }
     beat(reply.right.body);
     return Either.right({ sentAt, state: reply.right.body });
@@ -133,7 +141,9 @@
   function probe(member: string, address: string, milliseconds: number, service = ''): Promise<Either.Either<Fault, Probed>> {
     const current = asking.get(member);
     if (current !== undefined) return current;
-    const started = Option.isSome(memberProbe) ? askLine(memberProbe.value, service, member, address, milliseconds) : ask(member, address, milliseconds);
+    const started = Option.isSome(memberProbe)
+      ? askLine(memberProbe.value, service, member, address, milliseconds)
+      : ask(member, address, milliseconds);
     asking.set(member, started);
     return started;
   }
--- a/packages/kernel/src/fault.ts
+++ b/packages/kernel/src/fault.ts
@@ -111,7 +111,12 @@
 }
 
 function diskFailed(key: string, cause: Error): Fault {
-  return create({ kind: 'disk-failed', message: `${key} could not be synced to the data folder`, remedy: 'see that the disk has room and works', cause });
+  return create({
+    kind: 'disk-failed',
+    message: `${key} could not be synced to the data folder`,
+    remedy: 'see that the disk has room and works',
+    cause,
+  });
 }
 
 export const fault = { create, diskFailed, kind, details, status, body, headers } as const;
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -2,7 +2,16 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, kernel as kernels, type Instant, type Kernel } from '@stallstall/kernel';
 import {
-  message, SettledSchema, type Change, type CoreSet, type LogPosition, type Marks, type Reply, type RosterEntry, type Seat, type Settled,
+  message,
+  SettledSchema,
+  type Change,
+  type CoreSet,
+  type LogPosition,
+  type Marks,
+  type Reply,
+  type RosterEntry,
+  type Seat,
+  type Settled,
 } from '@stallstall/message';
 import { peer, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
@@ -57,7 +66,17 @@
 }>;
 
 /** The last told of one core. */
-type Told = { readonly roster: Map<string, RosterEntry>; token: string; seen: number; stances: Readonly<Record<string, number>>; edges: Readonly<Record<string, number>>; demand: Readonly<Record<string, number>>; at: Instant; acknowledged: number; wants: boolean };
+type Told = {
+  readonly roster: Map<string, RosterEntry>;
+  token: string;
+  seen: number;
+  stances: Readonly<Record<string, number>>;
+  edges: Readonly<Record<string, number>>;
+  demand: Readonly<Record<string, number>>;
+  at: Instant;
+  acknowledged: number;
+  wants: boolean;
+};
 type Mark = Readonly<{ position: LogPosition; at: Instant }>;
 type Held = Readonly<{ address: string; peer: Peer }>;
 
@@ -117,10 +136,16 @@
   const sets: CoreSets = { number: () => setNumber, learn: follow };
   const register = proposer.create(kernel, settings.node, targets, () => cores.length, sets);
   const noted = notes.create(noteTargets, () => cores.length, sets);
-  const watch = watcher.create(kernel, register, () => cores.length, function obeyed(key, entry) {
-    kernel.log('lessee.obeyed', { key, version: entry.version });
-    parts.onChange();
-  }, { number: () => setNumber, includes: (core) => cores.some((one) => one.node === core) });
+  const watch = watcher.create(
+    kernel,
+    register,
+    () => cores.length,
+    function obeyed(key, entry) {
+      kernel.log('lessee.obeyed', { key, version: entry.version });
+      parts.onChange();
+    },
+    { number: () => setNumber, includes: (core) => cores.some((one) => one.node === core) },
+  );
 
   /** The newest set of cores that any core told of; whoever has left it grants nothing any more (design 4.8). */
   function follow(set: CoreSet): void {
@@ -185,7 +210,17 @@
   function toldOf(core: string): Told {
     let known = told.get(core);
     if (known === undefined) {
-      known = { roster: new Map(), token: '', seen: 0, stances: {}, edges: {}, demand: {}, at: identifiers.instant(Number.NEGATIVE_INFINITY), acknowledged: 0, wants: false };
+      known = {
+        roster: new Map(),
+        token: '',
+        seen: 0,
+        stances: {},
+        edges: {},
+        demand: {},
+        at: identifiers.instant(Number.NEGATIVE_INFINITY),
+        acknowledged: 0,
+        wants: false,
+      };
       told.set(core, known);
     }
     return known;
@@ -227,10 +262,12 @@
 
   /** Only what is yet to be settled: what lies behind nobody waits for. */
   function pending(all: Readonly<Record<string, number>>): Record<string, number> {
-    return Object.fromEntries(Object.entries(all).filter(([service, epoch]) => {
-      const known = settled(service);
-      return Option.isNone(known) || epoch > known.value.epoch;
-    }));
+    return Object.fromEntries(
+      Object.entries(all).filter(([service, epoch]) => {
+        const known = settled(service);
+        return Option.isNone(known) || epoch > known.value.epoch;
+      }),
+    );
   }
 
   /** One core hands configurations over whole: one of this edge's own area where there is one, not the same for all edges (design 5.6). */
@@ -297,12 +334,27 @@
     const known = toldOf(core);
     const sentAt = kernel.clock.now();
     const current = configuration();
-    const reply = await link.call('lease', {
-      node: settings.node, area: settings.area, token: known.token, seen: known.seen, hold, acknowledged: known.acknowledged,
-      obeyed: Option.isSome(current) ? current.value.version : 0, released: pending(parts.released()),
-      ...(wanted() ? { positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo() } : { positions: {}, marks: {}, positionsAgo: untoldMilliseconds }),
-      notListening: [...parts.notListening()], demand: parts.demand(), content: core === contentCore(), set: setNumber,
-    }, hold + callMilliseconds);
+    const reply = await link.call(
+      'lease',
+      {
+        node: settings.node,
+        area: settings.area,
+        token: known.token,
+        seen: known.seen,
+        hold,
+        acknowledged: known.acknowledged,
+        obeyed: Option.isSome(current) ? current.value.version : 0,
+        released: pending(parts.released()),
+        ...(wanted()
+          ? { positions: { ...parts.positions() }, marks: { ...parts.marks() }, positionsAgo: parts.positionsAgo() }
+          : { positions: {}, marks: {}, positionsAgo: untoldMilliseconds }),
+        notListening: [...parts.notListening()],
+        demand: parts.demand(),
+        content: core === contentCore(),
+        set: setNumber,
+      },
+      hold + callMilliseconds,
+    );
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
     // What the core says was so when it replied, and that was not before it had held the question for so long.
     take(core, known, reply.value, identifiers.after(sentAt, leastSpan(reply.value.held)));
@@ -333,9 +385,15 @@
 
   /** `saidAt` is no later than the reply was made, so what held so long before the reply held later than so long before that. */
   function takeMarks(core: string, toldMarks: Marks, saidAt: Instant): void {
-    marks.set(core, new Map(Object.entries(toldMarks).map(([service, mark]) => [
-      service, { at: identifiers.after(saidAt, -mark.ago), position: { term: mark.term, number: mark.number } },
-    ])));
+    marks.set(
+      core,
+      new Map(
+        Object.entries(toldMarks).map(([service, mark]) => [
+          service,
+          { at: identifiers.after(saidAt, -mark.ago), position: { term: mark.term, number: mark.number } },
+        ]),
+      ),
+    );
   }
 
   function further(left: LogPosition, right: LogPosition): LogPosition {
@@ -353,9 +411,19 @@
         const mark = marks.get(core)?.get(service);
         return mark === undefined ? [] : [mark];
       });
-      const at = quorum.reachedByMajority(told.map((mark) => mark.at), cores.length, false);
+      const at = quorum.reachedByMajority(
+        told.map((mark) => mark.at),
+        cores.length,
+        false,
+      );
       if (at === Number.NEGATIVE_INFINITY) continue;
-      all.set(service, { at: identifiers.instant(at), position: told.filter((mark) => mark.at >= at).map((mark) => mark.position).reduce(further) });
+      all.set(service, {
+        at: identifiers.instant(at),
+        position: told
+          .filter((mark) => mark.at >= at)
+          .map((mark) => mark.position)
+          .reduce(further),
+      });
     }
     return all;
   }
@@ -398,7 +466,12 @@
     const link = peer.dial(kernel, identifiers.address(address));
     while (!stopped && lost() && settings.seeds().includes(address)) {
       const reply = await link.call('hello', { seat, incarnation: 0, fleet: fleetName }, callMilliseconds);
-      if (Option.isSome(reply) && reply.value.fleet !== '' && (fleetName === '' || reply.value.fleet === fleetName) && reply.value.set !== undefined) {
+      if (
+        Option.isSome(reply) &&
+        reply.value.fleet !== '' &&
+        (fleetName === '' || reply.value.fleet === fleetName) &&
+        reply.value.set !== undefined
+      ) {
         if (fleetName === '') kernel.log('lessee.found', { fleet: reply.value.fleet, cores: reply.value.set.seats.length });
         fleetName = reply.value.fleet;
         follow(reply.value.set);
@@ -420,10 +493,15 @@
 
   return {
     start: function start() {
-      void kernels.every(kernel.clock, resolveMilliseconds, function look() {
-        greetSeeds();
-        watch.resolve();
-      }, () => !stopped);
+      void kernels.every(
+        kernel.clock,
+        resolveMilliseconds,
+        function look() {
+          greetSeeds();
+          watch.resolve();
+        },
+        () => !stopped,
+      );
     },
     stop: function stop() {
       stopped = true;
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -140,7 +140,10 @@
       gathering = true;
       kernel.clock.alarm(gatherMilliseconds, wake);
     },
-    lessees: () => (kernel.clock.now() - beganAt < termMilliseconds + marginMilliseconds ? Option.none : Option.some(within(termMilliseconds + marginMilliseconds))),
+    lessees: () =>
+      kernel.clock.now() - beganAt < termMilliseconds + marginMilliseconds
+        ? Option.none
+        : Option.some(within(termMilliseconds + marginMilliseconds)),
     recent: within,
     released: (service, epoch, lessees) => lessees.every((node) => (released.get(node)?.[service] ?? 0) >= epoch),
     stop: function stop() {
--- a/packages/lease/src/marks.ts
+++ b/packages/lease/src/marks.ts
@@ -62,10 +62,12 @@
     told,
     all: function all(edges, askedAt) {
       const now = kernel.clock.now();
-      return Object.fromEntries([...marks].map(([service, mark]) => {
-        const { at, position } = composed(mark, commits.get(service) ?? mark.position, edges, askedAt);
-        return [service, { term: position.term, number: position.number, ago: Math.max(0, now - at) }];
-      }));
+      return Object.fromEntries(
+        [...marks].map(([service, mark]) => {
+          const { at, position } = composed(mark, commits.get(service) ?? mark.position, edges, askedAt);
+          return [service, { term: position.term, number: position.number, ago: Math.max(0, now - at) }];
+        }),
+      );
     },
   };
 }
--- a/packages/machine/src/base.ts
+++ b/packages/machine/src/base.ts
@@ -1,7 +1,18 @@
 // The kernel services of a real machine but for its network and its log's library (design 2.2).
 import { randomBytes } from 'node:crypto';
 import type * as Option from 'fp-ts/lib/Option.js';
-import { identifiers, kernel as kernels, protocolsSpoken, type Clock, type Disk, type Fault, type Kernel, type Log, type LogFields, type Network } from '@stallstall/kernel';
+import {
+  identifiers,
+  kernel as kernels,
+  protocolsSpoken,
+  type Clock,
+  type Disk,
+  type Fault,
+  type Kernel,
+  type Log,
+  type LogFields,
+  type Network,
+} from '@stallstall/kernel';
 
 const clock: Clock = {
   now: () => identifiers.instant(performance.now()),
@@ -10,9 +21,10 @@
     const alarm = setTimeout(action, milliseconds);
     return { cancel: () => clearTimeout(alarm) };
   },
-  sleep: (milliseconds) => new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  }),
+  sleep: (milliseconds) =>
+    new Promise((resolve) => {
+      setTimeout(resolve, milliseconds);
+    }),
 };
 
 function shown(value: string | number | boolean): string {
@@ -28,7 +40,10 @@
 }
 
 /** What writes an event, given the library that makes records of events. */
-function logThrough(program: string, library: Readonly<{ Roarr: (context: never, message: string) => void; ROARR: { write?: (record: string) => void } }>): Log {
+function logThrough(
+  program: string,
+  library: Readonly<{ Roarr: (context: never, message: string) => void; ROARR: { write?: (record: string) => void } }>,
+): Log {
   library.ROARR.write = function write(record: string) {
     process.stdout.write(`${line(record)}\n`);
   };
--- a/packages/machine/src/disk.ts
+++ b/packages/machine/src/disk.ts
@@ -27,9 +27,13 @@
   const identifier = Number(holder.split(' ')[0]);
   const life = lifeOf(process.pid);
   if (holder !== '' && holder !== life && holder === lifeOf(identifier)) {
-    return Either.left(fault.create({
-      kind: 'foreign-disk', message: `the data folder is held by process ${identifier}`, remedy: 'stop that process first, or use another folder',
-    }));
+    return Either.left(
+      fault.create({
+        kind: 'foreign-disk',
+        message: `the data folder is held by process ${identifier}`,
+        remedy: 'stop that process first, or use another folder',
+      }),
+    );
   }
   fs.writeFileSync(file, life);
   return Either.right(null);
@@ -84,10 +88,14 @@
       },
     });
   } catch (error) {
-    return Either.left(fault.create({
-      kind: 'foreign-disk', message: `the data folder cannot be opened: ${(error as Error).message}`,
-      remedy: 'see that it can be written; if it is damaged, move it away and start with an empty one', cause: error as Error,
-    }));
+    return Either.left(
+      fault.create({
+        kind: 'foreign-disk',
+        message: `the data folder cannot be opened: ${(error as Error).message}`,
+        remedy: 'see that it can be written; if it is damaged, move it away and start with an empty one',
+        cause: error as Error,
+      }),
+    );
   }
 }
 
--- a/packages/machine/src/lean.ts
+++ b/packages/machine/src/lean.ts
@@ -6,7 +6,18 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import type * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http as pages, type Address, type Disk, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Kernel, type Listening, type Network,
+  fault,
+  http as pages,
+  type Address,
+  type Disk,
+  type Fault,
+  type HttpAsk,
+  type HttpConnection,
+  type HttpReply,
+  type HttpServer,
+  type Kernel,
+  type Listening,
+  type Network,
 } from '@stallstall/kernel';
 import { base } from './base.js';
 import { connectMilliseconds, links } from './links.js';
@@ -28,17 +39,23 @@
       length += piece.length;
       if (length <= longestBody) pieces.push(piece);
     });
-    request.on('error', (error) => resolve(Either.left(fault.create({ kind: 'bad-request', message: error.message, remedy: 'send it again' }))));
+    request.on('error', (error) =>
+      resolve(Either.left(fault.create({ kind: 'bad-request', message: error.message, remedy: 'send it again' }))),
+    );
     request.on('end', function end() {
       if (length > longestBody) {
-        resolve(Either.left(fault.create({ kind: 'too-large', message: `the body is over ${longestBody} bytes`, remedy: 'send less at a time' })));
+        resolve(
+          Either.left(fault.create({ kind: 'too-large', message: `the body is over ${longestBody} bytes`, remedy: 'send less at a time' })),
+        );
         return;
       }
       const text = Buffer.concat(pieces).toString('utf8');
       try {
         resolve(Either.right(text === '' ? null : JSON.parse(text)));
       } catch (error) {
-        resolve(Either.left(fault.create({ kind: 'bad-request', message: (error as Error).message, remedy: 'send HTTP/1.1 with a JSON body' })));
+        resolve(
+          Either.left(fault.create({ kind: 'bad-request', message: (error as Error).message, remedy: 'send HTTP/1.1 with a JSON body' })),
+        );
       }
     });
   });
@@ -64,27 +81,42 @@
     if (Either.isLeft(read)) return pages.denied(read.left);
     const [path, query] = (request.url ?? '').split('?');
     return pages.mapped(server.mappings, {
-      method: request.method ?? '', path: path ?? '', query: Object.fromEntries(new URLSearchParams(query ?? '')), headers: request.headers as Record<string, string>, body: read.right, connection,
+      method: request.method ?? '',
+      path: path ?? '',
+      query: Object.fromEntries(new URLSearchParams(query ?? '')),
+      headers: request.headers as Record<string, string>,
+      body: read.right,
+      connection,
     });
   }
 
   async function handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const replied = await reply(request);
     const text = replied.body === undefined ? '' : JSON.stringify(replied.body);
-    response.writeHead(replied.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...replied.headers });
+    response.writeHead(replied.status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      ...replied.headers,
+    });
     response.end(text);
   }
 
-  const listener = runtime().createServer({ keepAliveTimeout: keepMilliseconds, requestTimeout: requestMilliseconds, connectionsCheckingInterval: requestMilliseconds }, (request, response) => void handle(request, response));
+  const listener = runtime().createServer(
+    { keepAliveTimeout: keepMilliseconds, requestTimeout: requestMilliseconds, connectionsCheckingInterval: requestMilliseconds },
+    (request, response) => void handle(request, response),
+  );
   return new Promise((resolve, reject) => {
     listener.on('error', reject);
-    listener.listen(links.parts(address), () => resolve({
-      deafen: () => void listener.close(),
-      stop: () => new Promise((stopped) => {
-        listener.close(() => stopped());
-        listener.closeAllConnections();
+    listener.listen(links.parts(address), () =>
+      resolve({
+        deafen: () => void listener.close(),
+        stop: () =>
+          new Promise((stopped) => {
+            listener.close(() => stopped());
+            listener.closeAllConnections();
+          }),
       }),
-    }));
+    );
   });
 }
 
@@ -118,23 +150,44 @@
       }
       function lost(error: Error): void {
         close();
-        settle(Either.left(connected
-          ? fault.create({ kind: 'reply-lost', message: `the reply of ${address} was lost`, remedy: 'see whether it runs and can be reached', cause: error })
-          : links.unreachable(address, error)));
+        settle(
+          Either.left(
+            connected
+              ? fault.create({
+                  kind: 'reply-lost',
+                  message: `the reply of ${address} was lost`,
+                  remedy: 'see whether it runs and can be reached',
+                  cause: error,
+                })
+              : links.unreachable(address, error),
+          ),
+        );
       }
       if (closed) {
         settle(Either.left(links.unreachable(address, new Error('the connection is closed'))));
         return;
       }
       try {
-        under = runtime().request({
-          host, port, agent, method: ask.method, path: ask.path,
-          headers: { ...(text === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }), ...ask.headers },
-        }, async function replied(response) {
-          const read = await body(response);
-          if (Either.isLeft(read)) return lost(read.left);
-          settle(Either.right({ status: response.statusCode ?? 0, headers: response.headers as Record<string, string>, body: read.right }));
-        });
+        under = runtime().request(
+          {
+            host,
+            port,
+            agent,
+            method: ask.method,
+            path: ask.path,
+            headers: {
+              ...(text === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }),
+              ...ask.headers,
+            },
+          },
+          async function replied(response) {
+            const read = await body(response);
+            if (Either.isLeft(read)) return lost(read.left);
+            settle(
+              Either.right({ status: response.statusCode ?? 0, headers: response.headers as Record<string, string>, body: read.right }),
+            );
+          },
+        );
       } catch (error) {
         // The runtime throws at a port or a header that cannot be; no byte has left.
         lost(error as Error);
@@ -159,7 +212,14 @@
   return { exchange, close, closed: () => closed };
 }
 
-export const leanNetwork: Network = { listen: links.listen, open: links.open, listenStream: links.listenStream, openStream: links.openStream, serve, connect };
+export const leanNetwork: Network = {
+  listen: links.listen,
+  open: links.open,
+  listenStream: links.listenStream,
+  openStream: links.openStream,
+  serve,
+  connect,
+};
 
 function create(program: string, disk: Option.Option<Disk>): Kernel {
   return base.create(base.logThrough(program, { Roarr, ROARR } as never), leanNetwork, disk);
--- a/packages/machine/src/links.ts
+++ b/packages/machine/src/links.ts
@@ -17,7 +17,12 @@
 }
 
 function unreachable(address: Address, cause: Error): Fault {
-  return fault.create({ kind: 'unreachable', message: `${address} could not be reached`, remedy: 'see whether it runs and can be reached', cause });
+  return fault.create({
+    kind: 'unreachable',
+    message: `${address} could not be reached`,
+    remedy: 'see whether it runs and can be reached',
+    cause,
+  });
 }
 
 /** The runtime throws at a port that cannot be; whoever connects is told instead. */
@@ -95,13 +100,16 @@
   });
   return new Promise((resolve, reject) => {
     server.on('error', reject);
-    server.listen(parts(address), () => resolve({
-      deafen: () => void server.close(),
-      stop: () => new Promise((stopped) => {
-        server.close(() => stopped());
-        for (const socket of sockets) socket.destroy();
+    server.listen(parts(address), () =>
+      resolve({
+        deafen: () => void server.close(),
+        stop: () =>
+          new Promise((stopped) => {
+            server.close(() => stopped());
+            for (const socket of sockets) socket.destroy();
+          }),
       }),
-    }));
+    );
   });
 }
 
@@ -199,13 +207,16 @@
   });
   return new Promise((resolve, reject) => {
     server.on('error', reject);
-    server.listen({ ...parts(address), backlog: 1_024 }, () => resolve({
-      deafen: () => void server.close(),
-      stop: () => new Promise((stopped) => {
-        server.close(() => stopped());
-        for (const socket of sockets) socket.destroy();
+    server.listen({ ...parts(address), backlog: 1_024 }, () =>
+      resolve({
+        deafen: () => void server.close(),
+        stop: () =>
+          new Promise((stopped) => {
+            server.close(() => stopped());
+            for (const socket of sockets) socket.destroy();
+          }),
       }),
-    }));
+    );
   });
 }
 
@@ -218,9 +229,18 @@
       clearTimeout(alarm);
       socket.destroy();
       const notListening = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-      resolve(Either.left(notListening
-        ? fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address', cause: error })
-        : unreachable(address, error)));
+      resolve(
+        Either.left(
+          notListening
+            ? fault.create({
+                kind: 'not-listening',
+                message: `nothing listens on ${address}`,
+                remedy: 'start it, or mend the address',
+                cause: error,
+              })
+            : unreachable(address, error),
+        ),
+      );
     }
     const alarm = setTimeout(() => failed(new Error('no connection in time')), Math.min(milliseconds, connectMilliseconds));
     socket.once('error', failed);
--- a/packages/machine/src/network.ts
+++ b/packages/machine/src/network.ts
@@ -4,7 +4,16 @@
 import { buildConnector, Client } from 'undici';
 import * as Either from 'fp-ts/lib/Either.js';
 import {
-  fault, http, type Address, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Listening, type Network,
+  fault,
+  http,
+  type Address,
+  type Fault,
+  type HttpAsk,
+  type HttpConnection,
+  type HttpReply,
+  type HttpServer,
+  type Listening,
+  type Network,
 } from '@stallstall/kernel';
 import { links } from './links.js';
 
@@ -14,16 +23,27 @@
 const httpConnectMilliseconds = 3_000;
 
 function typedError(error: { readonly statusCode?: number; readonly message: string }): HttpReply {
-  return http.denied(error.statusCode === 413
-    ? fault.create({ kind: 'too-large', message: `the body is over ${longestBody} bytes`, remedy: 'send less at a time' })
-    : fault.create({ kind: (error.statusCode ?? 500) < 500 ? 'bad-request' : 'internal', message: error.message, remedy: 'send HTTP/1.1 with a JSON body' }));
+  return http.denied(
+    error.statusCode === 413
+      ? fault.create({ kind: 'too-large', message: `the body is over ${longestBody} bytes`, remedy: 'send less at a time' })
+      : fault.create({
+          kind: (error.statusCode ?? 500) < 500 ? 'bad-request' : 'internal',
+          message: error.message,
+          remedy: 'send HTTP/1.1 with a JSON body',
+        }),
+  );
 }
 
 async function serve(address: Address, server: HttpServer): Promise<Listening> {
   const names = new WeakMap<net.Socket, string>();
   let lastName = 0;
   // eslint-disable-next-line no-restricted-syntax -- the library's own name
-  const app: FastifyInstance = fastify({ bodyLimit: longestBody, keepAliveTimeout: keepMilliseconds, forceCloseConnections: true, routerOptions: { maxParamLength: 300 } });
+  const app: FastifyInstance = fastify({
+    bodyLimit: longestBody,
+    keepAliveTimeout: keepMilliseconds,
+    forceCloseConnections: true,
+    routerOptions: { maxParamLength: 300 },
+  });
 
   function nameOf(socket: net.Socket): string {
     const known = names.get(socket);
@@ -40,7 +60,14 @@
     await reply.status(typed.status).send(typed.body);
   });
   app.setNotFoundHandler(async (request, reply) => {
-    const missing = await http.mapped([], { method: request.method, path: request.url, query: {}, headers: {}, body: null, connection: '' });
+    const missing = await http.mapped([], {
+      method: request.method,
+      path: request.url,
+      query: {},
+      headers: {},
+      body: null,
+      connection: '',
+    });
     await reply.status(missing.status).send(missing.body);
   });
   for (const mapping of server.mappings) {
@@ -49,11 +76,17 @@
       url: mapping.path,
       handler: async (request, response) => {
         const reply = await http.mapped([{ ...mapping, path: '' }], {
-          method: request.method, path: '', body: request.body ?? null, connection: nameOf(request.raw.socket),
+          method: request.method,
+          path: '',
+          body: request.body ?? null,
+          connection: nameOf(request.raw.socket),
           query: { ...(request.query as Record<string, string>), ...(request.params as Record<string, string>) },
           headers: request.headers as Record<string, string>,
         });
-        await response.status(reply.status).headers(reply.headers ?? {}).send(reply.body);
+        await response
+          .status(reply.status)
+          .headers(reply.headers ?? {})
+          .send(reply.body);
       },
     });
   }
@@ -64,7 +97,14 @@
 function connect(address: Address): HttpConnection {
   const connector = buildConnector({ timeout: httpConnectMilliseconds });
   let socket: net.Socket | undefined;
-  const held = new Client(`http://${address}`, { pipelining: 1, connect: reach, keepAliveTimeout: keepMilliseconds, keepAliveMaxTimeout: keepMilliseconds, headersTimeout: 0, bodyTimeout: 0 });
+  const held = new Client(`http://${address}`, {
+    pipelining: 1,
+    connect: reach,
+    keepAliveTimeout: keepMilliseconds,
+    keepAliveMaxTimeout: keepMilliseconds,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
   let connected = false;
   let closed = false;
   let under = false;
@@ -97,7 +137,9 @@
       if (closed) throw new Error('the connection is closed');
       under = true;
       const reply = await held.request({
-        method: ask.method as 'GET', path: ask.path, signal: null,
+        method: ask.method as 'GET',
+        path: ask.path,
+        signal: null,
         headers: { ...(ask.body === undefined ? {} : { 'content-type': 'application/json' }), ...ask.headers },
         ...(ask.body === undefined ? {} : { body: JSON.stringify(ask.body) }),
       });
@@ -107,9 +149,14 @@
     } catch (error) {
       close();
       if (!connected) return Either.left(unreachable(address, error as Error));
-      return Either.left(fault.create({
-        kind: 'reply-lost', message: `the reply of ${address} was lost`, remedy: 'see whether it runs and can be reached', cause: error as Error,
-      }));
+      return Either.left(
+        fault.create({
+          kind: 'reply-lost',
+          message: `the reply of ${address} was lost`,
+          remedy: 'see whether it runs and can be reached',
+          cause: error as Error,
+        }),
+      );
     } finally {
       under = false;
       clearTimeout(alarm);
@@ -119,4 +166,11 @@
   return { exchange, close, closed: () => closed };
 }
 
-export const network: Network = { listen: links.listen, open: links.open, listenStream: links.listenStream, openStream: links.openStream, serve, connect };
+export const network: Network = {
+  listen: links.listen,
+  open: links.open,
+  listenStream: links.listenStream,
+  openStream: links.openStream,
+  serve,
+  connect,
+};
