--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -89,7 +89,12 @@
 export type UsageReport = Readonly<Static<typeof UsageReportSchema>>;
 
 /** What an edge has a core's disk keep before it replies (design 7.5, 8.6). `through`: up to which wall time each edge has told all it counted. */
-const NoteAsk = Type.Object({ floors: Floors, reports: Type.Array(UsageReportSchema, { maxItems: 10_000 }), through: Type.Record(Type.String({ maxLength: 200 }), Moment), set: SetNumber });
+const NoteAsk = Type.Object({
+  floors: Floors,
+  reports: Type.Array(UsageReportSchema, { maxItems: 10_000 }),
+  through: Type.Record(Type.String({ maxLength: 200 }), Moment),
+  set: SetNumber,
+});
 const NoteReply = Type.Object({ ready: Type.Boolean(), floors: Floors, newer: NewerSet });
 
 /** A page of what a disk holds, after the key that ended the page before it; `next` is empty on the last (design 4.3). */
@@ -137,7 +142,10 @@
 });
 /** `lessees`: edges that this node granted a lease within a term and its margin. */
 const ProposeReply = Type.Object({
-  accepted: Type.Boolean(), reason: Type.String({ maxLength: 300 }), epoch: Count, lessees: Type.Optional(Type.Array(Name, { maxItems: 20_000 })),
+  accepted: Type.Boolean(),
+  reason: Type.String({ maxLength: 300 }),
+  epoch: Count,
+  lessees: Type.Optional(Type.Array(Name, { maxItems: 20_000 })),
 });
 
 /** `set`: the number of the set that the proposer counts majorities of; an acceptor at another gives no answer (design 4.8). */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,16 +2,55 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpMapping, type Instant, type Kernel,
+  fault,
+  http,
+  identifiers,
+  kernel as kernels,
+  type Fault,
+  type HttpReply,
+  type HttpMapping,
+  type Instant,
+  type Kernel,
 } from '@stallstall/kernel';
 import {
-  MembershipSchema, message, SettledSchema, type Ask, type Change, type CoreSet, type Entry, type Membership, type NodeRole, type Reply, type Seat, type Settled,
+  MembershipSchema,
+  message,
+  SettledSchema,
+  type Ask,
+  type Change,
+  type CoreSet,
+  type Entry,
+  type Membership,
+  type NodeRole,
+  type Reply,
+  type Seat,
+  type Settled,
 } from '@stallstall/message';
 import { peer, type Handlers, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { notes, notesService, proposer, registerService, watcher, type CoreSets, type Notes, type NoteTarget, type Register, type RegisterTarget } from '@stallstall/register';
+import {
+  notes,
+  notesService,
+  proposer,
+  registerService,
+  watcher,
+  type CoreSets,
+  type Notes,
+  type NoteTarget,
+  type Register,
+  type RegisterTarget,
+} from '@stallstall/register';
 import { fence, fenceService, termMilliseconds, type Fence } from '@stallstall/fence';
-import { election, electionService, liveness, livenessService, MemberStateSchema, type MemberProbe, type PlatformCalls, type VoteStore } from '@stallstall/elect';
+import {
+  election,
+  electionService,
+  liveness,
+  livenessService,
+  MemberStateSchema,
+  type MemberProbe,
+  type PlatformCalls,
+  type VoteStore,
+} from '@stallstall/elect';
 import { sheets, type Sheet, type SheetMember } from '@stallstall/sheet';
 
 export const beatMilliseconds = 200;
@@ -106,7 +145,12 @@
 
 function create(kernel: Kernel, settings: NodeSettings, parts: NodeParts): Node {
   const ownSeat: Seat = {
-    node: settings.node, role: parts.role, area: settings.area, address: settings.address, outward: settings.outward, draining: false,
+    node: settings.node,
+    role: parts.role,
+    area: settings.area,
+    address: settings.address,
+    outward: settings.outward,
+    draining: false,
   };
   const registered = Option.fromNullable(parts.registered);
   const members = liveness.create(kernel, Option.map((known: Registered) => known.probe)(registered));
@@ -130,21 +174,25 @@
   }
 
   function targets(): readonly RegisterTarget[] {
-    const remote = cores.filter((core) => core.node !== settings.node).map((core): RegisterTarget => ({
-      core: core.node,
-      ask: function ask(kind, body, milliseconds) {
-        const held = peers.get(core.node);
-        return held === undefined ? Promise.resolve(Option.none) : held.peer.call(kind, body, milliseconds);
-      },
-    }));
+    const remote = cores
+      .filter((core) => core.node !== settings.node)
+      .map((core): RegisterTarget => ({
+        core: core.node,
+        ask: function ask(kind, body, milliseconds) {
+          const held = peers.get(core.node);
+          return held === undefined ? Promise.resolve(Option.none) : held.peer.call(kind, body, milliseconds);
+        },
+      }));
     return Option.isSome(parts.own) ? [parts.own.value.target, ...remote] : remote;
   }
 
   function noteTargets(): readonly NoteTarget[] {
-    const remote = cores.filter((core) => core.node !== settings.node).map((core): NoteTarget => (body, milliseconds) => {
-      const held = peers.get(core.node);
-      return held === undefined ? Promise.resolve(Option.none) : held.peer.call('note', body, milliseconds);
-    });
+    const remote = cores
+      .filter((core) => core.node !== settings.node)
+      .map((core): NoteTarget => (body, milliseconds) => {
+        const held = peers.get(core.node);
+        return held === undefined ? Promise.resolve(Option.none) : held.peer.call('note', body, milliseconds);
+      });
     return Option.isSome(parts.own) ? [parts.own.value.note, ...remote] : remote;
   }
 
@@ -158,11 +206,17 @@
   kernel.services.offer(registerService, register);
   kernel.services.offer(livenessService, members);
   kernel.services.offer(fenceService, terms);
-  const watch = watcher.create(kernel, register, () => cores.length, function obeyed(key, entry) {
-    kernel.log('node.obeyed', { key, version: entry.version });
-    if (key === 'membership') membershipChanged();
-    parts.onObeyed(key);
-  }, { number: sets.number, includes: (core) => Option.isNone(followed) || cores.some((one) => one.node === core) });
+  const watch = watcher.create(
+    kernel,
+    register,
+    () => cores.length,
+    function obeyed(key, entry) {
+      kernel.log('node.obeyed', { key, version: entry.version });
+      if (key === 'membership') membershipChanged();
+      parts.onObeyed(key);
+    },
+    { number: sets.number, includes: (core) => Option.isNone(followed) || cores.some((one) => one.node === core) },
+  );
 
   function configuration(): Option.Option<Obeyed<Configuration>> {
     const entry = watch.obeyed('configuration');
@@ -190,12 +244,16 @@
     if (Option.isNone(registered)) return Option.some(sent);
     return Option.some({
       ...sent,
-      services: sent.services.map((service) => (service.registered ? { ...service, members: [...registered.value.membersOf(service.service)] } : service)),
+      services: sent.services.map((service) =>
+        service.registered ? { ...service, members: [...registered.value.membersOf(service.service)] } : service,
+      ),
     });
   }
 
   function otherSeats(): readonly string[] {
-    return membership().value.seats.map((seat) => seat.node).filter((node) => node !== settings.node);
+    return membership()
+      .value.seats.map((seat) => seat.node)
+      .filter((node) => node !== settings.node);
   }
 
   function end(reason: Fault): void {
@@ -205,11 +263,13 @@
   }
 
   function superseded(): void {
-    end(fault.create({
-      kind: 'superseded',
-      message: `another process runs as ${settings.node} with a later incarnation than ${incarnation}`,
-      remedy: 'run one process for each node id, or give this one an id of its own',
-    }));
+    end(
+      fault.create({
+        kind: 'superseded',
+        message: `another process runs as ${settings.node} with a later incarnation than ${incarnation}`,
+        remedy: 'run one process for each node id, or give this one an id of its own',
+      }),
+    );
   }
 
   /** True when a later incarnation of that node is known here. */
@@ -235,9 +295,19 @@
       },
     });
     peers.set(seat.node, { address: seat.address, peer: dialled });
-    void kernels.every(kernel.clock, beatMilliseconds, () => void beat(seat.node, dialled), () => goesOn() && peers.get(seat.node)?.peer === dialled);
+    void kernels.every(
+      kernel.clock,
+      beatMilliseconds,
+      () => void beat(seat.node, dialled),
+      () => goesOn() && peers.get(seat.node)?.peer === dialled,
+    );
     if (seat.role === 'core') {
-      void kernels.every(kernel.clock, beatMilliseconds, () => void watchCore(seat.node, dialled), () => goesOn() && peers.get(seat.node)?.peer === dialled);
+      void kernels.every(
+        kernel.clock,
+        beatMilliseconds,
+        () => void watchCore(seat.node, dialled),
+        () => goesOn() && peers.get(seat.node)?.peer === dialled,
+      );
     }
   }
 
@@ -245,9 +315,13 @@
     const table = membership().value;
     const listed = quorum.seat(table, settings.node) !== undefined;
     if (wasListed && !listed) {
-      end(fault.create({
-        kind: 'departed', message: `${settings.node} was taken out of the membership table`, remedy: 'start it again only if it is to join anew',
-      }));
+      end(
+        fault.create({
+          kind: 'departed',
+          message: `${settings.node} was taken out of the membership table`,
+          remedy: 'start it again only if it is to join anew',
+        }),
+      );
       return;
     }
     wasListed = listed;
@@ -277,22 +351,34 @@
     return Option.isSome(registered) ? {} : { ...epochs() };
   }
 
-  function takeTold(node: string, body: Readonly<{ epochs: Record<string, number>; caps: Record<string, number>; membership: number }>): void {
+  function takeTold(
+    node: string,
+    body: Readonly<{ epochs: Record<string, number>; caps: Record<string, number>; membership: number }>,
+  ): void {
     told.set(node, { membership: body.membership, epochs: body.epochs, caps: body.caps, at: kernel.clock.now() });
   }
 
   async function beat(node: string, to: Peer): Promise<void> {
     if (incarnation === 0 || !to.connected()) return;
     const sentAt = kernel.clock.now();
-    const reply = await to.call('beat', {
-      node: settings.node, incarnation, epochs: toldEpochs(), caps: parts.caps(), membership: membership().version,
-    }, callMilliseconds);
+    const reply = await to.call(
+      'beat',
+      {
+        node: settings.node,
+        incarnation,
+        epochs: toldEpochs(),
+        caps: parts.caps(),
+        membership: membership().version,
+      },
+      callMilliseconds,
+    );
     if (Option.isNone(reply) || peers.get(node)?.peer !== to) return;
     if (reply.value.superseded) return superseded();
     takeTold(node, reply.value);
     if (Option.isSome(followed) && reply.value.membership > followed.value.number) void askNewer(to);
     // One that is behind may hold no link to anybody who is further (design 4.8).
-    if (Option.isSome(followed) && reply.value.membership < followed.value.number) void to.call('adopt', { fleet: fleetName, set: followed.value }, callMilliseconds);
+    if (Option.isSome(followed) && reply.value.membership < followed.value.number)
+      void to.call('adopt', { fleet: fleetName, set: followed.value }, callMilliseconds);
     terms.heard(node, { sentAt, epochs: reply.value.epochs });
   }
 
@@ -304,14 +390,21 @@
   async function watchCore(core: string, to: Peer): Promise<void> {
     if (!to.connected()) return;
     const sentAt = kernel.clock.now();
-    const reply = await to.call('watch', {
-      node: settings.node, incarnation, acknowledged: acknowledged.get(core) ?? 0,
-      obeyed: Option.getOrElse(() => 0)(Option.map((current: Obeyed<Configuration>) => current.version)(configuration())),
-    }, callMilliseconds);
+    const reply = await to.call(
+      'watch',
+      {
+        node: settings.node,
+        incarnation,
+        acknowledged: acknowledged.get(core) ?? 0,
+        obeyed: Option.getOrElse(() => 0)(Option.map((current: Obeyed<Configuration>) => current.version)(configuration())),
+      },
+      callMilliseconds,
+    );
     if (Option.isNone(reply)) return;
     if (reply.value.superseded) return superseded();
     puts.set(core, Math.max(reply.value.puts, puts.get(core) ?? 0));
-    if (reply.value.ready) confirmations.set(core, { sentAt, configuration: reply.value.configuration, membership: reply.value.membership });
+    if (reply.value.ready)
+      confirmations.set(core, { sentAt, configuration: reply.value.configuration, membership: reply.value.membership });
   }
 
   /** The version of a key on this core's own disk. */
@@ -327,10 +420,12 @@
     const moments: number[] = [];
     for (const core of cores) {
       const confirmed = confirmations.get(core.node);
-      if (confirmed !== undefined && confirmed.configuration <= configurationVersion && confirmed.membership <= membershipVersion) moments.push(confirmed.sentAt);
+      if (confirmed !== undefined && confirmed.configuration <= configurationVersion && confirmed.membership <= membershipVersion)
+        moments.push(confirmed.sentAt);
     }
     if (Option.isSome(parts.own)) {
-      if (ownVersion('configuration') <= configurationVersion && ownVersion('membership') <= membershipVersion) moments.push(kernel.clock.now());
+      if (ownVersion('configuration') <= configurationVersion && ownVersion('membership') <= membershipVersion)
+        moments.push(kernel.clock.now());
     }
     if (cores.length === 0) return identifiers.instant(Number.NEGATIVE_INFINITY);
     return identifiers.after(identifiers.instant(quorum.reachedByMajority(moments, cores.length, false)), termMilliseconds);
@@ -340,7 +435,8 @@
     const current = settled(service);
     const stance = elections.epochOf(service);
     const table = membership().value;
-    if (Option.isNone(current) || Option.isNone(stance) || quorum.seat(table, settings.node) === undefined) return identifiers.instant(Number.NEGATIVE_INFINITY);
+    if (Option.isNone(current) || Option.isNone(stance) || quorum.seat(table, settings.node) === undefined)
+      return identifiers.instant(Number.NEGATIVE_INFINITY);
     const epoch = current.value.epoch;
     const until = terms.until(service, epoch, otherSeats(), table.seats.length, stance.value === epoch);
     return identifiers.instant(Math.min(until, controlUntil()));
@@ -397,7 +493,12 @@
       }
     }
 
-    await kernels.every(kernel.clock, beatMilliseconds, greet, () => goesOn() && settings.seeds().includes(address) && !(cores.length > 0 && joined()));
+    await kernels.every(
+      kernel.clock,
+      beatMilliseconds,
+      greet,
+      () => goesOn() && settings.seeds().includes(address) && !(cores.length > 0 && joined()),
+    );
     dialled.close();
     greeting.delete(address);
   }
@@ -442,12 +543,16 @@
       if (Option.isSome(registered)) continue;
       const table = membership().value;
       const standing = quorum.seat(table, settings.node);
-      if (incarnation === 0 || (standing !== undefined && standing.address === settings.address && standing.outward === settings.outward)) continue;
+      if (incarnation === 0 || (standing !== undefined && standing.address === settings.address && standing.outward === settings.outward))
+        continue;
       for (const core of cores) {
         const held = peers.get(core.node);
-        const reply = core.node === settings.node
-          ? Option.fromNullable(await handlers.join?.({ seat: ownSeat }, { change: () => undefined, open: () => true }))
-          : held === undefined ? Option.none : await held.peer.call('join', { seat: ownSeat }, 2_000);
+        const reply =
+          core.node === settings.node
+            ? Option.fromNullable(await handlers.join?.({ seat: ownSeat }, { change: () => undefined, open: () => true }))
+            : held === undefined
+              ? Option.none
+              : await held.peer.call('join', { seat: ownSeat }, 2_000);
         if (Option.isSome(reply) && reply.value.joined) break;
         if (Option.isSome(reply) && reply.value.reason !== lastReason) {
           lastReason = reply.value.reason;
@@ -460,7 +565,13 @@
   const handlers: Handlers = {
     hello: function hello(ask): Reply<'hello'> {
       return {
-        node: settings.node, role: parts.role, incarnation, fleet: fleetName, founding: '', cores: [...cores], knownPuts: puts.get(ask.seat.node) ?? 0,
+        node: settings.node,
+        role: parts.role,
+        incarnation,
+        fleet: fleetName,
+        founding: '',
+        cores: [...cores],
+        knownPuts: puts.get(ask.seat.node) ?? 0,
         superseded: ask.incarnation > 0 && isStale(ask.seat.node, ask.incarnation),
       };
     },
@@ -481,16 +592,23 @@
       handle: async function heard(request): Promise<HttpReply> {
         const current = sheet();
         if (!message.fits(MemberStateSchema, request.body) || request.body.member !== request.query['member']) {
-          return http.denied(fault.create({
-            kind: 'bad-request',
-            message: 'a beat is {member, role, epoch, received, applied} of the member named in the path',
-            remedy: 'send these five fields',
-          }));
+          return http.denied(
+            fault.create({
+              kind: 'bad-request',
+              message: 'a beat is {member, role, epoch, received, applied} of the member named in the path',
+              remedy: 'send these five fields',
+            }),
+          );
         }
         if (Option.isNone(current) || sheets.member(current.value, request.body.member) === undefined) {
-          return http.denied(fault.create({
-            kind: 'not-found', message: `no sheet names a member ${request.body.member}`, remedy: 'add it to the sheet first', retryAfterSeconds: 1,
-          }));
+          return http.denied(
+            fault.create({
+              kind: 'not-found',
+              message: `no sheet names a member ${request.body.member}`,
+              remedy: 'add it to the sheet first',
+              retryAfterSeconds: 1,
+            }),
+          );
         }
         members.beat(request.body);
         return { status: 200, body: { heard: true } };
@@ -509,7 +627,8 @@
     watch.resolve();
     elections.step();
     const current = sheet();
-    if (Option.isSome(current)) members.keepOnly(new Set(current.value.services.flatMap((service) => service.members.map((member) => member.member))));
+    if (Option.isSome(current))
+      members.keepOnly(new Set(current.value.services.flatMap((service) => service.members.map((member) => member.member))));
   }
 
   function start(): void {
@@ -526,12 +645,26 @@
   }
 
   return {
-    settings, handlers, mappings, configuration, membership, settled, controlUntil, fenceUntil,
+    settings,
+    handlers,
+    mappings,
+    configuration,
+    membership,
+    settled,
+    controlUntil,
+    fenceUntil,
     epochs,
-    notes: noted, start, stop, setCores, follow, isStale,
+    notes: noted,
+    start,
+    stop,
+    setCores,
+    follow,
+    isStale,
     changed: watch.changed,
     capsOfOthers: function capsOfOthers() {
-      return quorum.withRole(membership().value, 'edge').filter((seat) => seat.node !== settings.node)
+      return quorum
+        .withRole(membership().value, 'edge')
+        .filter((seat) => seat.node !== settings.node)
         .map((seat) => Option.map((entry: Told) => entry.caps)(Option.fromNullable(told.get(seat.node))));
     },
     stances: function stances() {
--- a/packages/operator/src/commands.ts
+++ b/packages/operator/src/commands.ts
@@ -1,8 +1,25 @@
 import { MappingsImport } from './mappings.js';
 import { RunAgent, RunCore, RunProxy } from './daemons.js';
 import {
-  AcceptLoss, Audit, Drain, Elections, Liveness, Members, Metrics, OperatorPut, OperatorRemove, Operators, Remove, Retire, SheetCheck, SheetDiff, SheetGet, SheetSend,
-  SheetVersions, Status, Usage,
+  AcceptLoss,
+  Audit,
+  Drain,
+  Elections,
+  Liveness,
+  Members,
+  Metrics,
+  OperatorPut,
+  OperatorRemove,
+  Operators,
+  Remove,
+  Retire,
+  SheetCheck,
+  SheetDiff,
+  SheetGet,
+  SheetSend,
+  SheetVersions,
+  Status,
+  Usage,
 } from './operator.js';
 
 export const commands = {
--- a/packages/operator/src/daemons.ts
+++ b/packages/operator/src/daemons.ts
@@ -56,7 +56,12 @@
 
 export class RunCore extends Command {
   static override description = 'Run a core: a disk of the register, pushes, and the administration API.';
-  static override flags = { ...nodeFlags, data: Flags.string({ description: 'the data folder' }), cores: Flags.integer({ description: 'how many cores form the fleet' }), operatorKey: Flags.string({ description: 'the root key of the administration API; the file is the better place' }) };
+  static override flags = {
+    ...nodeFlags,
+    data: Flags.string({ description: 'the data folder' }),
+    cores: Flags.integer({ description: 'how many cores form the fleet' }),
+    operatorKey: Flags.string({ description: 'the root key of the administration API; the file is the better place' }),
+  };
 
   async run(): Promise<void> {
     const { flags } = await this.parse(RunCore);
@@ -86,7 +91,11 @@
 
 export class RunProxy extends Command {
   static override description = "Run a proxy: the senders' side of an edge, fed by its agent.";
-  static override flags = { ...shared, address: Flags.string({ description: 'where senders reach it over HTTP' }), feed: Flags.string({ description: "its agent's feed address" }) };
+  static override flags = {
+    ...shared,
+    address: Flags.string({ description: 'where senders reach it over HTTP' }),
+    feed: Flags.string({ description: "its agent's feed address" }),
+  };
 
   async run(): Promise<void> {
     const { flags } = await this.parse(RunProxy);
--- a/packages/operator/src/mappings.ts
+++ b/packages/operator/src/mappings.ts
@@ -62,7 +62,9 @@
     const checked = sheets.check(next);
     if (Either.isLeft(checked)) return this.error(`nothing was imported: ${checked.left.message}`, { exit: 1 });
     fs.writeFileSync(flags.sheet, `${JSON.stringify(next, null, 2)}\n`);
-    this.log(`${imported.mappings.length} mappings stand in ${flags.sheet}; left out, having no statement: ${imported.leftOut.join(', ') || 'none'}`);
+    this.log(
+      `${imported.mappings.length} mappings stand in ${flags.sheet}; left out, having no statement: ${imported.leftOut.join(', ') || 'none'}`,
+    );
     return imported;
   }
 }
--- a/packages/operator/src/operator.ts
+++ b/packages/operator/src/operator.ts
@@ -8,7 +8,11 @@
 const exchangeMilliseconds = 8_000;
 
 const coreFlags = {
-  core: Flags.string({ description: 'outward addresses of cores, with commas between; each is tried', env: 'STALLSTALL_CORES', required: true }),
+  core: Flags.string({
+    description: 'outward addresses of cores, with commas between; each is tried',
+    env: 'STALLSTALL_CORES',
+    required: true,
+  }),
   key: Flags.string({ description: "the operator's key, where the fleet asks for one", env: 'STALLSTALL_OPERATOR_KEY' }),
 };
 const pageFlags = {
@@ -23,7 +27,9 @@
 const exits = { denied: 1, wrong: 2, unreachable: 3 } as const;
 
 async function askAny(cores: string, ask: HttpAsk): Promise<Either.Either<Fault, HttpReply>> {
-  let last: Either.Either<Fault, HttpReply> = Either.left(fault.create({ kind: 'unreachable', message: 'no core is named', remedy: 'name one with --core' }));
+  let last: Either.Either<Fault, HttpReply> = Either.left(
+    fault.create({ kind: 'unreachable', message: 'no core is named', remedy: 'name one with --core' }),
+  );
   for (const address of cores.split(',')) {
     const connection = network.connect(identifiers.address(address.trim()));
     last = await connection.exchange(ask, exchangeMilliseconds);
@@ -35,12 +41,17 @@
 }
 
 async function replyOf(command: Command, flags: CoreFlags, ask: HttpAsk): Promise<unknown> {
-  const reply = await askAny(flags.core, { ...ask, headers: { ...ask.headers, ...(flags.key === undefined ? {} : { 'x-stallstall-operator': flags.key }) } });
+  const reply = await askAny(flags.core, {
+    ...ask,
+    headers: { ...ask.headers, ...(flags.key === undefined ? {} : { 'x-stallstall-operator': flags.key }) },
+  });
   if (Either.isLeft(reply)) return command.error(reply.left.message, { exit: exits.unreachable });
   if (reply.right.status < 300) return reply.right.body;
   const denied = reply.right.body as Readonly<{ error?: string; message?: string; details?: unknown }> | null;
   const faults = Array.isArray(denied?.details)
-    ? (denied.details as ReadonlyArray<Readonly<Record<string, string>>>).map((one) => `\n  ${one['row']} ${one['column']}: ${one['message']}; ${one['remedy']}`).join('')
+    ? (denied.details as ReadonlyArray<Readonly<Record<string, string>>>)
+        .map((one) => `\n  ${one['row']} ${one['column']}: ${one['message']}; ${one['remedy']}`)
+        .join('')
     : '';
   return command.error(`${denied?.error ?? reply.right.status}: ${denied?.message ?? 'denied'}${faults}`, { exit: exits.denied });
 }
@@ -50,14 +61,27 @@
 function table(rows: readonly Row[], columns: readonly string[]): string {
   const cells = [columns, ...rows.map((row) => columns.map((column) => String(row[column] ?? '')))];
   const widths = columns.map((_, index) => Math.max(...cells.map((line) => (line[index] ?? '').length)));
-  return cells.map((line) => line.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ').trimEnd()).join('\n');
+  return cells
+    .map((line) =>
+      line
+        .map((cell, index) => cell.padEnd(widths[index] ?? 0))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
 }
 
 type Page = Readonly<{ rows: readonly Row[]; total: number; next?: number }>;
 
 /** Asks for one page of a listing and shows it as a table. */
-async function showPage(command: Command, flags: CoreFlags & Readonly<{ limit: number; after: number }>, path: string, columns: readonly string[], shown: (row: Row) => Row = same): Promise<Page> {
-  const reply = await replyOf(command, flags, { method: 'GET', path: `${path}?limit=${flags.limit}&after=${flags.after}` }) as Page;
+async function showPage(
+  command: Command,
+  flags: CoreFlags & Readonly<{ limit: number; after: number }>,
+  path: string,
+  columns: readonly string[],
+  shown: (row: Row) => Row = same,
+): Promise<Page> {
+  const reply = (await replyOf(command, flags, { method: 'GET', path: `${path}?limit=${flags.limit}&after=${flags.after}` })) as Page;
   command.log(table(reply.rows.map(shown), columns));
   if (reply.next !== undefined) command.log(`${reply.rows.length} of ${reply.total} rows; go on with --after ${reply.next}`);
   return reply;
@@ -86,8 +110,10 @@
 
   async run(): Promise<unknown> {
     const { flags } = await this.parse(Status);
-    const status = await replyOf(this, flags, { method: 'GET', path: '/v1/fleet' }) as Row & { nodes: readonly Row[] };
-    this.log(`fleet ${status['fleet']}: ${status['size']} nodes, ${status['heard']} heard, quorum ${status['quorum']}, ${status['spare']} to spare, membership ${status['membership']}, configuration ${status['configuration']}`);
+    const status = (await replyOf(this, flags, { method: 'GET', path: '/v1/fleet' })) as Row & { nodes: readonly Row[] };
+    this.log(
+      `fleet ${status['fleet']}: ${status['size']} nodes, ${status['heard']} heard, quorum ${status['quorum']}, ${status['spare']} to spare, membership ${status['membership']}, configuration ${status['configuration']}`,
+    );
     this.log(table(status.nodes, ['node', 'role', 'area', 'heardMilliseconds', 'obeys', 'protocol', 'draining', 'address', 'outward']));
     return status;
   }
@@ -100,7 +126,18 @@
 
   async run(): Promise<unknown> {
     const { flags } = await this.parse(Members);
-    return showPage(this, flags, '/v1/members', ['service', 'member', 'area', 'state', 'alive', 'leads', 'epoch', 'received', 'applied', 'heardMilliseconds']);
+    return showPage(this, flags, '/v1/members', [
+      'service',
+      'member',
+      'area',
+      'state',
+      'alive',
+      'leads',
+      'epoch',
+      'received',
+      'applied',
+      'heardMilliseconds',
+    ]);
   }
 }
 
@@ -155,7 +192,10 @@
 
   async run(): Promise<unknown> {
     const { flags } = await this.parse(SheetVersions);
-    return showPage(this, flags, '/v1/sheet/versions', ['version', 'sentBy', 'sentAt'], (row) => ({ ...row, sentAt: moment(row['sentAt']) }));
+    return showPage(this, flags, '/v1/sheet/versions', ['version', 'sentBy', 'sentAt'], (row) => ({
+      ...row,
+      sentAt: moment(row['sentAt']),
+    }));
   }
 }
 
@@ -173,9 +213,11 @@
   async run(): Promise<unknown> {
     const { flags, args } = await this.parse(OperatorPut);
     const services = flags.services === '' ? [] : flags.services.split(',');
-    const reply = await replyOf(this, flags, {
-      method: 'PUT', path: `/v1/operators/${encodeURIComponent(args.operator)}`, body: { services, nodes: flags.nodes, operators: flags.operators },
-    }) as Readonly<{ key: string }>;
+    const reply = (await replyOf(this, flags, {
+      method: 'PUT',
+      path: `/v1/operators/${encodeURIComponent(args.operator)}`,
+      body: { services, nodes: flags.nodes, operators: flags.operators },
+    })) as Readonly<{ key: string }>;
     this.log(`the key of ${args.operator}: ${reply.key}`);
     return reply;
   }
@@ -202,7 +244,9 @@
 /** The same page of one core, or of every node that the table names. */
 async function askNodes(command: Command, flags: CoreFlags & Readonly<{ fleet: boolean }>, path: string): Promise<readonly Asked[]> {
   if (!flags.fleet) return [{ node: '', reply: await askAny(flags.core, { method: 'GET', path }) }];
-  const status = await replyOf(command, flags, { method: 'GET', path: '/v1/fleet' }) as Readonly<{ nodes: ReadonlyArray<Readonly<{ node: string; outward: string }>> }>;
+  const status = (await replyOf(command, flags, { method: 'GET', path: '/v1/fleet' })) as Readonly<{
+    nodes: ReadonlyArray<Readonly<{ node: string; outward: string }>>;
+  }>;
   return Promise.all(status.nodes.map(async (one) => ({ node: one.node, reply: await askAny(one.outward, { method: 'GET', path }) })));
 }
 
@@ -214,9 +258,11 @@
   async run(): Promise<unknown> {
     const { flags } = await this.parse(Liveness);
     const asked = await askNodes(this, flags, '/v1/liveness');
-    if (!flags.fleet && asked.some((one) => Either.isLeft(one.reply))) return this.error('no core was reached; see --core', { exit: exits.unreachable });
+    if (!flags.fleet && asked.some((one) => Either.isLeft(one.reply)))
+      return this.error('no core was reached; see --core', { exit: exits.unreachable });
     const rows = asked.flatMap((one): readonly Row[] => {
-      if (Either.isLeft(one.reply)) return [{ node: one.node, check: 'reached', sound: false, detail: one.reply.left.message, remedy: 'see whether it runs' }];
+      if (Either.isLeft(one.reply))
+        return [{ node: one.node, check: 'reached', sound: false, detail: one.reply.left.message, remedy: 'see whether it runs' }];
       const { checks, ...page } = one.reply.right.body as Readonly<{ checks: readonly Row[] }> & Row;
       return checks.map((check) => ({ node: page['node'] ?? page['core'], ...check, ...(check['sound'] === true ? { remedy: '' } : {}) }));
     });
@@ -234,8 +280,13 @@
   async run(): Promise<unknown> {
     const { flags } = await this.parse(Metrics);
     const asked = await askNodes(this, flags, '/v1/metrics');
-    if (!flags.fleet && asked.some((one) => Either.isLeft(one.reply))) return this.error('no core was reached; see --core', { exit: exits.unreachable });
-    const rows = asked.flatMap((one) => (Either.isLeft(one.reply) ? [] : Object.entries(one.reply.right.body as Row).map(([metric, value]) => ({ node: one.node, metric, value }))));
+    if (!flags.fleet && asked.some((one) => Either.isLeft(one.reply)))
+      return this.error('no core was reached; see --core', { exit: exits.unreachable });
+    const rows = asked.flatMap((one) =>
+      Either.isLeft(one.reply)
+        ? []
+        : Object.entries(one.reply.right.body as Row).map(([metric, value]) => ({ node: one.node, metric, value })),
+    );
     this.log(table(rows, flags.fleet ? ['node', 'metric', 'value'] : ['metric', 'value']));
     return rows;
   }
@@ -268,10 +319,12 @@
   async run(): Promise<unknown> {
     const { flags, args } = await this.parse(SheetSend);
     const expected = flags['if-version'];
-    const reply = await replyOf(this, flags, {
-      method: 'PUT', path: '/v1/sheet', body: { sheet: readSheet(this, args.file), sentBy: flags.by },
+    const reply = (await replyOf(this, flags, {
+      method: 'PUT',
+      path: '/v1/sheet',
+      body: { sheet: readSheet(this, args.file), sentBy: flags.by },
       ...(expected === undefined ? {} : { headers: { 'if-match': String(expected) } }),
-    }) as Readonly<{ version: number }>;
+    })) as Readonly<{ version: number }>;
     this.log(`taken as version ${reply.version}`);
     return reply;
   }
@@ -284,7 +337,10 @@
 
   async run(): Promise<unknown> {
     const { flags } = await this.parse(SheetGet);
-    const reply = await replyOf(this, flags, { method: 'GET', path: `/v1/sheet${flags.version === undefined ? '' : `?version=${flags.version}`}` }) as Readonly<{ sheet: unknown }>;
+    const reply = (await replyOf(this, flags, {
+      method: 'GET',
+      path: `/v1/sheet${flags.version === undefined ? '' : `?version=${flags.version}`}`,
+    })) as Readonly<{ sheet: unknown }>;
     this.log(JSON.stringify(reply.sheet, null, 2));
     return reply;
   }
@@ -306,7 +362,7 @@
 
   async run(): Promise<unknown> {
     const { flags, args } = await this.parse(SheetDiff);
-    const current = await replyOf(this, flags, { method: 'GET', path: '/v1/sheet' }) as Readonly<{ version: number; sheet: unknown }>;
+    const current = (await replyOf(this, flags, { method: 'GET', path: '/v1/sheet' })) as Readonly<{ version: number; sheet: unknown }>;
     const before = new Map<string, string>();
     const after = new Map<string, string>();
     flatten(current.sheet, '', before);
@@ -328,7 +384,11 @@
 
   async run(): Promise<unknown> {
     const { flags, args } = await this.parse(Drain);
-    const reply = await replyOf(this, flags, { method: flags.undo ? 'DELETE' : 'POST', path: `/v1/nodes/${encodeURIComponent(args.node)}/drain`, ...(flags.undo ? {} : { body: {} }) });
+    const reply = await replyOf(this, flags, {
+      method: flags.undo ? 'DELETE' : 'POST',
+      path: `/v1/nodes/${encodeURIComponent(args.node)}/drain`,
+      ...(flags.undo ? {} : { body: {} }),
+    });
     this.log(flags.undo ? `${args.node} works again` : `${args.node} drains`);
     return reply;
   }
@@ -337,47 +397,76 @@
 export class Remove extends Command {
   static override description = 'Take an edge out of the membership table for good; N and the quorum shrink by it.';
   static override enableJsonFlag = true;
-  static override flags = { ...coreFlags, force: Flags.boolean({ description: 'even if too few nodes are heard for a quorum afterwards' }) };
+  static override flags = {
+    ...coreFlags,
+    force: Flags.boolean({ description: 'even if too few nodes are heard for a quorum afterwards' }),
+  };
   static override args = nodeArgs;
 
   async run(): Promise<unknown> {
     const { flags, args } = await this.parse(Remove);
-    const reply = await replyOf(this, flags, { method: 'DELETE', path: `/v1/nodes/${encodeURIComponent(args.node)}${flags.force ? '?force=true' : ''}` });
+    const reply = await replyOf(this, flags, {
+      method: 'DELETE',
+      path: `/v1/nodes/${encodeURIComponent(args.node)}${flags.force ? '?force=true' : ''}`,
+    });
     this.log(`${args.node} is no longer a node`);
     return reply;
   }
 }
 
 export class AcceptLoss extends Command {
-  static override description = 'Give up the acknowledged commits that only a lost primary has, so that a service can lead on without them.';
+  static override description =
+    'Give up the acknowledged commits that only a lost primary has, so that a service can lead on without them.';
   static override enableJsonFlag = true;
-  static override flags = { ...coreFlags, yes: Flags.boolean({ description: 'meant: commits that senders were told of will be gone', default: false }) };
+  static override flags = {
+    ...coreFlags,
+    yes: Flags.boolean({ description: 'meant: commits that senders were told of will be gone', default: false }),
+  };
   static override args = { service: Args.string({ required: true, description: 'the service' }) };
 
   async run(): Promise<unknown> {
     const { flags, args } = await this.parse(AcceptLoss);
-    if (!flags.yes) return this.error(`commits of ${args.service} that senders were told of will be gone; look at stallstall members and elections, then repeat it with --yes`, { exit: exits.wrong });
-    const reply = await replyOf(this, flags, { method: 'POST', path: `/v1/services/${encodeURIComponent(args.service)}/accept-loss`, body: {} }) as Readonly<{ floor: Readonly<{ epoch: number; position: number }> }>;
+    if (!flags.yes)
+      return this.error(
+        `commits of ${args.service} that senders were told of will be gone; look at stallstall members and elections, then repeat it with --yes`,
+        { exit: exits.wrong },
+      );
+    const reply = (await replyOf(this, flags, {
+      method: 'POST',
+      path: `/v1/services/${encodeURIComponent(args.service)}/accept-loss`,
+      body: {},
+    })) as Readonly<{ floor: Readonly<{ epoch: number; position: number }> }>;
     this.log(`${args.service} may lead on without what was acknowledged up to ${reply.floor.epoch}/${reply.floor.position}`);
     return reply;
   }
 }
 
 export class Retire extends Command {
-  static override description = 'Mark a member draining (or serving again) in the sheet and send it whole; a primary hands over as planned.';
+  static override description =
+    'Mark a member draining (or serving again) in the sheet and send it whole; a primary hands over as planned.';
   static override enableJsonFlag = true;
-  static override flags = { ...coreFlags, undo: Flags.boolean({ description: 'mark it serving again' }), by: Flags.string({ description: 'who sends it', default: process.env['USER'] ?? 'unnamed' }) };
+  static override flags = {
+    ...coreFlags,
+    undo: Flags.boolean({ description: 'mark it serving again' }),
+    by: Flags.string({ description: 'who sends it', default: process.env['USER'] ?? 'unnamed' }),
+  };
   static override args = { member: Args.string({ required: true, description: 'the member' }) };
 
   async run(): Promise<unknown> {
     const { flags, args } = await this.parse(Retire);
-    const current = await replyOf(this, flags, { method: 'GET', path: '/v1/sheet' }) as { version: number; sheet: { services: Array<{ members: Array<{ member: string; state: string }> }> } };
+    const current = (await replyOf(this, flags, { method: 'GET', path: '/v1/sheet' })) as {
+      version: number;
+      sheet: { services: Array<{ members: Array<{ member: string; state: string }> }> };
+    };
     const member = current.sheet.services.flatMap((service) => service.members).find((one) => one.member === args.member);
     if (member === undefined) return this.error(`the sheet names no member ${args.member}; see stallstall members`, { exit: exits.wrong });
     member.state = flags.undo ? 'serving' : 'draining';
-    const reply = await replyOf(this, flags, {
-      method: 'PUT', path: '/v1/sheet', headers: { 'if-match': String(current.version) }, body: { sheet: current.sheet, sentBy: flags.by },
-    }) as Readonly<{ version: number }>;
+    const reply = (await replyOf(this, flags, {
+      method: 'PUT',
+      path: '/v1/sheet',
+      headers: { 'if-match': String(current.version) },
+      body: { sheet: current.sheet, sentBy: flags.by },
+    })) as Readonly<{ version: number }>;
     this.log(`${args.member} is ${member.state} as of version ${reply.version}`);
     return reply;
   }
--- a/packages/operator/src/settings.ts
+++ b/packages/operator/src/settings.ts
@@ -9,7 +9,11 @@
 const seeds = z.array(address).length(3, 'name exactly three seeds');
 
 export const nodeSettings = z.strictObject({ node: name, area: name, address, outward: address, seeds, platform: address });
-export const coreSettings = nodeSettings.extend({ data: z.string().min(1), cores: z.number().int().min(1).max(9).default(3), operatorKey: z.string().min(16, 'use at least 16 characters').optional() });
+export const coreSettings = nodeSettings.extend({
+  data: z.string().min(1),
+  cores: z.number().int().min(1).max(9).default(3),
+  operatorKey: z.string().min(16, 'use at least 16 characters').optional(),
+});
 export const agentSettings = nodeSettings.extend({ feed: address });
 export const proxySettings = z.strictObject({ address, feed: address });
 
@@ -25,27 +29,44 @@
     if (typeof parsed === 'object' && parsed !== null && !Array.isArray(parsed)) return Either.right(parsed as Record<string, unknown>);
     throw new Error('it holds no JSON object');
   } catch (error) {
-    return Either.left(fault.create({ kind: 'bad-settings', message: `the settings file cannot be read: ${(error as Error).message}`, remedy: 'mend the file, then send SIGHUP or start again' }));
+    return Either.left(
+      fault.create({
+        kind: 'bad-settings',
+        message: `the settings file cannot be read: ${(error as Error).message}`,
+        remedy: 'mend the file, then send SIGHUP or start again',
+      }),
+    );
   }
 }
 
 /** Flags go before the file; every fault is told at once. */
-function read<Schema extends z.ZodType>(schema: Schema, file: string | undefined, flags: Readonly<Record<string, unknown>>): Either.Either<Fault, z.infer<Schema>> {
+function read<Schema extends z.ZodType>(
+  schema: Schema,
+  file: string | undefined,
+  flags: Readonly<Record<string, unknown>>,
+): Either.Either<Fault, z.infer<Schema>> {
   const stored = readFile(file);
   if (Either.isLeft(stored)) return stored;
   const given = Object.fromEntries(Object.entries(flags).filter(([, value]) => value !== undefined));
   const parsed = schema.safeParse({ ...stored.right, ...given });
   if (parsed.success) return Either.right(parsed.data);
-  return Either.left(fault.create({
-    kind: 'bad-settings',
-    message: parsed.error.issues.map((issue) => `${issue.path.join('.') || 'settings'}: ${issue.message}`).join('; '),
-    remedy: 'mend the named settings in the file or the flags',
-  }));
+  return Either.left(
+    fault.create({
+      kind: 'bad-settings',
+      message: parsed.error.issues.map((issue) => `${issue.path.join('.') || 'settings'}: ${issue.message}`).join('; '),
+      remedy: 'mend the named settings in the file or the flags',
+    }),
+  );
 }
 
 /** Reads the file again whenever it is told to; an invalid or half-written one keeps the old settings and logs the remedy. */
 function follow<Schema extends z.ZodType<Readonly<Record<string, unknown>>>>(
-  kernel: Kernel, changes: Changes, schema: Schema, file: string | undefined, flags: Readonly<Record<string, unknown>>, first: z.infer<Schema>,
+  kernel: Kernel,
+  changes: Changes,
+  schema: Schema,
+  file: string | undefined,
+  flags: Readonly<Record<string, unknown>>,
+  first: z.infer<Schema>,
 ): () => z.infer<Schema> {
   let current = first;
 
@@ -57,9 +78,14 @@
     }
     const changed = Object.keys(next.right).filter((column) => JSON.stringify(next.right[column]) !== JSON.stringify(current[column]));
     if (changed.length === 0) return;
-    for (const column of changed) if (!changeable.has(column)) kernel.log('settings.waits', { column, remedy: 'restart the process to obey it' });
-    current = { ...current, ...Object.fromEntries(changed.filter((column) => changeable.has(column)).map((column) => [column, next.right[column]])) };
-    if (changed.some((column) => changeable.has(column))) kernel.log('settings.obeyed', { columns: changed.filter((column) => changeable.has(column)).join(',') });
+    for (const column of changed)
+      if (!changeable.has(column)) kernel.log('settings.waits', { column, remedy: 'restart the process to obey it' });
+    current = {
+      ...current,
+      ...Object.fromEntries(changed.filter((column) => changeable.has(column)).map((column) => [column, next.right[column]])),
+    };
+    if (changed.some((column) => changeable.has(column)))
+      kernel.log('settings.obeyed', { columns: changed.filter((column) => changeable.has(column)).join(',') });
   }
 
   if (file !== undefined) changes.watch(file, again);
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -2,7 +2,17 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import type { Address, Alarm, Kernel, Link, Listening, Protocols } from '@stallstall/kernel';
-import { ChangeSchema, FrameSchema, GreetSchema, message, messages, type Ask, type Change, type MessageKind, type Reply } from '@stallstall/message';
+import {
+  ChangeSchema,
+  FrameSchema,
+  GreetSchema,
+  message,
+  messages,
+  type Ask,
+  type Change,
+  type MessageKind,
+  type Reply,
+} from '@stallstall/message';
 
 export type Peer = Readonly<{
   address: Address;
@@ -172,7 +182,12 @@
   return { address, call, connected, close, protocol: () => version };
 }
 
-async function replyTo(link: Link, caller: Caller, handlers: Handlers, frame: Readonly<{ call: number; kind: string; body: unknown }>): Promise<void> {
+async function replyTo(
+  link: Link,
+  caller: Caller,
+  handlers: Handlers,
+  frame: Readonly<{ call: number; kind: string; body: unknown }>,
+): Promise<void> {
   const handler = message.isKind(frame.kind) ? handlers[frame.kind] : undefined;
   if (handler === undefined || !message.isKind(frame.kind)) {
     link.send({ deny: frame.call, reason: `no handler for ${frame.kind}` });
@@ -196,7 +211,10 @@
     const greeted = await greet(kernel, link);
     alarm.cancel();
     if (Option.isNone(greeted) || agreed(kernel.protocols, greeted.value) === 0) {
-      kernel.log('peer.strange', { address, reason: Option.isSome(greeted) ? strange(kernel.protocols, greeted.value) : 'it sent no greeting' });
+      kernel.log('peer.strange', {
+        address,
+        reason: Option.isSome(greeted) ? strange(kernel.protocols, greeted.value) : 'it sent no greeting',
+      });
       link.close();
       return;
     }
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -62,7 +62,13 @@
     const http = kernel.network.connect(identifiers.address(address));
     const reply = await http.exchange({ method: 'POST', path: '/open', body: {} }, openMilliseconds);
     pool.opening -= 1;
-    if (Either.isLeft(reply) || reply.right.status !== 200 || pools.get(member) !== pool || pool.wish.epoch !== epoch || total(pool) >= pool.wish.cap) {
+    if (
+      Either.isLeft(reply) ||
+      reply.right.status !== 200 ||
+      pools.get(member) !== pool ||
+      pool.wish.epoch !== epoch ||
+      total(pool) >= pool.wish.cap
+    ) {
       http.close();
       if (Either.isLeft(reply) || reply.right.status !== 200) {
         pool.failed = true;
@@ -98,7 +104,15 @@
     for (const one of wishes) {
       const pool = pools.get(one.member);
       if (pool === undefined) {
-        pools.set(one.member, { wish: one, idle: [], busy: new Map(), opening: 0, wanted: false, quietUntil: kernel.clock.now(), failed: false });
+        pools.set(one.member, {
+          wish: one,
+          idle: [],
+          busy: new Map(),
+          opening: 0,
+          wanted: false,
+          quietUntil: kernel.clock.now(),
+          failed: false,
+        });
       } else pool.wish = one;
     }
     for (const pool of pools.values()) {
@@ -146,7 +160,13 @@
       return most;
     },
     describe: function describe() {
-      return [...pools.values()].map((pool) => ({ member: pool.wish.member, idle: pool.idle.length, busy: pool.busy.size, opening: pool.opening, cap: pool.wish.cap }));
+      return [...pools.values()].map((pool) => ({
+        member: pool.wish.member,
+        idle: pool.idle.length,
+        busy: pool.busy.size,
+        opening: pool.opening,
+        cap: pool.wish.cap,
+      }));
     },
     closeAll: function closeAll() {
       for (const pool of pools.values()) for (const held of [...pool.idle, ...pool.busy.values()]) held.http.close();
--- a/packages/pooler/src/connections.ts
+++ b/packages/pooler/src/connections.ts
@@ -70,7 +70,16 @@
   function of(member: string): MemberLines {
     let known = table.get(member);
     if (known === undefined) {
-      known = { idle: [], busy: new Map(), opening: 0, openingFor: new Map(), failures: 0, failingUntil: never, notListeningAt: never, scarce: Option.none };
+      known = {
+        idle: [],
+        busy: new Map(),
+        opening: 0,
+        openingFor: new Map(),
+        failures: 0,
+        failingUntil: never,
+        notListeningAt: never,
+        scarce: Option.none,
+      };
       table.set(member, known);
     }
     return known;
@@ -142,7 +151,11 @@
       known.failures = 0;
       known.failingUntil = never;
       known.notListeningAt = never;
-      known.idle.push({ pooled: { place, tenant, line: line.right, image: { values: new Map(), prepared: new Map(), names: 0 } }, session: '', since: now });
+      known.idle.push({
+        pooled: { place, tenant, line: line.right, image: { values: new Map(), prepared: new Map(), names: 0 } },
+        session: '',
+        since: now,
+      });
     }
     onFreed();
   }
@@ -156,7 +169,9 @@
   function makeRoom(tenant: string, known: MemberLines): boolean {
     const now = kernel.clock.now();
     // One that was opened a moment ago and not used yet is meant for somebody who waits.
-    const index = known.idle.findIndex((one) => one.pooled.tenant !== tenant && (one.session !== '' || now - one.since > unusedMilliseconds));
+    const index = known.idle.findIndex(
+      (one) => one.pooled.tenant !== tenant && (one.session !== '' || now - one.since > unusedMilliseconds),
+    );
     if (index < 0) return false;
     const [given] = known.idle.splice(index, 1);
     given?.pooled.line.close();
@@ -171,7 +186,8 @@
   /** Opens one ahead of need, should none stand for the tenant. */
   function warm(place: MemberPlace, tenant: string): void {
     const known = of(place.member);
-    if (total(known) >= share(place).kept || opening(place.member, tenant) || known.idle.some((one) => one.pooled.tenant === tenant)) return;
+    if (total(known) >= share(place).kept || opening(place.member, tenant) || known.idle.some((one) => one.pooled.tenant === tenant))
+      return;
     for (const busy of known.busy.keys()) if (busy.tenant === tenant) return;
     want(place, tenant);
   }
@@ -193,7 +209,8 @@
     const session = known.busy.get(pooled);
     if (session === undefined) return;
     known.busy.delete(pooled);
-    if (sound && !pooled.line.closed() && total(known) < share(pooled.place).most) known.idle.push({ pooled, session, since: kernel.clock.now() });
+    if (sound && !pooled.line.closed() && total(known) < share(pooled.place).most)
+      known.idle.push({ pooled, session, since: kernel.clock.now() });
     else if (sound) pooled.line.close();
     else pooled.line.reset();
     onFreed();
@@ -206,7 +223,13 @@
       const place = known.idle[0]?.pooled.place;
       let surplus = place === undefined ? 0 : total(known) - share(place).kept;
       const stale = known.idle.filter(function isStale(one) {
-        if (entry === undefined || entry.address !== one.pooled.place.address || now - one.since > idleMilliseconds || one.pooled.line.closed()) return true;
+        if (
+          entry === undefined ||
+          entry.address !== one.pooled.place.address ||
+          now - one.since > idleMilliseconds ||
+          one.pooled.line.closed()
+        )
+          return true;
         // Those that rested longest stand first.
         if (surplus <= 0 || now - one.since <= surplusMilliseconds) return false;
         surplus -= 1;
@@ -231,13 +254,17 @@
       const known = table.get(member);
       return known !== undefined && known.failures > 0 && known.idle.length + known.busy.size === 0;
     },
-    notListening: () => [...table].filter(([, known]) => kernel.clock.now() - known.notListeningAt < notListeningMilliseconds).map(([member]) => member),
+    notListening: () =>
+      [...table].filter(([, known]) => kernel.clock.now() - known.notListeningAt < notListeningMilliseconds).map(([member]) => member),
     busy: (member) => table.get(member)?.busy.size ?? 0,
     describe: function describe() {
       const all = [...table.values()];
       return {
-        idle: all.reduce((sum, one) => sum + one.idle.length, 0), busy: all.reduce((sum, one) => sum + one.busy.size, 0),
-        opening: all.reduce((sum, one) => sum + one.opening, 0), opened, failed,
+        idle: all.reduce((sum, one) => sum + one.idle.length, 0),
+        busy: all.reduce((sum, one) => sum + one.busy.size, 0),
+        opening: all.reduce((sum, one) => sum + one.opening, 0),
+        opened,
+        failed,
       };
     },
     closeAll: function closeAll() {
--- a/packages/pooler/src/copies.ts
+++ b/packages/pooler/src/copies.ts
@@ -58,7 +58,9 @@
 
 /** Single reads alone: a transaction's would come from different moments, and its commit from none. */
 function mayBeHeld(outage: SheetOutage, ask: Ask): boolean {
-  return !ask.writes && Option.isNone(ask.transaction) && ask.database.reads !== 'leader' && outage.databases.includes(ask.database.database);
+  return (
+    !ask.writes && Option.isNone(ask.transaction) && ask.database.reads !== 'leader' && outage.databases.includes(ask.database.database)
+  );
 }
 
 /** A session sees its own commits, or nothing. */
@@ -77,19 +79,38 @@
 
   function begin(outage: SheetOutage, source: string, window: OutageWindow): Holding {
     return {
-      outage, source, window,
-      reads: new LRUCache({ max: mostRemembered, maxSize: outage.mostBytes, sizeCalculation: (_remembered, key) => key.length + entryBytes }),
+      outage,
+      source,
+      window,
+      reads: new LRUCache({
+        max: mostRemembered,
+        maxSize: outage.mostBytes,
+        sizeCalculation: (_remembered, key) => key.length + entryBytes,
+      }),
       copies: new LRUCache<string, Copied>({
         maxSize: outage.mostBytes,
         sizeCalculation: (copied, key) => key.length + entryBytes + copied.rows.reduce((sum, row) => sum + row.length, 0),
       }),
-      complete: false, begun: false, filling: false,
+      complete: false,
+      begun: false,
+      filling: false,
     };
   }
 
   function ask(session: Ask['session'], from: Pick<Ask, 'text' | 'prepared' | 'database' | 'tenant'>): Ask {
     const { text, prepared, database, tenant } = from;
-    return { session, identifier: 'copy', text, prepared, database, tenant, writes: false, commit: false, transaction: Option.none, copying: true };
+    return {
+      session,
+      identifier: 'copy',
+      text,
+      prepared,
+      database,
+      tenant,
+      writes: false,
+      commit: false,
+      transaction: Option.none,
+      copying: true,
+    };
   }
 
   function remember(holding: Holding, asked: Ask): void {
@@ -106,7 +127,13 @@
     for (const { database: named, tenant, text } of holding.outage.things) {
       const database = known.databases.get(named);
       const who = [...known.tenants].find(([, one]) => one.tenant === tenant)?.[0];
-      if (database === undefined || who === undefined || database.reads === 'leader') kernel.log('copy.not-held', { site: holding.outage.site, database: named, tenant, reason: 'the tenant has no key, or its reads need the leader' });
+      if (database === undefined || who === undefined || database.reads === 'leader')
+        kernel.log('copy.not-held', {
+          site: holding.outage.site,
+          database: named,
+          tenant,
+          reason: 'the tenant has no key, or its reads need the leader',
+        });
       else remember(holding, ask(sessions.create('copy', named, who), { text, prepared: Option.none, database, tenant }));
     }
   }
@@ -118,7 +145,9 @@
 
   function isToBeFilled(holding: Holding): boolean {
     const wall = kernel.clock.wall();
-    return !stopped && holdings.includes(holding) && wall >= holding.window.from - holding.outage.holdMilliseconds && wall < holding.window.from;
+    return (
+      !stopped && holdings.includes(holding) && wall >= holding.window.from - holding.outage.holdMilliseconds && wall < holding.window.from
+    );
   }
 
   /** By the ordinary way: placed, paced and within the bound like any read of that tenant. */
@@ -137,7 +166,13 @@
       if (!isToBeFilled(holding)) break;
       if (database !== undefined && replied?.ending.kind === 'done') {
         remembered.tried = true;
-        holding.copies.set(key, { rows: replied.rows, ending: replied.ending, position: replied.position, service: database.service, copiedAt });
+        holding.copies.set(key, {
+          rows: replied.rows,
+          ending: replied.ending,
+          position: replied.position,
+          service: database.service,
+          copiedAt,
+        });
         if (!holding.copies.has(key)) notHeld(holding, read, 'it is larger than the bound');
       } else if (replied === undefined || (replied.ending.kind === 'fault' && lasting.has(replied.ending.condition))) {
         remembered.tried = true;
@@ -147,7 +182,12 @@
     }
     if (isToBeFilled(holding) && left === 0 && !holding.complete && [...holding.reads.values()].every((one) => one.tried)) {
       holding.complete = true;
-      kernel.log('copy.complete', { site: holding.outage.site, reads: holding.copies.size, bytes: holding.copies.calculatedSize, gaveWay: holding.reads.size - holding.copies.size });
+      kernel.log('copy.complete', {
+        site: holding.outage.site,
+        reads: holding.copies.size,
+        bytes: holding.copies.calculatedSize,
+        gaveWay: holding.reads.size - holding.copies.size,
+      });
     }
     holding.filling = false;
   }
@@ -169,11 +209,17 @@
         return holding;
       });
     });
-    for (const gone of before) if (!holdings.includes(gone) && gone.begun) kernel.log('outage.end', { site: gone.outage.site, dropped: gone.copies.size });
+    for (const gone of before)
+      if (!holdings.includes(gone) && gone.begun) kernel.log('outage.end', { site: gone.outage.site, dropped: gone.copies.size });
     for (const holding of holdings) {
       if (!holding.begun && wall >= holding.window.from) {
         holding.begun = true;
-        kernel.log('outage.begin', { site: holding.outage.site, complete: holding.complete, reads: holding.complete ? holding.copies.size : 0, missing: holding.reads.size - holding.copies.size });
+        kernel.log('outage.begin', {
+          site: holding.outage.site,
+          complete: holding.complete,
+          reads: holding.complete ? holding.copies.size : 0,
+          missing: holding.reads.size - holding.copies.size,
+        });
       }
       if (!holding.filling && isToBeFilled(holding)) void fill(holding);
     }
@@ -200,7 +246,8 @@
     },
     note: function note(asked, replied) {
       if (replied.ending.kind !== 'done' || replied.copiedAt !== undefined) return;
-      for (const holding of holdings) if (mayBeHeld(holding.outage, asked) && kernel.clock.wall() < holding.window.from) remember(holding, asked);
+      for (const holding of holdings)
+        if (mayBeHeld(holding.outage, asked) && kernel.clock.wall() < holding.window.from) remember(holding, asked);
     },
     open: (asked) => holdings.some((holding) => mayBeHeld(holding.outage, asked) && windowIsOpen(holding)),
     reply: function reply(asked) {
@@ -208,12 +255,19 @@
         if (!holding.complete || !windowIsOpen(holding) || !mayBeHeld(holding.outage, asked)) continue;
         const copied = holding.copies.get(keyOf(asked));
         if (copied === undefined || copied.service !== asked.database.service || !coversOwn(asked, copied)) continue;
-        return Option.some({ rows: copied.rows, ending: copied.ending, stance: 'idle', position: copied.position, copiedAt: copied.copiedAt });
+        return Option.some({
+          rows: copied.rows,
+          ending: copied.ending,
+          stance: 'idle',
+          position: copied.position,
+          copiedAt: copied.copiedAt,
+        });
       }
       return Option.none;
     },
     describe: () => ({
-      remembered: holdings.reduce((sum, one) => sum + one.reads.size, 0), held: holdings.reduce((sum, one) => sum + one.copies.size, 0),
+      remembered: holdings.reduce((sum, one) => sum + one.reads.size, 0),
+      held: holdings.reduce((sum, one) => sum + one.copies.size, 0),
       bytes: holdings.reduce((sum, one) => sum + one.copies.calculatedSize, 0),
     }),
     stop: function stop() {
--- a/packages/pooler/src/freshness.ts
+++ b/packages/pooler/src/freshness.ts
@@ -50,10 +50,13 @@
       commits.set(service, known === undefined ? position : positions.later(known, position));
     },
     commits: () => Object.fromEntries(commits),
-    marks: () => Object.fromEntries([...samples].flatMap(([service, known]) => {
-      const last = known.at(-1);
-      return last === undefined ? [] : [[service, { ...last.position, ago: Math.max(0, now() - last.at) }]];
-    })),
+    marks: () =>
+      Object.fromEntries(
+        [...samples].flatMap(([service, known]) => {
+          const last = known.at(-1);
+          return last === undefined ? [] : [[service, { ...last.position, ago: Math.max(0, now() - last.at) }]];
+        }),
+      ),
   };
 }
 
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -1,6 +1,14 @@
 // The proxy of the session wire: sessions in, statements placed, members' replies out; fed by its agent (design 8.10).
 import * as Option from 'fp-ts/lib/Option.js';
-import { identifiers, kernel as kernels, type HttpMapping, type Instant, type Kernel, type Listening, type Stream } from '@stallstall/kernel';
+import {
+  identifiers,
+  kernel as kernels,
+  type HttpMapping,
+  type Instant,
+  type Kernel,
+  type Listening,
+  type Stream,
+} from '@stallstall/kernel';
 import { leastSpan } from '@stallstall/fence';
 import { peer } from '@stallstall/peer';
 import type { SheetDatabase } from '@stallstall/sheet';
@@ -100,7 +108,11 @@
   let stopped = false;
 
   const connections = connectionTables.create(kernel, dialect, share, () => requests.sweep());
-  const copies = copyTables.create(kernel, () => view, (ask) => requests.ask(ask));
+  const copies = copyTables.create(
+    kernel,
+    () => view,
+    (ask) => requests.ask(ask),
+  );
   const requests = requestTables.create(kernel, dialect, () => view, connections, freshness, usage, copies);
 
   /** This edge's part of what a member lets in, of all edges that hold leases (design 8.3). */
@@ -136,7 +148,7 @@
   function noteDemand(): void {
     const served = requests.totals()['sent'] ?? 0;
     const now = kernel.clock.now();
-    const rate = (served - servedBefore) * 1_000 / Math.max(1, now - servedAt);
+    const rate = ((served - servedBefore) * 1_000) / Math.max(1, now - servedAt);
     demand += (rate - demand) * demandWeight;
     servedBefore = served;
     servedAt = now;
@@ -155,17 +167,31 @@
 
   async function feed(hold: number): Promise<boolean> {
     const sentAt = kernel.clock.now();
-    const reply = await agent.call('placement', {
-      token, seen, serial, hold, configuration: view.version, released: { ...released }, positions: { ...freshness.commits() }, marks: { ...freshness.marks() }, notListening: [...connections.notListening()], demand,
-      metrics: { ...requests.totals(), ...connections.describe(), sessions: sessions.size },
-    }, hold + feedCallMilliseconds);
+    const reply = await agent.call(
+      'placement',
+      {
+        token,
+        seen,
+        serial,
+        hold,
+        configuration: view.version,
+        released: { ...released },
+        positions: { ...freshness.commits() },
+        marks: { ...freshness.marks() },
+        notListening: [...connections.notListening()],
+        demand,
+        metrics: { ...requests.totals(), ...connections.describe(), sessions: sessions.size },
+      },
+      hold + feedCallMilliseconds,
+    );
     if (Option.isNone(reply)) return false;
     const news = reply.value.token !== token || reply.value.number > seen;
     if (reply.value.token === token && reply.value.number < seen) return true;
     const led = leadersOf(view);
     const saidAt = identifiers.after(sentAt, leastSpan(reply.value.held));
     view = views.fed(view, reply.value, saidAt, kernel.clock.now());
-    for (const [service, mark] of Object.entries(reply.value.marks)) freshness.learnt(service, identifiers.after(saidAt, -mark.ago), { term: mark.term, number: mark.number });
+    for (const [service, mark] of Object.entries(reply.value.marks))
+      freshness.learnt(service, identifiers.after(saidAt, -mark.ago), { term: mark.term, number: mark.number });
     token = reply.value.token;
     seen = reply.value.number;
     serial = reply.value.serial;
@@ -181,7 +207,10 @@
 
   function isTroubled(): boolean {
     const now = kernel.clock.now();
-    return [...view.leaders.values()].some((leader) => leader.epoch > 0 && (leader.until <= now || view.members.get(leader.primary)?.down === true || connections.failing(leader.primary)));
+    return [...view.leaders.values()].some(
+      (leader) =>
+        leader.epoch > 0 && (leader.until <= now || view.members.get(leader.primary)?.down === true || connections.failing(leader.primary)),
+    );
   }
 
   function leadersOf(of: View): string {
@@ -212,7 +241,8 @@
 
   function noteReleases(): void {
     for (const [service, leader] of view.leaders) {
-      if (leader.release > leader.epoch && leader.release > (released[service] ?? 0) && !releasing.has(service)) releasing.set(service, kernel.clock.now());
+      if (leader.release > leader.epoch && leader.release > (released[service] ?? 0) && !releasing.has(service))
+        releasing.set(service, kernel.clock.now());
     }
     lookAtReleases();
   }
@@ -221,7 +251,8 @@
     let told = false;
     for (const [service, since] of [...releasing]) {
       const release = view.leaders.get(service)?.release ?? 0;
-      if (kernel.clock.now() - since >= handoverMilliseconds) for (const transaction of heldAt(service, release)) endTransaction(transaction);
+      if (kernel.clock.now() - since >= handoverMilliseconds)
+        for (const transaction of heldAt(service, release)) endTransaction(transaction);
       if (requests.underWay(service, release) > 0 || heldAt(service, release).length > 0) continue;
       releasing.delete(service);
       released[service] = release;
@@ -276,7 +307,17 @@
     const found = letIn(session.database, session.who);
     if (typeof found === 'string') return fault(found, 'not let in');
     const now = kernel.clock.now();
-    session.transaction = Option.some({ readOnly, database: found.database, tenant: found.tenant, startedAt: now, held: Option.none, failed: false, told: false, busy: false, restsSince: now });
+    session.transaction = Option.some({
+      readOnly,
+      database: found.database,
+      tenant: found.tenant,
+      startedAt: now,
+      held: Option.none,
+      failed: false,
+      told: false,
+      busy: false,
+      restsSince: now,
+    });
     return done();
   }
 
@@ -290,13 +331,22 @@
       }
       return fault('undefined', 'no such prepared name');
     }
-    const found = Option.isSome(transaction) ? { database: transaction.value.database, tenant: transaction.value.tenant } : letIn(session.database, session.who);
+    const found = Option.isSome(transaction)
+      ? { database: transaction.value.database, tenant: transaction.value.tenant }
+      : letIn(session.database, session.who);
     if (typeof found === 'string') return fault(found, 'not let in');
     if (Option.isSome(transaction)) transaction.value.busy = true;
     const asked: Ask = {
-      session, identifier, text, transaction, database: found.database, tenant: found.tenant,
+      session,
+      identifier,
+      text,
+      transaction,
+      database: found.database,
+      tenant: found.tenant,
       prepared: command.kind === 'execute' && prepared !== undefined ? Option.some({ shape: prepared, rest: command.rest }) : Option.none,
-      writes: command.kind === 'write' || prepared?.writes === true, commit: command.kind === 'commit', copying: false,
+      writes: command.kind === 'write' || prepared?.writes === true,
+      commit: command.kind === 'commit',
+      copying: false,
     };
     const reply = await requests.ask(asked);
     copies.note(asked, reply);
@@ -366,7 +416,7 @@
       return undefined;
     }
     await awaitView();
-    const found = Option.isNone(view.sheet) ? 'saturated' as const : letIn(incoming.database, incoming.who);
+    const found = Option.isNone(view.sheet) ? ('saturated' as const) : letIn(incoming.database, incoming.who);
     if (typeof found === 'string') {
       stream.write(dialect.fault(found, found === 'saturated' ? 'nothing is known yet; come back in 500 ms' : 'not let in'));
       return undefined;
@@ -449,10 +499,24 @@
   }
 
   const door = await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void sender(stream));
-  const listening: readonly Listening[] = [door, await kernel.network.serve(identifiers.address(settings.outward), { mappings: parts.pages(ready) })];
+  const listening: readonly Listening[] = [
+    door,
+    await kernel.network.serve(identifiers.address(settings.outward), { mappings: parts.pages(ready) }),
+  ];
   void feedTask();
   void kernels.every(kernel.clock, tendMilliseconds, tend, () => !stopped);
-  void kernels.every(kernel.clock, countsMilliseconds, () => kernel.log('pooler.counts', { sessions: sessions.size, inFlight: requests.inFlight(), ...connections.describe(), ...requests.totals() }), () => !stopped);
+  void kernels.every(
+    kernel.clock,
+    countsMilliseconds,
+    () =>
+      kernel.log('pooler.counts', {
+        sessions: sessions.size,
+        inFlight: requests.inFlight(),
+        ...connections.describe(),
+        ...requests.totals(),
+      }),
+    () => !stopped,
+  );
   void tellTask();
 
   /** The more edges, the less is lost with one of them, and the more it costs all cores to hear of each. */
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -79,7 +79,13 @@
 const leaderWeight = 1;
 
 function create(
-  kernel: Kernel, dialect: Dialect, view: () => View, connections: Connections, freshness: Freshness, usage: Usage, copies: Copies,
+  kernel: Kernel,
+  dialect: Dialect,
+  view: () => View,
+  connections: Connections,
+  freshness: Freshness,
+  usage: Usage,
+  copies: Copies,
 ): Requests {
   const table = new Map<number, RequestRecord>();
   const repliers = new Map<number, (reply: StatementReply) => void>();
@@ -139,7 +145,8 @@
     const known = view();
     const database = known.databases.get(record.ask.session.database);
     if (database === undefined) return deny(record, 'no-database', 'there is no such database');
-    if (!database.open && known.tenants.get(record.ask.session.who)?.tenant !== record.ask.tenant) return deny(record, 'denied', 'the key is not known');
+    if (!database.open && known.tenants.get(record.ask.session.who)?.tenant !== record.ask.tenant)
+      return deny(record, 'denied', 'the key is not known');
     // Moved, or with other bounds: what waits goes where the newest configuration sends it.
     return database === record.ask.database ? record : { ...record, ask: { ...record.ask, database } };
   }
@@ -160,14 +167,20 @@
   function leaderTarget(service: string): Option.Option<Target> {
     const known = view();
     const leader = known.leaders.get(service);
-    if (leader === undefined || leader.epoch === 0 || leader.release > leader.epoch || kernel.clock.now() >= leader.until) return Option.none;
+    if (leader === undefined || leader.epoch === 0 || leader.release > leader.epoch || kernel.clock.now() >= leader.until)
+      return Option.none;
     const entry = known.members.get(leader.primary);
     if (entry === undefined || isDrained(entry)) return Option.none;
     return Option.some({ place: placeOf(entry), epoch: leader.epoch, leader: true, since: Option.none });
   }
 
   function cost(entry: RosterEntry, primary: string, area: string): number {
-    return connections.busy(entry.member) + (entry.area === area ? 0 : farWeight) + (entry.member === primary ? leaderWeight : 0) + kernel.randomness.fraction() / 2;
+    return (
+      connections.busy(entry.member) +
+      (entry.area === area ? 0 : farWeight) +
+      (entry.member === primary ? leaderWeight : 0) +
+      kernel.randomness.fraction() / 2
+    );
   }
 
   /** A read of bounded age goes to whoever can show that it holds all that was acknowledged before the bound; else to the leader. */
@@ -180,8 +193,9 @@
     if (Option.isNone(covering)) return leaderTarget(database.service);
     const since = Option.isSome(own) ? positions.later(covering.value, own.value) : covering.value;
     const primary = known.leaders.get(database.service)?.primary ?? '';
-    const able = (known.byService.get(database.service) ?? []).filter((entry) =>
-      !entry.draining && !entry.down && !record.without.has(entry.member) && !connections.failing(entry.member));
+    const able = (known.byService.get(database.service) ?? []).filter(
+      (entry) => !entry.draining && !entry.down && !record.without.has(entry.member) && !connections.failing(entry.member),
+    );
     const [best] = able.map((entry) => ({ entry, cost: cost(entry, primary, known.area) })).sort((left, right) => left.cost - right.cost);
     if (best === undefined) return leaderTarget(database.service);
     return Option.some({ place: placeOf(best.entry), epoch: 0, leader: false, since: Option.some(since) });
@@ -209,7 +223,8 @@
     if (kernel.clock.now() - beganAt < beginningMilliseconds) return true;
     const leader = view().leaders.get(service);
     const entry = view().members.get(leader?.primary ?? '');
-    if (leader === undefined || leader.release <= leader.epoch || entry === undefined || entry.down || connections.failing(entry.member)) return false;
+    if (leader === undefined || leader.release <= leader.epoch || entry === undefined || entry.down || connections.failing(entry.member))
+      return false;
     const known = changes.get(service);
     if (known !== undefined && known.release === leader.release) return kernel.clock.now() - known.since < changeMilliseconds;
     changes.set(service, { release: leader.release, since: kernel.clock.now() });
@@ -234,7 +249,9 @@
     if (!connections.failing(member.member)) {
       if (now < record.patientUntil) return waits;
       // With nothing under way there it is no crowd that is in the way: it doesn't open.
-      return connections.busy(member.member) === 0 ? denyUnplaced(record, 'saturated', retryText(200)) : deny(record, 'saturated', retryText(200));
+      return connections.busy(member.member) === 0
+        ? denyUnplaced(record, 'saturated', retryText(200))
+        : deny(record, 'saturated', retryText(200));
     }
     // Nothing is open to it and the last opening failed: a read goes elsewhere, what needs the leader is not kept waiting.
     if (!leader && record.without.size < 8) return { ...waits, without: new Set([...record.without, member.member]) };
@@ -299,7 +316,14 @@
   }
 
   function retry(record: RequestRecord, without: readonly string[]): void {
-    const next: RequestRecord = { ...record, stage: 'waiting', without: new Set([...record.without, ...without]), target: Option.none, connection: Option.none, wanted: '' };
+    const next: RequestRecord = {
+      ...record,
+      stage: 'waiting',
+      without: new Set([...record.without, ...without]),
+      target: Option.none,
+      connection: Option.none,
+      wanted: '',
+    };
     table.set(record.id, next);
     sweep();
   }
@@ -319,7 +343,10 @@
       texts.push(Option.isSome(since) ? dialect.texts.since(since.value, begin) : begin);
     }
     if (texts.length === 0) return 'ready';
-    const ran = await pooled.line.run(texts.map((text) => dialect.query(dialect.ownIdentifier, text)), record.horizon - kernel.clock.now());
+    const ran = await pooled.line.run(
+      texts.map((text) => dialect.query(dialect.ownIdentifier, text)),
+      record.horizon - kernel.clock.now(),
+    );
     if (!ran.whole) return 'lost';
     if (ran.replies.slice(0, said.length).some((one) => one.ending.kind !== 'done')) return 'lost';
     const last = ran.replies.at(-1);
@@ -328,7 +355,9 @@
 
   function textOf(record: RequestRecord, pooled: PooledLine): string {
     const { prepared, text, transaction } = record.ask;
-    const said = Option.isSome(prepared) ? dialect.texts.execute(sessions.preparedName(pooled.image, prepared.value.shape), prepared.value.rest) : text;
+    const said = Option.isSome(prepared)
+      ? dialect.texts.execute(sessions.preparedName(pooled.image, prepared.value.shape), prepared.value.rest)
+      : text;
     const since = Option.isSome(transaction) || Option.isNone(record.target) ? Option.none : record.target.value.since;
     return Option.isSome(since) && !record.ask.writes ? dialect.texts.since(since.value, said) : said;
   }
@@ -352,9 +381,12 @@
   function noteSpan(database: SheetDatabase, span: number): void {
     const key = `${database.service} ${database.reads}`;
     const known = spans.get(key);
-    spans.set(key, known === undefined
-      ? { mean: span, deviation: span / 2 }
-      : { mean: known.mean + (span - known.mean) / 8, deviation: known.deviation + (Math.abs(span - known.mean) - known.deviation) / 4 });
+    spans.set(
+      key,
+      known === undefined
+        ? { mean: span, deviation: span / 2 }
+        : { mean: known.mean + (span - known.mean) / 8, deviation: known.deviation + (Math.abs(span - known.mean) - known.deviation) / 4 },
+    );
   }
 
   /** Silence beyond this is taken for a lost reply: far beyond what such statements take by now. */
@@ -394,7 +426,10 @@
     // An operation is one request, however many statements its transaction holds (design 8.6).
     if (begins && record.shots === 1 && !ask.copying) usage.count(ask.tenant);
     const left = record.horizon - sentAt;
-    const ran = await pooled.line.run([dialect.query(ask.copying ? dialect.ownIdentifier : ask.identifier, textOf(record, pooled))], mayBreakOff(record) ? Math.min(left, patience(ask.database)) : left);
+    const ran = await pooled.line.run(
+      [dialect.query(ask.copying ? dialect.ownIdentifier : ask.identifier, textOf(record, pooled))],
+      mayBreakOff(record) ? Math.min(left, patience(ask.database)) : left,
+    );
     const replied = ran.replies[0];
     // Also of one that was given up: should they all take longer by now, the next is waited for longer.
     noteSpan(ask.database, kernel.clock.now() - sentAt);
@@ -409,9 +444,19 @@
     if (!held) connections.giveBack(pooled, Option.isSome(replied));
     const fault = Option.isSome(replied) && replied.value.ending.kind === 'fault' ? replied.value.ending : undefined;
     const condition = fault?.condition ?? 'aborted';
-    if (!held && mayRepeat(record) && condition !== 'read-only' && !(Option.isSome(record.ask.transaction) && record.ask.transaction.value.failed)) {
+    if (
+      !held &&
+      mayRepeat(record) &&
+      condition !== 'read-only' &&
+      !(Option.isSome(record.ask.transaction) && record.ask.transaction.value.failed)
+    ) {
       retry(record, Option.isSome(record.target) && !record.target.value.leader ? [record.target.value.place.member] : []);
-    } else deny(record, condition === 'failed' || condition === 'undefined' || condition === 'malformed' ? 'aborted' : condition, retryText(100));
+    } else
+      deny(
+        record,
+        condition === 'failed' || condition === 'undefined' || condition === 'malformed' ? 'aborted' : condition,
+        retryText(100),
+      );
     sweep();
   }
 
@@ -425,7 +470,12 @@
       if (Option.isSome(ask.transaction)) abandon(ask.transaction.value);
       ask.session.unsettled = true;
       count('outcome-unknown');
-      reply(record, { rows: [], ending: { kind: 'fault', condition: 'outcome-unknown', text: 'the reply was lost; it may have run' }, stance: 'idle', position: Option.none });
+      reply(record, {
+        rows: [],
+        ending: { kind: 'fault', condition: 'outcome-unknown', text: 'the reply was lost; it may have run' },
+        stance: 'idle',
+        position: Option.none,
+      });
       return;
     }
     if (held) {
@@ -442,13 +492,20 @@
   function goesOn(record: RequestRecord, condition: Condition): boolean {
     if (Option.isSome(record.ask.transaction) || !mayRepeat(record)) return false;
     if (condition === 'undefined') return true;
-    return !record.ask.writes && (condition === 'saturated' || condition === 'lagging' || condition === 'failed' || condition === 'read-only');
+    return (
+      !record.ask.writes && (condition === 'saturated' || condition === 'lagging' || condition === 'failed' || condition === 'read-only')
+    );
   }
 
   /** Whether the lease of the epoch under which a statement was placed still ran as it left. */
   function wasLed(record: RequestRecord, sentAt: Instant): boolean {
     const { transaction, database } = record.ask;
-    const placed = Option.isSome(transaction) && Option.isSome(transaction.value.held) ? transaction.value.held.value.epoch : Option.isSome(record.target) ? record.target.value.epoch : 0;
+    const placed =
+      Option.isSome(transaction) && Option.isSome(transaction.value.held)
+        ? transaction.value.held.value.epoch
+        : Option.isSome(record.target)
+          ? record.target.value.epoch
+          : 0;
     const known = view().leaders.get(database.service);
     return known !== undefined && known.epoch === placed && known.until > sentAt;
   }
@@ -457,7 +514,10 @@
     const { ask } = record;
     const service = ask.database.service;
     const transaction = Option.isSome(ask.transaction) ? ask.transaction.value : undefined;
-    const leader = transaction !== undefined && Option.isSome(transaction.held) ? transaction.held.value.leader : Option.isSome(record.target) && record.target.value.leader;
+    const leader =
+      transaction !== undefined && Option.isSome(transaction.held)
+        ? transaction.held.value.leader
+        : Option.isSome(record.target) && record.target.value.leader;
     if (replied.ending.kind === 'fault') {
       const { condition } = replied.ending;
       count(`member.${condition}`);
@@ -494,9 +554,19 @@
       repliers.set(lastId, resolve);
       const hold = Math.max(leastHoldMilliseconds, asked.database.aimMilliseconds * holdShare);
       const record: RequestRecord = {
-        id: lastId, ask: asked, stage: 'waiting', arrivedAt: now, startedAt: Option.isSome(asked.transaction) ? asked.transaction.value.startedAt : now,
-        horizon: identifiers.after(now, asked.database.horizonMilliseconds), holdUntil: identifiers.after(now, hold), patientUntil: identifiers.after(now, asked.database.horizonMilliseconds * patientShare), shots: 0, without: new Set(), wanted: '',
-        target: Option.none, connection: Option.none,
+        id: lastId,
+        ask: asked,
+        stage: 'waiting',
+        arrivedAt: now,
+        startedAt: Option.isSome(asked.transaction) ? asked.transaction.value.startedAt : now,
+        horizon: identifiers.after(now, asked.database.horizonMilliseconds),
+        holdUntil: identifiers.after(now, hold),
+        patientUntil: identifiers.after(now, asked.database.horizonMilliseconds * patientShare),
+        shots: 0,
+        without: new Set(),
+        wanted: '',
+        target: Option.none,
+        connection: Option.none,
       };
       table.set(record.id, record);
       alone(() => run(record));
@@ -507,7 +577,14 @@
     let sum = 0;
     for (const record of table.values()) {
       const target = Option.isSome(record.target) ? record.target.value : undefined;
-      if (record.stage === 'sent' && record.ask.database.service === service && target !== undefined && target.leader && target.epoch < below) sum += 1;
+      if (
+        record.stage === 'sent' &&
+        record.ask.database.service === service &&
+        target !== undefined &&
+        target.leader &&
+        target.epoch < below
+      )
+        sum += 1;
     }
     return sum;
   }
--- a/packages/pooler/src/view.ts
+++ b/packages/pooler/src/view.ts
@@ -29,8 +29,18 @@
 }>;
 
 const empty: View = {
-  version: 0, sheet: Option.none, databases: new Map(), tenants: new Map(), leaders: new Map(), members: new Map(), byService: new Map(),
-  drainingSince: new Map(), edges: {}, demand: {}, area: '', node: '',
+  version: 0,
+  sheet: Option.none,
+  databases: new Map(),
+  tenants: new Map(),
+  leaders: new Map(),
+  members: new Map(),
+  byService: new Map(),
+  drainingSince: new Map(),
+  edges: {},
+  demand: {},
+  area: '',
+  node: '',
 };
 
 function grouped(entries: readonly RosterEntry[]): ReadonlyMap<string, readonly RosterEntry[]> {
@@ -45,7 +55,10 @@
 
 /** Neither a configuration nor an epoch is taken back, and a lease that was told stays true to its end, whoever feeds (design 3.4). */
 function fed(before: View, reply: Reply<'placement'>, saidAt: Instant, now: Instant): View {
-  const sheet = reply.configuration === null || reply.configuration.version <= before.version ? before.sheet : Option.some(reply.configuration.sheet as Sheet);
+  const sheet =
+    reply.configuration === null || reply.configuration.version <= before.version
+      ? before.sheet
+      : Option.some(reply.configuration.sheet as Sheet);
   const changed = sheet !== before.sheet;
   const leaders = new Map(before.leaders);
   for (const told of reply.services) {
@@ -55,19 +68,28 @@
     const same = known !== undefined && known.epoch === told.epoch;
     const release = Math.max(told.release, known?.release ?? 0);
     leaders.set(told.service, {
-      epoch: told.epoch, primary: told.primary, release,
+      epoch: told.epoch,
+      primary: told.primary,
+      release,
       until: release > told.epoch ? never : same && known.until > until ? known.until : until,
     });
   }
   const entries = reply.roster ?? [...before.members.values()];
-  const drainingSince = reply.roster === null ? before.drainingSince : new Map(
-    entries.filter((entry) => entry.draining).map((entry) => [entry.member, before.drainingSince.get(entry.member) ?? now] as const),
-  );
+  const drainingSince =
+    reply.roster === null
+      ? before.drainingSince
+      : new Map(
+          entries.filter((entry) => entry.draining).map((entry) => [entry.member, before.drainingSince.get(entry.member) ?? now] as const),
+        );
   return {
     version: changed && reply.configuration !== null ? reply.configuration.version : before.version,
     sheet,
-    databases: changed && Option.isSome(sheet) ? new Map(sheet.value.databases.map((database) => [database.database, database])) : before.databases,
-    tenants: changed && Option.isSome(sheet) ? new Map(sheet.value.tenants.flatMap((tenant) => tenant.keys.map((key) => [key, tenant] as const))) : before.tenants,
+    databases:
+      changed && Option.isSome(sheet) ? new Map(sheet.value.databases.map((database) => [database.database, database])) : before.databases,
+    tenants:
+      changed && Option.isSome(sheet)
+        ? new Map(sheet.value.tenants.flatMap((tenant) => tenant.keys.map((key) => [key, tenant] as const)))
+        : before.tenants,
     leaders,
     members: reply.roster === null ? before.members : new Map(entries.map((entry) => [entry.member, entry])),
     byService: reply.roster === null ? before.byService : grouped(entries),
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -2,7 +2,16 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, kernel as kernels, type Fault, type HttpReply, type HttpRequest, type HttpMapping, type Instant, type Kernel,
+  fault,
+  http,
+  identifiers,
+  kernel as kernels,
+  type Fault,
+  type HttpReply,
+  type HttpRequest,
+  type HttpMapping,
+  type Instant,
+  type Kernel,
 } from '@stallstall/kernel';
 import { message, type Reply, type ServiceFeed } from '@stallstall/message';
 import { peer } from '@stallstall/peer';
@@ -38,8 +47,13 @@
 
 const StatementSchema = Type.Object({
   kind: Type.Union(statementKinds.map((kind) => Type.Literal(kind))),
-  statements: Type.Array(Type.Object({ text: Type.String({ maxLength: 65_536 }), parameters: Type.Optional(Type.Array(Type.Unknown(), { maxItems: 1_000 })) }), { maxItems: 200 }),
-  transaction: Type.Optional(Type.Union([Type.Literal('none'), Type.Literal('begin'), Type.Literal('within'), Type.Literal('commit'), Type.Literal('rollback')])),
+  statements: Type.Array(
+    Type.Object({ text: Type.String({ maxLength: 65_536 }), parameters: Type.Optional(Type.Array(Type.Unknown(), { maxItems: 1_000 })) }),
+    { maxItems: 200 },
+  ),
+  transaction: Type.Optional(
+    Type.Union([Type.Literal('none'), Type.Literal('begin'), Type.Literal('within'), Type.Literal('commit'), Type.Literal('rollback')]),
+  ),
   atLeast: Type.Optional(Type.Integer({ minimum: 0 })),
   horizonMilliseconds: Type.Optional(Type.Integer({ minimum: 10, maximum: 60_000 })),
 });
@@ -50,7 +64,16 @@
 const never = identifiers.instant(Number.NEGATIVE_INFINITY);
 
 async function start(kernel: Kernel, settings: ProxySettings): Promise<Proxy> {
-  let known: Known = { sheet: Option.none, version: 0, area: '', table: new Map(), controlUntil: never, fences: new Map(), draining: false, overdue: () => false };
+  let known: Known = {
+    sheet: Option.none,
+    version: 0,
+    area: '',
+    table: new Map(),
+    controlUntil: never,
+    fences: new Map(),
+    draining: false,
+    overdue: () => false,
+  };
   let feed: Option.Option<Reply<'feed'>> = Option.none;
   let services: readonly KnownService[] = [];
   let drainingSince: Option.Option<Instant> = Option.none;
@@ -61,7 +84,13 @@
   const pool = pools.create(kernel, () => requests.sweep());
   const sessions = sessionTables.create(kernel, pool);
   const agent = peer.dial(kernel, identifiers.address(settings.feed));
-  const notes = noteTables.create(kernel, agent, self, (window) => requests.counts(window), () => requests.sweep());
+  const notes = noteTables.create(
+    kernel,
+    agent,
+    self,
+    (window) => requests.counts(window),
+    () => requests.sweep(),
+  );
   const requests = requestTables.create(kernel, () => known, pool, sessions, notes);
 
   // -- Fed by the agent: remaining terms are counted from this process's own send time (design 7.3).
@@ -76,7 +105,10 @@
     const told = reply.services.find((one) => one.service === service.service && one.epoch === service.epoch);
     return {
       epoch: service.epoch,
-      until: later(before?.epoch === service.epoch ? before.until : never, told === undefined ? never : identifiers.after(sentAt, told.fence)),
+      until: later(
+        before?.epoch === service.epoch ? before.until : never,
+        told === undefined ? never : identifiers.after(sentAt, told.fence),
+      ),
     };
   }
 
@@ -84,9 +116,15 @@
     const before = services.find((one) => one.service === told.service);
     if (before !== undefined && before.epoch > told.epoch) return before;
     return {
-      service: told.service, epoch: told.epoch, primary: told.primary, overdue: isOverdue(told.primary),
+      service: told.service,
+      epoch: told.epoch,
+      primary: told.primary,
+      overdue: isOverdue(told.primary),
       targets: told.targets.map((target) => ({
-        member: target.member, alive: target.alive, applied: target.applied, follows: target.follows,
+        member: target.member,
+        alive: target.alive,
+        applied: target.applied,
+        follows: target.follows,
         freshAt: target.freshAgo < 0 ? never : identifiers.after(sentAt, -target.freshAgo),
       })),
     };
@@ -126,7 +164,9 @@
   /** What the first sheet of this process says is no news to its edge: those members have had their time. */
   function noteGoing(sheet: Sheet): void {
     const first = Option.isNone(known.sheet);
-    const named = [...(Option.isSome(known.sheet) ? known.sheet.value.services : []), ...sheet.services].flatMap((service) => service.members.map((member) => member.member));
+    const named = [...(Option.isSome(known.sheet) ? known.sheet.value.services : []), ...sheet.services].flatMap((service) =>
+      service.members.map((member) => member.member),
+    );
     for (const member of named) {
       if (sheets.member(sheet, member)?.state === 'serving') goingSince.delete(member);
       else if (!goingSince.has(member)) goingSince.set(member, first ? never : kernel.clock.now());
@@ -140,7 +180,9 @@
 
   /** Not even an open transaction goes on, neither at a member that is overdue nor through an edge that is. */
   function isGone(member: string): boolean {
-    return isOverdue(member) || (Option.isSome(drainingSince) && kernel.clock.now() >= identifiers.after(drainingSince.value, openMilliseconds));
+    return (
+      isOverdue(member) || (Option.isSome(drainingSince) && kernel.clock.now() >= identifiers.after(drainingSince.value, openMilliseconds))
+    );
   }
 
   function endOverdue(): void {
@@ -153,9 +195,15 @@
   function wishes(): readonly MemberWish[] {
     if (Option.isNone(known.sheet) || Option.isNone(feed)) return [];
     const shares = feed.value.shares;
-    return known.sheet.value.services.flatMap((service) => service.members.map((member) => ({
-      service: service.service, member: member.member, address: member.address, epoch: known.fences.get(service.service)?.epoch ?? 0, cap: shares[service.service] ?? 0,
-    })));
+    return known.sheet.value.services.flatMap((service) =>
+      service.members.map((member) => ({
+        service: service.service,
+        member: member.member,
+        address: member.address,
+        epoch: known.fences.get(service.service)?.epoch ?? 0,
+        cap: shares[service.service] ?? 0,
+      })),
+    );
   }
 
   /** A withdrawn key ends its sessions, and with them any transaction under it (design 6.4). */
@@ -175,9 +223,15 @@
 
   async function askFeed(): Promise<void> {
     const sentAt = kernel.clock.now();
-    const reply = await agent.call('feed', {
-      configuration: known.version, open: { ...pool.open() }, metrics: { ...counted() },
-    }, 800);
+    const reply = await agent.call(
+      'feed',
+      {
+        configuration: known.version,
+        open: { ...pool.open() },
+        metrics: { ...counted() },
+      },
+      800,
+    );
     if (Option.isSome(reply)) takeFeed(reply.value, sentAt);
   }
 
@@ -203,7 +257,9 @@
   function sessionFor(request: HttpRequest, id: string): Either.Either<Fault, Session> {
     const session = sessions.find(id);
     if (Option.isNone(session) || session.value.key !== keyOf(request)) {
-      return Either.left(fault.create({ kind: 'session-lost', message: 'this edge holds no such session for this key', remedy: 'open another session' }));
+      return Either.left(
+        fault.create({ kind: 'session-lost', message: 'this edge holds no such session for this key', remedy: 'open another session' }),
+      );
     }
     session.value.touch();
     return Either.right(session.value);
@@ -211,10 +267,13 @@
 
   async function statement(request: HttpRequest): Promise<HttpReply> {
     if (!message.fits(StatementSchema, request.body)) {
-      return http.denied(fault.create({
-        kind: 'bad-request', message: 'a statement is {kind, statements: [{text, parameters}], transaction?, atLeast?, horizonMilliseconds?}',
-        remedy: `kind is one of ${statementKinds.join(', ')}; see docs/operations.md`,
-      }));
+      return http.denied(
+        fault.create({
+          kind: 'bad-request',
+          message: 'a statement is {kind, statements: [{text, parameters}], transaction?, atLeast?, horizonMilliseconds?}',
+          remedy: `kind is one of ${statementKinds.join(', ')}; see docs/operations.md`,
+        }),
+      );
     }
     const body = request.body as StatementBody;
     const service = request.query['service'] ?? '';
@@ -224,16 +283,39 @@
       const session = sessionFor(request, named.value);
       if (Either.isLeft(session)) return http.denied(session.left);
       if (session.right.service !== service) {
-        return http.denied(fault.create({ kind: 'bad-request', message: `this session is of ${session.right.service}`, remedy: 'open a session for each service' }));
+        return http.denied(
+          fault.create({
+            kind: 'bad-request',
+            message: `this session is of ${session.right.service}`,
+            remedy: 'open a session for each service',
+          }),
+        );
       }
       if ((transaction === 'none' || transaction === 'begin') && Option.isSome(session.right.pinned())) {
-        return http.denied(fault.create({ kind: 'bad-request', message: 'a transaction is open in this session', remedy: 'send transaction "within", "commit" or "rollback"' }));
+        return http.denied(
+          fault.create({
+            kind: 'bad-request',
+            message: 'a transaction is open in this session',
+            remedy: 'send transaction "within", "commit" or "rollback"',
+          }),
+        );
       }
     } else if (transaction !== 'none') {
-      return http.denied(fault.create({ kind: 'bad-request', message: 'a transaction needs a session', remedy: 'open one and name it in x-stallstall-session' }));
+      return http.denied(
+        fault.create({
+          kind: 'bad-request',
+          message: 'a transaction needs a session',
+          remedy: 'open one and name it in x-stallstall-session',
+        }),
+      );
     }
     const outcome = await requests.ask({
-      service, kind: body.kind as never, key: keyOf(request), transaction, session: named, atLeast: body.atLeast ?? 0,
+      service,
+      kind: body.kind as never,
+      key: keyOf(request),
+      transaction,
+      session: named,
+      atLeast: body.atLeast ?? 0,
       statements: body.statements.map((one) => ({ text: one.text, parameters: one.parameters ?? [] })),
       horizonMilliseconds: body.horizonMilliseconds ?? defaultHorizonMilliseconds,
     });
@@ -244,10 +326,14 @@
   async function mapped(request: HttpRequest): Promise<HttpReply> {
     const named = request.query['mapping'] ?? '';
     const mapping = Option.isSome(known.sheet) ? sheets.mapping(known.sheet.value, named) : undefined;
-    if (mapping === undefined) return http.denied(fault.create({ kind: 'not-found', message: `no sheet names a mapping ${named}`, remedy: 'check the name' }));
-    const { parameters, ...rest } = (typeof request.body === 'object' && request.body !== null ? request.body : {}) as Readonly<Record<string, unknown>>;
+    if (mapping === undefined)
+      return http.denied(fault.create({ kind: 'not-found', message: `no sheet names a mapping ${named}`, remedy: 'check the name' }));
+    const { parameters, ...rest } = (typeof request.body === 'object' && request.body !== null ? request.body : {}) as Readonly<
+      Record<string, unknown>
+    >;
     return statement({
-      ...request, query: { ...request.query, service: mapping.service },
+      ...request,
+      query: { ...request.query, service: mapping.service },
       body: { ...rest, kind: mapping.kind, statements: [{ text: mapping.text, ...(parameters === undefined ? {} : { parameters }) }] },
     });
   }
@@ -255,11 +341,27 @@
   async function openSession(request: HttpRequest): Promise<HttpReply> {
     const service = request.query['service'] ?? '';
     if (known.controlUntil <= kernel.clock.now()) {
-      return http.denied(fault.create({ kind: 'stale-configuration', message: 'this edge has not heard from a majority of cores within its term', remedy: 'try another edge', retryAfterSeconds: 1 }));
+      return http.denied(
+        fault.create({
+          kind: 'stale-configuration',
+          message: 'this edge has not heard from a majority of cores within its term',
+          remedy: 'try another edge',
+          retryAfterSeconds: 1,
+        }),
+      );
     }
-    if (known.draining) return http.denied(fault.create({ kind: 'draining', message: 'this edge is draining', remedy: 'send it to another edge', retryAfterSeconds: 1 }));
+    if (known.draining)
+      return http.denied(
+        fault.create({ kind: 'draining', message: 'this edge is draining', remedy: 'send it to another edge', retryAfterSeconds: 1 }),
+      );
     if (!mayHold(keyOf(request), service)) {
-      return http.denied(fault.create({ kind: 'key-denied', message: `this key may not open a session on ${service}`, remedy: 'ask the operators for a key that may' }));
+      return http.denied(
+        fault.create({
+          kind: 'key-denied',
+          message: `this key may not open a session on ${service}`,
+          remedy: 'ask the operators for a key that may',
+        }),
+      );
     }
     return { status: 201, body: { session: sessions.open(keyOf(request), service).id } };
   }
@@ -274,7 +376,9 @@
     const session = sessionFor(request, request.query['session'] ?? '');
     if (Either.isLeft(session)) return http.denied(session.left);
     if (!message.fits(ValueSchema, request.body)) {
-      return http.denied(fault.create({ kind: 'bad-request', message: 'a session value is {"value": text, number or truth}', remedy: 'send that shape' }));
+      return http.denied(
+        fault.create({ kind: 'bad-request', message: 'a session value is {"value": text, number or truth}', remedy: 'send that shape' }),
+      );
     }
     session.right.setValue(request.query['name'] ?? '', request.body.value);
     return { status: 200, body: { set: true } };
@@ -298,10 +402,18 @@
     { method: 'PUT', path: '/v1/sessions/:session/values/:name', handle: setValue },
     { method: 'PUT', path: '/v1/sessions/:session/shapes/:name', handle: setShape },
     { method: 'GET', path: '/live', handle: async () => ({ status: 200, body: { live: true } }) },
-    { method: 'GET', path: '/ready', handle: async () => ({ status: ready() ? 200 : 503, body: { ready: ready(), configuration: known.version } }) },
     {
-      method: 'GET', path: '/v1/state',
-      handle: async () => ({ status: 200, body: { configuration: known.version, inFlight: requests.inFlight(), connections: pool.describe(), totals: counted() } }),
+      method: 'GET',
+      path: '/ready',
+      handle: async () => ({ status: ready() ? 200 : 503, body: { ready: ready(), configuration: known.version } }),
+    },
+    {
+      method: 'GET',
+      path: '/v1/state',
+      handle: async () => ({
+        status: 200,
+        body: { configuration: known.version, inFlight: requests.inFlight(), connections: pool.describe(), totals: counted() },
+      }),
     },
   ];
 
@@ -321,7 +433,8 @@
   }
 
   const listening = await kernel.network.serve(identifiers.address(settings.address), {
-    mappings: mappings.map(noted), connectionClosed: (connection) => void connected.delete(connection),
+    mappings: mappings.map(noted),
+    connectionClosed: (connection) => void connected.delete(connection),
   });
 
   function tick(): void {
@@ -347,7 +460,10 @@
     noteDraining();
     const horizon = identifiers.after(kernel.clock.now(), graceMilliseconds);
     await kernel.clock.sleep(lameMilliseconds);
-    while (kernel.clock.now() < horizon && (connected.size > 0 || requests.inFlight() > 0 || sessions.all().some((session) => Option.isSome(session.pinned())))) {
+    while (
+      kernel.clock.now() < horizon &&
+      (connected.size > 0 || requests.inFlight() > 0 || sessions.all().some((session) => Option.isSome(session.pinned())))
+    ) {
       await kernel.clock.sleep(sweepMilliseconds);
     }
     await notes.flush();
--- a/packages/proxy/src/notes.ts
+++ b/packages/proxy/src/notes.ts
@@ -48,7 +48,9 @@
     const startedAt = kernel.clock.now();
     const wall = kernel.clock.wall();
     const window = Math.floor(wall / windowMilliseconds);
-    const usage = counts(window).map((one) => ({ window: one.window, counts: { ...one.counts } })).filter((one) => told.get(one.window) !== JSON.stringify(one.counts));
+    const usage = counts(window)
+      .map((one) => ({ window: one.window, counts: { ...one.counts } }))
+      .filter((one) => told.get(one.window) !== JSON.stringify(one.counts));
     const reply = await agent.call('tell', { number, floors: { ...floors }, usage, through: wall, incarnation }, tellMilliseconds);
     asked += 1;
     spent += kernel.clock.now() - startedAt;
--- a/packages/proxy/src/requests.ts
+++ b/packages/proxy/src/requests.ts
@@ -50,7 +50,15 @@
 }>;
 
 /** A reply that has come and waits for its note. */
-type Noting = Readonly<{ record: RequestRecord; choice: Choice; epoch: number; session: Option.Option<Session>; number: number; since: Instant; outcome: Outcome }>;
+type Noting = Readonly<{
+  record: RequestRecord;
+  choice: Choice;
+  epoch: number;
+  session: Option.Option<Session>;
+  number: number;
+  since: Instant;
+  outcome: Outcome;
+}>;
 
 /** What a member says of a statement that it ran; anything else of status 200 is no reply at all. */
 type Told = Readonly<{ results: readonly unknown[]; position: number }>;
@@ -71,7 +79,10 @@
 
 function outcomeUnknown(message: string): Fault {
   return fault.create({
-    kind: 'outcome-unknown', message, remedy: 'read back whether it took effect before asking again', retryAfterSeconds,
+    kind: 'outcome-unknown',
+    message,
+    remedy: 'read back whether it took effect before asking again',
+    retryAfterSeconds,
   });
 }
 
@@ -130,16 +141,25 @@
     const now = kernel.clock.now();
     const current = known();
     if (current.controlUntil <= now) {
-      return Option.some(fault.create({
-        kind: 'stale-configuration', message: 'this edge has not heard from a majority of cores within its term',
-        remedy: 'try another edge, or again shortly', retryAfterSeconds,
-      }));
+      return Option.some(
+        fault.create({
+          kind: 'stale-configuration',
+          message: 'this edge has not heard from a majority of cores within its term',
+          remedy: 'try another edge, or again shortly',
+          retryAfterSeconds,
+        }),
+      );
     }
     const fence = current.fences.get(service);
     if (leader && (fence === undefined || fence.epoch !== epoch || fence.until <= now)) {
-      return Option.some(fault.create({
-        kind: 'read-only', message: `READONLY: this edge is fenced for ${service}`, remedy: 'try another edge, or again when it sees a majority', retryAfterSeconds,
-      }));
+      return Option.some(
+        fault.create({
+          kind: 'read-only',
+          message: `READONLY: this edge is fenced for ${service}`,
+          remedy: 'try another edge, or again when it sees a majority',
+          retryAfterSeconds,
+        }),
+      );
     }
     return Option.none;
   }
@@ -149,9 +169,15 @@
   function expire(record: RequestRecord): RequestRecord {
     if (kernel.clock.now() < record.horizon) return record;
     if (record.stage === 'sent') return record;
-    return deny(record, fault.create({
-      kind: 'given-up', message: 'no connection to a fitting member came free in time; nothing was sent', remedy: 'try again later', retryAfterSeconds,
-    }));
+    return deny(
+      record,
+      fault.create({
+        kind: 'given-up',
+        message: 'no connection to a fitting member came free in time; nothing was sent',
+        remedy: 'try again later',
+        retryAfterSeconds,
+      }),
+    );
   }
 
   function letIn(record: RequestRecord): RequestRecord {
@@ -160,20 +186,41 @@
     const stale = fenceFault(ask.service, 0, false);
     if (Option.isSome(stale)) return deny(record, stale.value);
     if (Option.isNone(current.sheet) || sheets.service(current.sheet.value, ask.service) === undefined) {
-      return deny(record, fault.create({ kind: 'not-found', message: `no sheet names a service ${ask.service}`, remedy: 'check the name' }));
+      return deny(
+        record,
+        fault.create({ kind: 'not-found', message: `no sheet names a service ${ask.service}`, remedy: 'check the name' }),
+      );
     }
     if (!sheets.allows(current.sheet.value, ask.key, ask.service, ask.kind)) {
-      return deny(record, fault.create({ kind: 'key-denied', message: `this key may not send ${ask.kind} to ${ask.service}`, remedy: 'ask the operators for a key that may' }));
+      return deny(
+        record,
+        fault.create({
+          kind: 'key-denied',
+          message: `this key may not send ${ask.kind} to ${ask.service}`,
+          remedy: 'ask the operators for a key that may',
+        }),
+      );
     }
     if (record.stage !== 'arrived') return record;
     if (current.draining && (ask.transaction === 'none' || ask.transaction === 'begin')) {
-      return deny(record, fault.create({ kind: 'draining', message: 'this edge is draining', remedy: 'send it to another edge', retryAfterSeconds }));
+      return deny(
+        record,
+        fault.create({ kind: 'draining', message: 'this edge is draining', remedy: 'send it to another edge', retryAfterSeconds }),
+      );
     }
     const row = sheets.row(current.sheet.value, ask.service, current.area);
     let waiting = 0;
     for (const other of table.values()) if (other.stage === 'waiting' && other.ask.service === ask.service) waiting += 1;
     if (row !== undefined && waiting >= row.mostWaiting) {
-      return deny(record, fault.create({ kind: 'overloaded', message: `${waiting} requests for ${ask.service} wait here already`, remedy: 'try again later', retryAfterSeconds }));
+      return deny(
+        record,
+        fault.create({
+          kind: 'overloaded',
+          message: `${waiting} requests for ${ask.service} wait here already`,
+          remedy: 'try again later',
+          retryAfterSeconds,
+        }),
+      );
     }
     return { ...record, stage: 'waiting' };
   }
@@ -185,7 +232,15 @@
     const atLeast = ask.kind === 'own-read' ? Math.max(ask.atLeast, Option.isSome(session) ? session.value.lastCommit(ask.service) : 0) : 0;
     let without = record.without;
     for (;;) {
-      const judged = verdicts.judge(known().table, ask.service, ask.kind, kernel.clock.now(), kernel.randomness.fraction(), atLeast, without);
+      const judged = verdicts.judge(
+        known().table,
+        ask.service,
+        ask.kind,
+        kernel.clock.now(),
+        kernel.randomness.fraction(),
+        atLeast,
+        without,
+      );
       if (Either.isLeft(judged)) return deny(record, judged.left);
       if (!pool.unreachable(judged.right.choice.member)) return { ...record, target: Option.some(judged.right) };
       without = new Set([...without, judged.right.choice.member]);
@@ -198,17 +253,32 @@
     const pinned = Option.isSome(session) ? session.value.pinned() : Option.none;
     if (Option.isSome(pinned) && known().overdue(pinned.value.choice.member)) {
       endTransaction(session);
-      return deny(record, fault.create({
-        kind: 'transaction-ended', message: `${pinned.value.choice.member} or this edge is to go and waits no longer; nothing of the transaction was kept`,
-        remedy: 'begin it again from its first statement', retryAfterSeconds,
-      }));
+      return deny(
+        record,
+        fault.create({
+          kind: 'transaction-ended',
+          message: `${pinned.value.choice.member} or this edge is to go and waits no longer; nothing of the transaction was kept`,
+          remedy: 'begin it again from its first statement',
+          retryAfterSeconds,
+        }),
+      );
     }
     if (Option.isNone(pinned)) {
-      return deny(record, fault.create({
-        kind: 'transaction-ended', message: 'no transaction is open in this session; nothing of it was kept', remedy: 'begin it again from its first statement', retryAfterSeconds,
-      }));
+      return deny(
+        record,
+        fault.create({
+          kind: 'transaction-ended',
+          message: 'no transaction is open in this session; nothing of it was kept',
+          remedy: 'begin it again from its first statement',
+          retryAfterSeconds,
+        }),
+      );
     }
-    return { ...record, target: Option.some({ choice: pinned.value.choice, epoch: pinned.value.connection.epoch }), connection: Option.some(pinned.value.connection) };
+    return {
+      ...record,
+      target: Option.some({ choice: pinned.value.choice, epoch: pinned.value.connection.epoch }),
+      connection: Option.some(pinned.value.connection),
+    };
   }
 
   function place(record: RequestRecord): RequestRecord {
@@ -291,24 +361,34 @@
     pool.giveBack(pinned.value.connection, false);
   }
 
-  async function exchange(record: RequestRecord, connection: MemberConnection, choice: Choice, epoch: number, session: Option.Option<Session>): Promise<void> {
+  async function exchange(
+    record: RequestRecord,
+    connection: MemberConnection,
+    choice: Choice,
+    epoch: number,
+    session: Option.Option<Session>,
+  ): Promise<void> {
     const { ask } = record;
     const sentAt = kernel.clock.now();
     count('exchanges');
     count('waitMilliseconds', sentAt - record.arrivedAt);
     const left = Math.max(1, record.horizon - sentAt);
-    const result = await connection.exchange({
-      method: 'POST', path: '/run',
-      body: {
-        readOnly: ask.kind !== 'write',
-        transaction: ask.transaction,
-        // The member forgets what an earlier session left on this connection before anything runs (design 8.2).
-        reset: !isPinned(record),
-        values: Option.isSome(session) ? session.value.values() : {},
-        shapes: Option.isSome(session) ? session.value.shapes() : {},
-        statements: ask.statements,
+    const result = await connection.exchange(
+      {
+        method: 'POST',
+        path: '/run',
+        body: {
+          readOnly: ask.kind !== 'write',
+          transaction: ask.transaction,
+          // The member forgets what an earlier session left on this connection before anything runs (design 8.2).
+          reset: !isPinned(record),
+          values: Option.isSome(session) ? session.value.values() : {},
+          shapes: Option.isSome(session) ? session.value.shapes() : {},
+          statements: ask.statements,
+        },
       },
-    }, left);
+      left,
+    );
     count('exchangeMilliseconds', kernel.clock.now() - sentAt);
     if (Option.isSome(session)) session.value.setBusy(false);
     settle(record, connection, choice, epoch, session, result);
@@ -318,22 +398,41 @@
   }
 
   function settle(
-    record: RequestRecord, connection: MemberConnection, choice: Choice, epoch: number, session: Option.Option<Session>, result: Either.Either<Fault, HttpReply>,
+    record: RequestRecord,
+    connection: MemberConnection,
+    choice: Choice,
+    epoch: number,
+    session: Option.Option<Session>,
+    result: Either.Either<Fault, HttpReply>,
   ): void {
     if (Either.isLeft(result)) return settleLost(record, connection, choice, session, result.left);
     const told = toldOf(result.right);
     if (Option.isSome(told)) return settleSound(record, connection, choice, epoch, session, told.value);
     if (isDenial(result.right)) return settleDenied(record, connection, session, result.right);
-    settleLost(record, connection, choice, session, fault.create({
-      kind: 'reply-lost', message: `${choice.member} answered ${result.right.status} with nothing that can be read`, remedy: 'see what stands between this edge and the member',
-    }));
+    settleLost(
+      record,
+      connection,
+      choice,
+      session,
+      fault.create({
+        kind: 'reply-lost',
+        message: `${choice.member} answered ${result.right.status} with nothing that can be read`,
+        remedy: 'see what stands between this edge and the member',
+      }),
+    );
   }
 
   function commits(record: RequestRecord): boolean {
     return record.ask.kind === 'write' && (record.ask.transaction === 'none' || record.ask.transaction === 'commit');
   }
 
-  function settleLost(record: RequestRecord, connection: MemberConnection, choice: Choice, session: Option.Option<Session>, error: Fault): void {
+  function settleLost(
+    record: RequestRecord,
+    connection: MemberConnection,
+    choice: Choice,
+    session: Option.Option<Session>,
+    error: Fault,
+  ): void {
     if (isPinned(record)) endTransaction(session);
     else pool.giveBack(connection, false);
     const nothingLeft = fault.kind(error) === 'unreachable';
@@ -342,13 +441,27 @@
       return;
     }
     if (isPinned(record) || record.ask.transaction === 'begin') {
-      deny(record, fault.create({
-        kind: 'transaction-ended', message: `the connection to ${choice.member} broke; nothing of the transaction was kept`, remedy: 'begin it again from its first statement', retryAfterSeconds,
-      }));
+      deny(
+        record,
+        fault.create({
+          kind: 'transaction-ended',
+          message: `the connection to ${choice.member} broke; nothing of the transaction was kept`,
+          remedy: 'begin it again from its first statement',
+          retryAfterSeconds,
+        }),
+      );
       return;
     }
     if (record.shots >= mostShots || kernel.clock.now() >= record.horizon) {
-      deny(record, fault.create({ kind: 'given-up', message: `${record.shots} shots at ${record.ask.kind} failed; nothing was kept`, remedy: 'try again later', retryAfterSeconds }));
+      deny(
+        record,
+        fault.create({
+          kind: 'given-up',
+          message: `${record.shots} shots at ${record.ask.kind} failed; nothing was kept`,
+          remedy: 'try again later',
+          retryAfterSeconds,
+        }),
+      );
       return;
     }
     const without = new Set([...record.without, ...(choice.leader ? [] : [choice.member])]);
@@ -360,16 +473,23 @@
     const { status } = reply;
     if (isPinned(record)) endTransaction(session);
     else pool.giveBack(connection, status === 409);
-    deny(record, fault.create({
-      kind: status === 503 ? 'read-only' : 'statement-denied',
-      message: `the member denied it: ${String(bodyOf(reply)['message']).slice(0, 300)}`,
-      remedy: status === 503 ? 'try again shortly' : 'mend the statement',
-      ...(status === 503 ? { retryAfterSeconds } : {}),
-    }));
+    deny(
+      record,
+      fault.create({
+        kind: status === 503 ? 'read-only' : 'statement-denied',
+        message: `the member denied it: ${String(bodyOf(reply)['message']).slice(0, 300)}`,
+        remedy: status === 503 ? 'try again shortly' : 'mend the statement',
+        ...(status === 503 ? { retryAfterSeconds } : {}),
+      }),
+    );
   }
 
   function settleSound(
-    record: RequestRecord, connection: MemberConnection, choice: Choice, epoch: number, session: Option.Option<Session>,
+    record: RequestRecord,
+    connection: MemberConnection,
+    choice: Choice,
+    epoch: number,
+    session: Option.Option<Session>,
     told: Told,
   ): void {
     const { ask } = record;
@@ -377,7 +497,14 @@
     if (ask.transaction === 'begin' && Option.isSome(session)) {
       if (session.value.ended()) {
         pool.giveBack(connection, false);
-        deny(record, fault.create({ kind: 'session-lost', message: 'the session was closed meanwhile; nothing was kept', remedy: 'open another session' }));
+        deny(
+          record,
+          fault.create({
+            kind: 'session-lost',
+            message: 'the session was closed meanwhile; nothing was kept',
+            remedy: 'open another session',
+          }),
+        );
         return;
       }
       session.value.pin({ connection, choice });
@@ -389,7 +516,12 @@
     } else pool.giveBack(connection, true);
     if (commits(record) && Option.isSome(session)) session.value.committed(ask.service, position);
     const waits: Noting = {
-      record: { ...record, stage: 'noting' }, choice, epoch, session, since: kernel.clock.now(), number: notes.next(),
+      record: { ...record, stage: 'noting' },
+      choice,
+      epoch,
+      session,
+      since: kernel.clock.now(),
+      number: notes.next(),
       outcome: Either.right({ results, position, member: choice.member, verdict: choice.here ? 'run' : 'relay' }),
     };
     // Counted first, so that the telling which lets it go holds it.
@@ -415,8 +547,27 @@
       return;
     }
     if (record.ask.transaction === 'begin' || record.ask.transaction === 'within') endTransaction(session);
-    if (commits(record)) deny(record, outcomeUnknown(Option.isSome(fenced) ? 'this edge was fenced before the reply could be passed on' : 'the cores did not note in time how far it reaches'));
-    else deny(record, Option.isSome(fenced) ? fenced.value : fault.create({ kind: 'given-up', message: 'the cores did not note in time what was read', remedy: 'try again shortly', retryAfterSeconds }));
+    if (commits(record))
+      deny(
+        record,
+        outcomeUnknown(
+          Option.isSome(fenced)
+            ? 'this edge was fenced before the reply could be passed on'
+            : 'the cores did not note in time how far it reaches',
+        ),
+      );
+    else
+      deny(
+        record,
+        Option.isSome(fenced)
+          ? fenced.value
+          : fault.create({
+              kind: 'given-up',
+              message: 'the cores did not note in time what was read',
+              remedy: 'try again shortly',
+              retryAfterSeconds,
+            }),
+      );
   }
 
   function countUsage(service: string, window: number): void {
@@ -439,8 +590,15 @@
       lastId += 1;
       repliers.set(lastId, resolve);
       const record: RequestRecord = {
-        id: lastId, ask: asked, stage: 'arrived', arrivedAt: kernel.clock.now(), horizon: identifiers.after(kernel.clock.now(), asked.horizonMilliseconds), shots: 0,
-        without: new Set(), target: Option.none, connection: Option.none,
+        id: lastId,
+        ask: asked,
+        stage: 'arrived',
+        arrivedAt: kernel.clock.now(),
+        horizon: identifiers.after(kernel.clock.now(), asked.horizonMilliseconds),
+        shots: 0,
+        without: new Set(),
+        target: Option.none,
+        connection: Option.none,
       };
       alone(() => run(record));
     });
--- a/packages/register/src/acceptor.ts
+++ b/packages/register/src/acceptor.ts
@@ -2,7 +2,17 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { fault, owner, type Disk, type Fault, type Owner } from '@stallstall/kernel';
-import { ballotZero, EntrySchema, BallotSchema, message, type Ask, type Ballot, type CoreSet, type Entry, type Reply } from '@stallstall/message';
+import {
+  ballotZero,
+  EntrySchema,
+  BallotSchema,
+  message,
+  type Ask,
+  type Ballot,
+  type CoreSet,
+  type Entry,
+  type Reply,
+} from '@stallstall/message';
 
 export type CellState = Readonly<{ promised: Ballot; accepted: Entry | null }>;
 
@@ -49,7 +59,9 @@
 function isCellState(value: unknown): value is CellState {
   const cell = value as Partial<CellState> | null;
   return (
-    typeof cell === 'object' && cell !== null && message.fits(BallotSchema, cell.promised) &&
+    typeof cell === 'object' &&
+    cell !== null &&
+    message.fits(BallotSchema, cell.promised) &&
     (cell.accepted === null || message.fits(EntrySchema, cell.accepted))
   );
 }
@@ -62,7 +74,11 @@
 }
 
 function create(
-  disk: Disk, stored: ReadonlyMap<string, unknown>, onAccepted: (key: string, entry: Entry) => void, onDiskFailed: (error: Fault) => void, standing: Standing = unchanging,
+  disk: Disk,
+  stored: ReadonlyMap<string, unknown>,
+  onAccepted: (key: string, entry: Entry) => void,
+  onDiskFailed: (error: Fault) => void,
+  standing: Standing = unchanging,
 ): Acceptor {
   const cells = new Map<string, Owner<Cell>>();
   const states = new Map<string, CellState>();
@@ -93,7 +109,13 @@
       const stored = await disk.read(prefix + key);
       if (Option.isNone(stored)) return command({ state: unborn });
       if (isCellState(stored.value)) return command({ state: stored.value });
-      onDiskFailed(fault.create({ kind: 'disk-failed', message: `the entry ${key} cannot be read`, remedy: 'start this core with an empty folder, so that it copies the others' }));
+      onDiskFailed(
+        fault.create({
+          kind: 'disk-failed',
+          message: `the entry ${key} cannot be read`,
+          remedy: 'start this core with an empty folder, so that it copies the others',
+        }),
+      );
       return unread;
     });
   }
--- a/packages/register/src/keeper.ts
+++ b/packages/register/src/keeper.ts
@@ -31,12 +31,20 @@
   const latest = new Map<string, UsageReport>();
   for (const report of reports) if (report.number > (latest.get(sourceOf(report))?.number ?? -1)) latest.set(sourceOf(report), report);
   const total: Record<string, number> = {};
-  for (const { counts } of latest.values()) for (const [service, count] of Object.entries(counts)) total[service] = (total[service] ?? 0) + count;
+  for (const { counts } of latest.values())
+    for (const [service, count] of Object.entries(counts)) total[service] = (total[service] ?? 0) + count;
   return total;
 }
 
 /** `dirty`: windows whose entry on the disk is behind. */
-type Table = { floors: Floors; readonly reports: Map<number, Map<string, UsageReport>>; readonly through: Map<string, number>; readonly dirty: Set<number>; changes: number; synced: number };
+type Table = {
+  floors: Floors;
+  readonly reports: Map<number, Map<string, UsageReport>>;
+  readonly through: Map<string, number>;
+  readonly dirty: Set<number>;
+  changes: number;
+  synced: number;
+};
 
 function create(kernel: Kernel, disk: Disk, stored: ReadonlyMap<string, unknown>, onDiskFailed: (error: Fault) => void): Keeper {
   const table: Table = { floors: {}, reports: new Map(), through: new Map(), dirty: new Set(), changes: 0, synced: 0 };
@@ -106,7 +114,11 @@
 
   return {
     keep,
-    all: () => ({ floors: { ...table.floors }, reports: [...table.reports.keys()].flatMap(reportsOf), through: Object.fromEntries(table.through) }),
+    all: () => ({
+      floors: { ...table.floors },
+      reports: [...table.reports.keys()].flatMap(reportsOf),
+      through: Object.fromEntries(table.through),
+    }),
     synced: () => table.synced >= table.changes,
     look: (window) => ({ ready: open, reports: reportsOf(window), through: Object.fromEntries(table.through) }),
     open: function start() {
--- a/packages/register/src/notes.ts
+++ b/packages/register/src/notes.ts
@@ -31,9 +31,16 @@
       function settle(): void {
         if (size > 0 && kept >= needed) resolve(Either.right(floors));
         else if (left === 0) {
-          resolve(Either.left(fault.create({
-            kind: 'no-majority', message: `only ${kept} of ${size} core disks have noted it`, remedy: 'bring cores back, or mend their disks', retryAfterSeconds: 1,
-          })));
+          resolve(
+            Either.left(
+              fault.create({
+                kind: 'no-majority',
+                message: `only ${kept} of ${size} core disks have noted it`,
+                remedy: 'bring cores back, or mend their disks',
+                retryAfterSeconds: 1,
+              }),
+            ),
+          );
         }
       }
       async function ask(target: NoteTarget): Promise<void> {
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -27,13 +27,18 @@
    * Hands the chosen value to `decide`; what it returns takes the next version, none keeps what stands. A shot whose
    * fate is not known is followed by another, so `decide` must know its own work when it sees it.
    */
-  change: (key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>, milliseconds?: number) => Promise<Either.Either<Fault, Changed>>;
+  change: (
+    key: string,
+    decide: (current: Option.Option<Entry>) => Option.Option<unknown>,
+    milliseconds?: number,
+  ) => Promise<Either.Either<Fault, Changed>>;
 }>;
 
-export type NumberedRegister = Register & Readonly<{
-  /** The register under one set of cores alone: once another is stood at here, reads and changes fail (design 4.8). */
-  under: (set: number) => Register;
-}>;
+export type NumberedRegister = Register &
+  Readonly<{
+    /** The register under one set of cores alone: once another is stood at here, reads and changes fail (design 4.8). */
+    under: (set: number) => Register;
+  }>;
 
 const callMilliseconds = 800;
 const defaultHorizonMilliseconds = 4_000;
@@ -48,7 +53,14 @@
  * fallen silent.
  */
 function gather<Kind extends RegisterKind>(
-  kernel: Kernel, targets: readonly RegisterTarget[], kind: Kind, body: Ask<Kind>, milliseconds: number, enough: (replies: readonly Replied[]) => boolean, learn: CoreSets['learn'], more = 0,
+  kernel: Kernel,
+  targets: readonly RegisterTarget[],
+  kind: Kind,
+  body: Ask<Kind>,
+  milliseconds: number,
+  enough: (replies: readonly Replied[]) => boolean,
+  learn: CoreSets['learn'],
+  more = 0,
 ): Promise<readonly Replied[]> {
   return new Promise(function collect(resolve) {
     let settling = false;
@@ -92,7 +104,13 @@
   });
 }
 
-function create(kernel: Kernel, name: string, targets: () => readonly RegisterTarget[], total: () => number, sets: CoreSets = unchangingSets): NumberedRegister {
+function create(
+  kernel: Kernel,
+  name: string,
+  targets: () => readonly RegisterTarget[],
+  total: () => number,
+  sets: CoreSets = unchangingSets,
+): NumberedRegister {
   const proposer = `${name}#${kernel.randomness.token()}`;
   let counter = 0;
 
@@ -115,18 +133,35 @@
   }
 
   /** Taken once for each round: its disks, its majority and its number are of one set (design 4.8). */
-  type Round = Readonly<{ asked: readonly RegisterTarget[]; set: Readonly<{ set?: number }>; majorityOf: (replies: readonly Replied[]) => boolean }>;
+  type Round = Readonly<{
+    asked: readonly RegisterTarget[];
+    set: Readonly<{ set?: number }>;
+    majorityOf: (replies: readonly Replied[]) => boolean;
+  }>;
 
   function begin(): Round {
     const size = total();
     const number = sets.number();
-    return { asked: targets(), set: number === 0 ? {} : { set: number }, majorityOf: (replies) => size > 0 && replies.length >= quorum.majority(size) };
+    return {
+      asked: targets(),
+      set: number === 0 ? {} : { set: number },
+      majorityOf: (replies) => size > 0 && replies.length >= quorum.majority(size),
+    };
   }
 
   async function shot(key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>): Promise<Option.Option<Changed>> {
     const ballot = nextBallot();
     const { asked, set, majorityOf } = begin();
-    const promised = await gather(kernel, asked, 'prepare', { key, ballot, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn, lateMilliseconds);
+    const promised = await gather(
+      kernel,
+      asked,
+      'prepare',
+      { key, ballot, ...set },
+      callMilliseconds,
+      (replies) => majorityOf(agreed(replies)),
+      sets.learn,
+      lateMilliseconds,
+    );
     learn(promised);
     const promises = agreed(promised);
     if (!majorityOf(promises)) return Option.none;
@@ -137,7 +172,15 @@
       ? { ballot, version: Option.isSome(current) ? current.value.version + 1 : 1, value: decided.value }
       : { ...(current as Option.Some<Entry>).value, ballot };
     // Only those whose promises were counted are asked to accept (design 5.1).
-    const accepted = await gather(kernel, promises.map((one) => one.target), 'accept', { key, entry, ...set }, callMilliseconds, (replies) => majorityOf(agreed(replies)), sets.learn);
+    const accepted = await gather(
+      kernel,
+      promises.map((one) => one.target),
+      'accept',
+      { key, entry, ...set },
+      callMilliseconds,
+      (replies) => majorityOf(agreed(replies)),
+      sets.learn,
+    );
     learn(accepted);
     return majorityOf(agreed(accepted)) ? Option.some({ wrote: Option.isSome(decided), entry: Option.some(entry) }) : Option.none;
   }
@@ -148,7 +191,9 @@
 
   function counting(holds: () => boolean): Register {
     async function change(
-      key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>, milliseconds = defaultHorizonMilliseconds,
+      key: string,
+      decide: (current: Option.Option<Entry>) => Option.Option<unknown>,
+      milliseconds = defaultHorizonMilliseconds,
     ): Promise<Either.Either<Fault, Changed>> {
       const horizon = identifiers.after(kernel.clock.now(), milliseconds);
       for (let shots = 1; holds(); shots += 1) {
--- a/packages/register/src/stepper.ts
+++ b/packages/register/src/stepper.ts
@@ -40,7 +40,9 @@
 
 /** Seats that come, go, or are found elsewhere by now. */
 function changedSeats(from: readonly Seat[], to: readonly Seat[]): number {
-  const added = to.filter((seat) => !from.some((one) => one.node === seat.node && one.address === seat.address && one.outward === seat.outward)).length;
+  const added = to.filter(
+    (seat) => !from.some((one) => one.node === seat.node && one.address === seat.address && one.outward === seat.outward),
+  ).length;
   return added + from.filter((seat) => !to.some((one) => one.node === seat.node)).length;
 }
 
@@ -50,7 +52,9 @@
   let renewed = 0;
 
   function denied(why: string): Either.Either<Fault, never> {
-    return Either.left(fault.create({ kind: 'no-majority', message: `the set of cores did not change: ${why}`, remedy: 'try again', retryAfterSeconds: 1 }));
+    return Either.left(
+      fault.create({ kind: 'no-majority', message: `the set of cores did not change: ${why}`, remedy: 'try again', retryAfterSeconds: 1 }),
+    );
   }
 
   function majority(set: CoreSet, nodes: readonly string[]): boolean {
@@ -59,9 +63,11 @@
 
   /** Who stands at a set, asking all of it to; whoever is further tells so. */
   async function confirm(set: CoreSet, seats: readonly Seat[]): Promise<Confirmed> {
-    const replies = await Promise.all(seats.map(async function one(seat) {
-      return { seat, reply: await parts.adopt(seat, set) };
-    }));
+    const replies = await Promise.all(
+      seats.map(async function one(seat) {
+        return { seat, reply: await parts.adopt(seat, set) };
+      }),
+    );
     const standing: string[] = [];
     const silent: Array<ReadonlySet<string>> = [];
     for (const { seat, reply } of replies) {
@@ -71,7 +77,10 @@
       standing.push(seat.node);
       silent.push(new Set(reply.value.silent));
     }
-    return { standing, silent: new Set(set.seats.map((seat) => seat.node).filter((node) => silent.length > 0 && silent.every((told) => told.has(node)))) };
+    return {
+      standing,
+      silent: new Set(set.seats.map((seat) => seat.node).filter((node) => silent.length > 0 && silent.every((told) => told.has(node)))),
+    };
   }
 
   /**
@@ -80,10 +89,13 @@
    * could be read; the votes are the barrier of the next set.
    */
   async function renew(set: CoreSet): Promise<Option.Option<Readonly<Record<string, number>>>> {
-    const found = (await Promise.all(set.seats.map((seat) => parts.holding(seat, set.number)))).flatMap((one) => (Option.isSome(one) ? [one.value] : []));
+    const found = (await Promise.all(set.seats.map((seat) => parts.holding(seat, set.number)))).flatMap((one) =>
+      Option.isSome(one) ? [one.value] : [],
+    );
     if (found.length < quorum.majority(set.seats.length)) return Option.none;
     const votes: Record<string, number> = { ...set.epochs };
-    for (const one of found) for (const [service, epoch] of Object.entries(one.votes)) votes[service] = Math.max(epoch, votes[service] ?? 0);
+    for (const one of found)
+      for (const [service, epoch] of Object.entries(one.votes)) votes[service] = Math.max(epoch, votes[service] ?? 0);
     if (set.number === 1 || renewed === set.number) return Option.some(votes);
     const keys = [...new Set(found.flatMap((one) => one.keys))];
     const register = parts.under(set.number);
@@ -93,7 +105,8 @@
     }
     const floors = found.reduce((highest, one) => message.higherFloors(highest, one.notes.floors), {} as Floors);
     const through: Record<string, number> = {};
-    for (const one of found) for (const [edge, moment] of Object.entries(one.notes.through)) through[edge] = Math.max(moment, through[edge] ?? 0);
+    for (const one of found)
+      for (const [edge, moment] of Object.entries(one.notes.through)) through[edge] = Math.max(moment, through[edge] ?? 0);
     const noted = await parts.note({ floors, reports: found.flatMap((one) => one.notes.reports), through });
     if (Either.isLeft(noted) || parts.set().number !== set.number) return Option.none;
     renewed = set.number;
@@ -113,7 +126,9 @@
     return majority(before, standing) && majority(set, standing);
   }
 
-  async function proposed(next: (set: CoreSet, confirmed: Confirmed) => Option.Option<readonly Seat[]>): Promise<Either.Either<Fault, CoreSet>> {
+  async function proposed(
+    next: (set: CoreSet, confirmed: Confirmed) => Option.Option<readonly Seat[]>,
+  ): Promise<Either.Either<Fault, CoreSet>> {
     const set = parts.set();
     const confirmed = await confirm(set, set.seats);
     if (!majority(set, confirmed.standing)) return denied(`no majority holds set ${set.number} yet`);
@@ -123,9 +138,12 @@
     if (Option.isNone(epochs)) return denied(`no majority of set ${set.number} could be read`);
     const again = await confirm(set, set.seats);
     const seats = next(set, again);
-    if (!majority(set, again.standing) || Option.isNone(seats) || changedSeats(set.seats, seats.value) !== 1) return denied('there is nothing to change by now');
+    if (!majority(set, again.standing) || Option.isNone(seats) || changedSeats(set.seats, seats.value) !== 1)
+      return denied('there is nothing to change by now');
     const wanted: CoreSet = { number: set.number + 1, seats: [...seats.value], epochs: epochs.value };
-    const written = await parts.under(set.number).change(stepKey(set.number), (current) => (Option.isSome(current) ? Option.none : Option.some(wanted)));
+    const written = await parts
+      .under(set.number)
+      .change(stepKey(set.number), (current) => (Option.isSome(current) ? Option.none : Option.some(wanted)));
     if (Either.isLeft(written)) return written;
     const decided = Option.isSome(written.right.entry) ? written.right.entry.value.value : null;
     if (!message.fits(CoreSetSchema, decided)) return denied('its cell holds no set');
--- a/packages/register/src/watcher.ts
+++ b/packages/register/src/watcher.ts
@@ -30,7 +30,13 @@
 export type Counted = Readonly<{ number: () => number; includes: (core: string) => boolean }>;
 const everyCore: Counted = { number: () => 0, includes: () => true };
 
-function create(kernel: Kernel, register: Register, total: () => number, onObeyed: (key: string, entry: Entry) => void, cores: Counted = everyCore): Watcher {
+function create(
+  kernel: Kernel,
+  register: Register,
+  total: () => number,
+  onObeyed: (key: string, entry: Entry) => void,
+  cores: Counted = everyCore,
+): Watcher {
   const known = new Map<string, Known>();
 
   function knownOf(key: string): Known {
@@ -59,7 +65,8 @@
   function count(key: string, knowledge: Known, ballot: Entry): void {
     let same = 0;
     for (const [core, handed] of knowledge.fromCore) {
-      if (cores.includes(core) && handed.set === cores.number() && message.compareBallots(handed.entry.ballot, ballot.ballot) === 0) same += 1;
+      if (cores.includes(core) && handed.set === cores.number() && message.compareBallots(handed.entry.ballot, ballot.ballot) === 0)
+        same += 1;
     }
     if (total() > 0 && same >= quorum.majority(total())) obey(key, ballot);
   }
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -41,8 +41,16 @@
 const forgetMilliseconds = 60_000;
 
 function same(left: RosterEntry, right: RosterEntry): boolean {
-  return left.address === right.address && left.area === right.area && left.draining === right.draining && left.role === right.role &&
-    left.slots === right.slots && left.gone === right.gone && left.down === right.down && left.service === right.service;
+  return (
+    left.address === right.address &&
+    left.area === right.area &&
+    left.draining === right.draining &&
+    left.role === right.role &&
+    left.slots === right.slots &&
+    left.gone === right.gone &&
+    left.down === right.down &&
+    left.service === right.service
+  );
 }
 
 function create(kernel: Kernel, onChange: () => void): Roster {
@@ -63,7 +71,10 @@
   function isLate(entry: RosterEntry): boolean {
     const known = table.get(entry.member);
     if (known === undefined) return false;
-    return (known.left && !entry.gone) || (!entry.gone && entry.sequence < known.entry.sequence && kernel.clock.now() - known.takenAt < lateMilliseconds);
+    return (
+      (known.left && !entry.gone) ||
+      (!entry.gone && entry.sequence < known.entry.sequence && kernel.clock.now() - known.takenAt < lateMilliseconds)
+    );
   }
 
   function heard(entry: RosterEntry, ago: number): boolean {
@@ -126,10 +137,16 @@
     number: () => number,
     since: (from) => [...table.values()].filter((known) => known.changedAt > from).map((known) => known.entry),
     entryOf: (member) => Option.map((known: Known) => known.entry)(Option.fromNullable(table.get(member))),
-    membersOf: (service) => [...table.values()]
-      .filter((known) => known.entry.service === service && !known.entry.gone)
-      .map(({ entry }): SheetMember => ({ member: entry.member, area: entry.area, address: entry.address, state: entry.draining ? 'draining' : 'serving' }))
-      .sort((left, right) => (left.member < right.member ? -1 : 1)),
+    membersOf: (service) =>
+      [...table.values()]
+        .filter((known) => known.entry.service === service && !known.entry.gone)
+        .map(({ entry }): SheetMember => ({
+          member: entry.member,
+          area: entry.area,
+          address: entry.address,
+          state: entry.draining ? 'draining' : 'serving',
+        }))
+        .sort((left, right) => (left.member < right.member ? -1 : 1)),
   };
 }
 
--- a/packages/sheet/src/index.ts
+++ b/packages/sheet/src/index.ts
@@ -43,7 +43,10 @@
 const keySchema = z.strictObject({
   key: z.string().min(8, 'use at least 8 characters').max(200),
   services: z.array(name).min(1),
-  kinds: z.array(z.enum(statementKinds)).min(1).default([...statementKinds]),
+  kinds: z
+    .array(z.enum(statementKinds))
+    .min(1)
+    .default([...statementKinds]),
 });
 
 /** A named statement that senders call by its name alone (design 8.7). */
@@ -94,7 +97,10 @@
   holdMilliseconds: z.number().int().min(1_000).max(86_400_000).default(600_000),
   mostBytes: z.number().int().min(1_024).max(67_108_864).default(16_777_216),
   /** Reads to be held whether or not anybody asked them. */
-  things: z.array(z.strictObject({ database: z.string(), tenant: z.string(), text: z.string().min(1).max(65_536) })).max(5_000).default([]),
+  things: z
+    .array(z.strictObject({ database: z.string(), tenant: z.string(), text: z.string().min(1).max(65_536) }))
+    .max(5_000)
+    .default([]),
 });
 
 const boundsSchema = z.strictObject({
@@ -144,11 +150,15 @@
 
 function repeated(names: readonly string[]): readonly string[] {
   const seen = new Set<string>();
-  return [...new Set(names.filter(function again(candidate) {
-    if (seen.has(candidate)) return true;
-    seen.add(candidate);
-    return false;
-  }))];
+  return [
+    ...new Set(
+      names.filter(function again(candidate) {
+        if (seen.has(candidate)) return true;
+        seen.add(candidate);
+        return false;
+      }),
+    ),
+  ];
 }
 
 const minuteMilliseconds = 60_000;
@@ -162,10 +172,12 @@
   const dated = outage.from === undefined || outage.to === undefined ? [] : [{ from: Date.parse(outage.from), to: Date.parse(outage.to) }];
   const week = firstSunday + Math.floor((from - firstSunday) / weekMilliseconds) * weekMilliseconds;
   const weeks = Array.from({ length: Math.ceil((to - week) / weekMilliseconds) + 1 }, (_, index) => week + (index - 1) * weekMilliseconds);
-  const recurring = weeks.flatMap((sunday) => outage.weekly.map((one) => {
-    const day = sunday + weekdays.indexOf(one.day) * dayMilliseconds;
-    return { from: day + one.from * minuteMilliseconds, to: day + one.to * minuteMilliseconds };
-  }));
+  const recurring = weeks.flatMap((sunday) =>
+    outage.weekly.map((one) => {
+      const day = sunday + weekdays.indexOf(one.day) * dayMilliseconds;
+      return { from: day + one.from * minuteMilliseconds, to: day + one.to * minuteMilliseconds };
+    }),
+  );
   return [...dated, ...recurring].filter((one) => one.from < to && one.to > from).sort((left, right) => left.from - right.from);
 }
 
@@ -175,10 +187,14 @@
 
 /** Dated windows are looked at where they stand; weekly ones over two weeks of any. */
 function overlap(left: SheetOutage, right: SheetOutage): boolean {
-  const [dated] = [left, right].flatMap((one) => (one.from === undefined || one.to === undefined ? [] : [{ from: Date.parse(one.from), to: Date.parse(one.to) }]));
+  const [dated] = [left, right].flatMap((one) =>
+    one.from === undefined || one.to === undefined ? [] : [{ from: Date.parse(one.from), to: Date.parse(one.to) }],
+  );
   const span = dated ?? { from: firstSunday, to: firstSunday + 2 * weekMilliseconds };
   const others = windows(right, span.from, span.to);
-  return windows(left, span.from, span.to).some((one, index) => others.some((other, place) => (left !== right || index < place) && meet(one, other)));
+  return windows(left, span.from, span.to).some((one, index) =>
+    others.some((other, place) => (left !== right || index < place) && meet(one, other)),
+  );
 }
 
 function outageFaults(sheet: Sheet): readonly SheetFault[] {
@@ -190,23 +206,57 @@
     const row = `outages[${index}] (${outage.site})`;
     const isDated = outage.from !== undefined && outage.to !== undefined;
     if (isDated === outage.weekly.length > 0 || (outage.from === undefined) !== (outage.to === undefined)) {
-      faults.push({ row, column: 'from', message: 'it has no window, or more than one sort of it', remedy: 'give from and to, or weekly windows' });
+      faults.push({
+        row,
+        column: 'from',
+        message: 'it has no window, or more than one sort of it',
+        remedy: 'give from and to, or weekly windows',
+      });
       continue;
     }
     if (Date.parse(outage.from ?? '') >= Date.parse(outage.to ?? '') || outage.weekly.some((one) => one.from >= one.to)) {
-      faults.push({ row, column: 'to', message: 'a window ends before it begins', remedy: 'let it end later; after midnight is beyond minute 1440' });
+      faults.push({
+        row,
+        column: 'to',
+        message: 'a window ends before it begins',
+        remedy: 'let it end later; after midnight is beyond minute 1440',
+      });
       continue;
     }
     for (const named of [...outage.databases, ...outage.things.map((thing) => thing.database)]) {
-      if (!databases.has(named)) faults.push({ row, column: 'databases', message: `there is no database ${named}`, remedy: 'add it under databases, or mend the name' });
+      if (!databases.has(named))
+        faults.push({
+          row,
+          column: 'databases',
+          message: `there is no database ${named}`,
+          remedy: 'add it under databases, or mend the name',
+        });
     }
     for (const thing of outage.things) {
-      if (!tenants.has(thing.tenant)) faults.push({ row, column: 'things.tenant', message: `there is no tenant ${thing.tenant}`, remedy: 'add it under tenants, or mend the name' });
-      if (!outage.databases.includes(thing.database)) faults.push({ row, column: 'things.database', message: `${thing.database} is not held in this outage`, remedy: 'name it under databases of the outage as well' });
+      if (!tenants.has(thing.tenant))
+        faults.push({
+          row,
+          column: 'things.tenant',
+          message: `there is no tenant ${thing.tenant}`,
+          remedy: 'add it under tenants, or mend the name',
+        });
+      if (!outage.databases.includes(thing.database))
+        faults.push({
+          row,
+          column: 'things.database',
+          message: `${thing.database} is not held in this outage`,
+          remedy: 'name it under databases of the outage as well',
+        });
     }
     for (const other of outages.slice(index)) {
       const shared = other.site === outage.site ? other.databases.filter((named) => outage.databases.includes(named)) : [];
-      if (shared.length > 0 && overlap(outage, other)) faults.push({ row, column: 'from', message: `windows of ${outage.site} overlap for ${shared[0]}`, remedy: 'make one window of them, or move one' });
+      if (shared.length > 0 && overlap(outage, other))
+        faults.push({
+          row,
+          column: 'from',
+          message: `windows of ${outage.site} overlap for ${shared[0]}`,
+          remedy: 'make one window of them, or move one',
+        });
     }
   }
   return faults;
@@ -217,9 +267,11 @@
   function add(row: string, column: string, message: string, remedy: string): void {
     faults.push({ row, column, message, remedy });
   }
-  const services = new Map(sheet.services.map(function pair(service) {
-    return [service.service, service] as const;
-  }));
+  const services = new Map(
+    sheet.services.map(function pair(service) {
+      return [service.service, service] as const;
+    }),
+  );
   for (const twice of repeated(sheet.services.map((service) => service.service))) {
     add('services', 'service', `${twice} stands twice`, 'keep one entry for each service');
   }
@@ -264,20 +316,23 @@
   }
   for (const [index, key] of sheet.keys.entries()) {
     for (const named of key.services) {
-      if (!services.has(named)) add(`keys[${index}]`, 'services', `there is no service ${named}`, 'add it under services, or mend the name');
+      if (!services.has(named))
+        add(`keys[${index}]`, 'services', `there is no service ${named}`, 'add it under services, or mend the name');
     }
   }
   for (const twice of repeated(sheet.mappings.map((mapping) => mapping.mapping))) {
     add('mappings', 'mapping', `${twice} stands twice`, 'give every mapping a name of its own');
   }
   for (const [index, mapping] of sheet.mappings.entries()) {
-    if (!services.has(mapping.service)) add(`mappings[${index}]`, 'service', `there is no service ${mapping.service}`, 'add it under services, or mend the name');
+    if (!services.has(mapping.service))
+      add(`mappings[${index}]`, 'service', `there is no service ${mapping.service}`, 'add it under services, or mend the name');
   }
   for (const twice of repeated(sheet.databases.map((database) => database.database))) {
     add('databases', 'database', `${twice} stands twice`, 'keep one entry for each database');
   }
   for (const [index, database] of sheet.databases.entries()) {
-    if (!services.has(database.service)) add(`databases[${index}]`, 'service', `there is no service ${database.service}`, 'add it under services, or mend the name');
+    if (!services.has(database.service))
+      add(`databases[${index}]`, 'service', `there is no service ${database.service}`, 'add it under services, or mend the name');
   }
   for (const twice of repeated(sheet.tenants.map((tenant) => tenant.tenant))) {
     add('tenants', 'tenant', `${twice} stands twice`, 'keep one entry for each tenant');
--- a/packages/simulator/exploring-mutations.mjs
+++ b/packages/simulator/exploring-mutations.mjs
@@ -10,12 +10,37 @@
 const seconds = 30;
 const mutations = [
   { name: 'any-set-is-answered', file: 'register/build/acceptor.js', from: 'if (told === standing.number())', to: 'if (true)' },
-  { name: 'earlier-sets-are-answered', file: 'register/build/acceptor.js', from: 'if (told === standing.number())', to: 'if (told <= standing.number())' },
-  { name: 'nothing-renewed', file: 'register/build/stepper.js', from: 'const keys = [...new Set(found.flatMap((one) => one.keys))];', to: 'const keys = [];' },
-  { name: 'renewed-by-a-look', file: 'register/build/stepper.js', from: 'register.change(key, () => Option.none)', to: 'register.read(key)' },
-  { name: 'renewed-from-one-disk', file: 'register/build/stepper.js', from: 'found.length < quorum.majority(set.seats.length)', to: 'found.length < 1' },
+  {
+    name: 'earlier-sets-are-answered',
+    file: 'register/build/acceptor.js',
+    from: 'if (told === standing.number())',
+    to: 'if (told <= standing.number())',
+  },
+  {
+    name: 'nothing-renewed',
+    file: 'register/build/stepper.js',
+    from: 'const keys = [...new Set(found.flatMap((one) => one.keys))];',
+    to: 'const keys = [];',
+  },
+  {
+    name: 'renewed-by-a-look',
+    file: 'register/build/stepper.js',
+    from: 'register.change(key, () => Option.none)',
+    to: 'register.read(key)',
+  },
+  {
+    name: 'renewed-from-one-disk',
+    file: 'register/build/stepper.js',
+    from: 'found.length < quorum.majority(set.seats.length)',
+    to: 'found.length < 1',
+  },
   { name: 'two-seats-at-once', file: 'register/build/stepper.js', from: '|| changedSeats(set.seats, seats.value) !== 1', to: '' },
-  { name: 'round-of-two-sets', file: 'register/build/proposer.js', from: 'replies.length >= quorum.majority(size)', to: 'replies.length >= quorum.majority(total())' },
+  {
+    name: 'round-of-two-sets',
+    file: 'register/build/proposer.js',
+    from: 'replies.length >= quorum.majority(size)',
+    to: 'replies.length >= quorum.majority(total())',
+  },
 ];
 
 const wanted = process.argv.slice(2);
@@ -29,7 +54,9 @@
   const changed = sound.replaceAll(mutation.from, mutation.to);
   if (changed === sound) throw new Error(`${mutation.name}: the guard is not where it was`);
   fs.writeFileSync(file, changed);
-  const run = spawnSync(process.execPath, [path.join(copy, 'packages/simulator/build/exploring.js'), '1', `--seconds=${seconds}`], { encoding: 'utf8' });
+  const run = spawnSync(process.execPath, [path.join(copy, 'packages/simulator/build/exploring.js'), '1', `--seconds=${seconds}`], {
+    encoding: 'utf8',
+  });
   fs.writeFileSync(file, sound);
   const told = /^(seed|schedule) \w+: .{0,110}/m.exec(run.stdout)?.[0];
   if (told === undefined) blind += 1;
--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -9,10 +9,28 @@
 export type Violation = Readonly<{ check: string; detail: string }>;
 
 /** A sheet that an operator sent; version 0 and no moment until it is acknowledged. */
-export type Sent = { readonly sentAt: number; readonly core: string; readonly sheet: Sheet; readonly mark: string; version: number; acknowledgedAt: number; endedAt: number; replied: boolean };
+export type Sent = {
+  readonly sentAt: number;
+  readonly core: string;
+  readonly sheet: Sheet;
+  readonly mark: string;
+  version: number;
+  acknowledgedAt: number;
+  endedAt: number;
+  replied: boolean;
+};
 
 /** What a stranger's statement came to, asked at one edge. */
-export type Probe = Readonly<{ startedAt: number; endedAt: number; key: string; service: string; kind: StatementKind; area: string; edge: string; reason: string }>;
+export type Probe = Readonly<{
+  startedAt: number;
+  endedAt: number;
+  key: string;
+  service: string;
+  kind: StatementKind;
+  area: string;
+  edge: string;
+  reason: string;
+}>;
 
 /** A planned end of a process; `sound` when nothing else ended or froze it meanwhile. */
 export type PlannedEnd = { readonly name: string; readonly address: string; readonly at: number; endedAt: number; sound: boolean };
@@ -71,7 +89,10 @@
   for (const write of own) {
     if (write.fate !== 'kept') continue;
     const sameSession = write.sessionName === read.sessionName;
-    const binds = read.kind === 'leader-read' || (read.kind === 'own-read' && sameSession) ? write.endedAt <= read.startedAt : write.endedAt <= read.startedAt - boundMilliseconds;
+    const binds =
+      read.kind === 'leader-read' || (read.kind === 'own-read' && sameSession)
+        ? write.endedAt <= read.startedAt
+        : write.endedAt <= read.startedAt - boundMilliseconds;
     if (binds) least = Math.max(least, write.sequence);
   }
   return least;
@@ -91,7 +112,8 @@
     own.push(write);
     if (write.fate === 'kept') push(marks, write.shared, write.endedAt, write.sequence);
   }
-  for (const read of ledger.reads) if (read.ok && read.kind === 'leader-read') push(seen, read.shared.mark, read.endedAt, read.shared.sequence);
+  for (const read of ledger.reads)
+    if (read.ok && read.kind === 'leader-read') push(seen, read.shared.mark, read.endedAt, read.shared.sequence);
   const acknowledged = new Map([...marks].map(([mark, events]) => [mark, highestBefore(events)]));
   const shown = new Map([...seen].map(([mark, events]) => [mark, highestBefore(events)]));
   return ledger.reads.flatMap(function check(read): readonly Violation[] {
@@ -100,21 +122,43 @@
     const least = ownRequired(read, own);
     const at = `at ${Math.round(read.startedAt)}-${Math.round(read.endedAt)} ms through ${read.through}`;
     const found: Violation[] = [];
-    if (read.sequence < least) found.push({ check: `stale-${read.kind}`, detail: `session ${read.session} of ${read.service} read its own ${read.sequence}, not ${least}, ${at}` });
+    if (read.sequence < least)
+      found.push({
+        check: `stale-${read.kind}`,
+        detail: `session ${read.session} of ${read.service} read its own ${read.sequence}, not ${least}, ${at}`,
+      });
     if (read.sequence > 0 && !own.some((write) => write.sequence === read.sequence)) {
-      found.push({ check: 'session-crossed', detail: `session ${read.session} read ${read.sequence} by its own shape, which it never wrote, ${at}` });
+      found.push({
+        check: 'session-crossed',
+        detail: `session ${read.session} read ${read.sequence} by its own shape, which it never wrote, ${at}`,
+      });
     }
     const bound = read.startedAt - (read.kind === 'leader-read' ? 0 : boundMilliseconds);
     const others = acknowledged.get(read.shared.mark)?.(bound) ?? 0;
-    if (read.shared.sequence < others) found.push({ check: `stale-${read.kind}`, detail: `session ${read.session} of ${read.service} read ${read.shared.sequence} of ${read.shared.mark}, not ${others}, ${at}` });
+    if (read.shared.sequence < others)
+      found.push({
+        check: `stale-${read.kind}`,
+        detail: `session ${read.session} of ${read.service} read ${read.shared.sequence} of ${read.shared.mark}, not ${others}, ${at}`,
+      });
     const before = read.kind === 'leader-read' ? (shown.get(read.shared.mark)?.(read.startedAt) ?? 0) : 0;
-    if (read.shared.sequence < before) found.push({ check: 'leader-read-unseen', detail: `session ${read.session} of ${read.service} read ${read.shared.sequence} of ${read.shared.mark}, where ${before} had been shown, ${at}` });
+    if (read.shared.sequence < before)
+      found.push({
+        check: 'leader-read-unseen',
+        detail: `session ${read.session} of ${read.service} read ${read.shared.sequence} of ${read.shared.mark}, where ${before} had been shown, ${at}`,
+      });
     return found;
   });
 }
 
 function sessions(ledger: Pick<Ledger, 'crossed'>, memberCrossings: number): readonly Violation[] {
-  return ledger.crossed + memberCrossings === 0 ? [] : [{ check: 'session-crossed', detail: `${ledger.crossed} replies with another session's value, ${memberCrossings} transactions met by another` }];
+  return ledger.crossed + memberCrossings === 0
+    ? []
+    : [
+        {
+          check: 'session-crossed',
+          detail: `${ledger.crossed} replies with another session's value, ${memberCrossings} transactions met by another`,
+        },
+      ];
 }
 
 function promotions(store: Pick<PlatformStore, 'promotions'>): readonly Violation[] {
@@ -123,10 +167,16 @@
   for (const call of [...store.promotions].sort((left, right) => left.at - right.at)) {
     const known = highest.get(call.service);
     if (known !== undefined && known.turn === call.turn && (known.member !== call.member || known.epoch !== call.epoch)) {
-      violations.push({ check: 'turn-shared', detail: `${call.service} turn ${call.turn}: ${known.member}/${known.epoch} and ${call.member}/${call.epoch}` });
+      violations.push({
+        check: 'turn-shared',
+        detail: `${call.service} turn ${call.turn}: ${known.member}/${known.epoch} and ${call.member}/${call.epoch}`,
+      });
     }
     if (known !== undefined && (call.turn < known.turn || call.epoch < known.epoch) && call.at - known.at <= outOfOrderMilliseconds) {
-      violations.push({ check: 'turn-out-of-order', detail: `${call.service} turn ${call.turn} came ${Math.round(call.at - known.at)} ms after turn ${known.turn}` });
+      violations.push({
+        check: 'turn-out-of-order',
+        detail: `${call.service} turn ${call.turn} came ${Math.round(call.at - known.at)} ms after turn ${known.turn}`,
+      });
     }
     if (known === undefined || call.turn > known.turn) highest.set(call.service, call);
   }
@@ -147,9 +197,15 @@
     const past = wallOf(one.endedAt) % windowMilliseconds;
     const window = Math.floor(wallOf(one.endedAt) / windowMilliseconds);
     const neighbour = past < nearMilliseconds ? window - 1 : past > windowMilliseconds - nearMilliseconds ? window + 1 : undefined;
-    if (one.reason === 'served' && neighbour !== undefined) for (const either of [window, neighbour]) near.set(either, (near.get(either) ?? 0) + 1);
+    if (one.reason === 'served' && neighbour !== undefined)
+      for (const either of [window, neighbour]) near.set(either, (near.get(either) ?? 0) + 1);
     if (one.reason !== 'reply-lost' && one.reason !== 'outcome-unknown') continue;
-    for (let window = Math.floor(wallOf(one.startedAt) / windowMilliseconds); window <= Math.floor(wallOf(one.endedAt) / windowMilliseconds); window += 1) unknown.set(window, (unknown.get(window) ?? 0) + 1);
+    for (
+      let window = Math.floor(wallOf(one.startedAt) / windowMilliseconds);
+      window <= Math.floor(wallOf(one.endedAt) / windowMilliseconds);
+      window += 1
+    )
+      unknown.set(window, (unknown.get(window) ?? 0) + 1);
   }
   return { fates: unknown, near };
 }
@@ -176,7 +232,8 @@
 /** Windows that nobody could have told: two core machines or the platform were away, which is more than the brief lets happen. */
 function untellable(ability: Ability, wallOf: (moment: number) => number, from: number, until: number): ReadonlySet<number> {
   const found = new Set<number>();
-  for (let window = from; window <= until; window += 1) if (!tellable(ability, (window + 1) * windowMilliseconds - wallOf(0))) found.add(window);
+  for (let window = from; window <= until; window += 1)
+    if (!tellable(ability, (window + 1) * windowMilliseconds - wallOf(0))) found.add(window);
   return found;
 }
 
@@ -185,7 +242,12 @@
  * all of it, unless nobody could have told it.
  */
 function usage(
-  store: Pick<PlatformStore, 'usage'>, served: ReadonlyMap<string, number>, from: number, until: number, unsure: Uncertain = { fates: new Map(), near: new Map() }, excused: ReadonlySet<number> = new Set(),
+  store: Pick<PlatformStore, 'usage'>,
+  served: ReadonlyMap<string, number>,
+  from: number,
+  until: number,
+  unsure: Uncertain = { fates: new Map(), near: new Map() },
+  excused: ReadonlySet<number> = new Set(),
 ): readonly Violation[] {
   const violations: Violation[] = [];
   const first = new Map<number, PlatformStore['usage'][number]>();
@@ -193,11 +255,20 @@
   for (const call of [...store.usage].sort((left, right) => left.at - right.at)) {
     const known = first.get(call.window);
     if (known !== undefined && JSON.stringify(known.counts) !== JSON.stringify(call.counts)) {
-      violations.push({ check: 'usage-differs', detail: `window ${call.window}: ${JSON.stringify(known.counts)} and ${JSON.stringify(call.counts)}` });
+      violations.push({
+        check: 'usage-differs',
+        detail: `window ${call.window}: ${JSON.stringify(known.counts)} and ${JSON.stringify(call.counts)}`,
+      });
     }
-    if (call.at - call.endsAt > usageLateMilliseconds) violations.push({ check: 'usage-late', detail: `window ${call.window} came ${call.at - call.endsAt} ms after its end` });
-    if (call.turn < highest.turn && call.at - highest.at <= outOfOrderMilliseconds) violations.push({ check: 'turn-out-of-order', detail: `usage turn ${call.turn} came ${Math.round(call.at - highest.at)} ms after turn ${highest.turn}` });
-    if (call.turn === highest.turn && call.holder !== highest.holder) violations.push({ check: 'turn-shared', detail: `usage turn ${call.turn}: ${highest.holder} and ${call.holder}` });
+    if (call.at - call.endsAt > usageLateMilliseconds)
+      violations.push({ check: 'usage-late', detail: `window ${call.window} came ${call.at - call.endsAt} ms after its end` });
+    if (call.turn < highest.turn && call.at - highest.at <= outOfOrderMilliseconds)
+      violations.push({
+        check: 'turn-out-of-order',
+        detail: `usage turn ${call.turn} came ${Math.round(call.at - highest.at)} ms after turn ${highest.turn}`,
+      });
+    if (call.turn === highest.turn && call.holder !== highest.holder)
+      violations.push({ check: 'turn-shared', detail: `usage turn ${call.turn}: ${highest.holder} and ${call.holder}` });
     if (call.turn >= highest.turn) highest = call;
     if (known === undefined) first.set(call.window, call);
   }
@@ -208,7 +279,11 @@
     const told = Object.values(call?.counts ?? {}).reduce((sum, count) => sum + count, 0);
     const slack = Math.max(3, usageTolerance * asked) + (unsure.near.get(window) ?? 0);
     const most = asked + (unsure.fates.get(window) ?? 0);
-    if (told < asked - slack || told > most + slack) violations.push({ check: 'usage-off', detail: `window ${window}: ${call === undefined ? 'nothing' : told} told, ${asked} served and ${most - asked} of unknown fate` });
+    if (told < asked - slack || told > most + slack)
+      violations.push({
+        check: 'usage-off',
+        detail: `window ${window}: ${call === undefined ? 'nothing' : told} told, ${asked} served and ${most - asked} of unknown fate`,
+      });
   }
   return violations;
 }
@@ -238,7 +313,8 @@
       const before = last.get(running) ?? 0;
       if (known.version < before) add('configuration-back', `${edge.name} went from ${before} to ${known.version}`);
       last.set(running, known.version);
-      if (known.version < due && known.controlUntil > moment) add('configuration-unobeyed', `${edge.name} lets in under ${known.version} when ${due} was acknowledged`);
+      if (known.version < due && known.controlUntil > moment)
+        add('configuration-unobeyed', `${edge.name} lets in under ${known.version} when ${due} was acknowledged`);
       for (const [service, fence] of known.fences) {
         if (fence.until <= moment || known.controlUntil <= moment) continue;
         const epochs = open.get(service) ?? new Map<number, string>();
@@ -250,12 +326,14 @@
       // What the platform has promoted may lead: nobody may still act under an epoch before it.
       const highest = Math.max(...epochs.keys(), opened.get(service) ?? 0, fleet.platformStore.leaders.get(service)?.epoch ?? 0);
       opened.set(service, highest);
-      for (const [epoch, edge] of epochs) if (epoch < highest) add('two-epochs-open', `${service}: ${edge} is open at ${epoch} when ${highest} is open`);
+      for (const [epoch, edge] of epochs)
+        if (epoch < highest) add('two-epochs-open', `${service}: ${edge} is open at ${epoch} when ${highest} is open`);
     }
     const limit = largestLimit(sends, now);
     for (const slot of fleet.members) {
       const held = slot.running?.connections() ?? 0;
-      if (held > (limit.get(slot.place.service) ?? 0)) add('connection-limit', `${slot.place.member} held ${held} of ${limit.get(slot.place.service)}`);
+      if (held > (limit.get(slot.place.service) ?? 0))
+        add('connection-limit', `${slot.place.member} held ${held} of ${limit.get(slot.place.service)}`);
     }
   }
 
@@ -270,8 +348,11 @@
     sheet: sent.sheet,
     from: sent.sentAt,
     // A send that was never acknowledged may have been taken at any number.
-    until: sent.version === 0 ? Number.POSITIVE_INFINITY
-      : obeyMilliseconds + Math.min(...sends.filter((other) => other.version > sent.version).map((other) => other.acknowledgedAt), Number.POSITIVE_INFINITY),
+    until:
+      sent.version === 0
+        ? Number.POSITIVE_INFINITY
+        : obeyMilliseconds +
+          Math.min(...sends.filter((other) => other.version > sent.version).map((other) => other.acknowledgedAt), Number.POSITIVE_INFINITY),
   }));
 }
 
@@ -281,14 +362,18 @@
 
 function largestLimit(sends: readonly Sent[], now: number): ReadonlyMap<string, number> {
   const largest = new Map<string, number>();
-  for (const sheet of obeyable(spans(sends), now, now)) for (const service of sheet.services) largest.set(service.service, Math.max(service.connectionLimit, largest.get(service.service) ?? 0));
+  for (const sheet of obeyable(spans(sends), now, now))
+    for (const service of sheet.services)
+      largest.set(service.service, Math.max(service.connectionLimit, largest.get(service.service) ?? 0));
   return largest;
 }
 
 /** Reckoned here and not by the product's own function, which is what is judged. */
 function letsIn(sheet: Sheet, probe: Probe): boolean {
   const given = sheet.keys.some((one) => one.key === probe.key && one.services.includes(probe.service) && one.kinds.includes(probe.kind));
-  return given && sheet.rows.some((row) => row.service === probe.service && row.area === probe.area && row.serves[probe.kind] !== undefined);
+  return (
+    given && sheet.rows.some((row) => row.service === probe.service && row.area === probe.area && row.serves[probe.kind] !== undefined)
+  );
 }
 
 /** Nothing served that no sheet of the moment lets in; nothing called forbidden that every sheet of the moment lets in. */
@@ -299,7 +384,8 @@
     const told = `${probe.kind} on ${probe.service} under ${probe.key} at ${probe.edge}, ${Math.round(probe.startedAt)}-${Math.round(probe.endedAt)} ms: ${probe.reason}`;
     if (probe.reason === 'served' && !sheetsThen.some((sheet) => letsIn(sheet, probe))) return [{ check: 'never-allowed', detail: told }];
     const forbidden = probe.reason === 'key-denied' || probe.reason === 'statement-denied' || probe.reason === 'not-found';
-    if (forbidden && sheetsThen.length > 0 && sheetsThen.every((sheet) => letsIn(sheet, probe))) return [{ check: 'configuration-unobeyed', detail: told }];
+    if (forbidden && sheetsThen.length > 0 && sheetsThen.every((sheet) => letsIn(sheet, probe)))
+      return [{ check: 'configuration-unobeyed', detail: told }];
     return [];
   });
 }
@@ -313,26 +399,42 @@
   const accepted = fleet.platformStore.promotions.filter((call) => call.accepted);
   function ledOf(member: string, service: string, from: number, until: number): boolean {
     const calls = accepted.filter((call) => call.service === service);
-    return calls.some((call, index) => call.member === member && call.at <= until && (calls[index + 1]?.at ?? Number.POSITIVE_INFINITY) >= from);
+    return calls.some(
+      (call, index) => call.member === member && call.at <= until && (calls[index + 1]?.at ?? Number.POSITIVE_INFINITY) >= from,
+    );
   }
   const areaOf = new Map(fleet.edges.map((edge) => [edge.machine, edge.area]));
-  return fleet.members.flatMap((slot) => slot.store.ran.flatMap((ran): readonly Violation[] => {
-    const area = areaOf.get(fleet.world.machineOf(ran.connection));
-    if (area === undefined || !ran.readOnly || ledOf(slot.place.member, slot.place.service, wallStart + ran.at - heldMilliseconds, wallStart + ran.at)) return [];
-    const then = obeyable(known, ran.at, ran.at);
-    const kept = then.length > 0 && then.every((sheet) => (sheets.row(sheet, slot.place.service, area)?.weights[slot.place.member] ?? 1) === 0);
-    return kept ? [{ check: 'weight-unobeyed', detail: `${slot.place.member} was read from ${area} at ${Math.round(ran.at)} ms with weight 0` }] : [];
-  }));
+  return fleet.members.flatMap((slot) =>
+    slot.store.ran.flatMap((ran): readonly Violation[] => {
+      const area = areaOf.get(fleet.world.machineOf(ran.connection));
+      if (
+        area === undefined ||
+        !ran.readOnly ||
+        ledOf(slot.place.member, slot.place.service, wallStart + ran.at - heldMilliseconds, wallStart + ran.at)
+      )
+        return [];
+      const then = obeyable(known, ran.at, ran.at);
+      const kept =
+        then.length > 0 && then.every((sheet) => (sheets.row(sheet, slot.place.service, area)?.weights[slot.place.member] ?? 1) === 0);
+      return kept
+        ? [{ check: 'weight-unobeyed', detail: `${slot.place.member} was read from ${area} at ${Math.round(ran.at)} ms with weight 0` }]
+        : [];
+    }),
+  );
 }
 
 /** What each edge had learned, and when: (moment, version) of every configuration its agents obeyed. */
 function learned(fleet: Fleet, edge: string, key: string): ReadonlyArray<Readonly<{ at: number; version: number }>> {
-  return fleet.world.logs.filter((line) => line.process === `${edge}/agent` && line.event === 'node.obeyed' && line.fields['key'] === key)
+  return fleet.world.logs
+    .filter((line) => line.process === `${edge}/agent` && line.event === 'node.obeyed' && line.fields['key'] === key)
     .map((line) => ({ at: line.at, version: Number(line.fields['version']) }));
 }
 
 /** Spans of an edge's knowledge in which a member was to go: draining, or in no sheet any more. */
-function goingSpans(known: ReadonlyArray<Readonly<{ at: number; version: number }>>, goes: (version: number) => boolean): ReadonlyArray<Readonly<{ from: number; until: number }>> {
+function goingSpans(
+  known: ReadonlyArray<Readonly<{ at: number; version: number }>>,
+  goes: (version: number) => boolean,
+): ReadonlyArray<Readonly<{ from: number; until: number }>> {
   const found: Array<{ from: number; until: number }> = [];
   for (const one of known) {
     const last = found.at(-1);
@@ -349,59 +451,103 @@
   const everyEdge = fleet.spare === undefined ? fleet.edges : [...fleet.edges, fleet.spare];
   const edgesGone = drains.flatMap((drain) => {
     if (!Number.isFinite(drain.acknowledgedAt)) return [];
-    const known = learned(fleet, drain.edge, 'membership').map((one) => one.at).filter((at) => at >= drain.sentAt);
+    const known = learned(fleet, drain.edge, 'membership')
+      .map((one) => one.at)
+      .filter((at) => at >= drain.sentAt);
     const since = known.filter((at) => at <= drain.acknowledgedAt).at(-1) ?? known[0];
     return since === undefined ? [] : [{ edge: drain.edge, from: since, until: drain.undoneAt }];
   });
-  return fleet.members.flatMap((slot) => everyEdge.flatMap((edge): readonly Violation[] => {
-    const arrived = slot.store.ran.filter((ran) => fleet.world.machineOf(ran.connection) === edge.machine);
-    const going = goingSpans(learned(fleet, edge.name, 'configuration'), function goes(version) {
-      const sheet = byVersion.get(version);
-      return sheet !== undefined && sheets.member(sheet, slot.place.member)?.state !== 'serving';
-    });
-    const late = arrived.find((ran) => going.some((span) => ran.at > span.from + goingMilliseconds && ran.at < span.until));
-    const lateEdge = arrived.find((ran) => edgesGone.some((span) => span.edge === edge.name && ran.at > span.from + goingMilliseconds && ran.at < span.until));
-    return [
-      ...(late === undefined ? [] : [{ check: 'draining-fed', detail: `${slot.place.member} got ${late.opens ? 'new work' : 'more of a transaction'} from ${edge.name} at ${Math.round(late.at)} ms` }]),
-      ...(lateEdge === undefined ? [] : [{ check: 'draining-fed', detail: `${edge.name}, drained, still sent to ${slot.place.member} at ${Math.round(lateEdge.at)} ms` }]),
-    ];
-  }));
+  return fleet.members.flatMap((slot) =>
+    everyEdge.flatMap((edge): readonly Violation[] => {
+      const arrived = slot.store.ran.filter((ran) => fleet.world.machineOf(ran.connection) === edge.machine);
+      const going = goingSpans(learned(fleet, edge.name, 'configuration'), function goes(version) {
+        const sheet = byVersion.get(version);
+        return sheet !== undefined && sheets.member(sheet, slot.place.member)?.state !== 'serving';
+      });
+      const late = arrived.find((ran) => going.some((span) => ran.at > span.from + goingMilliseconds && ran.at < span.until));
+      const lateEdge = arrived.find((ran) =>
+        edgesGone.some((span) => span.edge === edge.name && ran.at > span.from + goingMilliseconds && ran.at < span.until),
+      );
+      return [
+        ...(late === undefined
+          ? []
+          : [
+              {
+                check: 'draining-fed',
+                detail: `${slot.place.member} got ${late.opens ? 'new work' : 'more of a transaction'} from ${edge.name} at ${Math.round(late.at)} ms`,
+              },
+            ]),
+        ...(lateEdge === undefined
+          ? []
+          : [
+              {
+                check: 'draining-fed',
+                detail: `${edge.name}, drained, still sent to ${slot.place.member} at ${Math.round(lateEdge.at)} ms`,
+              },
+            ]),
+      ];
+    }),
+  );
 }
 
 /** Whoever was in flight at a planned end has an answer, and a transaction that was open could be ended within the grace. */
 function plannedEnds(ledger: Pick<Ledger, 'exchanges'>, sends: readonly Sent[], ends: readonly PlannedEnd[]): readonly Violation[] {
   const dropped = new Set(['reply-lost', 'unreachable']);
   const turnedAway = new Set(['reply-lost', 'unreachable', 'session-lost', 'draining']);
-  return ends.filter((end) => end.sound).flatMap((end) => [
-    ...ledger.exchanges.filter((one) => one.edge === end.address && (
-      (one.startedAt <= end.at && one.endedAt > end.at && dropped.has(one.reason)) ||
-      (one.startedAt > end.at && one.startedAt <= end.endedAt && one.reason === 'reply-lost') ||
-      (one.openSince <= end.at && one.startedAt > end.at && one.startedAt <= end.at + graceMilliseconds && turnedAway.has(one.reason))
-    )).map((one) => ({ check: 'request-dropped', detail: `${end.name} ended as planned at ${Math.round(end.at)} ms: ${one.reason}, ${Math.round(one.startedAt)}-${Math.round(one.endedAt)} ms` })),
-    ...sends.filter((sent) => sent.core === end.name && sent.sentAt <= end.at && sent.endedAt > end.at && !sent.replied)
-      .map((sent) => ({ check: 'request-dropped', detail: `${end.name} ended as planned at ${Math.round(end.at)} ms with a sheet in flight since ${Math.round(sent.sentAt)} ms` })),
-  ]);
+  return ends
+    .filter((end) => end.sound)
+    .flatMap((end) => [
+      ...ledger.exchanges
+        .filter(
+          (one) =>
+            one.edge === end.address &&
+            ((one.startedAt <= end.at && one.endedAt > end.at && dropped.has(one.reason)) ||
+              (one.startedAt > end.at && one.startedAt <= end.endedAt && one.reason === 'reply-lost') ||
+              (one.openSince <= end.at &&
+                one.startedAt > end.at &&
+                one.startedAt <= end.at + graceMilliseconds &&
+                turnedAway.has(one.reason))),
+        )
+        .map((one) => ({
+          check: 'request-dropped',
+          detail: `${end.name} ended as planned at ${Math.round(end.at)} ms: ${one.reason}, ${Math.round(one.startedAt)}-${Math.round(one.endedAt)} ms`,
+        })),
+      ...sends
+        .filter((sent) => sent.core === end.name && sent.sentAt <= end.at && sent.endedAt > end.at && !sent.replied)
+        .map((sent) => ({
+          check: 'request-dropped',
+          detail: `${end.name} ended as planned at ${Math.round(end.at)} ms with a sheet in flight since ${Math.round(sent.sentAt)} ms`,
+        })),
+    ]);
 }
 
 /** How often each write stands in the log of each service's primary. */
 function logsOf(fleet: Fleet): ReadonlyMap<string, ReadonlyMap<string, number>> {
-  return new Map(fleet.deployment.services.map((service) => {
-    const names = new Map<string, number>();
-    for (const commit of fleet.primaryOf(service)?.store.log ?? []) for (const change of commit.changes) names.set(change.name, (names.get(change.name) ?? 0) + 1);
-    return [service, names] as const;
-  }));
+  return new Map(
+    fleet.deployment.services.map((service) => {
+      const names = new Map<string, number>();
+      for (const commit of fleet.primaryOf(service)?.store.log ?? [])
+        for (const change of commit.changes) names.set(change.name, (names.get(change.name) ?? 0) + 1);
+      return [service, names] as const;
+    }),
+  );
 }
 
 /** Every acknowledged version, read through every core that runs, against the very sheet that was sent. */
 async function readBack(fleet: Fleet, sends: readonly Sent[]): Promise<readonly Violation[]> {
   const violations: Violation[] = [];
-  const cores = fleet.cores.flatMap((slot: CoreSlot, index) => (slot.process?.alive() === true && slot.running !== undefined ? [index] : []));
+  const cores = fleet.cores.flatMap((slot: CoreSlot, index) =>
+    slot.process?.alive() === true && slot.running !== undefined ? [index] : [],
+  );
   for (const sent of sends.filter((one) => one.version > 0)) {
     for (const index of cores) {
       const reply: HttpReply = await fleet.operate('GET', `/v1/sheet?version=${sent.version}`, undefined, {}, index);
       const sheet = (reply.body as { sheet?: unknown } | null)?.sheet;
       if (reply.status !== 200 || JSON.stringify(sheet) !== JSON.stringify(sent.sheet)) {
-        violations.push({ check: 'configuration-missing', detail: `version ${sent.version} read back through core-${index + 1} as ${reply.status} ${JSON.stringify(reply.body).slice(0, 120)}` });
+        violations.push({
+          check: 'configuration-missing',
+          detail: `version ${sent.version} read back through core-${index + 1} as ${reply.status} ${JSON.stringify(reply.body).slice(0, 120)}`,
+        });
       }
     }
   }
@@ -409,20 +555,51 @@
 }
 
 /** Each service by itself: no stretch of more than twelve seconds below a quarter of normal from the moment the last machine was back. */
-function recovery(ledger: Pick<Ledger, 'servedByService'>, services: readonly string[], from: number, until: number, normal: number): readonly Violation[] {
+function recovery(
+  ledger: Pick<Ledger, 'servedByService'>,
+  services: readonly string[],
+  from: number,
+  until: number,
+  normal: number,
+): readonly Violation[] {
   return services.flatMap((service) => {
     const seconds = ledger.servedByService.get(service);
     let low = 0;
     for (let second = Math.ceil(from / 1_000); second < Math.floor(until / 1_000); second += 1) {
       low = (seconds?.get(second) ?? 0) < normal / services.length / 4 ? low + 1 : 0;
-      if (low > recoverySeconds) return [{ check: 'recovery-late', detail: `${service} below a quarter of normal for ${low} s, ${Math.round(second - from / 1_000)} s after the last machine was back` }];
+      if (low > recoverySeconds)
+        return [
+          {
+            check: 'recovery-late',
+            detail: `${service} below a quarter of normal for ${low} s, ${Math.round(second - from / 1_000)} s after the last machine was back`,
+          },
+        ];
     }
     return [];
   });
 }
 
 function limits(fleet: Fleet, peaks: ReadonlyMap<string, number>): readonly Violation[] {
-  return [...peaks].filter(([, peak]) => peak > fleet.deployment.connectionLimit).map(([member, peak]) => ({ check: 'connection-limit', detail: `${member} held ${peak} of ${fleet.deployment.connectionLimit}` }));
+  return [...peaks]
+    .filter(([, peak]) => peak > fleet.deployment.connectionLimit)
+    .map(([member, peak]) => ({ check: 'connection-limit', detail: `${member} held ${peak} of ${fleet.deployment.connectionLimit}` }));
 }
 
-export const checks = { writes, reads, sessions, promotions, usage, uncertain, untellable, watch, obeying, weights, draining, plannedEnds, logsOf, readBack, recovery, limits } as const;
+export const checks = {
+  writes,
+  reads,
+  sessions,
+  promotions,
+  usage,
+  uncertain,
+  untellable,
+  watch,
+  obeying,
+  weights,
+  draining,
+  plannedEnds,
+  logsOf,
+  readBack,
+  recovery,
+  limits,
+} as const;
--- a/packages/simulator/src/core-fleet.ts
+++ b/packages/simulator/src/core-fleet.ts
@@ -9,8 +9,14 @@
 import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
 
 export type CoreMachine = {
-  readonly name: string; readonly machine: string; address: string; outward: string;
-  disk: SimulatedDisk; process: Process | undefined; running: Core | undefined; door: Door | undefined;
+  readonly name: string;
+  readonly machine: string;
+  address: string;
+  outward: string;
+  disk: SimulatedDisk;
+  process: Process | undefined;
+  running: Core | undefined;
+  door: Door | undefined;
 };
 
 export type CoreFleet = Readonly<{
@@ -64,8 +70,14 @@
   function add(): CoreMachine {
     const number = machines.length + 1;
     const machine: CoreMachine = {
-      name: `core-${number}`, machine: `core-machine-${number}`, address: `10.1.0.${number}:7000`, outward: `10.1.0.${number}:7001`,
-      disk: world.disk(), process: undefined, running: undefined, door: undefined,
+      name: `core-${number}`,
+      machine: `core-machine-${number}`,
+      address: `10.1.0.${number}:7000`,
+      outward: `10.1.0.${number}:7001`,
+      disk: world.disk(),
+      process: undefined,
+      running: undefined,
+      door: undefined,
     };
     machines.push(machine);
     return machine;
@@ -75,21 +87,34 @@
     const spawned = world.spawn(machine.name, machine.machine, machine.disk);
     machine.process = spawned;
     const seeds = seedsOf.get(machine) ?? [];
-    const started = await core.start(spawned.kernel, {
-      node: machine.name, area: areas[machines.indexOf(machine) % areas.length] as string, address: machine.address, outward: machine.outward,
-      seeds: () => seeds, platform: () => '10.4.0.1:9000', cores: 3,
-    }, Option.some({
-      calls: { promotion: nobody, usage: nobody, restMilliseconds: 3_000 },
-      probe: {
-        ask: () => Promise.resolve(Either.left(fault.create({ kind: 'unreachable', message: 'no member runs here', remedy: 'none is needed' }))),
-        hold: () => Promise.resolve(Either.right(null)),
+    const started = await core.start(
+      spawned.kernel,
+      {
+        node: machine.name,
+        area: areas[machines.indexOf(machine) % areas.length] as string,
+        address: machine.address,
+        outward: machine.outward,
+        seeds: () => seeds,
+        platform: () => '10.4.0.1:9000',
+        cores: 3,
       },
-      pages: function capture(door) {
-        machine.door = door;
-        return [];
-      },
-      door: machine.outward.replace(':7001', ':7002'), founds, founders: seeds, tolerance,
-    }));
+      Option.some({
+        calls: { promotion: nobody, usage: nobody, restMilliseconds: 3_000 },
+        probe: {
+          ask: () =>
+            Promise.resolve(Either.left(fault.create({ kind: 'unreachable', message: 'no member runs here', remedy: 'none is needed' }))),
+          hold: () => Promise.resolve(Either.right(null)),
+        },
+        pages: function capture(door) {
+          machine.door = door;
+          return [];
+        },
+        door: machine.outward.replace(':7001', ':7002'),
+        founds,
+        founders: seeds,
+        tolerance,
+      }),
+    );
     if (Either.isRight(started)) machine.running = started.right;
     else spawned.kernel.stop(started.left);
   }
@@ -97,7 +122,8 @@
   /** What ended by itself is started again, as the platform does. */
   function restartEnded(): void {
     for (const machine of machines) {
-      if (machine.process !== undefined && !machine.process.alive() && Option.isSome(machine.process.stoppedBy())) void start(machine, false);
+      if (machine.process !== undefined && !machine.process.alive() && Option.isSome(machine.process.stoppedBy()))
+        void start(machine, false);
     }
     world.at(restartMilliseconds, restartEnded);
   }
@@ -126,9 +152,19 @@
     }
   }
 
-  const sheet = deployments.sheet(redComun, redComun.services.flatMap((name, group) => areas.map((area, index) => (
-    { service: name, member: `${name}-${index + 1}`, area, address: `10.3.${group}.${index + 1}:5000`, control: `10.3.${group}.${index + 1}:5001` }
-  ))), 'sender-key-0001');
+  const sheet = deployments.sheet(
+    redComun,
+    redComun.services.flatMap((name, group) =>
+      areas.map((area, index) => ({
+        service: name,
+        member: `${name}-${index + 1}`,
+        area,
+        address: `10.3.${group}.${index + 1}:5000`,
+        control: `10.3.${group}.${index + 1}:5001`,
+      })),
+    ),
+    'sender-key-0001',
+  );
 
   async function readAt(machine: CoreMachine): Promise<Option.Option<number>> {
     if (machine.door === undefined || machine.process?.alive() !== true) return Option.none;
@@ -158,7 +194,8 @@
       const before = acknowledged;
       if (door === undefined || process?.alive() !== true) return;
       const read = await door.source();
-      if (Either.isRight(read) && process.alive() && Number(read.right) < before) violations.push(`${machine.name} read ${read.right} after ${before} was acknowledged`);
+      if (Either.isRight(read) && process.alive() && Number(read.right) < before)
+        violations.push(`${machine.name} read ${read.right} after ${before} was acknowledged`);
     }
     function next(): void {
       if (stopped) return;
@@ -180,9 +217,20 @@
   for (const machine of machines) seedsOf.set(machine, seeds);
   for (const machine of [...machines]) await start(machine, true);
   const edgeProcess = world.spawn('edge-1', 'edge-machine');
-  const edge = lessees.create(edgeProcess.kernel, { node: 'edge-1', area: areas[0] as string, seeds: () => seeds }, {
-    released: () => ({}), positions: () => ({}), marks: () => ({}), positionsAgo: () => 0, troubled: () => false, notListening: () => [], demand: () => 0, onChange: () => undefined,
-  });
+  const edge = lessees.create(
+    edgeProcess.kernel,
+    { node: 'edge-1', area: areas[0] as string, seeds: () => seeds },
+    {
+      released: () => ({}),
+      positions: () => ({}),
+      marks: () => ({}),
+      positionsAgo: () => 0,
+      troubled: () => false,
+      notListening: () => [],
+      demand: () => 0,
+      onChange: () => undefined,
+    },
+  );
   edge.start();
   world.at(restartMilliseconds, restartEnded);
 
@@ -202,12 +250,15 @@
   const first = machines[0] as CoreMachine;
   const opened = first.door?.configure({ version: 0, source: '0' }, sheet);
   const register = first.process?.kernel.services.find(registerService);
-  const settled = register?.change(`epoch/${service}`, () => Option.some({ epoch: 1, primary: `${service}-1`, wonBy: first.name, position: 0, settledAt: 0 }));
+  const settled = register?.change(`epoch/${service}`, () =>
+    Option.some({ epoch: 1, primary: `${service}-1`, wonBy: first.name, position: 0, settledAt: 0 }),
+  );
   let done = false;
   void Promise.all([opened, settled]).then(() => {
     done = true;
   });
-  if (!(await until(() => done && edge.leaseUntil(service) > edgeProcess.kernel.clock.now(), 10_000))) throw new Error('the edge was granted no lease');
+  if (!(await until(() => done && edge.leaseUntil(service) > edgeProcess.kernel.clock.now(), 10_000)))
+    throw new Error('the edge was granted no lease');
 
   function lookAtLease(): void {
     if (edge.leaseUntil(service) <= edgeProcess.kernel.clock.now()) gaps += 1;
@@ -216,7 +267,17 @@
   lookAtLease();
 
   return {
-    world, machines, edge, startOperator, readAt, violations, start, spare, kill, cutOff, until,
+    world,
+    machines,
+    edge,
+    startOperator,
+    readAt,
+    violations,
+    start,
+    spare,
+    kill,
+    cutOff,
+    until,
     healAll: function healAll() {
       cut.clear();
       world.healAll();
@@ -228,7 +289,10 @@
     machine: (name) => machines.find((one) => one.name === name) as CoreMachine,
     setOf: function setOf(machine) {
       const membership = machine.running?.node.membership();
-      return { number: membership?.version ?? 0, cores: machine.running?.open() === true ? (membership?.value.seats ?? []).map((seat) => seat.node) : [] };
+      return {
+        number: membership?.version ?? 0,
+        cores: machine.running?.open() === true ? (membership?.value.seats ?? []).map((seat) => seat.node) : [],
+      };
     },
   };
 }
