--- a/packages/simulator/src/explore.ts
+++ b/packages/simulator/src/explore.ts
@@ -5,14 +5,30 @@
 import { identifiers, type Clock, type Disk, type Kernel } from '@stallstall/kernel';
 import type { Ask, CoreSet, Entry, Reply, Seat } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
-import { acceptor, proposer, stepper, type Acceptor, type CoreSets, type NumberedRegister, type RegisterTarget, type Stepper } from '@stallstall/register';
+import {
+  acceptor,
+  proposer,
+  stepper,
+  type Acceptor,
+  type CoreSets,
+  type NumberedRegister,
+  type RegisterTarget,
+  type Stepper,
+} from '@stallstall/register';
 
 type Stage = 'blank' | 'copied' | 'formed' | 'out';
 /** What a core has on its disk of the set it stands at. */
 type Record = Readonly<{ stage: Stage; set: CoreSet }>;
 type Core = {
-  readonly name: string; readonly entries: Map<string, unknown>; record: Record;
-  cells: Acceptor; between: boolean; life: number; readonly register: NumberedRegister; readonly stepper: Stepper; copying: boolean;
+  readonly name: string;
+  readonly entries: Map<string, unknown>;
+  record: Record;
+  cells: Acceptor;
+  between: boolean;
+  life: number;
+  readonly register: NumberedRegister;
+  readonly stepper: Stepper;
+  copying: boolean;
 };
 type Result = Readonly<{ key: string; what: string; begun: number; ended: number; list: readonly string[] }>;
 type Happening = Readonly<{ run: () => void; late: boolean }>;
@@ -104,7 +120,15 @@
 
   function kernelOf(name: string): Kernel {
     return {
-      clock, randomness: { fraction: random, token: function token() { tokens += 1; return `${name}${tokens}`; } }, log: () => undefined,
+      clock,
+      randomness: {
+        fraction: random,
+        token: function token() {
+          tokens += 1;
+          return `${name}${tokens}`;
+        },
+      },
+      log: () => undefined,
     } as unknown as Kernel;
   }
 
@@ -124,25 +148,36 @@
     return {
       load: () => Promise.resolve(core.entries),
       read: (one) => Promise.resolve(Option.fromNullable(core.entries.get(one))),
-      page: (prefix, after) => Promise.resolve([...core.entries].filter(([one]) => one.startsWith(prefix) && one > after).sort(([left], [right]) => (left < right ? -1 : 1))),
+      page: (prefix, after) =>
+        Promise.resolve(
+          [...core.entries].filter(([one]) => one.startsWith(prefix) && one > after).sort(([left], [right]) => (left < right ? -1 : 1)),
+        ),
       size: () => 0,
       puts: () => 0,
       put: function put(one, value) {
         const { life } = core;
-        return new Promise((resolve) => later(function sync() {
-          if (core.life !== life) return;
-          core.entries.set(one, value);
-          resolve(Either.right(null));
-        }, diskLateShare));
+        return new Promise((resolve) =>
+          later(function sync() {
+            if (core.life !== life) return;
+            core.entries.set(one, value);
+            resolve(Either.right(null));
+          }, diskLateShare),
+        );
       },
     };
   }
 
   function cellsOf(core: Core): Acceptor {
-    const created = acceptor.create(diskOf(core), core.entries, () => undefined, () => undefined, {
-      number: () => (core.between || core.record.stage !== 'formed' ? -1 : core.record.set.number),
-      newer: (told) => (!core.between && core.record.stage === 'formed' && core.record.set.number > told ? core.record.set : undefined),
-    });
+    const created = acceptor.create(
+      diskOf(core),
+      core.entries,
+      () => undefined,
+      () => undefined,
+      {
+        number: () => (core.between || core.record.stage !== 'formed' ? -1 : core.record.set.number),
+        newer: (told) => (!core.between && core.record.stage === 'formed' && core.record.set.number > told ? core.record.set : undefined),
+      },
+    );
     if (core.record.stage === 'formed') created.open();
     return created;
   }
@@ -154,10 +189,11 @@
   }
 
   function targetsOf(lost: number, seats: () => readonly Seat[]): () => readonly RegisterTarget[] {
-    return () => seats().map((seat): RegisterTarget => ({
-      core: seat.node,
-      ask: (kind, body) => sent(coreOf(seat.node), lost, () => coreOf(seat.node).cells[kind](body as never)) as never,
-    }));
+    return () =>
+      seats().map((seat): RegisterTarget => ({
+        core: seat.node,
+        ask: (kind, body) => sent(coreOf(seat.node), lost, () => coreOf(seat.node).cells[kind](body as never)) as never,
+      }));
   }
 
   async function keep(core: Core, record: Record): Promise<void> {
@@ -197,17 +233,37 @@
 
   for (const [index, name] of names.entries()) {
     const first: CoreSet = { number: 1, seats: names.slice(0, founded).map(seatOf), epochs: {} };
-    const core = { name, entries: new Map(), record: { stage: index < founded ? 'formed' : 'blank', set: first }, between: false, life: 0, copying: false } as unknown as Core;
+    const core = {
+      name,
+      entries: new Map(),
+      record: { stage: index < founded ? 'formed' : 'blank', set: first },
+      between: false,
+      life: 0,
+      copying: false,
+    } as unknown as Core;
     const sets: CoreSets = { number: () => core.record.set.number, learn: (set) => void (name === shunned ? false : take(core, set)) };
-    const register = proposer.create(kernelOf(name), name, targetsOf(stepLostShare, () => core.record.set.seats), () => core.record.set.seats.length, sets);
+    const register = proposer.create(
+      kernelOf(name),
+      name,
+      targetsOf(stepLostShare, () => core.record.set.seats),
+      () => core.record.set.seats.length,
+      sets,
+    );
     Object.assign(core, {
       register,
       stepper: stepper.create({
-        clock, set: () => core.record.set, under: register.under, settleMilliseconds: 0, learn: sets.learn,
-        adopt: (seat, set) => sent(coreOf(seat.node), seat.node === shunned && name !== shunned ? 0.9 : stepLostShare, () => adopt(coreOf(seat.node), set)),
+        clock,
+        set: () => core.record.set,
+        under: register.under,
+        settleMilliseconds: 0,
+        learn: sets.learn,
+        adopt: (seat, set) =>
+          sent(coreOf(seat.node), seat.node === shunned && name !== shunned ? 0.9 : stepLostShare, () => adopt(coreOf(seat.node), set)),
         holding: async function holding(seat, set) {
           const found = await sent(coreOf(seat.node), stepLostShare, () => pageOf(coreOf(seat.node), set));
-          return Option.isSome(found) && found.value !== undefined ? Option.some({ keys: found.value.map((one) => one.key), votes: {}, notes: { floors: {}, reports: [], through: {} } }) : Option.none;
+          return Option.isSome(found) && found.value !== undefined
+            ? Option.some({ keys: found.value.map((one) => one.key), votes: {}, notes: { floors: {}, reports: [], through: {} } })
+            : Option.none;
         },
         note: (_body: Ask<'note'>) => Promise.resolve(Either.right({})),
       }),
@@ -220,11 +276,16 @@
   async function copy(core: Core): Promise<void> {
     core.copying = true;
     const { life } = core;
-    const newest = [...cores.values()].filter((one) => one.record.stage === 'formed' && one !== core).map((one) => one.record.set).sort((left, right) => right.number - left.number)[0];
+    const newest = [...cores.values()]
+      .filter((one) => one.record.stage === 'formed' && one !== core)
+      .map((one) => one.record.set)
+      .sort((left, right) => right.number - left.number)[0];
     if (newest !== undefined && quorum.seat(newest, core.name) === undefined) {
       await keep(core, { stage: 'blank', set: newest });
       await core.cells.wipe();
-      const found = await Promise.all(newest.seats.map((seat) => sent(coreOf(seat.node), stepLostShare, () => pageOf(coreOf(seat.node), newest.number))));
+      const found = await Promise.all(
+        newest.seats.map((seat) => sent(coreOf(seat.node), stepLostShare, () => pageOf(coreOf(seat.node), newest.number))),
+      );
       const pages = found.flatMap((one) => (Option.isSome(one) && one.value !== undefined ? [one.value] : []));
       for (const one of pages.flat()) if (acceptor.isCellState(one.state)) await core.cells.merge(one.key, one.state);
       if (core.life === life && pages.length >= quorum.majority(newest.seats.length)) await keep(core, { stage: 'copied', set: newest });
@@ -241,8 +302,11 @@
 
   /** Four are to be had of three, and three of four: whoever comes must have copied that very set. */
   function wanted(set: CoreSet): Option.Option<readonly Seat[]> {
-    if (set.seats.length > founded) return Option.some(set.seats.filter((_seat, index) => index !== Math.floor(random() * set.seats.length)));
-    const comer = [...cores.values()].find((core) => core.record.stage === 'copied' && core.record.set.number === set.number && quorum.seat(set, core.name) === undefined);
+    if (set.seats.length > founded)
+      return Option.some(set.seats.filter((_seat, index) => index !== Math.floor(random() * set.seats.length)));
+    const comer = [...cores.values()].find(
+      (core) => core.record.stage === 'copied' && core.record.set.number === set.number && quorum.seat(set, core.name) === undefined,
+    );
     if (comer === undefined) return Option.none;
     // Now and then somebody asks for two changes at once, which must be denied.
     const kept = random() < 0.1 ? set.seats.slice(1) : set.seats;
@@ -260,7 +324,13 @@
         if (newer.number > set.number) set = newer;
       },
     };
-    const register = proposer.create(kernelOf(name), name, targetsOf(lostShare, () => set.seats), () => set.seats.length, sets);
+    const register = proposer.create(
+      kernelOf(name),
+      name,
+      targetsOf(lostShare, () => set.seats),
+      () => set.seats.length,
+      sets,
+    );
     // Ballots far beyond those of the others: what this one leaves on a minority may outlast a set.
     const ahead = random() < 0.5 ? Math.floor(random() * 8) : 0;
     for (let shot = 0; shot < ahead; shot += 1) await register.change(`own-${name}`, () => Option.some([String(shot)]), horizon);
@@ -274,7 +344,11 @@
         if (Either.isRight(read)) results.push({ key, what: `${token} read`, begun, ended: now, list: listOf(read.right) });
         continue;
       }
-      const changed = await register.change(key, (current) => (listOf(current).includes(token) ? Option.none : Option.some([...listOf(current), token])), horizon);
+      const changed = await register.change(
+        key,
+        (current) => (listOf(current).includes(token) ? Option.none : Option.some([...listOf(current), token])),
+        horizon,
+      );
       if (Either.isLeft(changed)) continue;
       const list = listOf(changed.right.entry);
       // Others may have added theirs between two of its shots: what it knows is the history up to its own.
@@ -302,7 +376,9 @@
     const order = names.slice(0, founded).sort(() => random() - 0.5);
     const ballot = { counter: 20, node: 'broken' };
     const key = keys[0] as string;
-    const promises = await Promise.all(order.slice(0, quorum.majority(founded)).map((name) => coreOf(name).cells.prepare({ key, ballot, set: 1 })));
+    const promises = await Promise.all(
+      order.slice(0, quorum.majority(founded)).map((name) => coreOf(name).cells.prepare({ key, ballot, set: 1 })),
+    );
     if (!promises.every((one) => one.agreed)) return;
     const entry: Entry = { ballot, version: 1, value: ['broken'] };
     await coreOf(order[0] as string).cells.accept({ key, entry, set: 1 });
@@ -331,7 +407,12 @@
     now += 1;
     const core = coreOf(names[Math.floor(random() * names.length)] as string);
     if (stepped <= stepsWanted && random() < stepShare) propose(core);
-    if ((core.record.stage === 'blank' || core.record.stage === 'out' || core.record.stage === 'copied') && !core.copying && random() < 0.03) void copy(core);
+    if (
+      (core.record.stage === 'blank' || core.record.stage === 'out' || core.record.stage === 'copied') &&
+      !core.copying &&
+      random() < 0.03
+    )
+      void copy(core);
     if (random() < 0.005) gossip(core);
     if (random() < crashShare) crash(core);
     if (pending.length > 0) pick().run();
--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -38,8 +38,23 @@
 
 function create(fleet: Fleet): Storm {
   return {
-    sends: [], told: [], peaks: new Map(), drains: [], ends: [], struck: new Set(), blanking: false, draining: new Set(), crossings: 0, second: undefined,
-    limit: fleet.deployment.connectionLimit, ownReads: new Set(), weightless: new Set(), keyless: false, hunt: undefined, busy: false, replacing: false,
+    sends: [],
+    told: [],
+    peaks: new Map(),
+    drains: [],
+    ends: [],
+    struck: new Set(),
+    blanking: false,
+    draining: new Set(),
+    crossings: 0,
+    second: undefined,
+    limit: fleet.deployment.connectionLimit,
+    ownReads: new Set(),
+    weightless: new Set(),
+    keyless: false,
+    hunt: undefined,
+    busy: false,
+    replacing: false,
   };
 }
 
@@ -52,12 +67,18 @@
 }
 
 function everyMachine(fleet: Fleet): readonly string[] {
-  return [...fleet.cores.map((slot) => slot.machine), ...fleet.edges.map((slot) => slot.machine), ...fleet.members.map((slot) => slot.machine), 'platform-machine'];
+  return [
+    ...fleet.cores.map((slot) => slot.machine),
+    ...fleet.edges.map((slot) => slot.machine),
+    ...fleet.members.map((slot) => slot.machine),
+    'platform-machine',
+  ];
 }
 
 export function notePeaks(fleet: Fleet, storm: Storm): void {
   for (const slot of fleet.members) {
-    if (slot.running !== undefined) storm.peaks.set(slot.place.member, Math.max(slot.running.peakConnections(), storm.peaks.get(slot.place.member) ?? 0));
+    if (slot.running !== undefined)
+      storm.peaks.set(slot.place.member, Math.max(slot.running.peakConnections(), storm.peaks.get(slot.place.member) ?? 0));
   }
 }
 
@@ -114,7 +135,8 @@
   }
   const ownReadsVary = !fleet.deployment.mix.some((one) => one.kind === 'own-read');
   for (const row of sheet.rows) {
-    for (const member of Object.keys(row.weights)) row.weights[member] = storm.weightless.has(`${member}|${row.area}`) ? 0 : Math.floor(between(fleet, 1, 6));
+    for (const member of Object.keys(row.weights))
+      row.weights[member] = storm.weightless.has(`${member}|${row.area}`) ? 0 : Math.floor(between(fleet, 1, 6));
     if (ownReadsVary && !storm.ownReads.has(`${row.service}|${row.area}`)) delete row.serves['own-read'];
   }
   if (storm.keyless) sheet.keys.splice(0);
@@ -128,7 +150,14 @@
 export async function send(fleet: Fleet, storm: Storm, coreIndex: number): Promise<boolean> {
   const { sheet, mark } = wanted(fleet, storm);
   const sent: Sent = {
-    sentAt: fleet.world.now(), core: `core-${coreIndex + 1}`, sheet, mark, version: 0, acknowledgedAt: Number.POSITIVE_INFINITY, endedAt: Number.POSITIVE_INFINITY, replied: false,
+    sentAt: fleet.world.now(),
+    core: `core-${coreIndex + 1}`,
+    sheet,
+    mark,
+    version: 0,
+    acknowledgedAt: Number.POSITIVE_INFINITY,
+    endedAt: Number.POSITIVE_INFINITY,
+    replied: false,
   };
   storm.sends.push(sent);
   const reply = await fleet.send(sheet, coreIndex);
@@ -149,12 +178,16 @@
 function redraw(fleet: Fleet, storm: Storm): void {
   const { services } = fleet.deployment;
   const kinds = statementKinds.filter(() => fleet.world.fraction() < 0.5);
-  storm.second = kinds.length === 0 ? undefined : { services: services.filter((_, index) => index === 0 || fleet.world.fraction() < 0.5), kinds };
+  storm.second =
+    kinds.length === 0 ? undefined : { services: services.filter((_, index) => index === 0 || fleet.world.fraction() < 0.5), kinds };
   storm.limit = fleet.world.fraction() < 0.3 ? Math.floor(fleet.deployment.connectionLimit * 0.75) : fleet.deployment.connectionLimit;
   storm.ownReads.clear();
   storm.weightless.clear();
-  for (const service of services) for (const area of ['north', 'middle', 'south']) if (fleet.world.fraction() < 0.5) storm.ownReads.add(`${service}|${area}`);
-  for (const slot of fleet.members) for (const area of ['north', 'middle', 'south']) if (fleet.world.fraction() < 0.15) storm.weightless.add(`${slot.place.member}|${area}`);
+  for (const service of services)
+    for (const area of ['north', 'middle', 'south']) if (fleet.world.fraction() < 0.5) storm.ownReads.add(`${service}|${area}`);
+  for (const slot of fleet.members)
+    for (const area of ['north', 'middle', 'south'])
+      if (fleet.world.fraction() < 0.15) storm.weightless.add(`${slot.place.member}|${area}`);
 }
 
 /** A junk sheet, and one against a version that never was: both are to change nothing. */
@@ -196,7 +229,9 @@
     return;
   }
   const slot = pick(fleet, fleet.edges);
-  endAsPlanned(fleet, storm, `${slot.name}/${part}`, fleet.edgeAddresses(slot).proxy, slot[part], () => (part === 'agent' ? fleet.startAgent(slot) : fleet.startProxy(slot)));
+  endAsPlanned(fleet, storm, `${slot.name}/${part}`, fleet.edgeAddresses(slot).proxy, slot[part], () =>
+    part === 'agent' ? fleet.startAgent(slot) : fleet.startProxy(slot),
+  );
 }
 
 function retirePrimary(fleet: Fleet, storm: Storm): void {
@@ -218,7 +253,13 @@
   if (storm.replacing || storm.draining.size > 0) return;
   storm.replacing = true;
   const service = pick(fleet, fleet.deployment.services);
-  const old = fleet.world.fraction() < 0.5 ? fleet.primaryOf(service) : pick(fleet, fleet.members.filter((slot) => slot.place.service === service && slot.gone !== true));
+  const old =
+    fleet.world.fraction() < 0.5
+      ? fleet.primaryOf(service)
+      : pick(
+          fleet,
+          fleet.members.filter((slot) => slot.place.service === service && slot.gone !== true),
+        );
   if (old === undefined) return;
   const slot = fleet.addMember(service, old.place.area);
   void fleet.startMember(slot);
@@ -236,7 +277,12 @@
 }
 
 async function drainAndNote(fleet: Fleet, storm: Storm, edge: string): Promise<EdgeDrain> {
-  const drain: EdgeDrain = { edge, sentAt: fleet.world.now(), acknowledgedAt: Number.POSITIVE_INFINITY, undoneAt: Number.POSITIVE_INFINITY };
+  const drain: EdgeDrain = {
+    edge,
+    sentAt: fleet.world.now(),
+    acknowledgedAt: Number.POSITIVE_INFINITY,
+    undoneAt: Number.POSITIVE_INFINITY,
+  };
   storm.drains.push(drain);
   if ((await fleet.command('POST', `/v1/nodes/${edge}/drain`, 0)).status === 200) drain.acknowledgedAt = fleet.world.now();
   return drain;
@@ -245,10 +291,14 @@
 function drainEdge(fleet: Fleet, storm: Storm): void {
   const slot = pick(fleet, fleet.edges);
   const drained = drainAndNote(fleet, storm, slot.name);
-  fleet.world.at(between(fleet, 2_000, 12_000), () => void drained.then((drain) => {
-    drain.undoneAt = fleet.world.now();
-    return fleet.command('DELETE', `/v1/nodes/${slot.name}/drain`, 1);
-  }));
+  fleet.world.at(
+    between(fleet, 2_000, 12_000),
+    () =>
+      void drained.then((drain) => {
+        drain.undoneAt = fleet.world.now();
+        return fleet.command('DELETE', `/v1/nodes/${slot.name}/drain`, 1);
+      }),
+  );
 }
 
 /** A seventh edge joins under load, works, drains and is removed. */
@@ -273,10 +323,12 @@
 
 function inTurn(fleet: Fleet): void {
   fleet.cores.forEach((_, index) => fleet.world.at(index * 2_500, () => restartCore(fleet, index, 1_000)));
-  fleet.edges.forEach((slot, index) => fleet.world.at(7_500 + index * 1_000, () => {
-    killEdge(fleet, slot, 'agent', 700);
-    killEdge(fleet, slot, 'proxy', 700);
-  }));
+  fleet.edges.forEach((slot, index) =>
+    fleet.world.at(7_500 + index * 1_000, () => {
+      killEdge(fleet, slot, 'agent', 700);
+      killEdge(fleet, slot, 'proxy', 700);
+    }),
+  );
 }
 
 /** An area lost whole, by machines that go dark: nobody is told, there is only silence. */
@@ -288,13 +340,18 @@
   const members = fleet.members.filter((slot) => slot.place.area === area && slot.gone !== true && slot.process?.alive() === true);
   notePeaks(fleet, storm);
   const slots: ReadonlyArray<Readonly<{ machine: string; lit: () => void }>> = [
-    ...cores.filter((slot) => slot.process?.alive() === true).map((slot: CoreSlot) => ({ machine: slot.machine, lit: () => void fleet.startCore(slot) })),
-    ...edges.filter((slot) => slot.agent.process?.alive() === true && slot.proxy.process?.alive() === true).map((slot) => ({
-      machine: slot.machine, lit: function lit(): void {
-        void fleet.startAgent(slot);
-        void fleet.startProxy(slot);
-      },
-    })),
+    ...cores
+      .filter((slot) => slot.process?.alive() === true)
+      .map((slot: CoreSlot) => ({ machine: slot.machine, lit: () => void fleet.startCore(slot) })),
+    ...edges
+      .filter((slot) => slot.agent.process?.alive() === true && slot.proxy.process?.alive() === true)
+      .map((slot) => ({
+        machine: slot.machine,
+        lit: function lit(): void {
+          void fleet.startAgent(slot);
+          void fleet.startProxy(slot);
+        },
+      })),
     ...members.map((slot) => ({ machine: slot.machine, lit: () => void fleet.startMember(slot) })),
   ];
   for (const slot of members) storm.crossings += slot.running?.crossings() ?? 0;
@@ -313,8 +370,12 @@
 
 /** The process that made the last call for a duty: the holder, or whoever proposed last for the service. */
 function lastActor(fleet: Fleet, duty: Hunt['duty']): CoreSlot | EdgeSlot | undefined {
-  const name = duty === 'usage' ? fleet.platformStore.usage.at(-1)?.holder
-    : fleet.world.logs.findLast((line) => line.event === 'elect.propose' && line.fields['service'] === fleet.platformStore.promotions.at(-1)?.service)?.process.replace('/agent', '');
+  const name =
+    duty === 'usage'
+      ? fleet.platformStore.usage.at(-1)?.holder
+      : fleet.world.logs
+          .findLast((line) => line.event === 'elect.propose' && line.fields['service'] === fleet.platformStore.promotions.at(-1)?.service)
+          ?.process.replace('/agent', '');
   return [...fleet.cores, ...fleet.edges].find((slot) => slot.name === name);
 }
 
@@ -347,132 +408,245 @@
 }
 
 const everyFault: readonly Fault[] = [
-  { name: 'kill-primary', run: (fleet, storm) => {
-    const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
-    if (slot !== undefined) killMember(fleet, storm, slot, between(fleet, 3_000, 15_000));
-  } },
-  { name: 'primary-blinks', run: (fleet, storm) => {
-    // Replies are lost by broken connections, and the member is there again for whoever would ask twice.
-    for (const service of fleet.deployment.services) {
-      const slot = fleet.primaryOf(service);
-      if (slot !== undefined) killMember(fleet, storm, slot, between(fleet, 5, 60));
-    }
-  } },
-  { name: 'kill-member', run: (fleet, storm) => killMember(fleet, storm, pick(fleet, fleet.members.filter((one) => one.gone !== true)), between(fleet, 500, 8_000)) },
-  { name: 'member-dark', run: (fleet) => turnKnob(fleet, pick(fleet, fleet.members.filter((one) => one.gone !== true)), 'dark', between(fleet, 1_000, 9_000)) },
-  { name: 'member-deaf', run: (fleet) => turnKnob(fleet, pick(fleet, fleet.members.filter((one) => one.gone !== true)), 'deaf', between(fleet, 500, 6_000)) },
-  { name: 'replies-lost', run: (fleet) => {
-    const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
-    if (slot !== undefined) turnKnob(fleet, slot, 'loseReplies', between(fleet, 100, 1_500));
-  } },
-  { name: 'cut-member', run: (fleet) => cutMachine(fleet, pick(fleet, fleet.members.filter((one) => one.gone !== true)).machine, pick(fleet, ['both', 'in', 'out'] as const), between(fleet, 500, 9_000)) },
-  { name: 'freeze-member', run: (fleet) => {
-    const slot = pick(fleet, fleet.members.filter((one) => one.gone !== true));
-    if (slot.process !== undefined) fleet.world.freeze(slot.process, between(fleet, 500, 8_000));
-  } },
+  {
+    name: 'kill-primary',
+    run: (fleet, storm) => {
+      const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
+      if (slot !== undefined) killMember(fleet, storm, slot, between(fleet, 3_000, 15_000));
+    },
+  },
+  {
+    name: 'primary-blinks',
+    run: (fleet, storm) => {
+      // Replies are lost by broken connections, and the member is there again for whoever would ask twice.
+      for (const service of fleet.deployment.services) {
+        const slot = fleet.primaryOf(service);
+        if (slot !== undefined) killMember(fleet, storm, slot, between(fleet, 5, 60));
+      }
+    },
+  },
+  {
+    name: 'kill-member',
+    run: (fleet, storm) =>
+      killMember(
+        fleet,
+        storm,
+        pick(
+          fleet,
+          fleet.members.filter((one) => one.gone !== true),
+        ),
+        between(fleet, 500, 8_000),
+      ),
+  },
+  {
+    name: 'member-dark',
+    run: (fleet) =>
+      turnKnob(
+        fleet,
+        pick(
+          fleet,
+          fleet.members.filter((one) => one.gone !== true),
+        ),
+        'dark',
+        between(fleet, 1_000, 9_000),
+      ),
+  },
+  {
+    name: 'member-deaf',
+    run: (fleet) =>
+      turnKnob(
+        fleet,
+        pick(
+          fleet,
+          fleet.members.filter((one) => one.gone !== true),
+        ),
+        'deaf',
+        between(fleet, 500, 6_000),
+      ),
+  },
+  {
+    name: 'replies-lost',
+    run: (fleet) => {
+      const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
+      if (slot !== undefined) turnKnob(fleet, slot, 'loseReplies', between(fleet, 100, 1_500));
+    },
+  },
+  {
+    name: 'cut-member',
+    run: (fleet) =>
+      cutMachine(
+        fleet,
+        pick(
+          fleet,
+          fleet.members.filter((one) => one.gone !== true),
+        ).machine,
+        pick(fleet, ['both', 'in', 'out'] as const),
+        between(fleet, 500, 9_000),
+      ),
+  },
+  {
+    name: 'freeze-member',
+    run: (fleet) => {
+      const slot = pick(
+        fleet,
+        fleet.members.filter((one) => one.gone !== true),
+      );
+      if (slot.process !== undefined) fleet.world.freeze(slot.process, between(fleet, 500, 8_000));
+    },
+  },
   { name: 'kill-core', run: (fleet) => restartCore(fleet, Math.floor(between(fleet, 0, 3)), between(fleet, 200, 6_000)) },
-  { name: 'blank-core', run: (fleet, storm) => {
-    // One disk at a time: the fleet survives the loss of one core machine, and of the next once the first has copied.
-    if (storm.blanking || fleet.cores.some((one) => one.process?.alive() !== true)) return;
-    const slot = pick(fleet, fleet.cores);
-    storm.blanking = true;
-    fleet.stopSlot(slot);
-    slot.disk = fleet.world.disk();
-    fleet.world.at(between(fleet, 200, 3_000), () => void fleet.startCore(slot));
-  } },
-  { name: 'slow-disk', run: (fleet) => {
-    const slot = pick(fleet, fleet.cores);
-    slot.disk.trouble.slowMilliseconds = between(fleet, 20, 700);
-    fleet.world.at(between(fleet, 1_000, 5_000), () => {
-      slot.disk.trouble.slowMilliseconds = 0;
-    });
-  } },
-  { name: 'failing-disk', run: (fleet) => {
-    const slot = pick(fleet, fleet.cores);
-    slot.disk.trouble.failing = true;
-    fleet.world.at(between(fleet, 1_000, 5_000), () => {
-      slot.disk.trouble.failing = false;
-    });
-  } },
+  {
+    name: 'blank-core',
+    run: (fleet, storm) => {
+      // One disk at a time: the fleet survives the loss of one core machine, and of the next once the first has copied.
+      if (storm.blanking || fleet.cores.some((one) => one.process?.alive() !== true)) return;
+      const slot = pick(fleet, fleet.cores);
+      storm.blanking = true;
+      fleet.stopSlot(slot);
+      slot.disk = fleet.world.disk();
+      fleet.world.at(between(fleet, 200, 3_000), () => void fleet.startCore(slot));
+    },
+  },
+  {
+    name: 'slow-disk',
+    run: (fleet) => {
+      const slot = pick(fleet, fleet.cores);
+      slot.disk.trouble.slowMilliseconds = between(fleet, 20, 700);
+      fleet.world.at(between(fleet, 1_000, 5_000), () => {
+        slot.disk.trouble.slowMilliseconds = 0;
+      });
+    },
+  },
+  {
+    name: 'failing-disk',
+    run: (fleet) => {
+      const slot = pick(fleet, fleet.cores);
+      slot.disk.trouble.failing = true;
+      fleet.world.at(between(fleet, 1_000, 5_000), () => {
+        slot.disk.trouble.failing = false;
+      });
+    },
+  },
   { name: 'kill-agent', run: (fleet) => killEdge(fleet, pick(fleet, fleet.edges), 'agent', between(fleet, 100, 4_000)) },
   { name: 'kill-proxy', run: (fleet) => killEdge(fleet, pick(fleet, fleet.edges), 'proxy', between(fleet, 100, 4_000)) },
-  { name: 'cut-edge', run: (fleet) => cutMachine(fleet, pick(fleet, fleet.edges).machine, pick(fleet, ['both', 'in', 'out'] as const), between(fleet, 500, 9_000)) },
-  { name: 'cut-core', run: (fleet) => cutMachine(fleet, pick(fleet, fleet.cores).machine, pick(fleet, ['both', 'in', 'out'] as const), between(fleet, 500, 9_000)) },
-  { name: 'freeze-node', run: (fleet, storm) => {
-    const process = pick(fleet, [...fleet.cores.map((slot) => slot.process), ...fleet.edges.flatMap((slot) => [slot.agent.process, slot.proxy.process])]);
-    if (process?.alive() === true) freeze(fleet, storm, process, between(fleet, 300, 6_000));
-  } },
-  { name: 'operators-race', run: (fleet, storm) => {
-    redraw(fleet, storm);
-    void send(fleet, storm, 0);
-    redraw(fleet, storm);
-    void send(fleet, storm, 1);
-  } },
+  {
+    name: 'cut-edge',
+    run: (fleet) =>
+      cutMachine(fleet, pick(fleet, fleet.edges).machine, pick(fleet, ['both', 'in', 'out'] as const), between(fleet, 500, 9_000)),
+  },
+  {
+    name: 'cut-core',
+    run: (fleet) =>
+      cutMachine(fleet, pick(fleet, fleet.cores).machine, pick(fleet, ['both', 'in', 'out'] as const), between(fleet, 500, 9_000)),
+  },
+  {
+    name: 'freeze-node',
+    run: (fleet, storm) => {
+      const process = pick(fleet, [
+        ...fleet.cores.map((slot) => slot.process),
+        ...fleet.edges.flatMap((slot) => [slot.agent.process, slot.proxy.process]),
+      ]);
+      if (process?.alive() === true) freeze(fleet, storm, process, between(fleet, 300, 6_000));
+    },
+  },
+  {
+    name: 'operators-race',
+    run: (fleet, storm) => {
+      redraw(fleet, storm);
+      void send(fleet, storm, 0);
+      redraw(fleet, storm);
+      void send(fleet, storm, 1);
+    },
+  },
   { name: 'spoilt-sheets', run: (fleet) => spoiltSends(fleet) },
-  { name: 'platform-slow', run: (fleet) => {
-    fleet.platform().knobs.slowMilliseconds = between(fleet, 100, 2_000);
-    fleet.world.at(between(fleet, 1_000, 5_000), () => {
-      fleet.platform().knobs.slowMilliseconds = 0;
-    });
-  } },
-  { name: 'platform-trouble', run: (fleet) => {
-    const knob = pick(fleet, ['down', 'losesReplies', 'denies', 'garbles'] as const);
-    fleet.platform().knobs[knob] = true;
-    fleet.world.at(between(fleet, 500, 4_000), () => {
-      fleet.platform().knobs[knob] = false;
-    });
-  } },
-  { name: 'zone-lost', run: (fleet, storm) => {
-    const area = pick(fleet, ['north', 'middle', 'south']);
-    const milliseconds = between(fleet, 2_000, 9_000);
-    for (const slot of fleet.members) if (slot.place.area === area && slot.gone !== true) killMember(fleet, storm, slot, milliseconds);
-    for (const slot of fleet.edges) {
-      if (slot.area !== area) continue;
-      killEdge(fleet, slot, 'agent', milliseconds);
-      killEdge(fleet, slot, 'proxy', milliseconds);
-    }
-  } },
-  { name: 'primary-dies-half-seen', run: (fleet, storm) => {
-    // One edge misses the likely proposer and three other edges, and still hears a majority with itself, and two cores.
-    const edge = pick(fleet, fleet.edges);
-    const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
-    const missed = [...fleet.cores.slice(0, 1), ...fleet.edges.filter((one) => one !== edge).slice(0, 3)];
-    for (const one of missed) {
-      fleet.world.cut(edge.machine, one.machine);
-      fleet.world.cut(one.machine, edge.machine);
-    }
-    if (slot !== undefined) fleet.world.at(between(fleet, 0, 2_000), () => killMember(fleet, storm, slot, between(fleet, 9_000, 12_000)));
-    fleet.world.at(between(fleet, 9_000, 13_000), () => {
+  {
+    name: 'platform-slow',
+    run: (fleet) => {
+      fleet.platform().knobs.slowMilliseconds = between(fleet, 100, 2_000);
+      fleet.world.at(between(fleet, 1_000, 5_000), () => {
+        fleet.platform().knobs.slowMilliseconds = 0;
+      });
+    },
+  },
+  {
+    name: 'platform-trouble',
+    run: (fleet) => {
+      const knob = pick(fleet, ['down', 'losesReplies', 'denies', 'garbles'] as const);
+      fleet.platform().knobs[knob] = true;
+      fleet.world.at(between(fleet, 500, 4_000), () => {
+        fleet.platform().knobs[knob] = false;
+      });
+    },
+  },
+  {
+    name: 'zone-lost',
+    run: (fleet, storm) => {
+      const area = pick(fleet, ['north', 'middle', 'south']);
+      const milliseconds = between(fleet, 2_000, 9_000);
+      for (const slot of fleet.members) if (slot.place.area === area && slot.gone !== true) killMember(fleet, storm, slot, milliseconds);
+      for (const slot of fleet.edges) {
+        if (slot.area !== area) continue;
+        killEdge(fleet, slot, 'agent', milliseconds);
+        killEdge(fleet, slot, 'proxy', milliseconds);
+      }
+    },
+  },
+  {
+    name: 'primary-dies-half-seen',
+    run: (fleet, storm) => {
+      // One edge misses the likely proposer and three other edges, and still hears a majority with itself, and two cores.
+      const edge = pick(fleet, fleet.edges);
+      const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
+      const missed = [...fleet.cores.slice(0, 1), ...fleet.edges.filter((one) => one !== edge).slice(0, 3)];
       for (const one of missed) {
-        fleet.world.heal(edge.machine, one.machine);
-        fleet.world.heal(one.machine, edge.machine);
+        fleet.world.cut(edge.machine, one.machine);
+        fleet.world.cut(one.machine, edge.machine);
       }
-    });
-  } },
-  { name: 'key-withdrawn', run: (fleet, storm) => {
-    if (storm.second === undefined) redraw(fleet, storm);
-    else storm.second = undefined;
-    void send(fleet, storm, 0);
-  } },
-  { name: 'senders-key-withdrawn', run: (fleet, storm) => {
-    // Sessions and the transactions that are open in them are under this key.
-    storm.keyless = true;
-    void send(fleet, storm, 0);
-    fleet.world.at(between(fleet, 500, 3_500), () => {
-      storm.keyless = false;
-      void sendUntilTaken(fleet, storm);
-    });
-  } },
-  { name: 'replies-garbled', run: (fleet) => {
-    const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
-    if (slot !== undefined) turnKnob(fleet, slot, 'garbles', between(fleet, 100, 1_500));
-  } },
-  { name: 'actor-struck', run: (fleet, storm) => {
-    const duty = pick(fleet, ['promotion', 'usage'] as const);
-    storm.hunt = { duty, how: pick(fleet, ['kill', 'freeze', 'cut'] as const), calls: callsOf(fleet, duty) };
-    const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
-    if (duty === 'promotion' && slot !== undefined) killMember(fleet, storm, slot, between(fleet, 9_000, 15_000));
-  } },
+      if (slot !== undefined) fleet.world.at(between(fleet, 0, 2_000), () => killMember(fleet, storm, slot, between(fleet, 9_000, 12_000)));
+      fleet.world.at(between(fleet, 9_000, 13_000), () => {
+        for (const one of missed) {
+          fleet.world.heal(edge.machine, one.machine);
+          fleet.world.heal(one.machine, edge.machine);
+        }
+      });
+    },
+  },
+  {
+    name: 'key-withdrawn',
+    run: (fleet, storm) => {
+      if (storm.second === undefined) redraw(fleet, storm);
+      else storm.second = undefined;
+      void send(fleet, storm, 0);
+    },
+  },
+  {
+    name: 'senders-key-withdrawn',
+    run: (fleet, storm) => {
+      // Sessions and the transactions that are open in them are under this key.
+      storm.keyless = true;
+      void send(fleet, storm, 0);
+      fleet.world.at(between(fleet, 500, 3_500), () => {
+        storm.keyless = false;
+        void sendUntilTaken(fleet, storm);
+      });
+    },
+  },
+  {
+    name: 'replies-garbled',
+    run: (fleet) => {
+      const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
+      if (slot !== undefined) turnKnob(fleet, slot, 'garbles', between(fleet, 100, 1_500));
+    },
+  },
+  {
+    name: 'actor-struck',
+    run: (fleet, storm) => {
+      const duty = pick(fleet, ['promotion', 'usage'] as const);
+      storm.hunt = { duty, how: pick(fleet, ['kill', 'freeze', 'cut'] as const), calls: callsOf(fleet, duty) };
+      const slot = fleet.primaryOf(pick(fleet, fleet.deployment.services));
+      if (duty === 'promotion' && slot !== undefined) killMember(fleet, storm, slot, between(fleet, 9_000, 15_000));
+    },
+  },
   { name: 'planned-restart', run: plannedRestart },
   { name: 'retire-primary', run: retirePrimary },
   { name: 'replace-member', run: replaceMember },
--- a/packages/simulator/src/fleet.ts
+++ b/packages/simulator/src/fleet.ts
@@ -5,7 +5,18 @@
 import { agent, type Agent } from '@stallstall/agent';
 import { proxy, type Proxy } from '@stallstall/proxy';
 import {
-  areas, deployments, member, platform, sender, type Deployment, type Ledger, type Member, type MemberPlace, type MemberStore, type Platform, type PlatformStore,
+  areas,
+  deployments,
+  member,
+  platform,
+  sender,
+  type Deployment,
+  type Ledger,
+  type Member,
+  type MemberPlace,
+  type MemberStore,
+  type Platform,
+  type PlatformStore,
 } from '@stallstall/stand-in';
 import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
 
@@ -13,14 +24,30 @@
 
 export type CoreSlot = Slot<Core> & { protocols?: Protocols; readonly name: string; readonly machine: string; disk: SimulatedDisk };
 /** `seeds` and `protocols`: what its settings and its build say, where they differ from the rest of the fleet. */
-export type EdgeSlot = { seeds?: readonly string[]; protocols?: Protocols; readonly name: string; readonly machine: string; readonly area: string; readonly agent: Slot<Agent>; readonly proxy: Slot<Proxy> };
+export type EdgeSlot = {
+  seeds?: readonly string[];
+  protocols?: Protocols;
+  readonly name: string;
+  readonly machine: string;
+  readonly area: string;
+  readonly agent: Slot<Agent>;
+  readonly proxy: Slot<Proxy>;
+};
 /** `gone`: taken out for good. */
 export type MemberSlot = Slot<Member> & { readonly place: MemberPlace; readonly machine: string; store: MemberStore; gone?: boolean };
 
 /** `factor` times the deployment's sessions and rate; `crowded`: the share of sessions that all go to one edge. */
 export type SenderWishes = Readonly<{ hastyShare?: number; factor?: number; crowded?: number }>;
 
-export type FleetOptions = Readonly<{ edges?: number; synchronous?: number; replicateMilliseconds?: number; runMilliseconds?: number; spareEdge?: boolean; operatorKey?: string; weighing?: boolean }>;
+export type FleetOptions = Readonly<{
+  edges?: number;
+  synchronous?: number;
+  replicateMilliseconds?: number;
+  runMilliseconds?: number;
+  spareEdge?: boolean;
+  operatorKey?: string;
+  weighing?: boolean;
+}>;
 
 export type Fleet = Readonly<{
   world: World;
@@ -46,7 +73,13 @@
   stopSlot: (slot: Slot<unknown>) => void;
   sheet: () => Record<string, unknown>;
   /** Steps as an operator would, against any core that answers. */
-  operate: (method: string, path: string, body?: unknown, headers?: Readonly<Record<string, string>>, coreIndex?: number) => Promise<HttpReply>;
+  operate: (
+    method: string,
+    path: string,
+    body?: unknown,
+    headers?: Readonly<Record<string, string>>,
+    coreIndex?: number,
+  ) => Promise<HttpReply>;
   /** Sends a sheet without waiting for virtual time to pass. */
   send: (sheet: unknown, coreIndex: number) => Promise<HttpReply>;
   /** An operator's step without waiting for virtual time to pass. */
@@ -72,20 +105,40 @@
 function create(seed: number, deployment: Deployment, options: FleetOptions = {}): Fleet {
   const world = worlds.create(seed, options.weighing);
   const edgeCount = options.edges ?? 6;
-  const cores: CoreSlot[] = [0, 1, 2].map((index) => ({ name: `core-${index + 1}`, machine: `core-machine-${index + 1}`, disk: world.disk(), process: undefined, running: undefined }));
+  const cores: CoreSlot[] = [0, 1, 2].map((index) => ({
+    name: `core-${index + 1}`,
+    machine: `core-machine-${index + 1}`,
+    disk: world.disk(),
+    process: undefined,
+    running: undefined,
+  }));
   function edgeSlot(index: number): EdgeSlot {
     return {
-      name: `edge-${index + 1}`, machine: `edge-machine-${index + 1}`, area: areas[index % areas.length] as string,
-      agent: { process: undefined, running: undefined }, proxy: { process: undefined, running: undefined },
+      name: `edge-${index + 1}`,
+      machine: `edge-machine-${index + 1}`,
+      area: areas[index % areas.length] as string,
+      agent: { process: undefined, running: undefined },
+      proxy: { process: undefined, running: undefined },
     };
   }
   const edges: readonly EdgeSlot[] = Array.from({ length: edgeCount }, (_, index) => edgeSlot(index));
   const spare = options.spareEdge === true ? edgeSlot(edgeCount) : undefined;
   const everyEdge = spare === undefined ? edges : [...edges, spare];
-  const members: MemberSlot[] = deployment.services.flatMap((service, serviceIndex) => areas.map((area, index) => ({
-    place: { service, member: `${service}-${index + 1}`, area, address: `10.3.${serviceIndex}.${index + 1}:5000`, control: `10.3.${serviceIndex}.${index + 1}:5001` },
-    machine: `member-machine-${service}-${index + 1}`, store: member.emptyStore(false), process: undefined, running: undefined,
-  })));
+  const members: MemberSlot[] = deployment.services.flatMap((service, serviceIndex) =>
+    areas.map((area, index) => ({
+      place: {
+        service,
+        member: `${service}-${index + 1}`,
+        area,
+        address: `10.3.${serviceIndex}.${index + 1}:5000`,
+        control: `10.3.${serviceIndex}.${index + 1}:5001`,
+      },
+      machine: `member-machine-${service}-${index + 1}`,
+      store: member.emptyStore(false),
+      process: undefined,
+      running: undefined,
+    })),
+  );
   const platformMembers = members.map((slot) => ({ service: slot.place.service, member: slot.place.member, control: slot.place.control }));
   const platformStore = platform.emptyStore();
   const platformAddress = '10.4.0.1:9000';
@@ -103,7 +156,12 @@
 
   function edgeAddresses(slot: EdgeSlot): { address: string; outward: string; feed: string; proxy: string } {
     const index = everyEdge.indexOf(slot) + 1;
-    return { address: `10.2.0.${index}:7000`, outward: `10.2.0.${index}:7001`, feed: `10.2.0.${index}:7002`, proxy: `10.2.0.${index}:8000` };
+    return {
+      address: `10.2.0.${index}:7000`,
+      outward: `10.2.0.${index}:7001`,
+      feed: `10.2.0.${index}:7002`,
+      proxy: `10.2.0.${index}:8000`,
+    };
   }
 
   const seeds = cores.map((slot) => place(slot).address);
@@ -113,7 +171,16 @@
     const { address, outward } = elsewhere === undefined ? place(slot) : { address: `${elsewhere}:7000`, outward: `${elsewhere}:7001` };
     slot.process = spawned;
     const area = areas[cores.indexOf(slot)] as string;
-    const started = await core.start(spawned.kernel, { node: slot.name, area, address, outward, seeds: () => seeds, platform: () => platformAddress, cores: 3, operatorKey: options.operatorKey });
+    const started = await core.start(spawned.kernel, {
+      node: slot.name,
+      area,
+      address,
+      outward,
+      seeds: () => seeds,
+      platform: () => platformAddress,
+      cores: 3,
+      operatorKey: options.operatorKey,
+    });
     if (Either.isLeft(started)) spawned.kernel.stop(started.left);
     else slot.running = started.right;
   }
@@ -122,7 +189,15 @@
     const spawned = world.spawn(`${slot.name}/agent`, slot.machine, undefined, slot.protocols);
     slot.agent.process = spawned;
     const { address, outward, feed } = edgeAddresses(slot);
-    const started = await agent.start(spawned.kernel, { node: slot.name, area: slot.area, address, outward, feed, seeds: () => slot.seeds ?? seeds, platform: () => platformAddress });
+    const started = await agent.start(spawned.kernel, {
+      node: slot.name,
+      area: slot.area,
+      address,
+      outward,
+      feed,
+      seeds: () => slot.seeds ?? seeds,
+      platform: () => platformAddress,
+    });
     if (Either.isRight(started)) slot.agent.running = started.right;
   }
 
@@ -137,7 +212,13 @@
     const number = members.filter((slot) => slot.place.service === service).length + 1;
     const host = `10.3.${deployment.services.indexOf(service)}.${number}`;
     const place: MemberPlace = { service, member: `${service}-${number}`, area, address: `${host}:5000`, control: `${host}:5001` };
-    const slot: MemberSlot = { place, machine: `member-machine-${service}-${number}`, store: member.emptyStore(false), process: undefined, running: undefined };
+    const slot: MemberSlot = {
+      place,
+      machine: `member-machine-${service}-${number}`,
+      store: member.emptyStore(false),
+      process: undefined,
+      running: undefined,
+    };
     members.push(slot);
     platformMembers.push({ service, member: place.member, control: place.control });
     return slot;
@@ -146,18 +227,32 @@
   async function startMember(slot: MemberSlot): Promise<void> {
     const spawned = world.spawn(slot.place.member, slot.machine);
     slot.process = spawned;
-    slot.running = await member.start(spawned.kernel, {
-      member: slot.place.member, service: slot.place.service, address: slot.place.address, control: slot.place.control,
-      connectionLimit: deployment.connectionLimit,
-      nodes: [...cores.map((one) => place(one).outward), ...everyEdge.map((one) => edgeAddresses(one).outward)],
-      runMilliseconds: options.runMilliseconds ?? 6, replicateMilliseconds: options.replicateMilliseconds ?? 20, synchronous: options.synchronous ?? 1,
-    }, slot.store);
+    slot.running = await member.start(
+      spawned.kernel,
+      {
+        member: slot.place.member,
+        service: slot.place.service,
+        address: slot.place.address,
+        control: slot.place.control,
+        connectionLimit: deployment.connectionLimit,
+        nodes: [...cores.map((one) => place(one).outward), ...everyEdge.map((one) => edgeAddresses(one).outward)],
+        runMilliseconds: options.runMilliseconds ?? 6,
+        replicateMilliseconds: options.replicateMilliseconds ?? 20,
+        synchronous: options.synchronous ?? 1,
+      },
+      slot.store,
+    );
   }
 
   async function startAll(): Promise<void> {
-    platformSlot = await platform.start(world.spawn('platform', platformMachine).kernel, {
-      address: platformAddress, members: platformMembers,
-    }, platformStore);
+    platformSlot = await platform.start(
+      world.spawn('platform', platformMachine).kernel,
+      {
+        address: platformAddress,
+        members: platformMembers,
+      },
+      platformStore,
+    );
     for (const slot of members) await startMember(slot);
     for (const slot of cores) await startCore(slot);
     for (const slot of edges) {
@@ -185,14 +280,27 @@
     return Either.isRight(reply) ? reply.right : { status: 0, body: fault.body(reply.left) };
   }
 
-  async function operate(method: string, path: string, body?: unknown, headers: Readonly<Record<string, string>> = {}, coreIndex = 0): Promise<HttpReply> {
+  async function operate(
+    method: string,
+    path: string,
+    body?: unknown,
+    headers: Readonly<Record<string, string>> = {},
+    coreIndex = 0,
+  ): Promise<HttpReply> {
     const address = identifiers.address(place(cores[coreIndex] as CoreSlot).outward);
     return exchanged(await drive(http.once(operator.kernel, address, { method, path, body, headers }, 10_000)));
   }
 
   async function send(sheet: unknown, coreIndex: number): Promise<HttpReply> {
     const address = identifiers.address(place(cores[coreIndex] as CoreSlot).outward);
-    return exchanged(await http.once(operator.kernel, address, { method: 'PUT', path: '/v1/sheet', body: { sheet, sentBy: `operator-${coreIndex}` } }, 8_000));
+    return exchanged(
+      await http.once(
+        operator.kernel,
+        address,
+        { method: 'PUT', path: '/v1/sheet', body: { sheet, sentBy: `operator-${coreIndex}` } },
+        8_000,
+      ),
+    );
   }
 
   async function command(method: string, path: string, coreIndex: number): Promise<HttpReply> {
@@ -202,34 +310,66 @@
 
   async function post(edge: EdgeSlot, path: string, body: unknown): Promise<HttpReply> {
     const address = identifiers.address(edgeAddresses(edge).proxy);
-    return exchanged(await http.once(senders.kernel, address, { method: 'POST', path, body, headers: { 'x-stallstall-key': senderKey } }, 30_000));
+    return exchanged(
+      await http.once(senders.kernel, address, { method: 'POST', path, body, headers: { 'x-stallstall-key': senderKey } }, 30_000),
+    );
   }
 
-  async function ask(edge: EdgeSlot, method: string, path: string, body?: unknown, headers: Readonly<Record<string, string>> = {}): Promise<HttpReply> {
+  async function ask(
+    edge: EdgeSlot,
+    method: string,
+    path: string,
+    body?: unknown,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<HttpReply> {
     const address = identifiers.address(edgeAddresses(edge).proxy);
-    return exchanged(await drive(http.once(senders.kernel, address, { method, path, body, headers: { 'x-stallstall-key': senderKey, ...headers } }, 10_000)));
+    return exchanged(
+      await drive(
+        http.once(senders.kernel, address, { method, path, body, headers: { 'x-stallstall-key': senderKey, ...headers } }, 10_000),
+      ),
+    );
   }
 
   const ready = new Set<EdgeSlot>();
 
   /** The platform sends senders only to edges whose readiness it has found. */
   async function probeReadiness(edge: EdgeSlot): Promise<void> {
-    const reply = await http.once(chooser.kernel, identifiers.address(edgeAddresses(edge).proxy), { method: 'GET', path: '/ready' }, readyMilliseconds);
+    const reply = await http.once(
+      chooser.kernel,
+      identifiers.address(edgeAddresses(edge).proxy),
+      { method: 'GET', path: '/ready' },
+      readyMilliseconds,
+    );
     if (Either.isRight(reply) && reply.right.status === 200) ready.add(edge);
     else ready.delete(edge);
   }
 
   function startSenders(wishes: SenderWishes = {}): Readonly<{ stop: () => void }> {
-    for (const edge of everyEdge) void kernels.every(chooser.kernel.clock, readyMilliseconds, () => probeReadiness(edge), () => true);
-    return sender.start(senders.kernel, {
-      deployment, key: senderKey, sessions: deployment.sessions * (wishes.factor ?? 1), requestsPerSecond: deployment.requestsPerSecond * (wishes.factor ?? 1), hastyShare: wishes.hastyShare ?? 0,
-      horizonMilliseconds: 3_000, tag: 's',
-      edges: function edgesReady() {
-        const known = [...ready].map((slot) => edgeAddresses(slot).proxy);
-        const favourite = known[0];
-        return favourite !== undefined && world.fraction() < (wishes.crowded ?? 0) ? [favourite] : known;
+    for (const edge of everyEdge)
+      void kernels.every(
+        chooser.kernel.clock,
+        readyMilliseconds,
+        () => probeReadiness(edge),
+        () => true,
+      );
+    return sender.start(
+      senders.kernel,
+      {
+        deployment,
+        key: senderKey,
+        sessions: deployment.sessions * (wishes.factor ?? 1),
+        requestsPerSecond: deployment.requestsPerSecond * (wishes.factor ?? 1),
+        hastyShare: wishes.hastyShare ?? 0,
+        horizonMilliseconds: 3_000,
+        tag: 's',
+        edges: function edgesReady() {
+          const known = [...ready].map((slot) => edgeAddresses(slot).proxy);
+          const favourite = known[0];
+          return favourite !== undefined && world.fraction() < (wishes.crowded ?? 0) ? [favourite] : known;
+        },
       },
-    }, ledger);
+      ledger,
+    );
   }
 
   function primaryOf(service: string): MemberSlot | undefined {
@@ -238,22 +378,46 @@
   }
 
   function able(): boolean {
-    const sane = cores.filter((slot) => slot.process?.alive() === true && !world.frozen(slot.process) && slot.running?.open() === true && !slot.disk.trouble.failing && slot.disk.trouble.slowMilliseconds < 300);
+    const sane = cores.filter(
+      (slot) =>
+        slot.process?.alive() === true &&
+        !world.frozen(slot.process) &&
+        slot.running?.open() === true &&
+        !slot.disk.trouble.failing &&
+        slot.disk.trouble.slowMilliseconds < 300,
+    );
     const takes = platformSlot !== undefined && !platformSlot.knobs.down && !platformSlot.knobs.denies;
-    return takes && sane.some((one, index) => sane.slice(index + 1).some((other) => (
-      world.joined(one.machine, other.machine) && (world.joined(one.machine, platformMachine) || world.joined(other.machine, platformMachine))
-    )));
+    return (
+      takes &&
+      sane.some((one, index) =>
+        sane
+          .slice(index + 1)
+          .some(
+            (other) =>
+              world.joined(one.machine, other.machine) &&
+              (world.joined(one.machine, platformMachine) || world.joined(other.machine, platformMachine)),
+          ),
+      )
+    );
   }
 
   function sound(): boolean {
     const processes = [
-      ...cores.map((slot) => slot.process), ...edges.flatMap((slot) => [slot.agent.process, slot.proxy.process]),
+      ...cores.map((slot) => slot.process),
+      ...edges.flatMap((slot) => [slot.agent.process, slot.proxy.process]),
       ...members.filter((slot) => !slot.gone).map((slot) => slot.process),
     ];
     const running = platformSlot;
-    return processes.every((one) => one?.alive() === true && !world.frozen(one)) && cores.every((slot) => slot.running !== undefined && !slot.disk.trouble.failing && slot.disk.trouble.slowMilliseconds === 0) &&
-      running !== undefined && !running.knobs.down && !running.knobs.denies && !running.knobs.losesReplies && !running.knobs.garbles &&
-      members.every((slot) => slot.gone || Object.values(slot.running?.knobs ?? {}).every((knob) => !knob));
+    return (
+      processes.every((one) => one?.alive() === true && !world.frozen(one)) &&
+      cores.every((slot) => slot.running !== undefined && !slot.disk.trouble.failing && slot.disk.trouble.slowMilliseconds === 0) &&
+      running !== undefined &&
+      !running.knobs.down &&
+      !running.knobs.denies &&
+      !running.knobs.losesReplies &&
+      !running.knobs.garbles &&
+      members.every((slot) => slot.gone || Object.values(slot.running?.knobs ?? {}).every((knob) => !knob))
+    );
   }
 
   async function until(condition: () => boolean, milliseconds: number): Promise<boolean> {
@@ -265,9 +429,43 @@
   }
 
   return {
-    world, deployment, cores, edges, spare, members, addMember, able, sound, platformStore, platform: () => platformSlot as Platform, ledger, key: senderKey,
-    startAll, startCore, startAgent, startProxy, startMember, stopSlot, operate, send, command, post, ask, startSenders, primaryOf, until, place, edgeAddresses,
-    sheet: () => structuredClone(deployments.sheet(deployment, members.filter((slot) => slot.gone !== true).map((slot) => slot.place), senderKey)) as Record<string, unknown>,
+    world,
+    deployment,
+    cores,
+    edges,
+    spare,
+    members,
+    addMember,
+    able,
+    sound,
+    platformStore,
+    platform: () => platformSlot as Platform,
+    ledger,
+    key: senderKey,
+    startAll,
+    startCore,
+    startAgent,
+    startProxy,
+    startMember,
+    stopSlot,
+    operate,
+    send,
+    command,
+    post,
+    ask,
+    startSenders,
+    primaryOf,
+    until,
+    place,
+    edgeAddresses,
+    sheet: () =>
+      structuredClone(
+        deployments.sheet(
+          deployment,
+          members.filter((slot) => slot.gone !== true).map((slot) => slot.place),
+          senderKey,
+        ),
+      ) as Record<string, unknown>,
   };
 }
 
--- a/packages/simulator/src/fuzz.ts
+++ b/packages/simulator/src/fuzz.ts
@@ -7,7 +7,24 @@
 import type { Fleet } from './fleet.js';
 
 const junk: readonly unknown[] = [
-  null, '', 'x'.repeat(5_000), -1, 1.5, 1e300, Number.MAX_SAFE_INTEGER, [], {}, [[[]]], { toString: 1 }, { __proto__: { admin: true } }, true, '\u0000', '../../etc', '1; drop', [null], { length: -1 },
+  null,
+  '',
+  'x'.repeat(5_000),
+  -1,
+  1.5,
+  1e300,
+  Number.MAX_SAFE_INTEGER,
+  [],
+  {},
+  [[[]]],
+  { toString: 1 },
+  { __proto__: { admin: true } },
+  true,
+  '\u0000',
+  '../../etc',
+  '1; drop',
+  [null],
+  { length: -1 },
 ];
 
 /** Spoils one place of a value: replaces it by junk, removes it, or adds a stranger beside it. */
@@ -40,7 +57,10 @@
   { kind: 'look', body: { key: '' } },
   { kind: 'watch', body: { node: 'edge-1', incarnation: 1, acknowledged: null, obeyed: 0 } },
   { kind: 'note', body: { floors: { bookings: { epoch: 1, position: -1 } }, reports: [], through: {} } },
-  { kind: 'note', body: { floors: {}, reports: [{ node: 'edge-1', incarnation: 'a', number: 1, window: 1, counts: { bookings: 1e999 } }], through: {} } },
+  {
+    kind: 'note',
+    body: { floors: {}, reports: [{ node: 'edge-1', incarnation: 'a', number: 1, window: 1, counts: { bookings: 1e999 } }], through: {} },
+  },
   { kind: 'tell', body: { number: 1, floors: { bookings: 7 }, usage: [], through: 0, incarnation: 'x' } },
   { kind: 'copy', body: { after: 9 } },
   { kind: 'usageLook', body: {} },
@@ -49,7 +69,18 @@
   { kind: '__proto__', body: {} },
 ];
 
-const frames: readonly unknown[] = ['junk', 7, null, [], {}, { call: -1, kind: 'hello', body: {} }, { reply: 'x', body: {} }, { change: { number: 1 } }, { call: 1 }, { deny: 1, reason: 'no' }];
+const frames: readonly unknown[] = [
+  'junk',
+  7,
+  null,
+  [],
+  {},
+  { call: -1, kind: 'hello', body: {} },
+  { reply: 'x', body: {} },
+  { change: { number: 1 } },
+  { call: 1 },
+  { deny: 1, reason: 'no' },
+];
 
 async function peers(fleet: Fleet, address: string): Promise<void> {
   const stranger = fleet.world.spawn('stranger', 'stranger-machine').kernel;
@@ -78,18 +109,68 @@
 /** A sound reply of every kind, to be spoilt. */
 const replies: Readonly<Record<MessageKind, unknown>> = {
   hello: { node: 'core-3', role: 'core', incarnation: 1, fleet: 'f', founding: '', cores: [seat], knownPuts: 1, superseded: false },
-  form: { agreed: true }, join: { joined: true, reason: '' }, propose: { accepted: true, reason: '', epoch: 2 },
-  copy: { ready: true, votes: { bookings: 1 }, notes: { floors: {}, reports: [], through: {} }, entries: [{ key: 'configuration', state: {} }], next: '' },
+  form: { agreed: true },
+  join: { joined: true, reason: '' },
+  propose: { accepted: true, reason: '', epoch: 2 },
+  copy: {
+    ready: true,
+    votes: { bookings: 1 },
+    notes: { floors: {}, reports: [], through: {} },
+    entries: [{ key: 'configuration', state: {} }],
+    next: '',
+  },
   beat: { epochs: { bookings: 1 }, caps: {}, membership: 1, superseded: false },
-  prepare: registerReply, accept: registerReply, look: registerReply,
+  prepare: registerReply,
+  accept: registerReply,
+  look: registerReply,
   watch: { ready: true, number: 1, configuration: 1, membership: 1, puts: 1, superseded: false },
   note: { ready: true, floors: { bookings: { epoch: 1, position: 4 } } },
   usageLook: { ready: true, reports: [], through: {} },
-  tell: { kept: true }, status: { status: {} },
-  feed: { configuration: null, configurationVersion: 1, term: 900, services: [], shares: {}, draining: false, area: 'north', node: 'edge-1' },
-  spread: { taken: true }, adopt: { adopted: true, silent: ['core-3'] },
-  lease: { ready: true, held: 0, token: 't', number: 1, stances: { bookings: 1 }, configuration: 1, membership: 1, puts: 1, roster: [], whole: false, edges: { north: 1 }, demand: { north: 2 }, wants: false, marks: {} },
-  placement: { token: 't', number: 1, serial: 1, held: 0, configuration: null, configurationVersion: 1, services: [], roster: null, edges: { north: 1 }, demand: { north: 2 }, marks: {}, area: 'north', node: 'edge-1' },
+  tell: { kept: true },
+  status: { status: {} },
+  feed: {
+    configuration: null,
+    configurationVersion: 1,
+    term: 900,
+    services: [],
+    shares: {},
+    draining: false,
+    area: 'north',
+    node: 'edge-1',
+  },
+  spread: { taken: true },
+  adopt: { adopted: true, silent: ['core-3'] },
+  lease: {
+    ready: true,
+    held: 0,
+    token: 't',
+    number: 1,
+    stances: { bookings: 1 },
+    configuration: 1,
+    membership: 1,
+    puts: 1,
+    roster: [],
+    whole: false,
+    edges: { north: 1 },
+    demand: { north: 2 },
+    wants: false,
+    marks: {},
+  },
+  placement: {
+    token: 't',
+    number: 1,
+    serial: 1,
+    held: 0,
+    configuration: null,
+    configurationVersion: 1,
+    services: [],
+    roster: null,
+    edges: { north: 1 },
+    demand: { north: 2 },
+    marks: {},
+    area: 'north',
+    node: 'edge-1',
+  },
 };
 
 /** Stands where a process stood, greets as it would, and replies to every call with what cannot be read; tells how often it did. */
@@ -121,13 +202,28 @@
 const beat = { member: 'bookings-1', role: 'replica', epoch: 1, received: 3, applied: 3 };
 
 /** Spoilt requests to a page; what came back, by status. */
-async function pages(fleet: Fleet, address: string, method: string, path: string, example: unknown, shots: number): Promise<readonly HttpReply[]> {
+async function pages(
+  fleet: Fleet,
+  address: string,
+  method: string,
+  path: string,
+  example: unknown,
+  shots: number,
+): Promise<readonly HttpReply[]> {
   const stranger = fleet.world.spawn('stranger', 'stranger-machine').kernel;
   const replies: HttpReply[] = [];
   for (let shot = 0; shot < shots; shot += 1) {
-    const reply = await http.once(stranger, identifiers.address(address), {
-      method, path, body: spoil(example, fleet.world.fraction), headers: { 'x-stallstall-key': shot % 3 === 0 ? fleet.key : `${fleet.key.slice(0, shot % fleet.key.length)}${shot}` },
-    }, 4_000);
+    const reply = await http.once(
+      stranger,
+      identifiers.address(address),
+      {
+        method,
+        path,
+        body: spoil(example, fleet.world.fraction),
+        headers: { 'x-stallstall-key': shot % 3 === 0 ? fleet.key : `${fleet.key.slice(0, shot % fleet.key.length)}${shot}` },
+      },
+      4_000,
+    );
     replies.push(Either.isRight(reply) ? reply.right : { status: 0, body: null });
   }
   return replies;
--- a/packages/simulator/src/load.ts
+++ b/packages/simulator/src/load.ts
@@ -25,14 +25,27 @@
   const statements = fleet.ledger.exchanges.filter((one) => one.startedAt >= from && one.path.endsWith('/statements'));
   const served = statements.filter((one) => one.reason === 'served').map((one) => one.endedAt - one.startedAt);
   const denied = statements.filter((one) => one.reason !== 'served');
-  const reasons = [...new Set(denied.map((one) => one.reason))].map((reason) => `${reason}=${denied.filter((one) => one.reason === reason).length}`).join(' ');
+  const reasons = [...new Set(denied.map((one) => one.reason))]
+    .map((reason) => `${reason}=${denied.filter((one) => one.reason === reason).length}`)
+    .join(' ');
   const peak = Math.max(...fleet.members.map((slot) => slot.running?.peakConnections() ?? 0));
-  return `${deployment.name} ${title}: served ${(served.length / (countMilliseconds / 1_000)).toFixed(0)}/s p50=${percentile(served, 0.5)} p99=${percentile(served, 0.99)} ms; denied ${(denied.length / (countMilliseconds / 1_000)).toFixed(0)}/s ` +
-    `p50=${percentile(denied.map((one) => one.endedAt - one.startedAt), 0.5)} ms ${reasons}; most connections ${peak} of ${deployment.connectionLimit}`;
+  return (
+    `${deployment.name} ${title}: served ${(served.length / (countMilliseconds / 1_000)).toFixed(0)}/s p50=${percentile(served, 0.5)} p99=${percentile(served, 0.99)} ms; denied ${(denied.length / (countMilliseconds / 1_000)).toFixed(0)}/s ` +
+    `p50=${percentile(
+      denied.map((one) => one.endedAt - one.startedAt),
+      0.5,
+    )} ms ${reasons}; most connections ${peak} of ${deployment.connectionLimit}`
+  );
 }
 
 for (const deployment of [redComun, brightpath]) {
   for (const [title, wishes] of [
-    ['1x', {}], ['2x', { factor: 2 }], ['4x', { factor: 4 }], ['12x', { factor: 12 }], ['1x, 60 % at one edge', { crowded: 0.6 }], ['2x, 60 % at one edge', { factor: 2, crowded: 0.6 }],
-  ] as const) console.log(await measure(deployment, title, wishes));
+    ['1x', {}],
+    ['2x', { factor: 2 }],
+    ['4x', { factor: 4 }],
+    ['12x', { factor: 12 }],
+    ['1x, 60 % at one edge', { crowded: 0.6 }],
+    ['2x, 60 % at one edge', { factor: 2, crowded: 0.6 }],
+  ] as const)
+    console.log(await measure(deployment, title, wishes));
 }
--- a/packages/simulator/src/pooled-checks.ts
+++ b/packages/simulator/src/pooled-checks.ts
@@ -55,13 +55,18 @@
 /** A success carries the member's stamp for that statement, and its rows. */
 function stamps({ fleet }: Read): readonly Violation[] {
   const byStamp = new Map(fleet.runs.map((run) => [run.stamp, run] as const));
-  return fleet.ledger.tries.flatMap((of) => of.asks.flatMap((ask): readonly Violation[] => {
-    if (ask.kind === 'rollback' || Option.isNone(ask.ending) || ask.ending.value.kind !== 'done') return [];
-    const run = byStamp.get(ask.ending.value.stamp);
-    if (run === undefined || run.identifier !== ask.identifier) return [{ check: 'mixed', detail: `${ask.identifier} ended well under ${ask.ending.value.stamp}, which no member gave it` }];
-    const rows = run.row === '' ? [] : [run.row];
-    return JSON.stringify(rows) === JSON.stringify(ask.rows) ? [] : [{ check: 'mixed', detail: `${ask.identifier} was told ${ask.rows.join()} where ${run.member} said ${run.row}` }];
-  }));
+  return fleet.ledger.tries.flatMap((of) =>
+    of.asks.flatMap((ask): readonly Violation[] => {
+      if (ask.kind === 'rollback' || Option.isNone(ask.ending) || ask.ending.value.kind !== 'done') return [];
+      const run = byStamp.get(ask.ending.value.stamp);
+      if (run === undefined || run.identifier !== ask.identifier)
+        return [{ check: 'mixed', detail: `${ask.identifier} ended well under ${ask.ending.value.stamp}, which no member gave it` }];
+      const rows = run.row === '' ? [] : [run.row];
+      return JSON.stringify(rows) === JSON.stringify(ask.rows)
+        ? []
+        : [{ check: 'mixed', detail: `${ask.identifier} was told ${ask.rows.join()} where ${run.member} said ${run.row}` }];
+    }),
+  );
 }
 
 /** What members ran was asked as it ran, within its own transaction, under its sender's values, on one connection. */
@@ -71,14 +76,18 @@
   for (const run of fleet.runs) {
     const known = asks.get(run.identifier);
     if (known === undefined) {
-      if (run.identifier !== 'own' || run.kind !== 'rollback') found.push({ check: 'unasked', detail: `${run.member} ran ${run.kind} ${run.rest} under ${run.identifier}` });
+      if (run.identifier !== 'own' || run.kind !== 'rollback')
+        found.push({ check: 'unasked', detail: `${run.member} ran ${run.kind} ${run.rest} under ${run.identifier}` });
       continue;
     }
     const { ask, of } = known;
     if (run.kind === 'rollback') continue;
-    if (run.kind !== ask.kind || run.rest !== ask.rest || run.prepared !== ask.prepared) found.push({ check: 'unasked', detail: `${run.member} ran ${run.kind} ${run.rest} for ${ask.identifier}: ${ask.kind} ${ask.rest}` });
-    if (run.values !== ask.values) found.push({ check: 'pinned', detail: `${ask.identifier} ran under ${run.values} instead of ${ask.values}` });
-    if (of.transaction !== run.transaction > 0) found.push({ check: 'pinned', detail: `${ask.identifier} ran ${of.transaction ? 'outside its' : 'within a'} transaction` });
+    if (run.kind !== ask.kind || run.rest !== ask.rest || run.prepared !== ask.prepared)
+      found.push({ check: 'unasked', detail: `${run.member} ran ${run.kind} ${run.rest} for ${ask.identifier}: ${ask.kind} ${ask.rest}` });
+    if (run.values !== ask.values)
+      found.push({ check: 'pinned', detail: `${ask.identifier} ran under ${run.values} instead of ${ask.values}` });
+    if (of.transaction !== run.transaction > 0)
+      found.push({ check: 'pinned', detail: `${ask.identifier} ran ${of.transaction ? 'outside its' : 'within a'} transaction` });
     if (run.transaction > 0) {
       const owner = owners.get(run.transaction) ?? of.name;
       owners.set(run.transaction, owner);
@@ -88,7 +97,8 @@
   for (const [name, runs] of byTry) {
     const inside = runs.filter((run) => run.transaction > 0);
     // One that had not begun elsewhere may begin again; what has begun stays.
-    if (new Set(inside.map((run) => run.transaction)).size > 1 || new Set(inside.map((run) => run.connection)).size > 1) found.push({ check: 'pinned', detail: `${name} ran in several transactions` });
+    if (new Set(inside.map((run) => run.transaction)).size > 1 || new Set(inside.map((run) => run.connection)).size > 1)
+      found.push({ check: 'pinned', detail: `${name} ran in several transactions` });
   }
   return found;
 }
@@ -97,7 +107,9 @@
 function wellAsked({ fleet }: Read): readonly Violation[] {
   return fleet.ledger.tries.flatMap((of) => {
     const told = [...of.asks.map(conditionOf), ...(Option.isSome(of.begun) ? [of.begun.value] : [])];
-    const strange = told.filter((condition) => condition === 'undefined' || (condition === 'malformed' && (!of.transaction || Option.isSome(of.begun))));
+    const strange = told.filter(
+      (condition) => condition === 'undefined' || (condition === 'malformed' && (!of.transaction || Option.isSome(of.begun))),
+    );
     return strange.map((condition) => ({ check: 'pinned', detail: `${of.name} was told ${condition}` }));
   });
 }
@@ -107,7 +119,8 @@
   const kept = new Map<string, SessionCommit[]>();
   for (const run of fleet.runs) {
     if (Option.isNone(run.committed)) continue;
-    for (const write of run.committed.value.writes) kept.set(write.identifier, [...(kept.get(write.identifier) ?? []), run.committed.value]);
+    for (const write of run.committed.value.writes)
+      kept.set(write.identifier, [...(kept.get(write.identifier) ?? []), run.committed.value]);
   }
   return kept;
 }
@@ -116,12 +129,16 @@
   const found: Violation[] = [];
   const kept = keptOf(fleet);
   for (const of of fleet.ledger.tries) {
-    const promised = [...of.asks.map(conditionOf), ...(Option.isSome(of.begun) ? [of.begun.value] : [])].filter((condition) => promises.has(condition));
+    const promised = [...of.asks.map(conditionOf), ...(Option.isSome(of.begun) ? [of.begun.value] : [])].filter((condition) =>
+      promises.has(condition),
+    );
     for (const ask of of.asks.filter((one) => one.kind === 'put')) {
       const commits = kept.get(ask.identifier) ?? [];
       if (commits.length > 1) found.push({ check: 'twice', detail: `${ask.identifier} was kept ${commits.length} times` });
-      if (commits.length > 0 && promised.length > 0) found.push({ check: 'refused', detail: `${ask.identifier} was kept although its sender was told ${promised.join()}` });
-      if (commits.length > 0 && of.transaction && !of.asks.some((one) => one.kind === 'commit')) found.push({ check: 'unasked', detail: `${ask.identifier} was kept and its commit was never asked` });
+      if (commits.length > 0 && promised.length > 0)
+        found.push({ check: 'refused', detail: `${ask.identifier} was kept although its sender was told ${promised.join()}` });
+      if (commits.length > 0 && of.transaction && !of.asks.some((one) => one.kind === 'commit'))
+        found.push({ check: 'unasked', detail: `${ask.identifier} was kept and its commit was never asked` });
     }
   }
   return found;
@@ -137,19 +154,26 @@
 function acknowledgedOf(fleet: PooledFleet, service: string): readonly Acknowledged[] {
   const log = lastLog(fleet, service);
   const byStamp = new Map(fleet.runs.filter((run) => run.service === service).map((run) => [run.stamp, run] as const));
-  return fleet.ledger.tries.flatMap((of) => of.asks.flatMap((ask): readonly Acknowledged[] => {
-    if (Option.isNone(ask.ending) || ask.ending.value.kind !== 'done') return [];
-    const run = byStamp.get(ask.ending.value.stamp);
-    if (run === undefined || Option.isNone(run.committed)) return [];
-    const commit = run.committed.value;
-    return log[commit.number - 1]?.term === commit.term ? [{ at: ask.endedAt, session: of.session, commit }] : [];
-  })).sort((left, right) => left.at - right.at);
+  return fleet.ledger.tries
+    .flatMap((of) =>
+      of.asks.flatMap((ask): readonly Acknowledged[] => {
+        if (Option.isNone(ask.ending) || ask.ending.value.kind !== 'done') return [];
+        const run = byStamp.get(ask.ending.value.stamp);
+        if (run === undefined || Option.isNone(run.committed)) return [];
+        const commit = run.committed.value;
+        return log[commit.number - 1]?.term === commit.term ? [{ at: ask.endedAt, session: of.session, commit }] : [];
+      }),
+    )
+    .sort((left, right) => left.at - right.at);
 }
 
 /** Of what was acknowledged before a moment the furthest is enough to look for: a log that holds it holds all before it. */
 function furthest(all: readonly Acknowledged[]): (before: number) => Acknowledged | undefined {
   const highest: Acknowledged[] = [];
-  for (const one of all) highest.push(highest.length > 0 && (highest.at(-1) as Acknowledged).commit.number > one.commit.number ? (highest.at(-1) as Acknowledged) : one);
+  for (const one of all)
+    highest.push(
+      highest.length > 0 && (highest.at(-1) as Acknowledged).commit.number > one.commit.number ? (highest.at(-1) as Acknowledged) : one,
+    );
   return function find(before) {
     let low = 0;
     let high = all.length;
@@ -173,7 +197,10 @@
     const ownBefore = new Map([...bySession].map(([session, some]) => [session, furthest(some)] as const));
     for (const run of fleet.runs) {
       const known = run.service === service && run.kind === 'get' ? asks.get(run.identifier) : undefined;
-      const database = known === undefined ? undefined : fleet.versions.flatMap((version) => version.sheet.databases).find((one) => one.database === known.of.database);
+      const database =
+        known === undefined
+          ? undefined
+          : fleet.versions.flatMap((version) => version.sheet.databases).find((one) => one.database === known.of.database);
       if (known === undefined || database === undefined) continue;
       judged += 1;
       const from = known.of.transaction ? known.of.startedAt : known.ask.sentAt;
@@ -183,7 +210,10 @@
       ];
       for (const one of wanted) {
         if (one === undefined || (run.ends[one.commit.term] ?? 0) >= one.commit.number) continue;
-        found.push({ check: 'stale', detail: `${run.identifier} (${database.reads}) read on ${run.member} at ${Math.round(run.at)} from ${JSON.stringify(run.ends)}, without ${one.commit.term}/${one.commit.number} acknowledged at ${Math.round(one.at)}, asked at ${Math.round(from)}` });
+        found.push({
+          check: 'stale',
+          detail: `${run.identifier} (${database.reads}) read on ${run.member} at ${Math.round(run.at)} from ${JSON.stringify(run.ends)}, without ${one.commit.term}/${one.commit.number} acknowledged at ${Math.round(one.at)}, asked at ${Math.round(from)}`,
+        });
         break;
       }
     }
@@ -197,12 +227,16 @@
   return fleet.services.flatMap((service) => {
     if (fleet.firstSheet().services.find((one) => one.service === service)?.synchronousReplicas === 0) return [];
     const log = lastLog(fleet, service);
-    return fleet.ledger.tries.flatMap((of) => of.asks.flatMap((ask): readonly Violation[] => {
-      const run = Option.isSome(ask.ending) && ask.ending.value.kind === 'done' ? byStamp.get(ask.ending.value.stamp) : undefined;
-      if (run === undefined || run.service !== service || Option.isNone(run.committed)) return [];
-      const { term, number } = run.committed.value;
-      return log[number - 1]?.term === term ? [] : [{ check: 'lost', detail: `${ask.identifier} was acknowledged at ${term}/${number} and is in no log of the leader` }];
-    }));
+    return fleet.ledger.tries.flatMap((of) =>
+      of.asks.flatMap((ask): readonly Violation[] => {
+        const run = Option.isSome(ask.ending) && ask.ending.value.kind === 'done' ? byStamp.get(ask.ending.value.stamp) : undefined;
+        if (run === undefined || run.service !== service || Option.isNone(run.committed)) return [];
+        const { term, number } = run.committed.value;
+        return log[number - 1]?.term === term
+          ? []
+          : [{ check: 'lost', detail: `${ask.identifier} was acknowledged at ${term}/${number} and is in no log of the leader` }];
+      }),
+    );
   });
 }
 
@@ -232,16 +266,39 @@
   const found: Effect[] = [];
   for (const opening of fleet.ledger.openings) {
     if (!['open', 'denied', 'no-database'].includes(opening.outcome)) continue;
-    found.push({ at: opening.at, endedAt: opening.endedAt, edge: opening.edge, what: `opening ${opening.database} as ${opening.who}: ${opening.outcome}`, allowedBy: allowing(versions, opening.database, opening.who, opening.outcome), known: true });
+    found.push({
+      at: opening.at,
+      endedAt: opening.endedAt,
+      edge: opening.edge,
+      what: `opening ${opening.database} as ${opening.who}: ${opening.outcome}`,
+      allowedBy: allowing(versions, opening.database, opening.who, opening.outcome),
+      known: true,
+    });
   }
   for (const of of fleet.ledger.tries) {
     for (const run of (byTry.get(of.name) ?? []).filter((one) => one.first)) {
-      const allowedBy = versions.filter((version) => serviceOf(version, of.database) === run.service && tenantOf(version, of.who) === run.tenant);
-      found.push({ at: of.startedAt, endedAt: run.at, edge: of.edge, what: `${run.identifier} (${of.database} as ${of.who}) on ${run.member}`, allowedBy, known: true });
+      const allowedBy = versions.filter(
+        (version) => serviceOf(version, of.database) === run.service && tenantOf(version, of.who) === run.tenant,
+      );
+      found.push({
+        at: of.startedAt,
+        endedAt: run.at,
+        edge: of.edge,
+        what: `${run.identifier} (${of.database} as ${of.who}) on ${run.member}`,
+        allowedBy,
+        known: true,
+      });
     }
     const outcome = Option.isSome(of.begun) ? of.begun.value : of.asks[0] === undefined ? '' : conditionOf(of.asks[0]);
     if (outcome === 'denied' || outcome === 'no-database') {
-      found.push({ at: of.startedAt, endedAt: of.asks[0]?.endedAt ?? of.startedAt, edge: of.edge, what: `${of.name}: ${outcome}`, allowedBy: allowing(versions, of.database, of.who, outcome), known: true });
+      found.push({
+        at: of.startedAt,
+        endedAt: of.asks[0]?.endedAt ?? of.startedAt,
+        edge: of.edge,
+        what: `${of.name}: ${outcome}`,
+        allowedBy: allowing(versions, of.database, of.who, outcome),
+        known: true,
+      });
     }
   }
   return found.sort((left, right) => left.endedAt - right.endedAt);
@@ -259,15 +316,23 @@
     const newest = Math.max(...effect.allowedBy.map((version) => version.version));
     const oldest = Math.min(...effect.allowedBy.map((version) => version.version));
     // The bound holds for whoever has been in touch, and long enough after the last event.
-    const due = Math.max(0, ...all.fleet.versions.filter((version) => version.acknowledgedAt <= effect.at - settleMilliseconds).map((version) => version.version));
+    const due = Math.max(
+      0,
+      ...all.fleet.versions.filter((version) => version.acknowledgedAt <= effect.at - settleMilliseconds).map((version) => version.version),
+    );
     if (isCalm(all.troubles, [effect.edge, 'core'], effect.at - settleMilliseconds - quietMilliseconds, effect.endedAt)) {
       judged += 1;
-      if (newest < due) found.push({ check: 'configuration', detail: `${effect.what} at ${Math.round(effect.at)} is allowed up to version ${newest} only, ${due} was due` });
+      if (newest < due)
+        found.push({
+          check: 'configuration',
+          detail: `${effect.what} at ${Math.round(effect.at)} is allowed up to version ${newest} only, ${due} was due`,
+        });
     }
     const life = lives.filter((one) => one.edge === effect.edge && one.from <= effect.at).at(-1);
     const key = `${effect.edge}/${life?.life ?? 0}`;
     const before = highest.get(key);
-    if (before !== undefined && newest < before.version && effect.at > before.at + revertMilliseconds) found.push({ check: 'configuration', detail: `${effect.what}: ${key} went back to ${newest} after ${before.version}` });
+    if (before !== undefined && newest < before.version && effect.at > before.at + revertMilliseconds)
+      found.push({ check: 'configuration', detail: `${effect.what}: ${key} went back to ${newest} after ${before.version}` });
     if (before === undefined || oldest > before.version) highest.set(key, { version: oldest, at: effect.endedAt });
   }
   return { found, judged };
@@ -275,11 +340,18 @@
 
 function draining({ fleet, asks, troubles }: Read, notes: readonly DrainNote[]): Readonly<{ found: readonly Violation[]; judged: number }> {
   const since = new Map(notes.map((note) => [note.member, note.acknowledgedAt] as const));
-  const late = fleet.runs.filter((run) => run.first && run.at > (since.get(run.member) ?? Number.POSITIVE_INFINITY) + drainMilliseconds).flatMap((run): readonly Violation[] => {
-    const known = asks.get(run.identifier);
-    if (known === undefined || !isCalm(troubles, [known.of.edge, 'core'], known.of.startedAt - quietMilliseconds, run.at)) return [];
-    return [{ check: 'draining', detail: `${run.member} began ${run.identifier} ${Math.round(run.at - (since.get(run.member) as number))} ms after it said that it drains` }];
-  });
+  const late = fleet.runs
+    .filter((run) => run.first && run.at > (since.get(run.member) ?? Number.POSITIVE_INFINITY) + drainMilliseconds)
+    .flatMap((run): readonly Violation[] => {
+      const known = asks.get(run.identifier);
+      if (known === undefined || !isCalm(troubles, [known.of.edge, 'core'], known.of.startedAt - quietMilliseconds, run.at)) return [];
+      return [
+        {
+          check: 'draining',
+          detail: `${run.member} began ${run.identifier} ${Math.round(run.at - (since.get(run.member) as number))} ms after it said that it drains`,
+        },
+      ];
+    });
   return { found: late, judged: notes.length };
 }
 
@@ -298,7 +370,11 @@
     acts.set(key, before);
     const other = before.findLastIndex((one) => one.holder !== call.holder);
     const own = other < 0 ? undefined : before.slice(0, other).findLast((one) => one.holder === call.holder);
-    if (own !== undefined && call.at - own.at < turnMilliseconds) found.push({ check: 'one-holder', detail: `${key}: ${call.holder}, ${before[other]?.holder}, ${call.holder} within ${Math.round(call.at - own.at)} ms` });
+    if (own !== undefined && call.at - own.at < turnMilliseconds)
+      found.push({
+        check: 'one-holder',
+        detail: `${key}: ${call.holder}, ${before[other]?.holder}, ${call.holder} within ${Math.round(call.at - own.at)} ms`,
+      });
     before.push(call);
   }
   return found;
@@ -321,12 +397,17 @@
     if (call.duty !== 'usage' || !call.accepted) continue;
     const { window, counts } = call.body as Readonly<{ window: number; counts: Readonly<Record<string, number>> }>;
     const before = told.get(window);
-    if (before !== undefined && JSON.stringify(Object.entries(before).sort()) !== JSON.stringify(Object.entries(counts).sort())) found.push({ check: 'one-report', detail: `window ${window} was told twice, and differently` });
+    if (before !== undefined && JSON.stringify(Object.entries(before).sort()) !== JSON.stringify(Object.entries(counts).sort()))
+      found.push({ check: 'one-report', detail: `window ${window} was told twice, and differently` });
     told.set(window, counts);
   }
   let judged = 0;
   const edges = fleet.edges.map((slot) => slot.name);
-  for (let window = Math.ceil((wallStart + from) / windowMilliseconds); (window + 1) * windowMilliseconds < wallStart + to - 11_000; window += 1) {
+  for (
+    let window = Math.ceil((wallStart + from) / windowMilliseconds);
+    (window + 1) * windowMilliseconds < wallStart + to - 11_000;
+    window += 1
+  ) {
     const start = window * windowMilliseconds - wallStart;
     if (!isCalm(troubles, [...edges, 'core', 'platform', 'member'], start - quietMilliseconds, start + 16_000)) continue;
     judged += 1;
@@ -336,7 +417,8 @@
       continue;
     }
     for (const [tenant, truth] of begun.get(window) ?? []) {
-      if (Math.abs((counts[tenant] ?? 0) - truth) > Math.max(2, truth * usageShare)) found.push({ check: 'usage', detail: `window ${window}: ${tenant} was told ${counts[tenant] ?? 0} times, members began ${truth}` });
+      if (Math.abs((counts[tenant] ?? 0) - truth) > Math.max(2, truth * usageShare))
+        found.push({ check: 'usage', detail: `window ${window}: ${tenant} was told ${counts[tenant] ?? 0} times, members began ${truth}` });
     }
   }
   return { found, judged };
@@ -354,8 +436,12 @@
       const sentAt = last?.sentAt ?? of.startedAt;
       if (sentAt < end.from - quietMilliseconds || (last?.endedAt ?? Number.POSITIVE_INFINITY) < end.from) continue;
       judged += 1;
-      if (Option.isNone(of.cutAt) || of.cutAt.value - sentAt < crossingMilliseconds || of.cutAt.value > end.to + crossingMilliseconds) continue;
-      found.push({ check: 'planned-end', detail: `${last?.identifier ?? of.name} was cut off by ${end.edge}, which ended as planned, ${Math.round(of.cutAt.value - sentAt)} ms after it was sent and ${Math.round(of.cutAt.value - end.from)} ms after the end began` });
+      if (Option.isNone(of.cutAt) || of.cutAt.value - sentAt < crossingMilliseconds || of.cutAt.value > end.to + crossingMilliseconds)
+        continue;
+      found.push({
+        check: 'planned-end',
+        detail: `${last?.identifier ?? of.name} was cut off by ${end.edge}, which ended as planned, ${Math.round(of.cutAt.value - sentAt)} ms after it was sent and ${Math.round(of.cutAt.value - end.from)} ms after the end began`,
+      });
     }
   }
   return { found, judged };
@@ -363,7 +449,24 @@
 
 function served(fleet: PooledFleet, from: number, to: number): Readonly<{ asked: number; served: number }> {
   const tries = fleet.ledger.tries.filter((of) => of.startedAt >= from && of.startedAt < to && !of.left);
-  return { asked: tries.length, served: tries.filter((of) => of.asks.length > 0 && of.asks.every((ask) => conditionOf(ask) === 'done')).length };
+  return {
+    asked: tries.length,
+    served: tries.filter((of) => of.asks.length > 0 && of.asks.every((ask) => conditionOf(ask) === 'done')).length,
+  };
 }
 
-export const pooledChecks = { read, stamps, statements, wellAsked, writes, stale, lost, configuration, draining, duties, usage, plannedEnds, served } as const;
+export const pooledChecks = {
+  read,
+  stamps,
+  statements,
+  wellAsked,
+  writes,
+  stale,
+  lost,
+  configuration,
+  draining,
+  duties,
+  usage,
+  plannedEnds,
+  served,
+} as const;
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -46,14 +46,20 @@
 }
 
 function runningEdge(fleet: PooledFleet): PooledEdge | undefined {
-  return pick(fleet, fleet.edges.filter((slot) => slot.agent !== undefined && slot.proxy !== undefined));
+  return pick(
+    fleet,
+    fleet.edges.filter((slot) => slot.agent !== undefined && slot.proxy !== undefined),
+  );
 }
 
 function runningPrimary(fleet: PooledFleet): PooledMember | undefined {
-  return pick(fleet, fleet.services.flatMap((service) => {
-    const slot = fleet.primaryOf(service);
-    return slot?.running !== undefined && slot.process?.alive() === true ? [slot] : [];
-  }));
+  return pick(
+    fleet,
+    fleet.services.flatMap((service) => {
+      const slot = fleet.primaryOf(service);
+      return slot?.running !== undefined && slot.process?.alive() === true ? [slot] : [];
+    }),
+  );
 }
 
 function killEdge(fleet: PooledFleet, storm: PooledStorm): void {
@@ -186,7 +192,10 @@
 
 function crashReplica(fleet: PooledFleet, storm: PooledStorm): void {
   noteDrains(fleet, storm);
-  const slot = pick(fleet, fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'));
+  const slot = pick(
+    fleet,
+    fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'),
+  );
   if (slot === undefined) return;
   const milliseconds = between(fleet, 300, 9_000);
   trouble(fleet, storm, 'member', milliseconds);
@@ -197,7 +206,13 @@
 /** A member is to be replaced: another comes first, and takes its time to catch up. */
 async function drainMember(fleet: PooledFleet, storm: PooledStorm, slot: PooledMember | undefined): Promise<void> {
   const running = slot?.running;
-  if (slot === undefined || running === undefined || Option.isSome(running.drainingSince()) || fleet.members.some((one) => !one.gone && one.running === undefined)) return;
+  if (
+    slot === undefined ||
+    running === undefined ||
+    Option.isSome(running.drainingSince()) ||
+    fleet.members.some((one) => !one.gone && one.running === undefined)
+  )
+    return;
   const fresh = fleet.addMember(slot.service, slot.area);
   await fleet.startMember(fresh);
   trouble(fleet, storm, 'member', 12_000);
@@ -210,12 +225,16 @@
 function noteDrains(fleet: PooledFleet, storm: PooledStorm): void {
   for (const slot of fleet.members) {
     const since = slot.running === undefined ? Option.none : slot.running.drainingSince();
-    if (Option.isSome(since) && !storm.drains.some((note) => note.member === slot.member)) storm.drains.push({ member: slot.member, acknowledgedAt: since.value });
+    if (Option.isSome(since) && !storm.drains.some((note) => note.member === slot.member))
+      storm.drains.push({ member: slot.member, acknowledgedAt: since.value });
   }
 }
 
 function deafReplica(fleet: PooledFleet, storm: PooledStorm): void {
-  const slot = pick(fleet, fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'));
+  const slot = pick(
+    fleet,
+    fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'),
+  );
   if (slot?.running === undefined) return;
   const { knobs } = slot.running;
   const milliseconds = between(fleet, 1_000, 8_000);
@@ -229,7 +248,10 @@
 }
 
 function loseReplies(fleet: PooledFleet, storm: PooledStorm): void {
-  const slot = pick(fleet, fleet.members.filter((one) => one.running !== undefined));
+  const slot = pick(
+    fleet,
+    fleet.members.filter((one) => one.running !== undefined),
+  );
   if (slot?.running === undefined) return;
   trouble(fleet, storm, 'member', 3_000);
   if (fleet.world.fraction() < 0.5) slot.running.knobs.loseReplies += 4;
@@ -265,18 +287,34 @@
   const kind = pick(fleet, ['add', 'remove', 'move'] as const);
   const [model] = before.databases;
   const extra = before.databases.find((one) => one.database.startsWith('extra'));
-  const databases = kind === 'add' && model !== undefined ? [...before.databases, { ...model, database: `extra-${fleet.versions.length}`, service: pick(fleet, fleet.services) }]
-    : kind === 'remove' && extra !== undefined ? before.databases.filter((one) => one !== extra)
-      : before.databases.map((one) => (one.database === `${fleet.services[0]}-late` ? { ...one, service: pick(fleet, fleet.services.filter((service) => service !== one.service)) } : one));
+  const databases =
+    kind === 'add' && model !== undefined
+      ? [...before.databases, { ...model, database: `extra-${fleet.versions.length}`, service: pick(fleet, fleet.services) }]
+      : kind === 'remove' && extra !== undefined
+        ? before.databases.filter((one) => one !== extra)
+        : before.databases.map((one) =>
+            one.database === `${fleet.services[0]}-late`
+              ? {
+                  ...one,
+                  service: pick(
+                    fleet,
+                    fleet.services.filter((service) => service !== one.service),
+                  ),
+                }
+              : one,
+          );
   const next = nextVersion(fleet);
   void fleet.configure(next, { ...before, databases }, Math.floor(fleet.world.fraction() * fleet.cores.length));
-  if (fleet.world.fraction() < 0.3) void fleet.configure(next + 1, { ...before, databases }, Math.floor(fleet.world.fraction() * fleet.cores.length));
+  if (fleet.world.fraction() < 0.3)
+    void fleet.configure(next + 1, { ...before, databases }, Math.floor(fleet.world.fraction() * fleet.cores.length));
 }
 
 function withdrawKey(fleet: PooledFleet): void {
   const before = lastSheet(fleet);
   const has = before.tenants.some((tenant) => tenant.keys.includes(spareKey));
-  const tenants = before.tenants.map((tenant, index) => (index > 0 ? tenant : { ...tenant, keys: has ? tenant.keys.filter((key) => key !== spareKey) : [...tenant.keys, spareKey] }));
+  const tenants = before.tenants.map((tenant, index) =>
+    index > 0 ? tenant : { ...tenant, keys: has ? tenant.keys.filter((key) => key !== spareKey) : [...tenant.keys, spareKey] },
+  );
   void fleet.configure(nextVersion(fleet), { ...before, tenants }, Math.floor(fleet.world.fraction() * fleet.cores.length));
 }
 
@@ -311,7 +349,18 @@
   { name: 'primary-and-edge-cut', run: cutHalf },
   { name: 'primary-draining-edge-cut', run: drainPastEdge },
   { name: 'primary-draining', run: (fleet, storm) => drainMember(fleet, storm, runningPrimary(fleet)) },
-  { name: 'replica-draining', run: (fleet, storm) => drainMember(fleet, storm, pick(fleet, fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'))) },
+  {
+    name: 'replica-draining',
+    run: (fleet, storm) =>
+      drainMember(
+        fleet,
+        storm,
+        pick(
+          fleet,
+          fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'),
+        ),
+      ),
+  },
   { name: 'replica-crashed', run: crashReplica },
   { name: 'replica-deaf', run: deafReplica },
   { name: 'primary-crashed-replica-deaf', run: crashBehindDeaf },
@@ -334,7 +383,8 @@
     await fleet.startEdge(slot);
   }
   for (const slot of fleet.members) {
-    if (slot.running !== undefined) Object.assign(slot.running.knobs, { deaf: false, behindMilliseconds: 0, loseReplies: 0, loseCommits: 0, silent: false });
+    if (slot.running !== undefined)
+      Object.assign(slot.running.knobs, { deaf: false, behindMilliseconds: 0, loseReplies: 0, loseCommits: 0, silent: false });
     if (slot.gone || slot.process?.alive() === true) continue;
     fleet.world.light(slot.machine);
     await fleet.startMember(slot);
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -9,21 +9,50 @@
 import type { Registration } from '@stallstall/roster';
 import { prober, type Condition, type StatementReply } from '@stallstall/statement';
 import {
-  areas, plainDialect, sessionMember, sessionPlatform, sessionSender,
-  type SessionDatabase, type SessionLedger, type SessionLine, type SessionMember, type SessionMemberStore, type SessionPlatform, type SessionPlatformStore, type SessionRun,
+  areas,
+  plainDialect,
+  sessionMember,
+  sessionPlatform,
+  sessionSender,
+  type SessionDatabase,
+  type SessionLedger,
+  type SessionLine,
+  type SessionMember,
+  type SessionMemberStore,
+  type SessionPlatform,
+  type SessionPlatformStore,
+  type SessionRun,
 } from '@stallstall/stand-in';
 import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
 
-export type PooledCore = { readonly name: string; readonly machine: string; disk: SimulatedDisk; process: Process | undefined; running: Core | undefined };
+export type PooledCore = {
+  readonly name: string;
+  readonly machine: string;
+  disk: SimulatedDisk;
+  process: Process | undefined;
+  running: Core | undefined;
+};
 export type PooledEdge = {
-  readonly name: string; readonly machine: string; readonly area: string;
-  agentProcess: Process | undefined; agent: LesseeAgent | undefined; proxyProcess: Process | undefined; proxy: Pooler | undefined;
+  readonly name: string;
+  readonly machine: string;
+  readonly area: string;
+  agentProcess: Process | undefined;
+  agent: LesseeAgent | undefined;
+  proxyProcess: Process | undefined;
+  proxy: Pooler | undefined;
   /** Grows with every start: one life of its processes. */
   life: number;
 };
 export type PooledMember = {
-  readonly service: string; readonly member: string; readonly area: string; readonly machine: string; readonly address: string; readonly control: string;
-  store: SessionMemberStore; process: Process | undefined; running: SessionMember | undefined;
+  readonly service: string;
+  readonly member: string;
+  readonly area: string;
+  readonly machine: string;
+  readonly address: string;
+  readonly control: string;
+  store: SessionMemberStore;
+  process: Process | undefined;
+  running: SessionMember | undefined;
   /** Taken out for good. */
   gone: boolean;
 };
@@ -31,7 +60,17 @@
 export type PooledTenant = Readonly<{ tenant: string; keys: readonly string[] }>;
 export type PooledSheet = Readonly<{
   services: ReadonlyArray<Readonly<{ service: string; connectionLimit: number; registered: boolean; synchronousReplicas: number }>>;
-  databases: ReadonlyArray<Readonly<{ database: string; service: string; reads: 'leader' | 'bounded' | 'own'; staleMilliseconds: number; horizonMilliseconds: number; aimMilliseconds: number; open?: boolean }>>;
+  databases: ReadonlyArray<
+    Readonly<{
+      database: string;
+      service: string;
+      reads: 'leader' | 'bounded' | 'own';
+      staleMilliseconds: number;
+      horizonMilliseconds: number;
+      aimMilliseconds: number;
+      open?: boolean;
+    }>
+  >;
   tenants: readonly PooledTenant[];
   rows: readonly never[];
   keys: readonly never[];
@@ -42,7 +81,14 @@
 export type PooledVersion = { readonly version: number; readonly sheet: PooledSheet; readonly sentAt: number; acknowledgedAt: number };
 
 export type PooledOptions = Readonly<{
-  edges?: number; services?: number; synchronous?: number; slots?: number; workMilliseconds?: number; restMilliseconds?: number; connectionLimit?: number; applyMilliseconds?: number;
+  edges?: number;
+  services?: number;
+  synchronous?: number;
+  slots?: number;
+  workMilliseconds?: number;
+  restMilliseconds?: number;
+  connectionLimit?: number;
+  applyMilliseconds?: number;
 }>;
 
 export type PooledFleet = Readonly<{
@@ -101,15 +147,21 @@
 function pages(door: Door): readonly HttpMapping[] {
   return [
     {
-      method: 'POST', path: '/members/:member/beat',
+      method: 'POST',
+      path: '/members/:member/beat',
       handle: async function beat(request) {
         const told = request.body as Omit<Registration, 'member'>;
         return door.beat({ ...told, member: request.query['member'] ?? '' }) ? { status: 200, body: {} } : away;
       },
     },
-    { method: 'POST', path: '/members/:member/leave', handle: async (request) => (door.leave(request.query['member'] ?? '') ? { status: 200, body: {} } : away) },
     {
-      method: 'POST', path: '/configuration',
+      method: 'POST',
+      path: '/members/:member/leave',
+      handle: async (request) => (door.leave(request.query['member'] ?? '') ? { status: 200, body: {} } : away),
+    },
+    {
+      method: 'POST',
+      path: '/configuration',
       handle: async function configure(request) {
         const { version, sheet } = request.body as Readonly<{ version: number; sheet: unknown }>;
         const taken = await door.configure({ version, source: JSON.stringify({ version, sheet }) }, sheet);
@@ -117,7 +169,8 @@
       },
     },
     {
-      method: 'GET', path: '/configuration',
+      method: 'GET',
+      path: '/configuration',
       handle: async function read() {
         const source = await door.source();
         return Either.isLeft(source) ? http.denied(source.left) : { status: 200, body: JSON.parse(source.right) as unknown };
@@ -128,8 +181,18 @@
 
 const calls: PlatformCalls = {
   restMilliseconds: 3_000,
-  promotion: ({ service, member, turn, holder }) => ({ method: 'POST', path: '/duties/promotion', headers: { holder, turn: String(turn) }, body: { service, member } }),
-  usage: ({ window, counts, turn, holder }) => ({ method: 'POST', path: '/duties/usage', headers: { holder, turn: String(turn) }, body: { window, counts } }),
+  promotion: ({ service, member, turn, holder }) => ({
+    method: 'POST',
+    path: '/duties/promotion',
+    headers: { holder, turn: String(turn) },
+    body: { service, member },
+  }),
+  usage: ({ window, counts, turn, holder }) => ({
+    method: 'POST',
+    path: '/duties/usage',
+    headers: { holder, turn: String(turn) },
+    body: { window, counts },
+  }),
 };
 
 function memberProbe(kernel: Kernel): MemberProbe {
@@ -148,11 +211,26 @@
 function create(seed: number, options: PooledOptions = {}): PooledFleet {
   const world = worlds.create(seed);
   const services = ['bookings', 'maps'].slice(0, options.services ?? 2);
-  const cores: readonly PooledCore[] = [1, 2, 3].map((index) => ({ name: `core-${index}`, machine: `core-machine-${index}`, disk: world.disk(), process: undefined, running: undefined }));
+  const cores: readonly PooledCore[] = [1, 2, 3].map((index) => ({
+    name: `core-${index}`,
+    machine: `core-machine-${index}`,
+    disk: world.disk(),
+    process: undefined,
+    running: undefined,
+  }));
   const edges: readonly PooledEdge[] = Array.from({ length: options.edges ?? 3 }, (_, index) => ({
-    name: `edge-${index + 1}`, machine: `edge-machine-${index + 1}`, area: areas[index % areas.length] as string, agentProcess: undefined, agent: undefined, proxyProcess: undefined, proxy: undefined, life: 0,
+    name: `edge-${index + 1}`,
+    machine: `edge-machine-${index + 1}`,
+    area: areas[index % areas.length] as string,
+    agentProcess: undefined,
+    agent: undefined,
+    proxyProcess: undefined,
+    proxy: undefined,
+    life: 0,
   }));
-  const members: PooledMember[] = services.flatMap((service, serviceIndex) => areas.map((area, index): PooledMember => memberSlot(service, serviceIndex, area, index + 1)));
+  const members: PooledMember[] = services.flatMap((service, serviceIndex) =>
+    areas.map((area, index): PooledMember => memberSlot(service, serviceIndex, area, index + 1)),
+  );
   const platformStore = sessionPlatform.emptyStore();
   const ledger = sessionSender.emptyLedger();
   const runs: SessionRun[] = [];
@@ -166,8 +244,16 @@
   function memberSlot(service: string, serviceIndex: number, area: string, number: number): PooledMember {
     const host = `10.3.${serviceIndex}.${number}`;
     return {
-      service, member: `${service}-${number}`, area, machine: `member-machine-${service}-${number}`, address: `${host}:5000`, control: `${host}:5001`,
-      store: sessionMember.emptyStore(), process: undefined, running: undefined, gone: false,
+      service,
+      member: `${service}-${number}`,
+      area,
+      machine: `member-machine-${service}-${number}`,
+      address: `${host}:5000`,
+      control: `${host}:5001`,
+      store: sessionMember.emptyStore(),
+      process: undefined,
+      running: undefined,
+      gone: false,
     };
   }
 
@@ -189,9 +275,19 @@
     slot.process = spawned;
     const { address, outward, door } = coreAddresses(slot);
     const parts: CoreParts = { calls, probe: memberProbe(spawned.kernel), pages, door, founds: first, founders: seeds };
-    const started = await core.start(spawned.kernel, {
-      node: slot.name, area: areas[cores.indexOf(slot)] as string, address, outward, seeds: () => seeds, platform: () => platformAddress, cores: 3,
-    }, Option.some(parts));
+    const started = await core.start(
+      spawned.kernel,
+      {
+        node: slot.name,
+        area: areas[cores.indexOf(slot)] as string,
+        address,
+        outward,
+        seeds: () => seeds,
+        platform: () => platformAddress,
+        cores: 3,
+      },
+      Option.some(parts),
+    );
     if (Either.isLeft(started)) spawned.kernel.stop(started.left);
     else slot.running = started.right;
   }
@@ -207,9 +303,14 @@
     slot.agentProcess = world.spawn(`${slot.name}/agent`, slot.machine);
     slot.agent = await lesseeAgent.start(slot.agentProcess.kernel, { node: slot.name, area: slot.area, feed, seeds: () => seeds });
     slot.proxyProcess = world.spawn(`${slot.name}/proxy`, slot.machine);
-    slot.proxy = await pooler.start(slot.proxyProcess.kernel, { address, outward, feed, graceMilliseconds }, {
-      dialect: plainDialect, pages: (ready) => [{ method: 'GET', path: '/ready', handle: async () => ({ status: ready() ? 200 : 503, body: {} }) }],
-    });
+    slot.proxy = await pooler.start(
+      slot.proxyProcess.kernel,
+      { address, outward, feed, graceMilliseconds },
+      {
+        dialect: plainDialect,
+        pages: (ready) => [{ method: 'GET', path: '/ready', handle: async () => ({ status: ready() ? 200 : 503, body: {} }) }],
+      },
+    );
   }
 
   function killEdge(slot: PooledEdge): void {
@@ -231,11 +332,26 @@
   async function startMember(slot: PooledMember): Promise<void> {
     const spawned = world.spawn(slot.member, slot.machine);
     slot.process = spawned;
-    slot.running = await sessionMember.start(spawned.kernel, {
-      service: slot.service, member: slot.member, area: slot.area, address: slot.address, control: slot.control, doors: cores.map((one) => coreAddresses(one).door),
-      connectionLimit: options.connectionLimit ?? 60, slots: options.slots ?? 10, workMilliseconds: options.workMilliseconds ?? 8, openMilliseconds: 10, applyMilliseconds: options.applyMilliseconds ?? 8,
-      synchronousReplicas: options.synchronous ?? 0, drainMilliseconds: 7_000,
-    }, slot.store, (run) => void runs.push(run));
+    slot.running = await sessionMember.start(
+      spawned.kernel,
+      {
+        service: slot.service,
+        member: slot.member,
+        area: slot.area,
+        address: slot.address,
+        control: slot.control,
+        doors: cores.map((one) => coreAddresses(one).door),
+        connectionLimit: options.connectionLimit ?? 60,
+        slots: options.slots ?? 10,
+        workMilliseconds: options.workMilliseconds ?? 8,
+        openMilliseconds: 10,
+        applyMilliseconds: options.applyMilliseconds ?? 8,
+        synchronousReplicas: options.synchronous ?? 0,
+        drainMilliseconds: 7_000,
+      },
+      slot.store,
+      (run) => void runs.push(run),
+    );
   }
 
   function stopMember(slot: PooledMember): void {
@@ -250,17 +366,26 @@
   }
 
   async function startAll(): Promise<void> {
-    platformSlot = await sessionPlatform.start(world.spawn('platform', 'platform-machine').kernel, {
-      address: platformAddress, promoteMilliseconds: 100,
-      members: () => members.map((slot) => ({
-        service: slot.service, member: slot.member, control: slot.control, runs: () => !slot.gone && slot.process?.alive() === true,
-        lead: (term) => slot.running?.lead(term),
-        follow: function follow(term, primary) {
-          if (slot.running === undefined) sessionMember.follow(slot.store, term, primary);
-          else slot.running.follow(term, primary);
-        },
-      })),
-    }, platformStore);
+    platformSlot = await sessionPlatform.start(
+      world.spawn('platform', 'platform-machine').kernel,
+      {
+        address: platformAddress,
+        promoteMilliseconds: 100,
+        members: () =>
+          members.map((slot) => ({
+            service: slot.service,
+            member: slot.member,
+            control: slot.control,
+            runs: () => !slot.gone && slot.process?.alive() === true,
+            lead: (term) => slot.running?.lead(term),
+            follow: function follow(term, primary) {
+              if (slot.running === undefined) sessionMember.follow(slot.store, term, primary);
+              else slot.running.follow(term, primary);
+            },
+          })),
+      },
+      platformStore,
+    );
     for (const slot of members) await startMember(slot);
     for (const slot of cores) await startCore(slot);
     first = false;
@@ -269,14 +394,45 @@
 
   function firstSheet(): PooledSheet {
     return {
-      services: services.map((service) => ({ service, connectionLimit: options.connectionLimit ?? 60, registered: true, synchronousReplicas: options.synchronous ?? 0 })),
+      services: services.map((service) => ({
+        service,
+        connectionLimit: options.connectionLimit ?? 60,
+        registered: true,
+        synchronousReplicas: options.synchronous ?? 0,
+      })),
       databases: services.flatMap((service) => [
-        { database: `${service}-lead`, service, reads: 'leader' as const, staleMilliseconds: 0, horizonMilliseconds: 1_200, aimMilliseconds: 200 },
-        { database: `${service}-late`, service, reads: 'bounded' as const, staleMilliseconds: 1_500, horizonMilliseconds: 2_000, aimMilliseconds: 800 },
-        { database: `${service}-own`, service, reads: 'own' as const, staleMilliseconds: 2_500, horizonMilliseconds: 1_000, aimMilliseconds: 200 },
+        {
+          database: `${service}-lead`,
+          service,
+          reads: 'leader' as const,
+          staleMilliseconds: 0,
+          horizonMilliseconds: 1_200,
+          aimMilliseconds: 200,
+        },
+        {
+          database: `${service}-late`,
+          service,
+          reads: 'bounded' as const,
+          staleMilliseconds: 1_500,
+          horizonMilliseconds: 2_000,
+          aimMilliseconds: 800,
+        },
+        {
+          database: `${service}-own`,
+          service,
+          reads: 'own' as const,
+          staleMilliseconds: 2_500,
+          horizonMilliseconds: 1_000,
+          aimMilliseconds: 200,
+        },
       ]),
-      tenants: [{ tenant: 'tenant-one', keys: [firstKey, spareKey] }, { tenant: 'tenant-two', keys: ['key-two'] }],
-      rows: [], keys: [], bounds: { restMilliseconds: options.restMilliseconds ?? 1_500 },
+      tenants: [
+        { tenant: 'tenant-one', keys: [firstKey, spareKey] },
+        { tenant: 'tenant-two', keys: ['key-two'] },
+      ],
+      rows: [],
+      keys: [],
+      bounds: { restMilliseconds: options.restMilliseconds ?? 1_500 },
     };
   }
 
@@ -286,7 +442,9 @@
 
   async function call(coreIndex: number, path: string, body: unknown): Promise<HttpReply> {
     const address = identifiers.address(coreAddresses(cores[coreIndex] as PooledCore).door);
-    return exchanged(await http.once(operator, address, { method: body === undefined ? 'GET' : 'POST', path, body }, operatorHorizonMilliseconds));
+    return exchanged(
+      await http.once(operator, address, { method: body === undefined ? 'GET' : 'POST', path, body }, operatorHorizonMilliseconds),
+    );
   }
 
   async function configure(version: number, sheet: PooledSheet, coreIndex: number): Promise<boolean> {
@@ -355,21 +513,38 @@
 
   /** The platform's own choice of edges: one that misses two readings is left out until it replies again. */
   async function readiness(slot: PooledEdge): Promise<void> {
-    const reply = await http.once(chooser, identifiers.address(edgeAddresses(slot).outward), { method: 'GET', path: '/ready' }, readinessHorizonMilliseconds);
+    const reply = await http.once(
+      chooser,
+      identifiers.address(edgeAddresses(slot).outward),
+      { method: 'GET', path: '/ready' },
+      readinessHorizonMilliseconds,
+    );
     missed.set(slot, Either.isRight(reply) && reply.right.status === 200 ? 0 : (missed.get(slot) ?? 2) + 1);
   }
 
   function startSenders(sessions: number, thinkMilliseconds: number): Readonly<{ stop: () => void }> {
-    for (const slot of edges) void kernels.every(chooser.clock, readinessMilliseconds, () => readiness(slot), () => true);
-    return sessionSender.start(senders, {
-      sessions, thinkMilliseconds, longRestMilliseconds: (options.restMilliseconds ?? 1_500) + 1_200,
-      edges: function chosen() {
-        const ready = edges.filter((slot) => (missed.get(slot) ?? 2) < 2);
-        return (ready.length > 0 ? ready : edges).map((slot) => ({ edge: slot.name, address: edgeAddresses(slot).senders }));
+    for (const slot of edges)
+      void kernels.every(
+        chooser.clock,
+        readinessMilliseconds,
+        () => readiness(slot),
+        () => true,
+      );
+    return sessionSender.start(
+      senders,
+      {
+        sessions,
+        thinkMilliseconds,
+        longRestMilliseconds: (options.restMilliseconds ?? 1_500) + 1_200,
+        edges: function chosen() {
+          const ready = edges.filter((slot) => (missed.get(slot) ?? 2) < 2);
+          return (ready.length > 0 ? ready : edges).map((slot) => ({ edge: slot.name, address: edgeAddresses(slot).senders }));
+        },
+        databases: (): readonly SessionDatabase[] => known().databases,
+        keys: () => known().tenants.flatMap((tenant) => tenant.keys),
       },
-      databases: (): readonly SessionDatabase[] => known().databases,
-      keys: () => known().tenants.flatMap((tenant) => tenant.keys),
-    }, ledger);
+      ledger,
+    );
   }
 
   /** What senders were told last: now and then something withdrawn, or not yet there. */
@@ -391,8 +566,36 @@
   }
 
   return {
-    world, cores, edges, members, platform: () => platformSlot as SessionPlatform, platformStore, ledger, runs, versions, services, firstSheet,
-    startAll, startCore, stopCore, startEdge, killEdge, drainEdge, startMember, stopMember, addMember, configure, readBack, call, session, ask, rawTo, startSenders, primaryOf, until, drive,
+    world,
+    cores,
+    edges,
+    members,
+    platform: () => platformSlot as SessionPlatform,
+    platformStore,
+    ledger,
+    runs,
+    versions,
+    services,
+    firstSheet,
+    startAll,
+    startCore,
+    stopCore,
+    startEdge,
+    killEdge,
+    drainEdge,
+    startMember,
+    stopMember,
+    addMember,
+    configure,
+    readBack,
+    call,
+    session,
+    ask,
+    rawTo,
+    startSenders,
+    primaryOf,
+    until,
+    drive,
     raw: (slot, pieces, milliseconds) => rawTo(edgeAddresses(slot).senders, pieces, milliseconds),
     freezeEdge: function freezeEdge(slot, milliseconds) {
       for (const process of [slot.agentProcess, slot.proxyProcess]) if (process !== undefined) world.freeze(process, milliseconds);
--- a/packages/simulator/src/pooled-seeds.ts
+++ b/packages/simulator/src/pooled-seeds.ts
@@ -9,7 +9,9 @@
 const shownMost = 6;
 
 function tell(result: PooledResult): void {
-  console.log(`seed=${result.seed} ${result.violations.length === 0 ? 'passed' : 'FAILED'} served=${result.served} promotions=${result.promotions} judged=${JSON.stringify(result.judged)} outcomes=${JSON.stringify(result.outcomes)}`);
+  console.log(
+    `seed=${result.seed} ${result.violations.length === 0 ? 'passed' : 'FAILED'} served=${result.served} promotions=${result.promotions} judged=${JSON.stringify(result.judged)} outcomes=${JSON.stringify(result.outcomes)}`,
+  );
   if (result.violations.length === 0) return;
   for (const violation of result.violations.slice(0, shownMost)) console.log(`  ${violation.check}: ${violation.detail}`);
   if (result.violations.length > shownMost) console.log(`  and ${result.violations.length - shownMost} more`);
@@ -22,7 +24,15 @@
     try {
       done(await pooledStorm.run(seed, options));
     } catch (error) {
-      done({ seed, violations: [{ check: 'run-broke', detail: (error as Error).stack ?? '' }], faults: [], served: 0, outcomes: {}, promotions: 0, judged: {} });
+      done({
+        seed,
+        violations: [{ check: 'run-broke', detail: (error as Error).stack ?? '' }],
+        faults: [],
+        served: 0,
+        outcomes: {},
+        promotions: 0,
+        judged: {},
+      });
     }
   }
 }
@@ -34,7 +44,11 @@
     return words.find((word) => word.startsWith(`--${name}=`))?.slice(name.length + 3);
   }
   const only = wish('only')?.split(',');
-  const options: PooledStormOptions = { trace: words.includes('--trace'), ...(only === undefined ? {} : { only }), ...(wish('faults') === undefined ? {} : { faults: Number(wish('faults')) }) };
+  const options: PooledStormOptions = {
+    trace: words.includes('--trace'),
+    ...(only === undefined ? {} : { only }),
+    ...(wish('faults') === undefined ? {} : { faults: Number(wish('faults')) }),
+  };
   const seeds = Array.from({ length: count }, (_, index) => first + index);
   const results: PooledResult[] = [];
   function done(result: PooledResult): void {
@@ -44,14 +58,28 @@
   if (count === 1) await work(seeds, options, done);
   else {
     const workers = Math.min(count, Number(wish('workers') ?? workersDefault));
-    await Promise.all(Array.from({ length: workers }, (_, index) => new Promise<void>((resolve, reject) => {
-      const worker = new Worker(fileURLToPath(import.meta.url), { workerData: { seeds: seeds.filter((seed) => (seed - first) % workers === index), options: { ...options, trace: false } } satisfies Work });
-      worker.on('message', done);
-      worker.on('error', reject);
-      worker.on('exit', () => resolve());
-    })));
+    await Promise.all(
+      Array.from(
+        { length: workers },
+        (_, index) =>
+          new Promise<void>((resolve, reject) => {
+            const worker = new Worker(fileURLToPath(import.meta.url), {
+              workerData: {
+                seeds: seeds.filter((seed) => (seed - first) % workers === index),
+                options: { ...options, trace: false },
+              } satisfies Work,
+            });
+            worker.on('message', done);
+            worker.on('error', reject);
+            worker.on('exit', () => resolve());
+          }),
+      ),
+    );
   }
-  const bad = results.filter((result) => result.violations.length > 0).map((result) => result.seed).sort((left, right) => left - right);
+  const bad = results
+    .filter((result) => result.violations.length > 0)
+    .map((result) => result.seed)
+    .sort((left, right) => left - right);
   console.log(`pooled-seeded-run: ${results.length - bad.length} passed, ${bad.length + count - results.length} failed`);
   if (bad.length > 0) console.log(`failed seeds: ${bad.join(' ')}`);
   if (results.length !== count || bad.length > 0) process.exitCode = 1;
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -16,7 +16,13 @@
   judged: Readonly<Record<string, number>>;
 }>;
 
-export type PooledStormOptions = Readonly<{ milliseconds?: number; faults?: number; only?: readonly string[]; trace?: boolean; sessions?: number }>;
+export type PooledStormOptions = Readonly<{
+  milliseconds?: number;
+  faults?: number;
+  only?: readonly string[];
+  trace?: boolean;
+  sessions?: number;
+}>;
 
 const settleMilliseconds = 30_000;
 const recoveryMilliseconds = 14_000;
@@ -32,8 +38,10 @@
     if (Option.isNone(read)) found.push({ check: 'read-back', detail: `core ${index + 1} reads nothing back` });
     else {
       const sent = fleet.versions.find((one) => Option.isSome(read) && one.version === read.value.version);
-      if (read.value.version < acknowledged) found.push({ check: 'read-back', detail: `core ${index + 1} reads ${read.value.version} back, ${acknowledged} was acknowledged` });
-      if (JSON.stringify(sent?.sheet) !== JSON.stringify(read.value.sheet)) found.push({ check: 'read-back', detail: `core ${index + 1} reads ${read.value.version} back otherwise than it was sent` });
+      if (read.value.version < acknowledged)
+        found.push({ check: 'read-back', detail: `core ${index + 1} reads ${read.value.version} back, ${acknowledged} was acknowledged` });
+      if (JSON.stringify(sent?.sheet) !== JSON.stringify(read.value.sheet))
+        found.push({ check: 'read-back', detail: `core ${index + 1} reads ${read.value.version} back otherwise than it was sent` });
     }
   }
   return found;
@@ -43,8 +51,17 @@
   const counts: Record<string, number> = {};
   for (const of of fleet.ledger.tries) {
     const last = of.asks.at(-1);
-    const name = of.left ? 'left' : Option.isSome(of.begun) ? of.begun.value : last === undefined || Option.isNone(last.ending) ? (Option.isSome(of.cutAt) ? 'cut' : 'silent')
-      : (of.asks.map((ask) => (Option.isSome(ask.ending) && ask.ending.value.kind === 'fault' ? ask.ending.value.condition : 'served')).find((one) => one !== 'served') ?? 'served');
+    const name = of.left
+      ? 'left'
+      : Option.isSome(of.begun)
+        ? of.begun.value
+        : last === undefined || Option.isNone(last.ending)
+          ? Option.isSome(of.cutAt)
+            ? 'cut'
+            : 'silent'
+          : (of.asks
+              .map((ask) => (Option.isSome(ask.ending) && ask.ending.value.kind === 'fault' ? ask.ending.value.condition : 'served'))
+              .find((one) => one !== 'served') ?? 'served');
     counts[name] = (counts[name] ?? 0) + 1;
   }
   return counts;
@@ -52,11 +69,19 @@
 
 async function run(seed: number, options: PooledStormOptions = {}): Promise<PooledResult> {
   const fleet = pooledFleet.create(seed, { synchronous: seed % 4 === 0 ? 1 : 0 });
-  const storm: PooledStorm = { told: [], troubles: [], lives: fleet.edges.map((slot) => ({ edge: slot.name, life: 1, from: 0 })), ends: [], drains: [] };
+  const storm: PooledStorm = {
+    told: [],
+    troubles: [],
+    lives: fleet.edges.map((slot) => ({ edge: slot.name, life: 1, from: 0 })),
+    ends: [],
+    drains: [],
+  };
   const violations: Violation[] = [];
   await fleet.startAll();
-  if (!(await fleet.drive(fleet.configure(3, fleet.firstSheet(), 0)))) violations.push({ check: 'run-broke', detail: 'the first configuration was not taken' });
-  if (!(await fleet.until(() => fleet.edges.every((slot) => slot.proxy?.ready() === true), 20_000))) violations.push({ check: 'run-broke', detail: 'the edges were never ready' });
+  if (!(await fleet.drive(fleet.configure(3, fleet.firstSheet(), 0))))
+    violations.push({ check: 'run-broke', detail: 'the first configuration was not taken' });
+  if (!(await fleet.until(() => fleet.edges.every((slot) => slot.proxy?.ready() === true), 20_000)))
+    violations.push({ check: 'run-broke', detail: 'the edges were never ready' });
   await fleet.world.run(1_500);
   const startedAt = fleet.world.now();
   const senders = fleet.startSenders(options.sessions ?? 50, thinkMilliseconds);
@@ -97,17 +122,46 @@
   const recovered = pooledChecks.served(fleet, backAt + recoveryMilliseconds, until - 3_000);
   const processes = [...fleet.cores.map((slot) => slot.process), ...fleet.edges.flatMap((slot) => [slot.agentProcess, slot.proxyProcess])];
   violations.push(
-    ...pooledChecks.stamps(read), ...pooledChecks.statements(read), ...pooledChecks.wellAsked(read), ...pooledChecks.writes(read), ...stale.found, ...pooledChecks.lost(read), ...configuration.found, ...draining.found,
-    ...pooledChecks.duties(fleet.platformStore.calls), ...usage.found, ...ends.found, ...(await readBack(fleet)),
-    ...(recovered.served < recovered.asked * leastServedShare || recovered.asked === 0 ? [{ check: 'recovery', detail: `${recovered.served} of ${recovered.asked} tries were served after everything was back` }] : []),
-    ...processes.flatMap((process) => (process !== undefined && Option.isSome(process.stoppedBy()) ? [{ check: 'process-ended', detail: `${process.name} ended by itself` }] : [])),
+    ...pooledChecks.stamps(read),
+    ...pooledChecks.statements(read),
+    ...pooledChecks.wellAsked(read),
+    ...pooledChecks.writes(read),
+    ...stale.found,
+    ...pooledChecks.lost(read),
+    ...configuration.found,
+    ...draining.found,
+    ...pooledChecks.duties(fleet.platformStore.calls),
+    ...usage.found,
+    ...ends.found,
+    ...(await readBack(fleet)),
+    ...(recovered.served < recovered.asked * leastServedShare || recovered.asked === 0
+      ? [{ check: 'recovery', detail: `${recovered.served} of ${recovered.asked} tries were served after everything was back` }]
+      : []),
+    ...processes.flatMap((process) =>
+      process !== undefined && Option.isSome(process.stoppedBy())
+        ? [{ check: 'process-ended', detail: `${process.name} ended by itself` }]
+        : [],
+    ),
   );
-  if (options.trace === true) for (const line of fleet.world.logs) console.log(line.at.toFixed(1), line.process, line.event, JSON.stringify(line.fields));
+  if (options.trace === true)
+    for (const line of fleet.world.logs) console.log(line.at.toFixed(1), line.process, line.event, JSON.stringify(line.fields));
   const told = outcomes(fleet);
   return {
-    seed, violations, faults: storm.told, served: told['served'] ?? 0, outcomes: told,
+    seed,
+    violations,
+    faults: storm.told,
+    served: told['served'] ?? 0,
+    outcomes: told,
     promotions: fleet.platformStore.calls.filter((call) => call.duty === 'promotion' && call.accepted).length,
-    judged: { tries: fleet.ledger.tries.length, runs: fleet.runs.length, reads: stale.judged, configuration: configuration.judged, draining: draining.judged, windows: usage.judged, ends: ends.judged },
+    judged: {
+      tries: fleet.ledger.tries.length,
+      runs: fleet.runs.length,
+      reads: stale.judged,
+      configuration: configuration.judged,
+      draining: draining.judged,
+      windows: usage.judged,
+      ends: ends.judged,
+    },
   };
 }
 
--- a/packages/simulator/src/scale.ts
+++ b/packages/simulator/src/scale.ts
@@ -7,7 +7,11 @@
 
 function totals(fleet: Fleet, prefix: string): Readonly<{ frames: number; bytes: number; processes: number }> {
   const some = [...fleet.world.sent].filter(([name]) => name.startsWith(prefix) && !name.endsWith('/proxy'));
-  return { frames: some.reduce((sum, [, sent]) => sum + sent.frames, 0), bytes: some.reduce((sum, [, sent]) => sum + sent.bytes, 0), processes: some.length };
+  return {
+    frames: some.reduce((sum, [, sent]) => sum + sent.frames, 0),
+    bytes: some.reduce((sum, [, sent]) => sum + sent.bytes, 0),
+    processes: some.length,
+  };
 }
 
 async function measure(edges: number): Promise<string> {
@@ -32,7 +36,8 @@
   await fleet.until(() => fleet.edges.every((slot) => (slot.proxy.running?.known().version ?? 0) >= version), 10_000);
   const disk = [...(fleet.cores[0]?.disk.entries ?? [])].reduce((sum, [key, value]) => sum + key.length + value.length, 0);
   return [
-    `nodes=${edges + 3}`, `formed=${Math.round(formed)}ms`,
+    `nodes=${edges + 3}`,
+    `formed=${Math.round(formed)}ms`,
     `frames/s core=${rate('core', 'frames').toFixed(0)} edge=${rate('edge', 'frames').toFixed(0)}`,
     `kB/s core=${(rate('core', 'bytes') / 1e3).toFixed(0)} edge=${(rate('edge', 'bytes') / 1e3).toFixed(0)}`,
     `sheet acknowledged=${Math.round(acknowledged)}ms obeyed-by-all-proxies=${Math.round(fleet.world.now() - sentAt)}ms`,
--- a/packages/simulator/src/schedules.ts
+++ b/packages/simulator/src/schedules.ts
@@ -52,7 +52,13 @@
         return new Promise((resolve) => setImmediate(resolve));
       },
     },
-    randomness: { fraction: () => 0.5, token: function next() { token += 1; return String(token); } },
+    randomness: {
+      fraction: () => 0.5,
+      token: function next() {
+        token += 1;
+        return String(token);
+      },
+    },
     log: () => undefined,
   } as unknown as Kernel;
 }
@@ -68,10 +74,18 @@
   }
 
   function registerAt(name: string, set: () => CoreSet): NumberedRegister {
-    return proposer.create(kernelOf(), name, () => set().seats.map((seat) => ({
-      core: seat.node,
-      ask: async (kind, body) => (reached.includes(seat.node) ? Option.some(await core(seat.node).cells[kind](body as never) as never) : Option.none),
-    })), () => set().seats.length, { number: () => set().number, learn: () => undefined });
+    return proposer.create(
+      kernelOf(),
+      name,
+      () =>
+        set().seats.map((seat) => ({
+          core: seat.node,
+          ask: async (kind, body) =>
+            reached.includes(seat.node) ? Option.some((await core(seat.node).cells[kind](body as never)) as never) : Option.none,
+        })),
+      () => set().seats.length,
+      { number: () => set().number, learn: () => undefined },
+    );
   }
 
   for (const name of 'abcd') {
@@ -80,9 +94,20 @@
     const register = registerAt(name, () => own.set);
     Object.assign(own, {
       register,
-      cells: acceptor.create(diskOf(), new Map(), () => undefined, () => undefined, { number: () => own.set.number, newer: () => undefined }),
+      cells: acceptor.create(
+        diskOf(),
+        new Map(),
+        () => undefined,
+        () => undefined,
+        { number: () => own.set.number, newer: () => undefined },
+      ),
       stepper: stepper.create({
-        clock: kernel.clock, set: () => own.set, under: register.under, settleMilliseconds: 0, learn: () => undefined, note: () => Promise.resolve(Either.right({})),
+        clock: kernel.clock,
+        set: () => own.set,
+        under: register.under,
+        settleMilliseconds: 0,
+        learn: () => undefined,
+        note: () => Promise.resolve(Either.right({})),
         adopt: function adopt(seat, set) {
           if (!reached.includes(seat.node)) return Promise.resolve(Option.none);
           if (set.number > core(seat.node).set.number) core(seat.node).set = set;
@@ -105,9 +130,12 @@
       reached = names;
       read = readable;
     },
-    step: async (name, seats) => Either.isRight(await core(name).stepper.step((set) => (
-      set.seats.length === seats.length ? Option.none : Option.some([...seats].map((one) => quorum.seat(set, one) ?? seatOf(one)))
-    ))),
+    step: async (name, seats) =>
+      Either.isRight(
+        await core(name).stepper.step((set) =>
+          set.seats.length === seats.length ? Option.none : Option.some([...seats].map((one) => quorum.seat(set, one) ?? seatOf(one))),
+        ),
+      ),
     writer: (at) => registerAt('writer', () => core(at).set),
     adopt: function adopt(name, from) {
       core(name).set = core(from).set;
@@ -122,7 +150,9 @@
 }
 
 async function put(register: NumberedRegister, value: string): Promise<boolean> {
-  return Either.isRight(await register.change(key, (current) => (listOf(current).includes(value) ? Option.none : Option.some([...listOf(current), value]))));
+  return Either.isRight(
+    await register.change(key, (current) => (listOf(current).includes(value) ? Option.none : Option.some([...listOf(current), value]))),
+  );
 }
 
 async function reads(register: NumberedRegister): Promise<readonly string[] | undefined> {
--- a/packages/simulator/src/storm.ts
+++ b/packages/simulator/src/storm.ts
@@ -32,7 +32,8 @@
 const sampleMilliseconds = 10;
 
 function clearBlanking(fleet: Fleet, storm: Storm): void {
-  if (storm.blanking && fleet.cores.every((slot) => slot.process?.alive() === true && slot.running !== undefined && slot.running.open())) storm.blanking = false;
+  if (storm.blanking && fleet.cores.every((slot) => slot.process?.alive() === true && slot.running !== undefined && slot.running.open()))
+    storm.blanking = false;
 }
 
 /** Asks now and then at one edge under a key, for a service and a kind that it may or may not have been given. */
@@ -44,11 +45,26 @@
     const service = key === marks.at(-1) ? (fleet.deployment.services[0] as string) : pick(fleet, fleet.deployment.services);
     const kind = key === marks.at(-1) ? 'leader-read' : pick(fleet, statementKinds);
     const startedAt = fleet.world.now();
-    const reply = await http.once(prober, identifiers.address(fleet.edgeAddresses(edge).proxy), {
-      method: 'POST', path: `/v1/services/${service}/statements`, headers: { 'x-stallstall-key': key },
-      body: { kind, statements: [kind === 'write' ? { text: 'put', parameters: ['probe', shot] } : { text: 'get any' }], horizonMilliseconds: 1_000 },
-    }, 1_500);
-    const reason = Either.isLeft(reply) ? reply.left.name : reply.right.status === 200 ? 'served' : String((reply.right.body as { error?: unknown } | null)?.error ?? reply.right.status);
+    const reply = await http.once(
+      prober,
+      identifiers.address(fleet.edgeAddresses(edge).proxy),
+      {
+        method: 'POST',
+        path: `/v1/services/${service}/statements`,
+        headers: { 'x-stallstall-key': key },
+        body: {
+          kind,
+          statements: [kind === 'write' ? { text: 'put', parameters: ['probe', shot] } : { text: 'get any' }],
+          horizonMilliseconds: 1_000,
+        },
+      },
+      1_500,
+    );
+    const reason = Either.isLeft(reply)
+      ? reply.left.name
+      : reply.right.status === 200
+        ? 'served'
+        : String((reply.right.body as { error?: unknown } | null)?.error ?? reply.right.status);
     probes.push({ startedAt, endedAt: fleet.world.now(), key, service, kind, area: edge.area, edge: edge.name, reason });
     if (reason === 'served') {
       const window = `${Math.floor(prober.clock.wall() / windowMilliseconds)}|${service}`;
@@ -80,7 +96,12 @@
     await fleet.startCore(slot);
     await fleet.world.run(2_000);
     // What the blank disk has copied must do when another is gone.
-    fleet.stopSlot(pick(fleet, fleet.cores.filter((other) => other !== slot)));
+    fleet.stopSlot(
+      pick(
+        fleet,
+        fleet.cores.filter((other) => other !== slot),
+      ),
+    );
   } else if (kind === 'core') fleet.stopSlot(slot);
   else if (kind === 'all') {
     for (const core of fleet.cores) fleet.stopSlot(core);
@@ -177,16 +198,31 @@
     ...(await checks.readBack(fleet, storm.sends)),
   ];
   if (options.trace === true) {
-    for (const line of fleet.world.logs) if (line.event !== 'node.join-waits') console.log(line.at.toFixed(1), line.process, line.event, JSON.stringify(line.fields));
+    for (const line of fleet.world.logs)
+      if (line.event !== 'node.join-waits') console.log(line.at.toFixed(1), line.process, line.event, JSON.stringify(line.fields));
   }
   return {
-    seed, deployment: fleet.deployment.name, violations, faults: storm.told,
-    served: fleet.ledger.reasons.get('served') ?? 0, reasons: Object.fromEntries(fleet.ledger.reasons),
-    events: fleet.world.events(), elections: fleet.platformStore.promotions.filter((call) => call.accepted).length, longestDenial: Math.round(fleet.ledger.longestDenial),
+    seed,
+    deployment: fleet.deployment.name,
+    violations,
+    faults: storm.told,
+    served: fleet.ledger.reasons.get('served') ?? 0,
+    reasons: Object.fromEntries(fleet.ledger.reasons),
+    events: fleet.world.events(),
+    elections: fleet.platformStore.promotions.filter((call) => call.accepted).length,
+    longestDenial: Math.round(fleet.ledger.longestDenial),
     judged: {
-      writes: fleet.ledger.writes.length, reads: fleet.ledger.reads.length, windows: windowUntil - windowFrom + 1, untellable: excused.size, probes: probes.length, sheets: storm.sends.filter((sent) => sent.version > 0).length,
-      going: storm.sends.filter((sent) => sent.sheet.services.some((service) => service.members.some((one) => one.state === 'draining'))).length + storm.drains.length,
-      ends: storm.ends.filter((end) => end.sound).length, promotions: fleet.platformStore.promotions.length,
+      writes: fleet.ledger.writes.length,
+      reads: fleet.ledger.reads.length,
+      windows: windowUntil - windowFrom + 1,
+      untellable: excused.size,
+      probes: probes.length,
+      sheets: storm.sends.filter((sent) => sent.version > 0).length,
+      going:
+        storm.sends.filter((sent) => sent.sheet.services.some((service) => service.members.some((one) => one.state === 'draining')))
+          .length + storm.drains.length,
+      ends: storm.ends.filter((end) => end.sound).length,
+      promotions: fleet.platformStore.promotions.length,
     },
   };
 }
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -4,8 +4,24 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import {
-  fault, http, identifiers, kernel as kernels, protocolsSpoken, type Disk, type Fault, type HttpAsk, type HttpConnection, type HttpReply, type HttpServer, type Instant,
-  type Kernel, type Link, type Listening, type LogFields, type Protocols, type Stream,
+  fault,
+  http,
+  identifiers,
+  kernel as kernels,
+  protocolsSpoken,
+  type Disk,
+  type Fault,
+  type HttpAsk,
+  type HttpConnection,
+  type HttpReply,
+  type HttpServer,
+  type Instant,
+  type Kernel,
+  type Link,
+  type Listening,
+  type LogFields,
+  type Protocols,
+  type Stream,
 } from '@stallstall/kernel';
 
 export type DiskTrouble = { failing: boolean; slowMilliseconds: number };
@@ -194,7 +210,6 @@
     return cuts.has(`${from.machine}>${to.machine}`) || cuts.has(`${to.machine}>${from.machine}`);
   }
 
-
   /** A frame as it goes over a link: counted, and copied so that nobody shares what was sent. */
   function frame(from: Body, message: unknown): unknown {
     if (weighing) {
@@ -273,9 +288,17 @@
       }
       const listener = listeners.get(address);
       function unreachable(): void {
-        settle(Either.left(fault.create({ kind: 'unreachable', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' })));
+        settle(
+          Either.left(
+            fault.create({ kind: 'unreachable', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' }),
+          ),
+        );
       }
-      at(connectMilliseconds, () => inside(body, unreachable), () => !settled);
+      at(
+        connectMilliseconds,
+        () => inside(body, unreachable),
+        () => !settled,
+      );
       if (listener !== undefined && dark.has(listener.body.machine)) return;
       if (listener === undefined || !listener.body.alive) {
         at(latency(), () => inside(body, unreachable));
@@ -283,16 +306,22 @@
       }
       const there = lane(body, listener.body);
       const back = lane(listener.body, body);
-      const near: End = end((message) => {
-        if (!body.alive) return;
-        const copy = frame(body, message);
-        there(() => far.take(copy));
-      }, () => hangUp(there, far));
-      const far: End = end((message) => {
-        if (!listener.body.alive) return;
-        const copy = frame(listener.body, message);
-        back(() => near.take(copy));
-      }, () => hangUp(back, near));
+      const near: End = end(
+        (message) => {
+          if (!body.alive) return;
+          const copy = frame(body, message);
+          there(() => far.take(copy));
+        },
+        () => hangUp(there, far),
+      );
+      const far: End = end(
+        (message) => {
+          if (!listener.body.alive) return;
+          const copy = frame(listener.body, message);
+          back(() => near.take(copy));
+        },
+        () => hangUp(back, near),
+      );
       function hangUp(put: (action: () => void) => void, other: End): void {
         body.closers.delete(nearGone);
         listener?.body.closers.delete(farGone);
@@ -343,7 +372,19 @@
   async function openStream(body: Body, address: string, milliseconds: number): Promise<Either.Either<Fault, Stream>> {
     const listener = listeners.get(streamKey(address));
     const late = new Promise<Either.Either<Fault, Link>>((resolve) => {
-      at(milliseconds, () => inside(body, () => resolve(Either.left(fault.create({ kind: 'unreachable', message: `${address} could not be reached`, remedy: 'see whether it runs and can be reached' })))));
+      at(milliseconds, () =>
+        inside(body, () =>
+          resolve(
+            Either.left(
+              fault.create({
+                kind: 'unreachable',
+                message: `${address} could not be reached`,
+                remedy: 'see whether it runs and can be reached',
+              }),
+            ),
+          ),
+        ),
+      );
     });
     const opening = openLink(body, streamKey(address));
     const opened = await Promise.race([opening, late]);
@@ -352,7 +393,11 @@
       if (Either.isRight(link)) link.right.close();
     });
     const notListening = listener === undefined || (!listener.body.alive && !dark.has(listener.body.machine));
-    return notListening ? Either.left(fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' })) : opened;
+    return notListening
+      ? Either.left(
+          fault.create({ kind: 'not-listening', message: `nothing listens on ${address}`, remedy: 'start it, or mend the address' }),
+        )
+      : opened;
   }
 
   // -- HTTP.
@@ -368,7 +413,9 @@
 
     function lostFault(kind: 'unreachable' | 'reply-lost'): Fault {
       return fault.create({
-        kind, message: kind === 'unreachable' ? `${address} could not be reached` : `the reply of ${address} was lost`, remedy: 'see whether it runs and can be reached',
+        kind,
+        message: kind === 'unreachable' ? `${address} could not be reached` : `the reply of ${address} was lost`,
+        remedy: 'see whether it runs and can be reached',
       });
     }
 
@@ -404,7 +451,11 @@
           at(latency(), () => inside(body, () => resolve(false)));
           return;
         }
-        at(connectMilliseconds, () => inside(body, () => resolve(false)), () => peerBody === undefined && !closed);
+        at(
+          connectMilliseconds,
+          () => inside(body, () => resolve(false)),
+          () => peerBody === undefined && !closed,
+        );
         if (silent || found === undefined) return;
         carry(body, found.body, latency(), () => {
           if (closed) return;
@@ -432,11 +483,16 @@
           return;
         }
         pending = settle;
-        at(milliseconds, () => inside(body, () => {
-          if (settled) return;
-          settle(Either.left(lostFault(left ? 'reply-lost' : 'unreachable')));
-          close();
-        }), () => !settled);
+        at(
+          milliseconds,
+          () =>
+            inside(body, () => {
+              if (settled) return;
+              settle(Either.left(lostFault(left ? 'reply-lost' : 'unreachable')));
+              close();
+            }),
+          () => !settled,
+        );
         void reach().then((reached) => {
           if (settled || !body.alive) return;
           const far = peerBody;
@@ -448,18 +504,31 @@
           left = true;
           const [path, query] = ask.path.split('?');
           const copy = copied(ask.body);
-          carry(body, far, latency(), () => {
-            void http.mapped(server.mappings, {
-              method: ask.method, path: path ?? '', query: Object.fromEntries(new URLSearchParams(query ?? '')), headers: ask.headers ?? {}, body: copy, connection: id,
-            }).then((reply) => {
-              if (!far.alive) return;
-              const told = { ...reply, body: copied(reply.body) };
-              carry(far, body, latency(), () => {
-                settle(Either.right(told));
-                if (reply.headers?.['connection'] === 'close') close();
-              });
-            });
-          }, () => closed);
+          carry(
+            body,
+            far,
+            latency(),
+            () => {
+              void http
+                .mapped(server.mappings, {
+                  method: ask.method,
+                  path: path ?? '',
+                  query: Object.fromEntries(new URLSearchParams(query ?? '')),
+                  headers: ask.headers ?? {},
+                  body: copy,
+                  connection: id,
+                })
+                .then((reply) => {
+                  if (!far.alive) return;
+                  const told = { ...reply, body: copied(reply.body) };
+                  carry(far, body, latency(), () => {
+                    settle(Either.right(told));
+                    if (reply.headers?.['connection'] === 'close') close();
+                  });
+                });
+            },
+            () => closed,
+          );
         });
       });
     }
@@ -473,18 +542,24 @@
       wall: () => identifiers.wallTime(wallStart + now + body.wallOffset),
       alarm: function alarm(milliseconds: number, action: () => void) {
         let live = true;
-        at(milliseconds / body.clockRate, () => inside(body, () => {
-          if (live) action();
-        }), () => live);
+        at(
+          milliseconds / body.clockRate,
+          () =>
+            inside(body, () => {
+              if (live) action();
+            }),
+          () => live,
+        );
         return {
           cancel: function cancel() {
             live = false;
           },
         };
       },
-      sleep: (milliseconds: number) => new Promise<void>((resolve) => {
-        at(milliseconds / body.clockRate, () => inside(body, resolve));
-      }),
+      sleep: (milliseconds: number) =>
+        new Promise<void>((resolve) => {
+          at(milliseconds / body.clockRate, () => inside(body, resolve));
+        }),
     };
 
     function listening(table: Map<string, { readonly body: Body }>, address: string): Listening {
@@ -502,9 +577,14 @@
 
     const stored: Option.Option<Disk> = Option.map((kept: SimulatedDisk): Disk => ({
       puts: () => Number(kept.entries.get(putsKey) ?? 0),
-      load: (without) => Promise.resolve(new Map(
-        [...kept.entries].filter(([key]) => key !== putsKey && !key.startsWith(without)).map(([key, value]) => [key, JSON.parse(value) as unknown]),
-      )),
+      load: (without) =>
+        Promise.resolve(
+          new Map(
+            [...kept.entries]
+              .filter(([key]) => key !== putsKey && !key.startsWith(without))
+              .map(([key, value]) => [key, JSON.parse(value) as unknown]),
+          ),
+        ),
       read: (key) => Promise.resolve(Option.map((text: string) => JSON.parse(text) as unknown)(Option.fromNullable(kept.entries.get(key)))),
       page: function page(prefix, after, bytes) {
         const found: Array<readonly [string, unknown]> = [];
@@ -518,24 +598,25 @@
         return Promise.resolve(found);
       },
       size: () => [...kept.entries].reduce((sum, [key, value]) => sum + key.length + value.length, 0),
-      put: (key: string, value: unknown) => new Promise<Either.Either<Fault, null>>((resolve) => {
-        const text = JSON.stringify(value);
-        function write(): void {
-          kept.entries.set(key, text);
-          kept.entries.set(putsKey, String(Number(kept.entries.get(putsKey) ?? 0) + 1));
-        }
-        body.puts.add(write);
-        at(0.5 + random() * 2 + kept.trouble.slowMilliseconds, () => {
-          if (!body.alive) return;
-          body.puts.delete(write);
-          if (kept.trouble.failing) {
-            inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error('the disk is set to fail')))));
-            return;
+      put: (key: string, value: unknown) =>
+        new Promise<Either.Either<Fault, null>>((resolve) => {
+          const text = JSON.stringify(value);
+          function write(): void {
+            kept.entries.set(key, text);
+            kept.entries.set(putsKey, String(Number(kept.entries.get(putsKey) ?? 0) + 1));
           }
-          write();
-          inside(body, () => resolve(Either.right(null)));
-        });
-      }),
+          body.puts.add(write);
+          at(0.5 + random() * 2 + kept.trouble.slowMilliseconds, () => {
+            if (!body.alive) return;
+            body.puts.delete(write);
+            if (kept.trouble.failing) {
+              inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error('the disk is set to fail')))));
+              return;
+            }
+            write();
+            inside(body, () => resolve(Either.right(null)));
+          });
+        }),
     }))(Option.fromNullable(disk));
 
     return {
@@ -615,10 +696,24 @@
   function spawn(name: string, machine: string, disk?: SimulatedDisk, protocols: Protocols = protocolsSpoken): Process {
     const product = /^(core|edge)-/.test(name);
     const body: Body = {
-      name, machine, alive: true, frozenUntil: 0,
-      wallOffset: 0, clockOffset: product ? random() * 1e7 : 0, clockRate: product ? 0.985 + random() * 0.03 : 1, stoppedBy: Option.none, closers: new Set(), puts: new Set(),
+      name,
+      machine,
+      alive: true,
+      frozenUntil: 0,
+      wallOffset: 0,
+      clockOffset: product ? random() * 1e7 : 0,
+      clockRate: product ? 0.985 + random() * 0.03 : 1,
+      stoppedBy: Option.none,
+      closers: new Set(),
+      puts: new Set(),
+    };
+    const process: Process = {
+      name,
+      machine,
+      kernel: kernelOf(body, disk, protocols),
+      alive: () => body.alive,
+      stoppedBy: () => body.stoppedBy,
     };
-    const process: Process = { name, machine, kernel: kernelOf(body, disk, protocols), alive: () => body.alive, stoppedBy: () => body.stoppedBy };
     bodies.set(process, body);
     return process;
   }
--- a/packages/stand-in/src/deployment.ts
+++ b/packages/stand-in/src/deployment.ts
@@ -16,7 +16,11 @@
   services: ['bookings', 'charging', 'maps'],
   requestsPerSecond: 315,
   sessions: 210,
-  mix: [{ kind: 'write', share: 0.5, transaction: false }, { kind: 'write', share: 0.16, transaction: true }, { kind: 'bounded-read', share: 0.34, transaction: false }],
+  mix: [
+    { kind: 'write', share: 0.5, transaction: false },
+    { kind: 'write', share: 0.16, transaction: true },
+    { kind: 'bounded-read', share: 0.34, transaction: false },
+  ],
 };
 
 export const brightpath: Deployment = {
@@ -25,7 +29,11 @@
   services: ['acceptances', 'applicants', 'seats'],
   requestsPerSecond: 315,
   sessions: 210,
-  mix: [{ kind: 'write', share: 0.55, transaction: false }, { kind: 'bounded-read', share: 0.3, transaction: false }, { kind: 'own-read', share: 0.15, transaction: false }],
+  mix: [
+    { kind: 'write', share: 0.55, transaction: false },
+    { kind: 'bounded-read', share: 0.3, transaction: false },
+    { kind: 'own-read', share: 0.15, transaction: false },
+  ],
 };
 
 export const areas = ['north', 'middle', 'south'] as const;
@@ -38,18 +46,28 @@
     services: deployment.services.map((service) => ({
       service,
       connectionLimit: deployment.connectionLimit,
-      members: members.filter((one) => one.service === service).map((one) => ({ member: one.member, area: one.area, address: one.address, state: 'serving' })),
-    })),
-    rows: deployment.services.flatMap((service) => areas.map((area) => {
-      const named = members.filter((one) => one.service === service);
-      return {
-        service, area,
-        serves: { write: 'leader', 'leader-read': 'leader', 'bounded-read': named.map((one) => one.member), 'own-read': named.map((one) => one.member) },
-        weights: Object.fromEntries(named.map((one) => [one.member, one.area === area ? 4 : 1])),
-        staleMilliseconds: 1_500,
-        mostWaiting: 400,
-      };
+      members: members
+        .filter((one) => one.service === service)
+        .map((one) => ({ member: one.member, area: one.area, address: one.address, state: 'serving' })),
     })),
+    rows: deployment.services.flatMap((service) =>
+      areas.map((area) => {
+        const named = members.filter((one) => one.service === service);
+        return {
+          service,
+          area,
+          serves: {
+            write: 'leader',
+            'leader-read': 'leader',
+            'bounded-read': named.map((one) => one.member),
+            'own-read': named.map((one) => one.member),
+          },
+          weights: Object.fromEntries(named.map((one) => [one.member, one.area === area ? 4 : 1])),
+          staleMilliseconds: 1_500,
+          mostWaiting: 400,
+        };
+      }),
+    ),
     keys: [{ key, services: [...deployment.services], kinds: ['write', 'leader-read', 'bounded-read', 'own-read'] }],
   };
 }
--- a/packages/stand-in/src/member.ts
+++ b/packages/stand-in/src/member.ts
@@ -1,6 +1,14 @@
 // A stand-in for a database member: transactions, replication with lag, STATE, promotion, a connection limit (design 10.1).
 import * as Either from 'fp-ts/lib/Either.js';
-import { identifiers, kernel as kernels, type HttpConnection, type HttpReply, type HttpRequest, type Kernel, type Listening } from '@stallstall/kernel';
+import {
+  identifiers,
+  kernel as kernels,
+  type HttpConnection,
+  type HttpReply,
+  type HttpRequest,
+  type Kernel,
+  type Listening,
+} from '@stallstall/kernel';
 
 /** A change that raises never lowers what stands when it commits. */
 export type Change = Readonly<{ name: string; value: unknown; raises?: true }>;
@@ -24,7 +32,14 @@
 export type Ran = Readonly<{ at: number; connection: string; opens: boolean; readOnly: boolean; role: 'primary' | 'replica' }>;
 
 /** What of a member outlives its process. */
-export type MemberStore = { epoch: number; role: 'primary' | 'replica'; primary: string; log: Commit[]; applied: number; readonly ran: Ran[] };
+export type MemberStore = {
+  epoch: number;
+  role: 'primary' | 'replica';
+  primary: string;
+  log: Commit[];
+  applied: number;
+  readonly ran: Ran[];
+};
 
 export type MemberKnobs = {
   /** Replies to commits that are done are not sent. */
@@ -47,7 +62,11 @@
 }>;
 
 type Transaction = { readonly changes: Change[] };
-type ConnectionState = { values: Readonly<Record<string, unknown>>; shapes: Readonly<Record<string, string>>; transaction: Transaction | null };
+type ConnectionState = {
+  values: Readonly<Record<string, unknown>>;
+  shapes: Readonly<Record<string, string>>;
+  transaction: Transaction | null;
+};
 
 type RunBody = Readonly<{
   readOnly: boolean;
@@ -150,8 +169,14 @@
   /** Each says nothing certain of the commit; none is a member's own denial. */
   function garbled(): HttpReply {
     const replies: readonly HttpReply[] = [
-      { status: 500, body: { message: 'internal' } }, { status: 502, body: '<html>bad gateway</html>' }, { status: 503, body: null }, { status: 504, body: { message: 'timeout' } },
-      { status: 200, body: null }, { status: 200, body: { results: [true, true, ''] } }, { status: 200, body: { results: 'x', position: -1 } }, { status: 404, body: {} },
+      { status: 500, body: { message: 'internal' } },
+      { status: 502, body: '<html>bad gateway</html>' },
+      { status: 503, body: null },
+      { status: 504, body: { message: 'timeout' } },
+      { status: 200, body: null },
+      { status: 200, body: { results: [true, true, ''] } },
+      { status: 200, body: { results: 'x', position: -1 } },
+      { status: 404, body: {} },
     ];
     return replies[Math.floor(kernel.randomness.fraction() * replies.length)] as HttpReply;
   }
@@ -160,7 +185,13 @@
     const state = connectionOf(request);
     if (state === undefined) return deniedWith(503, 'too many connections');
     const body = request.body as RunBody;
-    store.ran.push({ at: kernel.clock.now(), connection: request.connection, opens: body.transaction === 'none' || body.transaction === 'begin', readOnly: body.readOnly, role: store.role });
+    store.ran.push({
+      at: kernel.clock.now(),
+      connection: request.connection,
+      opens: body.transaction === 'none' || body.transaction === 'begin',
+      readOnly: body.readOnly,
+      role: store.role,
+    });
     if (body.reset) {
       if (state.transaction !== null) crossings += 1;
       state.values = {};
@@ -200,7 +231,10 @@
 
   function stateReply(request: HttpRequest): HttpReply {
     if (connectionOf(request) === undefined) return deniedWith(503, 'too many connections');
-    return { status: 200, body: { member: settings.member, role: store.role, epoch: store.epoch, received: received(), applied: store.applied } };
+    return {
+      status: 200,
+      body: { member: settings.member, role: store.role, epoch: store.epoch, received: received(), applied: store.applied },
+    };
   }
 
   // -- Replication: a replica pulls from its primary; a member that changes primaries copies the new one whole.
@@ -209,7 +243,10 @@
     if (store.role !== 'replica' || store.primary === '' || knobs.deaf) return;
     upstream ??= kernel.network.connect(identifiers.address(store.primary));
     const following = store.primary;
-    const reply = await upstream.exchange({ method: 'POST', path: '/replicate', body: { member: settings.member, epoch: store.epoch, from: received() } }, 800);
+    const reply = await upstream.exchange(
+      { method: 'POST', path: '/replicate', body: { member: settings.member, epoch: store.epoch, from: received() } },
+      800,
+    );
     if (Either.isLeft(reply) || reply.right.status !== 200 || following !== store.primary || stopped) {
       upstream?.close();
       upstream = undefined;
@@ -264,10 +301,14 @@
     const held = beaten.get(address);
     const connection = held === undefined || held.closed() ? kernel.network.connect(identifiers.address(address)) : held;
     beaten.set(address, connection);
-    await connection.exchange({
-      method: 'POST', path: `/v1/members/${settings.member}/beat`,
-      body: { member: settings.member, role: store.role, epoch: store.epoch, received: received(), applied: store.applied },
-    }, beatMilliseconds);
+    await connection.exchange(
+      {
+        method: 'POST',
+        path: `/v1/members/${settings.member}/beat`,
+        body: { member: settings.member, role: store.role, epoch: store.epoch, received: received(), applied: store.applied },
+      },
+      beatMilliseconds,
+    );
   }
 
   async function beat(): Promise<void> {
@@ -278,7 +319,12 @@
   const listening: readonly Listening[] = [
     await kernel.network.serve(identifiers.address(settings.address), {
       mappings: [
-        { method: 'POST', path: '/open', handle: async (request) => (connectionOf(request) === undefined ? deniedWith(503, 'too many connections') : { status: 200, body: { open: true } }) },
+        {
+          method: 'POST',
+          path: '/open',
+          handle: async (request) =>
+            connectionOf(request) === undefined ? deniedWith(503, 'too many connections') : { status: 200, body: { open: true } },
+        },
         { method: 'POST', path: '/run', handle: run },
         { method: 'GET', path: '/state', handle: async (request) => stateReply(request) },
       ],
@@ -290,14 +336,16 @@
         { method: 'POST', path: '/promote', handle: promote },
         { method: 'POST', path: '/follow', handle: follow },
         {
-          method: 'POST', path: '/knobs',
+          method: 'POST',
+          path: '/knobs',
           handle: async function turn(request) {
             Object.assign(knobs, request.body);
             return { status: 200, body: knobs };
           },
         },
         {
-          method: 'GET', path: '/names',
+          method: 'GET',
+          path: '/names',
           handle: async function names() {
             const times: Record<string, number> = {};
             for (const commit of store.log) for (const change of commit.changes) times[change.name] = (times[change.name] ?? 0) + 1;
--- a/packages/stand-in/src/platform.ts
+++ b/packages/stand-in/src/platform.ts
@@ -7,10 +7,23 @@
 
 /** `at` is when a call arrived, however long the platform then took over it. */
 export type PromotionCall = Readonly<{ at: number; service: string; member: string; epoch: number; turn: number; accepted: boolean }>;
-export type UsageCall = Readonly<{ at: number; window: number; endsAt: number; counts: Readonly<Record<string, number>>; turn: number; holder: string; accepted: boolean }>;
+export type UsageCall = Readonly<{
+  at: number;
+  window: number;
+  endsAt: number;
+  counts: Readonly<Record<string, number>>;
+  turn: number;
+  holder: string;
+  accepted: boolean;
+}>;
 
 export type PlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean; denies: boolean; garbles: boolean };
-export type PlatformStore = { promotions: PromotionCall[]; usage: UsageCall[]; leaders: Map<string, Readonly<{ member: string; epoch: number; turn: number }>>; usageTurn: number };
+export type PlatformStore = {
+  promotions: PromotionCall[];
+  usage: UsageCall[];
+  leaders: Map<string, Readonly<{ member: string; epoch: number; turn: number }>>;
+  usageTurn: number;
+};
 
 export type Platform = Readonly<{ stop: () => Promise<void>; knobs: PlatformKnobs; store: PlatformStore }>;
 
@@ -18,7 +31,13 @@
   return { promotions: [], usage: [], leaders: new Map(), usageTurn: 0 };
 }
 
-const garbled: readonly HttpReply[] = [{ status: 500, body: null }, { status: 200, body: '' }, { status: 502, body: '<html>' }, { status: 302, body: {} }, { status: 204, body: null }];
+const garbled: readonly HttpReply[] = [
+  { status: 500, body: null },
+  { status: 200, body: '' },
+  { status: 502, body: '<html>' },
+  { status: 302, body: {} },
+  { status: 204, body: null },
+];
 
 async function start(kernel: Kernel, settings: PlatformSettings, store: PlatformStore): Promise<Platform> {
   const knobs: PlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false, denies: false, garbles: false };
@@ -41,13 +60,22 @@
     const down = await trouble();
     if (down !== undefined) return down;
     const known = store.leaders.get(asked.service);
-    const accepted = known === undefined || asked.turn > known.turn || (asked.turn === known.turn && asked.member === known.member && asked.epoch === known.epoch);
+    const accepted =
+      known === undefined ||
+      asked.turn > known.turn ||
+      (asked.turn === known.turn && asked.member === known.member && asked.epoch === known.epoch);
     store.promotions.push({ at, service: asked.service, member: asked.member, epoch: asked.epoch, turn: asked.turn, accepted });
     if (!accepted) return { status: 409, body: { message: 'a later turn was here' } };
     const target = settings.members.find((one) => one.member === asked.member && one.service === asked.service);
     if (target === undefined) return { status: 404, body: { message: 'no such member' } };
-    const reply = await http.once(kernel, identifiers.address(target.control), { method: 'POST', path: '/promote', body: { epoch: asked.epoch } }, 500);
-    if (Either.isLeft(reply) || reply.right.status !== 200) return { status: 502, body: { message: 'the member did not take the promotion' } };
+    const reply = await http.once(
+      kernel,
+      identifiers.address(target.control),
+      { method: 'POST', path: '/promote', body: { epoch: asked.epoch } },
+      500,
+    );
+    if (Either.isLeft(reply) || reply.right.status !== 200)
+      return { status: 502, body: { message: 'the member did not take the promotion' } };
     store.leaders.set(asked.service, { member: asked.member, epoch: asked.epoch, turn: asked.turn });
     void retarget();
     return lost({ status: 200, body: { promoted: true } });
@@ -59,7 +87,15 @@
     if (down !== undefined) return down;
     const asked = request.body as Omit<UsageCall, 'at' | 'accepted'>;
     const accepted = asked.turn >= store.usageTurn;
-    store.usage.push({ at, window: asked.window, endsAt: asked.endsAt, counts: asked.counts, turn: asked.turn, holder: asked.holder, accepted });
+    store.usage.push({
+      at,
+      window: asked.window,
+      endsAt: asked.endsAt,
+      counts: asked.counts,
+      turn: asked.turn,
+      holder: asked.holder,
+      accepted,
+    });
     if (!accepted) return { status: 409, body: { message: 'a later turn was here' } };
     store.usageTurn = asked.turn;
     return lost({ status: 200, body: { taken: true } });
@@ -69,9 +105,18 @@
     for (const [service, leader] of store.leaders) {
       const primary = settings.members.find((one) => one.member === leader.member);
       if (primary === undefined) continue;
-      await Promise.all(settings.members.filter((one) => one.service === service && one.member !== leader.member).map((one) => (
-        http.once(kernel, identifiers.address(one.control), { method: 'POST', path: '/follow', body: { primary: primary.control, epoch: leader.epoch } }, 400)
-      )));
+      await Promise.all(
+        settings.members
+          .filter((one) => one.service === service && one.member !== leader.member)
+          .map((one) =>
+            http.once(
+              kernel,
+              identifiers.address(one.control),
+              { method: 'POST', path: '/follow', body: { primary: primary.control, epoch: leader.epoch } },
+              400,
+            ),
+          ),
+      );
     }
   }
 
@@ -79,9 +124,14 @@
     mappings: [
       { method: 'POST', path: '/v1/promotions', handle: promote },
       { method: 'POST', path: '/v1/usage', handle: usage },
-      { method: 'GET', path: '/v1/record', handle: async () => ({ status: 200, body: { promotions: store.promotions, usage: store.usage } }) },
       {
-        method: 'POST', path: '/v1/knobs',
+        method: 'GET',
+        path: '/v1/record',
+        handle: async () => ({ status: 200, body: { promotions: store.promotions, usage: store.usage } }),
+      },
+      {
+        method: 'POST',
+        path: '/v1/knobs',
         handle: async function turn(request) {
           Object.assign(knobs, request.body);
           return { status: 200, body: knobs };
--- a/packages/stand-in/src/sender.ts
+++ b/packages/stand-in/src/sender.ts
@@ -5,11 +5,41 @@
 
 /** A mark that every session of a service raises: what one has written, every other must read. */
 export type SharedMark = Readonly<{ mark: string; sequence: number }>;
-export type WriteRecord = Readonly<{ shared: string; name: string; session: number; sessionName: string; service: string; sequence: number; startedAt: number; endedAt: number; fate: 'kept' | 'nothing-kept' | 'unknown'; reason: string }>;
-export type ReadRecord = Readonly<{ shared: SharedMark; service: string; kind: string; session: number; sessionName: string; startedAt: number; endedAt: number; sequence: number; ok: boolean; reason: string; through: string }>;
+export type WriteRecord = Readonly<{
+  shared: string;
+  name: string;
+  session: number;
+  sessionName: string;
+  service: string;
+  sequence: number;
+  startedAt: number;
+  endedAt: number;
+  fate: 'kept' | 'nothing-kept' | 'unknown';
+  reason: string;
+}>;
+export type ReadRecord = Readonly<{
+  shared: SharedMark;
+  service: string;
+  kind: string;
+  session: number;
+  sessionName: string;
+  startedAt: number;
+  endedAt: number;
+  sequence: number;
+  ok: boolean;
+  reason: string;
+  through: string;
+}>;
 
 /** One exchange with a proxy; `open` when it goes on with a transaction that began at `openSince`. */
-export type ExchangeRecord = Readonly<{ edge: string; path: string; startedAt: number; endedAt: number; reason: string; openSince: number }>;
+export type ExchangeRecord = Readonly<{
+  edge: string;
+  path: string;
+  startedAt: number;
+  endedAt: number;
+  reason: string;
+  openSince: number;
+}>;
 
 export type Ledger = {
   readonly writes: WriteRecord[];
@@ -50,12 +80,33 @@
 const abandonedMilliseconds = 6_500;
 /** Definite: the system promises that nothing was kept. Everything else may have happened. */
 const definite = new Set([
-  'bad-request', 'not-found', 'key-denied', 'read-only', 'no-target', 'stale-configuration', 'draining', 'overloaded', 'given-up',
-  'transaction-ended', 'session-lost', 'statement-denied', 'unreachable',
+  'bad-request',
+  'not-found',
+  'key-denied',
+  'read-only',
+  'no-target',
+  'stale-configuration',
+  'draining',
+  'overloaded',
+  'given-up',
+  'transaction-ended',
+  'session-lost',
+  'statement-denied',
+  'unreachable',
 ]);
 
 function emptyLedger(): Ledger {
-  return { writes: [], reads: [], exchanges: [], crossed: 0, reasons: new Map(), bySecond: new Map(), servedByService: new Map(), usageByWindow: new Map(), longestDenial: 0 };
+  return {
+    writes: [],
+    reads: [],
+    exchanges: [],
+    crossed: 0,
+    reasons: new Map(),
+    bySecond: new Map(),
+    servedByService: new Map(),
+    usageByWindow: new Map(),
+    longestDenial: 0,
+  };
 }
 
 function reasonOf(reply: Either.Either<unknown, HttpReply>): string {
@@ -105,10 +156,18 @@
     async function exchange(method: string, path: string, body: unknown): Promise<Either.Either<unknown, HttpReply>> {
       const startedAt = kernel.clock.now();
       const at = edge;
-      const reply = await (connection as HttpConnection).exchange({
-        method, path, body,
-        headers: { 'x-stallstall-key': settings.key, ...(name === '' || path.endsWith('/sessions') ? {} : { 'x-stallstall-session': name }) },
-      }, settings.horizonMilliseconds + 3_000);
+      const reply = await (connection as HttpConnection).exchange(
+        {
+          method,
+          path,
+          body,
+          headers: {
+            'x-stallstall-key': settings.key,
+            ...(name === '' || path.endsWith('/sessions') ? {} : { 'x-stallstall-session': name }),
+          },
+        },
+        settings.horizonMilliseconds + 3_000,
+      );
       ledger.exchanges.push({ edge: at, path, startedAt, endedAt: kernel.clock.now(), reason: reasonOf(reply), openSince });
       return reply;
     }
@@ -138,12 +197,27 @@
     }
 
     function lost(reason: string): boolean {
-      return reason === 'session-lost' || reason === 'unreachable' || reason === 'reply-lost' || reason === 'draining' || reason === 'stale-configuration';
+      return (
+        reason === 'session-lost' ||
+        reason === 'unreachable' ||
+        reason === 'reply-lost' ||
+        reason === 'draining' ||
+        reason === 'stale-configuration'
+      );
     }
 
-    async function statement(kind: string, statements: readonly unknown[], transaction: string): Promise<Either.Either<unknown, HttpReply>> {
+    async function statement(
+      kind: string,
+      statements: readonly unknown[],
+      transaction: string,
+    ): Promise<Either.Either<unknown, HttpReply>> {
       const hasty = kernel.randomness.fraction() < (settings.hastyShare ?? 0);
-      const reply = await exchange('POST', `/v1/services/${service}/statements`, { kind, statements, transaction, horizonMilliseconds: hasty ? hastyMilliseconds : settings.horizonMilliseconds });
+      const reply = await exchange('POST', `/v1/services/${service}/statements`, {
+        kind,
+        statements,
+        transaction,
+        horizonMilliseconds: hasty ? hastyMilliseconds : settings.horizonMilliseconds,
+      });
       if (reasonOf(reply) === 'served') {
         const window = `${Math.floor(kernel.clock.wall() / windowMilliseconds)}|${service}`;
         ledger.usageByWindow.set(window, (ledger.usageByWindow.get(window) ?? 0) + 1);
@@ -157,15 +231,28 @@
       const record = `${settings.tag}/${service}/${sequence}`;
       const shared = `${settings.tag}/${service}/shared-${sequence % sharedMarks}`;
       const puts = [
-        { text: 'put', parameters: [record, sequence] }, { text: 'raise', parameters: [`${settings.tag}/${service}/session-${index}`, sequence] },
-        { text: 'raise', parameters: [shared, sequence] }, { text: 'value owner' },
+        { text: 'put', parameters: [record, sequence] },
+        { text: 'raise', parameters: [`${settings.tag}/${service}/session-${index}`, sequence] },
+        { text: 'raise', parameters: [shared, sequence] },
+        { text: 'value owner' },
       ];
       let reply: Either.Either<unknown, HttpReply>;
       openSince = Number.POSITIVE_INFINITY;
       if (transaction) {
         reply = await statement('write', puts.slice(0, 2), 'begin');
         if (reasonOf(reply) === 'served' && kernel.randomness.fraction() < abandonedShare) {
-          ledger.writes.push({ shared, name: record, session: index, sessionName: name, service, sequence, startedAt, endedAt: kernel.clock.now(), fate: 'nothing-kept', reason: 'abandoned' });
+          ledger.writes.push({
+            shared,
+            name: record,
+            session: index,
+            sessionName: name,
+            service,
+            sequence,
+            startedAt,
+            endedAt: kernel.clock.now(),
+            fate: 'nothing-kept',
+            reason: 'abandoned',
+          });
           await kernel.clock.sleep(abandonedMilliseconds);
           return 'session-lost';
         }
@@ -177,14 +264,36 @@
           openSince = Number.POSITIVE_INFINITY;
         } else if (Either.isLeft(reply)) {
           // Begun, its fate unknown, but never committed: nothing may be kept of it.
-          ledger.writes.push({ shared, name: record, session: index, sessionName: name, service, sequence, startedAt, endedAt: kernel.clock.now(), fate: 'nothing-kept', reason: 'begin lost' });
+          ledger.writes.push({
+            shared,
+            name: record,
+            session: index,
+            sessionName: name,
+            service,
+            sequence,
+            startedAt,
+            endedAt: kernel.clock.now(),
+            fate: 'nothing-kept',
+            reason: 'begin lost',
+          });
           note(service, startedAt, reasonOf(reply));
           return reasonOf(reply);
         }
       } else reply = await statement('write', puts, 'none');
       const reason = reasonOf(reply);
       const fate = reason === 'served' ? 'kept' : definite.has(reason) ? 'nothing-kept' : 'unknown';
-      ledger.writes.push({ shared, name: record, session: index, sessionName: name, service, sequence, startedAt, endedAt: kernel.clock.now(), fate, reason });
+      ledger.writes.push({
+        shared,
+        name: record,
+        session: index,
+        sessionName: name,
+        service,
+        sequence,
+        startedAt,
+        endedAt: kernel.clock.now(),
+        fate,
+        reason,
+      });
       if (fate === 'kept') {
         const results = ((reply as Either.Right<HttpReply>).right.body as { results: readonly unknown[] }).results;
         if (results.at(-1) !== `${settings.tag}-${index}`) ledger.crossed += 1;
@@ -209,7 +318,19 @@
         seen = typeof results[1] === 'number' ? results[1] : 0;
         if (results[2] !== `${settings.tag}-${index}`) ledger.crossed += 1;
       }
-      ledger.reads.push({ shared: { mark, sequence: seen }, service, kind, session: index, sessionName: name, startedAt, endedAt: kernel.clock.now(), sequence, ok: reason === 'served', reason, through });
+      ledger.reads.push({
+        shared: { mark, sequence: seen },
+        service,
+        kind,
+        session: index,
+        sessionName: name,
+        startedAt,
+        endedAt: kernel.clock.now(),
+        sequence,
+        ok: reason === 'served',
+        reason,
+        through,
+      });
       note(service, startedAt, reason);
       return reason;
     }
@@ -224,13 +345,17 @@
       }
       const draw = kernel.randomness.fraction();
       let sum = 0;
-      const kind = settings.deployment.mix.find((one) => {
-        sum += one.share;
-        return draw < sum;
-      }) ?? settings.deployment.mix[0];
+      const kind =
+        settings.deployment.mix.find((one) => {
+          sum += one.share;
+          return draw < sum;
+        }) ?? settings.deployment.mix[0];
       const startedAt = kernel.clock.now();
       marks += 1;
-      const reason = kind?.kind === 'write' ? await write(kind.transaction) : await read(marks % 5 === 0 ? 'leader-read' : (kind?.kind ?? 'bounded-read'));
+      const reason =
+        kind?.kind === 'write'
+          ? await write(kind.transaction)
+          : await read(marks % 5 === 0 ? 'leader-read' : (kind?.kind ?? 'bounded-read'));
       if (lost(reason)) name = '';
       const spent = kernel.clock.now() - startedAt;
       const pause = reason === 'served' ? period - spent : Math.max(period - spent, 700 + 600 * kernel.randomness.fraction());
--- a/packages/stand-in/src/session-dialect.ts
+++ b/packages/stand-in/src/session-dialect.ts
@@ -1,10 +1,33 @@
 // The stand-ins' own words for the session wire: plain lines, so that the product is shown to need no platform's (design 10.1).
 import * as Option from 'fp-ts/lib/Option.js';
-import type { Command, Condition, Dialect, Framer, Incoming, MemberStanding, Piece, Position, Stance, StatementReply } from '@stallstall/statement';
+import type {
+  Command,
+  Condition,
+  Dialect,
+  Framer,
+  Incoming,
+  MemberStanding,
+  Piece,
+  Position,
+  Stance,
+  StatementReply,
+} from '@stallstall/statement';
 
 const conditions: ReadonlySet<string> = new Set<Condition>([
-  'saturated', 'aborted', 'lagging', 'read-only', 'wrong-member', 'overloaded', 'outcome-unknown', 'expired', 'failed',
-  'undefined', 'denied', 'no-database', 'oversize', 'malformed',
+  'saturated',
+  'aborted',
+  'lagging',
+  'read-only',
+  'wrong-member',
+  'overloaded',
+  'outcome-unknown',
+  'expired',
+  'failed',
+  'undefined',
+  'denied',
+  'no-database',
+  'oversize',
+  'malformed',
 ]);
 const stances: ReadonlySet<string> = new Set<Stance>(['idle', 'open', 'failed']);
 
@@ -48,7 +71,9 @@
   if (word === 'execute') return given === '' ? Option.none : Option.some({ kind: 'execute', name, rest: given });
   if (word !== 'prepare') return Option.none;
   const [verb, shape] = cut(given);
-  return (verb === 'get' || verb === 'put') && shape !== '' ? Option.some({ kind: 'prepare', name, writes: verb === 'put', shape }) : Option.none;
+  return (verb === 'get' || verb === 'put') && shape !== ''
+    ? Option.some({ kind: 'prepare', name, writes: verb === 'put', shape })
+    : Option.none;
 }
 
 function incoming(message: string): Incoming {
@@ -56,7 +81,8 @@
   const [first, second] = cut(rest);
   if (message === 'bye') return { kind: 'close' };
   if (word === 'hello' && first !== '' && second !== '') return { kind: 'open', database: first, who: second };
-  if (word === 'ask' && first !== '') return { kind: 'query', identifier: first, text: second, command: first === ownIdentifier ? Option.none : command(second) };
+  if (word === 'ask' && first !== '')
+    return { kind: 'query', identifier: first, text: second, command: first === ownIdentifier ? Option.none : command(second) };
   return { kind: 'unreadable' };
 }
 
@@ -69,7 +95,10 @@
 }
 
 function reply(of: StatementReply): string {
-  const ending = of.ending.kind === 'done' ? `yes ${of.ending.stamp}${of.copiedAt === undefined ? '' : ` copied ${of.copiedAt}`}\n` : faultLine(of.ending.condition, of.ending.text);
+  const ending =
+    of.ending.kind === 'done'
+      ? `yes ${of.ending.stamp}${of.copiedAt === undefined ? '' : ` copied ${of.copiedAt}`}\n`
+      : faultLine(of.ending.condition, of.ending.text);
   return `${of.rows.map((row) => `${row}\n`).join('')}${ending}${rest(of.stance, of.position)}`;
 }
 
@@ -78,7 +107,8 @@
   const [first, second] = cut(fields);
   if (word === 'row') return { kind: 'row', raw: message };
   if (word === 'yes') return { kind: 'ending', ending: { kind: 'done', stamp: fields } };
-  if (word === 'no' && conditions.has(first)) return { kind: 'ending', ending: { kind: 'fault', condition: first as Condition, text: second } };
+  if (word === 'no' && conditions.has(first))
+    return { kind: 'ending', ending: { kind: 'fault', condition: first as Condition, text: second } };
   if (word === 'at' && stances.has(first)) return { kind: 'rest', stance: first as Stance, position: position(second) };
   return { kind: 'unreadable' };
 }
@@ -94,7 +124,14 @@
 const ownIdentifier = 'own';
 
 export const plainDialect: Dialect = {
-  framer, incoming, reply, rest, fault: faultLine, piece, ownIdentifier, standing,
+  framer,
+  incoming,
+  reply,
+  rest,
+  fault: faultLine,
+  piece,
+  ownIdentifier,
+  standing,
   opening: (service, tenant, member) => `hello ${service} ${tenant} ${member}\n`,
   query: (identifier, text) => `ask ${identifier} ${text}\n`,
   closing: () => 'bye\n',
--- a/packages/stand-in/src/session-member.ts
+++ b/packages/stand-in/src/session-member.ts
@@ -1,7 +1,17 @@
 // A stand-in for a database member that speaks the session wire: slots, transactions, a log with terms, late replicas, promotion (design 10.1).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { http, identifiers, kernel as kernels, type HttpConnection, type HttpReply, type HttpRequest, type Kernel, type Listening, type Stream } from '@stallstall/kernel';
+import {
+  http,
+  identifiers,
+  kernel as kernels,
+  type HttpConnection,
+  type HttpReply,
+  type HttpRequest,
+  type Kernel,
+  type Listening,
+  type Stream,
+} from '@stallstall/kernel';
 import { positions, type Condition, type Position, type Stance } from '@stallstall/statement';
 import { plainDialect, plainWords } from './session-dialect.js';
 
@@ -88,7 +98,14 @@
   tenant: string;
   readonly values: Map<string, string>;
   readonly prepared: Map<string, Readonly<{ verb: string; shape: string }>>;
-  transaction: Option.Option<{ readonly number: number; readonly readOnly: boolean; readonly term: number; readonly writes: SessionWrite[]; failed: boolean; ran: number }>;
+  transaction: Option.Option<{
+    readonly number: number;
+    readonly readOnly: boolean;
+    readonly term: number;
+    readonly writes: SessionWrite[];
+    failed: boolean;
+    ran: number;
+  }>;
 };
 
 type Outcome = Readonly<{ rows?: readonly string[]; stamp: string }> | Readonly<{ condition: Condition }>;
@@ -112,7 +129,7 @@
 function endsOf(log: readonly SessionCommit[], upTo: number): Readonly<Record<number, number>> {
   const ends: Record<number, number> = {};
   // Backwards over the ends of terms alone: a log of thousands has a handful.
-  for (let index = upTo - 1; index >= 0; ) {
+  for (let index = upTo - 1; index >= 0;) {
     const commit = log[index] as SessionCommit;
     ends[commit.term] = commit.number;
     let low = 0;
@@ -147,7 +164,12 @@
   return true;
 }
 
-async function start(kernel: Kernel, settings: SessionMemberSettings, store: SessionMemberStore, onRun: (run: SessionRun) => void): Promise<SessionMember> {
+async function start(
+  kernel: Kernel,
+  settings: SessionMemberSettings,
+  store: SessionMemberStore,
+  onRun: (run: SessionRun) => void,
+): Promise<SessionMember> {
   const rows = new Map<string, string>();
   const connections = new Set<Connection>();
   const receivedBy = new Map<string, number>();
@@ -210,14 +232,35 @@
 
   // -- What a connection asks.
 
-  function note(connection: Connection, identifier: string, kind: SessionRun['kind'], rest: string, prepared: boolean, row: string, committed: Option.Option<SessionCommit>): string {
+  function note(
+    connection: Connection,
+    identifier: string,
+    kind: SessionRun['kind'],
+    rest: string,
+    prepared: boolean,
+    row: string,
+    committed: Option.Option<SessionCommit>,
+  ): string {
     numbers += 1;
     const stamp = `${settings.member}-${numbers}`;
     const transaction = Option.isSome(connection.transaction) ? connection.transaction.value : undefined;
     onRun({
-      at: kernel.clock.now(), service: settings.service, member: settings.member, connection: connection.number, transaction: transaction?.number ?? 0,
-      first: transaction === undefined || transaction.ran === 0, tenant: connection.tenant, identifier, kind, rest, prepared,
-      values: JSON.stringify([...connection.values].sort()), ends: endsOf(store.log, applied), row, stamp, committed,
+      at: kernel.clock.now(),
+      service: settings.service,
+      member: settings.member,
+      connection: connection.number,
+      transaction: transaction?.number ?? 0,
+      first: transaction === undefined || transaction.ran === 0,
+      tenant: connection.tenant,
+      identifier,
+      kind,
+      rest,
+      prepared,
+      values: JSON.stringify([...connection.values].sort()),
+      ends: endsOf(store.log, applied),
+      row,
+      stamp,
+      committed,
     });
     if (transaction !== undefined) transaction.ran += 1;
     return stamp;
@@ -234,7 +277,12 @@
 
   /** A synchronous commit is told only once so many replicas have received it. */
   async function awaitReceived(done: SessionCommit): Promise<void> {
-    while (!stopped && store.role === 'primary' && [...receivedBy.values()].filter((number) => number >= done.number).length < settings.synchronousReplicas) await kernel.clock.sleep(2);
+    while (
+      !stopped &&
+      store.role === 'primary' &&
+      [...receivedBy.values()].filter((number) => number >= done.number).length < settings.synchronousReplicas
+    )
+      await kernel.clock.sleep(2);
   }
 
   function leadLost(connection: Connection): boolean {
@@ -323,7 +371,9 @@
         return statement(connection, identifier, word, rest, false);
       case 'execute': {
         const known = connection.prepared.get(name);
-        return known === undefined ? { condition: 'undefined' } : statement(connection, identifier, known.verb, `${given.replace(/^(\S+)/, `${known.shape}:$1`)}`, true);
+        return known === undefined
+          ? { condition: 'undefined' }
+          : statement(connection, identifier, known.verb, `${given.replace(/^(\S+)/, `${known.shape}:$1`)}`, true);
       }
       case 'set':
         connection.values.set(name, given);
@@ -377,8 +427,14 @@
         if (word === 'bye') break reading;
         if (connection.tenant === '') {
           const [tenant, member] = plainWords.cut(second);
-          const denied: Condition | undefined = word !== 'hello' ? 'malformed' : first !== settings.service || (member !== '' && member !== settings.member) ? 'wrong-member'
-            : connections.size > settings.connectionLimit ? 'overloaded' : undefined;
+          const denied: Condition | undefined =
+            word !== 'hello'
+              ? 'malformed'
+              : first !== settings.service || (member !== '' && member !== settings.member)
+                ? 'wrong-member'
+                : connections.size > settings.connectionLimit
+                  ? 'overloaded'
+                  : undefined;
           if (denied !== undefined) {
             stream.write(plainDialect.fault(denied, settings.member));
             break reading;
@@ -401,10 +457,17 @@
           continue;
         }
         const stance: Stance = Option.isNone(connection.transaction) ? 'idle' : connection.transaction.value.failed ? 'failed' : 'open';
-        stream.write(plainDialect.reply({
-          rows: 'condition' in outcome ? [] : (outcome.rows ?? []), ending: 'condition' in outcome ? { kind: 'fault', condition: outcome.condition, text: settings.member } : { kind: 'done', stamp: outcome.stamp },
-          stance, position: Option.some(positionOf(applied)),
-        }));
+        stream.write(
+          plainDialect.reply({
+            rows: 'condition' in outcome ? [] : (outcome.rows ?? []),
+            ending:
+              'condition' in outcome
+                ? { kind: 'fault', condition: outcome.condition, text: settings.member }
+                : { kind: 'done', stamp: outcome.stamp },
+            stance,
+            position: Option.some(positionOf(applied)),
+          }),
+        );
       }
     }
     // What was open is rolled back.
@@ -450,11 +513,19 @@
       upstream.value.connection.close();
       upstream = Option.none;
     }
-    const held = Option.isSome(upstream) && !upstream.value.connection.closed() ? upstream.value : { address: following, connection: kernel.network.connect(identifiers.address(following)) };
+    const held =
+      Option.isSome(upstream) && !upstream.value.connection.closed()
+        ? upstream.value
+        : { address: following, connection: kernel.network.connect(identifiers.address(following)) };
     upstream = Option.some(held);
-    const reply = await held.connection.exchange({
-      method: 'POST', path: '/log', body: { member: settings.member, number: store.log.length, ends: endsOf(store.log, store.log.length) },
-    }, followHorizonMilliseconds);
+    const reply = await held.connection.exchange(
+      {
+        method: 'POST',
+        path: '/log',
+        body: { member: settings.member, number: store.log.length, ends: endsOf(store.log, store.log.length) },
+      },
+      followHorizonMilliseconds,
+    );
     if (Either.isLeft(reply) || reply.right.status !== 200) {
       held.connection.close();
       await kernel.clock.sleep(20);
@@ -501,7 +572,12 @@
   async function call(path: string, body: unknown): Promise<boolean> {
     for (let shot = 0; shot < settings.doors.length; shot += 1) {
       const address = identifiers.address(settings.doors[door] as string);
-      const reply = await http.once(kernel, address, { method: 'POST', path: `/members/${settings.member}/${path}`, body }, beatHorizonMilliseconds);
+      const reply = await http.once(
+        kernel,
+        address,
+        { method: 'POST', path: `/members/${settings.member}/${path}`, body },
+        beatHorizonMilliseconds,
+      );
       if (Either.isRight(reply) && reply.right.status === 200) return true;
       door = (door + 1) % settings.doors.length;
     }
@@ -512,7 +588,13 @@
     if (knobs.silent) return;
     sequence += 1;
     const taken = await call('beat', {
-      service: settings.service, address: settings.address, area: settings.area, draining: drains, role: store.role, slots: settings.slots, sequence,
+      service: settings.service,
+      address: settings.address,
+      area: settings.area,
+      draining: drains,
+      role: store.role,
+      slots: settings.slots,
+      sequence,
     });
     if (taken && drains && Option.isNone(draining)) draining = Option.some(kernel.clock.now());
   }
@@ -520,9 +602,7 @@
   const listening: readonly Listening[] = [
     await kernel.network.listenStream(identifiers.address(settings.address), (stream) => void serve(stream)),
     await kernel.network.serve(identifiers.address(settings.control), {
-      mappings: [
-        { method: 'POST', path: '/log', handle: tellLog },
-      ],
+      mappings: [{ method: 'POST', path: '/log', handle: tellLog }],
     }),
   ];
   void kernels.every(kernel.clock, beatMilliseconds, beat, () => !stopped);
@@ -546,7 +626,11 @@
   }
 
   return {
-    stop, drain, knobs, store, lead,
+    stop,
+    drain,
+    knobs,
+    store,
+    lead,
     follow: followLeader,
     connections: () => connections.size,
     peak: () => peak,
--- a/packages/stand-in/src/session-platform.ts
+++ b/packages/stand-in/src/session-platform.ts
@@ -2,9 +2,24 @@
 import { identifiers, kernel as kernels, type HttpReply, type HttpRequest, type Kernel, type Listening } from '@stallstall/kernel';
 
 /** Promotion reaches members in one moment, whatever is cut off from whom. */
-export type SessionPlatformMember = Readonly<{ service: string; member: string; control: string; runs: () => boolean; lead: (term: number) => void; follow: (term: number, primary: string) => void }>;
+export type SessionPlatformMember = Readonly<{
+  service: string;
+  member: string;
+  control: string;
+  runs: () => boolean;
+  lead: (term: number) => void;
+  follow: (term: number, primary: string) => void;
+}>;
 /** `at` is when the call arrived. */
-export type DutyCall = Readonly<{ at: number; duty: 'promotion' | 'usage'; subject: string; holder: string; turn: number; accepted: boolean; body: Readonly<Record<string, unknown>> }>;
+export type DutyCall = Readonly<{
+  at: number;
+  duty: 'promotion' | 'usage';
+  subject: string;
+  holder: string;
+  turn: number;
+  accepted: boolean;
+  body: Readonly<Record<string, unknown>>;
+}>;
 export type SessionPlatformStore = {
   readonly calls: DutyCall[];
   readonly leaders: Map<string, Readonly<{ member: string; term: number; at: number }>>;
@@ -12,7 +27,11 @@
 };
 export type SessionPlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean };
 export type SessionPlatform = Readonly<{ knobs: SessionPlatformKnobs; stop: () => Promise<void> }>;
-export type SessionPlatformSettings = Readonly<{ address: string; members: () => readonly SessionPlatformMember[]; promoteMilliseconds: number }>;
+export type SessionPlatformSettings = Readonly<{
+  address: string;
+  members: () => readonly SessionPlatformMember[];
+  promoteMilliseconds: number;
+}>;
 
 const followMilliseconds = 50;
 
@@ -64,20 +83,26 @@
     const members = settings.members();
     for (const one of members) {
       const leader = store.leaders.get(one.service);
-      if (leader !== undefined && leader.member !== one.member) one.follow(leader.term, members.find((other) => other.member === leader.member)?.control ?? '');
+      if (leader !== undefined && leader.member !== one.member)
+        one.follow(leader.term, members.find((other) => other.member === leader.member)?.control ?? '');
     }
   }
 
   const listening: Listening = await kernel.network.serve(identifiers.address(settings.address), {
     mappings: [
       {
-        method: 'POST', path: '/duties/promotion',
+        method: 'POST',
+        path: '/duties/promotion',
         handle: function promotion(request) {
           const { service, member } = request.body as Readonly<{ service: string; member: string }>;
           return under(request, 'promotion', service, () => promote(service, member));
         },
       },
-      { method: 'POST', path: '/duties/usage', handle: (request) => under(request, 'usage', 'windows', async () => ({ status: 200, body: {} })) },
+      {
+        method: 'POST',
+        path: '/duties/usage',
+        handle: (request) => under(request, 'usage', 'windows', async () => ({ status: 200, body: {} })),
+      },
     ],
   });
   void kernels.every(kernel.clock, followMilliseconds, follow, () => !stopped);
