--- a/packages/stories/src/units.ts
+++ b/packages/stories/src/units.ts
@@ -14,7 +14,17 @@
 import { world as worlds, type Process, type World } from '@stallstall/simulator';
 import { positions, type MemberPlace, type Position } from '@stallstall/statement';
 
-type StubCore = { stance: number | undefined; silent: boolean; ready: boolean; number: number; settled: number; delay: number; held: number; lessees: Set<Caller>; reply: ((ask: Ask<'lease'>) => Promise<Partial<Reply<'lease'>>>) | undefined };
+type StubCore = {
+  stance: number | undefined;
+  silent: boolean;
+  ready: boolean;
+  number: number;
+  settled: number;
+  delay: number;
+  held: number;
+  lessees: Set<Caller>;
+  reply: ((ask: Ask<'lease'>) => Promise<Partial<Reply<'lease'>>>) | undefined;
+};
 
 type UnitStory = {
   world: World;
@@ -96,14 +106,23 @@
   this.roster.step();
 });
 
-Then('the beat with number {int} was not taken, and {string} is draining', function then(this: UnitStory, sequence: number, member: string) {
-  assert.equal(this.taken.get(sequence), false);
-  assert.equal(known(this.roster, member).draining, true);
-  assert.deepEqual(this.roster.membersOf('ferries').map((one) => one.state), ['draining']);
-});
+Then(
+  'the beat with number {int} was not taken, and {string} is draining',
+  function then(this: UnitStory, sequence: number, member: string) {
+    assert.equal(this.taken.get(sequence), false);
+    assert.equal(known(this.roster, member).draining, true);
+    assert.deepEqual(
+      this.roster.membersOf('ferries').map((one) => one.state),
+      ['draining'],
+    );
+  },
+);
 
 Then('only the beat with number {int} is spread', function then(this: UnitStory, sequence: number) {
-  assert.deepEqual(this.roster.spread().map((one) => one.entry.sequence), [sequence]);
+  assert.deepEqual(
+    this.roster.spread().map((one) => one.entry.sequence),
+    [sequence],
+  );
   this.roster.beat(registration('member-1', sequence - 2, false));
   assert.deepEqual(this.roster.spread(), []);
 });
@@ -111,7 +130,10 @@
 Then('{string} is gone, of no service, and spread as gone', function then(this: UnitStory, member: string) {
   assert.equal(known(this.roster, member).gone, true);
   assert.deepEqual(this.roster.membersOf('ferries'), []);
-  assert.deepEqual(this.roster.spread().map((one) => [one.entry.member, one.entry.gone]), [[member, true]]);
+  assert.deepEqual(
+    this.roster.spread().map((one) => [one.entry.member, one.entry.gone]),
+    [[member, true]],
+  );
 });
 
 Then('{string} is gone, of no service', function then(this: UnitStory, member: string) {
@@ -120,7 +142,10 @@
 });
 
 Then('{string} is of its service', function then(this: UnitStory, member: string) {
-  assert.deepEqual(this.roster.membersOf('ferries').map((one) => one.member), [member]);
+  assert.deepEqual(
+    this.roster.membersOf('ferries').map((one) => one.member),
+    [member],
+  );
 });
 
 Then('{string} is up', function then(this: UnitStory, member: string) {
@@ -131,7 +156,10 @@
 Then(/^"(.+)" is (up|down), and its readers are told of one more change$/, function then(this: UnitStory, member: string, stands: string) {
   assert.equal(known(this.roster, member).down, stands === 'down');
   assert.equal(this.roster.number(), this.changesSeen + 1);
-  assert.deepEqual(this.roster.since(this.changesSeen).map((entry) => entry.member), [member]);
+  assert.deepEqual(
+    this.roster.since(this.changesSeen).map((entry) => entry.member),
+    [member],
+  );
 });
 
 Then('its readers are told of no change', function then(this: UnitStory) {
@@ -139,14 +167,20 @@
   assert.deepEqual(this.roster.since(this.changesSeen), []);
 });
 
-Then('what is spread to the other core is {string} of {int} s ago, and nothing the next time', function then(this: UnitStory, member: string, seconds: number) {
-  const told: readonly Spread[] = this.roster.spread();
-  assert.deepEqual(told.map((one) => one.entry.member), [member]);
-  // Each process has a clock of its own, and they do not go at one rate.
-  assert.ok(Math.abs((told[0]?.ago ?? 0) - seconds * 1_000) < seconds * 20, JSON.stringify(told));
-  assert.deepEqual(this.roster.spread(), []);
-  this.other.take(told);
-});
+Then(
+  'what is spread to the other core is {string} of {int} s ago, and nothing the next time',
+  function then(this: UnitStory, member: string, seconds: number) {
+    const told: readonly Spread[] = this.roster.spread();
+    assert.deepEqual(
+      told.map((one) => one.entry.member),
+      [member],
+    );
+    // Each process has a clock of its own, and they do not go at one rate.
+    assert.ok(Math.abs((told[0]?.ago ?? 0) - seconds * 1_000) < seconds * 20, JSON.stringify(told));
+    assert.deepEqual(this.roster.spread(), []);
+    this.other.take(told);
+  },
+);
 
 Then('the other core spreads nothing of it, and has it down {int} s later', async function then(this: UnitStory, seconds: number) {
   assert.deepEqual(this.other.spread(), []);
@@ -160,13 +194,26 @@
 // -- The edge's half of the leases, over cores that say what they are told to.
 
 function seatOf(index: number): Seat {
-  return { node: `core-${index + 1}`, role: 'core', area: 'north', address: `10.1.0.${index + 1}:7000`, outward: `10.1.0.${index + 1}:7001`, draining: false };
+  return {
+    node: `core-${index + 1}`,
+    role: 'core',
+    area: 'north',
+    address: `10.1.0.${index + 1}:7000`,
+    outward: `10.1.0.${index + 1}:7001`,
+    draining: false,
+  };
 }
 
 function settledChange(epoch: number): Parameters<Caller['change']>[0] {
   return {
-    number: epoch, set: 1, key: 'epoch/ferries',
-    entry: { ballot: { counter: epoch, node: 'core-1' }, version: epoch, value: { epoch, primary: 'member-1', wonBy: 'core-1', position: 1, settledAt: 1 } },
+    number: epoch,
+    set: 1,
+    key: 'epoch/ferries',
+    entry: {
+      ballot: { counter: epoch, node: 'core-1' },
+      version: epoch,
+      value: { epoch, primary: 'member-1', wonBy: 'core-1', position: 1, settledAt: 1 },
+    },
   };
 }
 
@@ -174,11 +221,27 @@
   const { kernel } = story.world.spawn(`core-${index + 1}`, `core-machine-${index + 1}`);
   const stub = story.cores[index] as StubCore;
   await peer.listen(kernel, identifiers.address((seats[index] as Seat).address), {
-    hello: () => ({ node: `core-${index + 1}`, role: 'core', incarnation: 1, fleet: 'fleet', founding: '', cores: [...seats], set: { number: 1, seats: [...seats], epochs: {} }, knownPuts: 0, superseded: false }) as Reply<'hello'>,
+    hello: () =>
+      ({
+        node: `core-${index + 1}`,
+        role: 'core',
+        incarnation: 1,
+        fleet: 'fleet',
+        founding: '',
+        cores: [...seats],
+        set: { number: 1, seats: [...seats], epochs: {} },
+        knownPuts: 0,
+        superseded: false,
+      }) as Reply<'hello'>,
     lease: async function lease(ask, caller) {
       if (!stub.lessees.has(caller)) {
         stub.lessees.add(caller);
-        caller.change({ number: 1, set: 1, key: 'configuration', entry: { ballot: { counter: 1, node: 'core-1' }, version: 1, value: { sheet: { services: [{ service: 'ferries' }] } } } });
+        caller.change({
+          number: 1,
+          set: 1,
+          key: 'configuration',
+          entry: { ballot: { counter: 1, node: 'core-1' }, version: 1, value: { sheet: { services: [{ service: 'ferries' }] } } },
+        });
         caller.change(settledChange(stub.settled));
       }
       if (stub.silent) await kernel.clock.sleep(60_000);
@@ -186,8 +249,22 @@
       if (stub.reply === undefined) await kernel.clock.sleep(stub.delay);
       stub.number += 1;
       return {
-        ready: stub.ready, token: `life-${index}`, number: stub.number, stances: stub.stance === undefined ? {} : { ferries: stub.stance }, configuration: 1, membership: 1, puts: 1,
-        roster: [], whole: false, edges: { north: 1 }, demand: {}, wants: false, marks: {}, held: stub.held, set: 1, ...told,
+        ready: stub.ready,
+        token: `life-${index}`,
+        number: stub.number,
+        stances: stub.stance === undefined ? {} : { ferries: stub.stance },
+        configuration: 1,
+        membership: 1,
+        puts: 1,
+        roster: [],
+        whole: false,
+        edges: { north: 1 },
+        demand: {},
+        wants: false,
+        marks: {},
+        held: stub.held,
+        set: 1,
+        ...told,
       };
     },
   });
@@ -195,55 +272,128 @@
 
 async function startEdge(story: UnitStory, stubs: ReadonlyArray<Partial<StubCore>>): Promise<void> {
   story.world = worlds.create(43);
-  story.cores = stubs.map((stub) => ({ stance: 5, silent: false, ready: true, number: 0, settled: 5, delay: 20, held: 0, lessees: new Set(), reply: undefined, ...stub }));
+  story.cores = stubs.map((stub) => ({
+    stance: 5,
+    silent: false,
+    ready: true,
+    number: 0,
+    settled: 5,
+    delay: 20,
+    held: 0,
+    lessees: new Set(),
+    reply: undefined,
+    ...stub,
+  }));
   const seats = stubs.map((_stub, index) => seatOf(index));
   for (const index of stubs.keys()) await startStub(story, index, seats);
   const { kernel } = story.world.spawn('edge-1', 'edge-machine');
   story.kernel = kernel;
-  story.lessee = lessee.create(kernel, { node: 'edge-1', area: 'north', seeds: () => seats.map((seat) => seat.address) }, {
-    released: () => ({}), positions: () => ({}), marks: () => ({}), positionsAgo: () => 0, troubled: () => false, demand: () => 0, notListening: () => [], onChange: () => undefined,
-  });
+  story.lessee = lessee.create(
+    kernel,
+    { node: 'edge-1', area: 'north', seeds: () => seats.map((seat) => seat.address) },
+    {
+      released: () => ({}),
+      positions: () => ({}),
+      marks: () => ({}),
+      positionsAgo: () => 0,
+      troubled: () => false,
+      demand: () => 0,
+      notListening: () => [],
+      onChange: () => undefined,
+    },
+  );
   story.lessee.start();
 }
 
-Given(/^an edge and cores that hold each question for (\d+) ms and say so, standing at 5, with epoch 5 settled$/, async function given(this: UnitStory, milliseconds: string) {
-  await startEdge(this, [0, 1, 2].map(() => ({ delay: Number(milliseconds), held: Number(milliseconds) })));
-});
+Given(
+  /^an edge and cores that hold each question for (\d+) ms and say so, standing at 5, with epoch 5 settled$/,
+  async function given(this: UnitStory, milliseconds: string) {
+    await startEdge(
+      this,
+      [0, 1, 2].map(() => ({ delay: Number(milliseconds), held: Number(milliseconds) })),
+    );
+  },
+);
 
 Then(/^between ([\d.]+) s and ([\d.]+) s of it are left$/, function then(this: UnitStory, least: string, most: string) {
   const left = this.lessee.leaseUntil('ferries') - this.kernel.clock.now();
   assert.ok(left >= Number(least) * 1_000 && left <= Number(most) * 1_000, `${left} ms are left`);
 });
 
-Given('an edge whose cores tell of a configuration without its content, and show it to whoever asks under their set', async function given(this: UnitStory) {
-  this.world = worlds.create(44);
-  const seats = [0, 1, 2].map(seatOf);
-  const ballot = { counter: 1, node: 'core-1' };
-  for (const [index, seat] of seats.entries()) {
-    const { kernel } = this.world.spawn(`core-${index + 1}`, `core-machine-${index + 1}`);
-    const told = new Set<Caller>();
-    await peer.listen(kernel, identifiers.address(seat.address), {
-      hello: () => ({ node: seat.node, role: 'core', incarnation: 1, fleet: 'fleet', founding: '', cores: [...seats], set: { number: 1, seats: [...seats], epochs: {} }, knownPuts: 0, superseded: false }) as Reply<'hello'>,
-      lease: async function lease(ask, caller) {
-        if (!told.has(caller)) caller.change({ number: 1, set: 1, key: 'configuration', entry: { ballot, version: 1, value: null } });
-        told.add(caller);
-        await kernel.clock.sleep(Math.min(ask.hold, 300));
-        return {
-          ready: true, held: 0, token: `life-${index}`, number: 1, stances: {}, configuration: 1, membership: 1, puts: 1, roster: [], whole: false, edges: { north: 1 }, demand: {}, wants: false, marks: {}, set: 1,
-        };
+Given(
+  'an edge whose cores tell of a configuration without its content, and show it to whoever asks under their set',
+  async function given(this: UnitStory) {
+    this.world = worlds.create(44);
+    const seats = [0, 1, 2].map(seatOf);
+    const ballot = { counter: 1, node: 'core-1' };
+    for (const [index, seat] of seats.entries()) {
+      const { kernel } = this.world.spawn(`core-${index + 1}`, `core-machine-${index + 1}`);
+      const told = new Set<Caller>();
+      await peer.listen(kernel, identifiers.address(seat.address), {
+        hello: () =>
+          ({
+            node: seat.node,
+            role: 'core',
+            incarnation: 1,
+            fleet: 'fleet',
+            founding: '',
+            cores: [...seats],
+            set: { number: 1, seats: [...seats], epochs: {} },
+            knownPuts: 0,
+            superseded: false,
+          }) as Reply<'hello'>,
+        lease: async function lease(ask, caller) {
+          if (!told.has(caller)) caller.change({ number: 1, set: 1, key: 'configuration', entry: { ballot, version: 1, value: null } });
+          told.add(caller);
+          await kernel.clock.sleep(Math.min(ask.hold, 300));
+          return {
+            ready: true,
+            held: 0,
+            token: `life-${index}`,
+            number: 1,
+            stances: {},
+            configuration: 1,
+            membership: 1,
+            puts: 1,
+            roster: [],
+            whole: false,
+            edges: { north: 1 },
+            demand: {},
+            wants: false,
+            marks: {},
+            set: 1,
+          };
+        },
+        look: (ask) =>
+          ask.set === 1
+            ? {
+                ready: true,
+                agreed: true,
+                promised: ballot,
+                accepted: { ballot, version: 1, value: { sheet: { services: [{ service: 'ferries' }] } } },
+              }
+            : { ready: false, agreed: false, promised: ballot, accepted: null },
+      });
+    }
+    const { kernel } = this.world.spawn('edge-1', 'edge-machine');
+    this.kernel = kernel;
+    this.lessee = lessee.create(
+      kernel,
+      { node: 'edge-1', area: 'north', seeds: () => seats.map((seat) => seat.address) },
+      {
+        released: () => ({}),
+        positions: () => ({}),
+        marks: () => ({}),
+        positionsAgo: () => 0,
+        troubled: () => false,
+        demand: () => 0,
+        notListening: () => [],
+        onChange: () => undefined,
       },
-      look: (ask) => (ask.set === 1
-        ? { ready: true, agreed: true, promised: ballot, accepted: { ballot, version: 1, value: { sheet: { services: [{ service: 'ferries' }] } } } }
-        : { ready: false, agreed: false, promised: ballot, accepted: null }),
-    });
-  }
-  const { kernel } = this.world.spawn('edge-1', 'edge-machine');
-  this.kernel = kernel;
-  this.lessee = lessee.create(kernel, { node: 'edge-1', area: 'north', seeds: () => seats.map((seat) => seat.address) }, {
-    released: () => ({}), positions: () => ({}), marks: () => ({}), positionsAgo: () => 0, troubled: () => false, demand: () => 0, notListening: () => [], onChange: () => undefined,
-  });
-  this.lessee.start();
-});
+    );
+    this.lessee.start();
+  },
+);
 
 Then('within 1 s the edge obeys it', async function then(this: UnitStory) {
   await this.world.run(1_000);
@@ -270,9 +420,12 @@
   assert.equal(hasLease(this), lease === 'a');
 });
 
-Given('an edge and cores that reply after {int} ms, standing at 5, with epoch 5 settled', async function given(this: UnitStory, delay: number) {
-  await startEdge(this, [{ delay }, { delay }, { delay }]);
-});
+Given(
+  'an edge and cores that reply after {int} ms, standing at 5, with epoch 5 settled',
+  async function given(this: UnitStory, delay: number) {
+    await startEdge(this, [{ delay }, { delay }, { delay }]);
+  },
+);
 
 When('the edge has its first lease', async function when(this: UnitStory) {
   for (let spent = 0; !hasLease(this) && spent < 5_000; spent += 1) await this.world.run(1);
@@ -328,29 +481,38 @@
   return { ...registration('member-1', 4, draining), gone: false, down: false };
 }
 
-Given('an edge whose held ask at each core is overtaken by a later one that says {string} is draining', async function given(this: UnitStory, member: string) {
-  const held: Array<() => void> = [];
-  this.freed = () => held.forEach((reply) => reply());
-  await startEdge(this, [{}, {}, {}]);
-  for (const stub of this.cores) {
-    let asks = 0;
-    stub.reply = async function reply(ask) {
-      asks += 1;
-      if (asks === 1) return { number: 1, whole: true, roster: [rosterEntry(false)] };
-      if (ask.hold > 0) {
-        await new Promise<void>((resolve) => held.push(resolve));
-        return { number: 2, roster: [rosterEntry(false)] };
-      }
-      return { number: 3, roster: [rosterEntry(true)] };
-    };
-  }
-  await this.world.run(400);
-  assert.deepEqual(this.lessee.roster().map((entry) => [entry.member, entry.draining]), [[member, false]]);
-  assert.equal(held.length, 3);
-  this.lessee.tell();
-  await this.world.run(100);
-  assert.deepEqual(this.lessee.roster().map((entry) => entry.draining), [true]);
-});
+Given(
+  'an edge whose held ask at each core is overtaken by a later one that says {string} is draining',
+  async function given(this: UnitStory, member: string) {
+    const held: Array<() => void> = [];
+    this.freed = () => held.forEach((reply) => reply());
+    await startEdge(this, [{}, {}, {}]);
+    for (const stub of this.cores) {
+      let asks = 0;
+      stub.reply = async function reply(ask) {
+        asks += 1;
+        if (asks === 1) return { number: 1, whole: true, roster: [rosterEntry(false)] };
+        if (ask.hold > 0) {
+          await new Promise<void>((resolve) => held.push(resolve));
+          return { number: 2, roster: [rosterEntry(false)] };
+        }
+        return { number: 3, roster: [rosterEntry(true)] };
+      };
+    }
+    await this.world.run(400);
+    assert.deepEqual(
+      this.lessee.roster().map((entry) => [entry.member, entry.draining]),
+      [[member, false]],
+    );
+    assert.equal(held.length, 3);
+    this.lessee.tell();
+    await this.world.run(100);
+    assert.deepEqual(
+      this.lessee.roster().map((entry) => entry.draining),
+      [true],
+    );
+  },
+);
 
 When('the held asks are replied after all, with {string} in service', async function when(this: UnitStory, _member: string) {
   this.freed();
@@ -358,7 +520,10 @@
 });
 
 Then('the edge knows {string} as draining', function then(this: UnitStory, member: string) {
-  assert.deepEqual(this.lessee.roster().map((entry) => [entry.member, entry.draining]), [[member, true]]);
+  assert.deepEqual(
+    this.lessee.roster().map((entry) => [entry.member, entry.draining]),
+    [[member, true]],
+  );
 });
 
 // -- The core's half.
@@ -376,7 +541,14 @@
   story.stance = 5;
   story.replied = [];
   story.lessor = lessor.create(story.kernel, {
-    ready: () => ready, stances: () => ({ ferries: story.stance }), configuration: () => 1, membership: () => 1, puts: () => 1, roster: story.roster, troubled: () => false, onNotListening: () => undefined,
+    ready: () => ready,
+    stances: () => ({ ferries: story.stance }),
+    configuration: () => 1,
+    membership: () => 1,
+    puts: () => 1,
+    roster: story.roster,
+    troubled: () => false,
+    onNotListening: () => undefined,
   });
   await story.world.run(10);
   // A process before it may have granted some: it names none until these have ended.
@@ -384,23 +556,42 @@
   await story.world.run(2_600);
 }
 
-Given('a core\'s half of the leases, standing at 5', async function given(this: UnitStory) {
+Given("a core's half of the leases, standing at 5", async function given(this: UnitStory) {
   await startLessor(this, true);
 });
 
-Given('a core\'s half of the leases, not ready', async function given(this: UnitStory) {
+Given("a core's half of the leases, not ready", async function given(this: UnitStory) {
   await startLessor(this, false);
 });
 
 function askOf(node: string, released: number, change: Partial<Ask<'lease'>> = {}): Ask<'lease'> {
-  return { node, area: 'north', token: '', seen: 0, hold: 0, acknowledged: 0, obeyed: 0, released: released === 0 ? {} : { ferries: released }, positions: {}, marks: {}, positionsAgo: 0, demand: 1, content: true, notListening: [], ...change };
+  return {
+    node,
+    area: 'north',
+    token: '',
+    seen: 0,
+    hold: 0,
+    acknowledged: 0,
+    obeyed: 0,
+    released: released === 0 ? {} : { ferries: released },
+    positions: {},
+    marks: {},
+    positionsAgo: 0,
+    demand: 1,
+    content: true,
+    notListening: [],
+    ...change,
+  };
 }
 
-When('{string} asks, and 1 s later {string} asks, having released what is below {int}', async function when(this: UnitStory, first: string, second: string, epoch: number) {
-  await this.lessor.lease(askOf(first, 0));
-  await this.world.run(1_000);
-  await this.lessor.lease(askOf(second, epoch));
-});
+When(
+  '{string} asks, and 1 s later {string} asks, having released what is below {int}',
+  async function when(this: UnitStory, first: string, second: string, epoch: number) {
+    await this.lessor.lease(askOf(first, 0));
+    await this.world.run(1_000);
+    await this.lessor.lease(askOf(second, epoch));
+  },
+);
 
 When('{string} asks, having released what is below {int}', async function when(this: UnitStory, node: string, epoch: number) {
   await this.lessor.lease(askOf(node, epoch));
@@ -433,9 +624,11 @@
   assert.deepEqual([reply.ready, reply.stances], [false, {}]);
 });
 
-When('{string} asks twice, and the core\'s stance changes 100 ms later', async function when(this: UnitStory, node: string) {
+When("{string} asks twice, and the core's stance changes 100 ms later", async function when(this: UnitStory, node: string) {
   const first = await this.lessor.lease(askOf(node, 0, { hold: 450 }));
-  void this.lessor.lease(askOf(node, 0, { token: first.token, seen: first.number, hold: 450 })).then((reply) => this.replied.push({ at: this.world.now(), reply }));
+  void this.lessor
+    .lease(askOf(node, 0, { token: first.token, seen: first.number, hold: 450 }))
+    .then((reply) => this.replied.push({ at: this.world.now(), reply }));
   await this.world.run(100);
   assert.deepEqual(this.replied, []);
   this.stance = 6;
@@ -459,10 +652,16 @@
     /** How far the log had been acknowledged by each moment. */
     const log: number[] = [0];
     for (let at = 1; at < 400; at += 1) log.push((log[at - 1] as number) + (random() < 0.3 ? 1 : 0));
-    const asked = Array.from({ length: 60 }, () => Math.floor(random() * 380)).map((at) => ({ at, repliedAt: Math.min(399, at + Math.floor(random() * 20)) }));
+    const asked = Array.from({ length: 60 }, () => Math.floor(random() * 380)).map((at) => ({
+      at,
+      repliedAt: Math.min(399, at + Math.floor(random() * 20)),
+    }));
     asked.sort((left, right) => left.repliedAt - right.repliedAt);
     for (const one of asked) {
-      table.learnt('ferries', identifiers.instant(one.at), { term: 3, number: log[Math.min(one.repliedAt, one.at + Math.floor(random() * 5))] as number });
+      table.learnt('ferries', identifiers.instant(one.at), {
+        term: 3,
+        number: log[Math.min(one.repliedAt, one.at + Math.floor(random() * 5))] as number,
+      });
       for (let moment = 0; moment <= one.repliedAt; moment += 7) {
         const covering = table.covering('ferries', identifiers.instant(moment));
         if (Option.isSome(covering)) assert.ok(covering.value.number >= (log[moment] as number), `round ${round}, moment ${moment}`);
@@ -481,12 +680,21 @@
   assert.ok(Option.isNone(table.covering('ferries', identifiers.instant(101))));
   assert.ok(Option.isNone(table.covering('trams', identifiers.instant(50))));
   table.learnt('ferries', identifiers.instant(200), { term: 3, number: 4 });
-  assert.deepEqual(table.covering('ferries', identifiers.instant(150)), Option.some({ term: 3, number: 9 }), 'what was covered once stays covered');
+  assert.deepEqual(
+    table.covering('ferries', identifiers.instant(150)),
+    Option.some({ term: 3, number: 9 }),
+    'what was covered once stays covered',
+  );
 });
 
 Then('of two commits the later stands', function then() {
   const table = freshness.create(() => identifiers.instant(0));
-  const told: readonly Position[] = [{ term: 3, number: 9 }, { term: 2, number: 40 }, { term: 3, number: 11 }, { term: 3, number: 10 }];
+  const told: readonly Position[] = [
+    { term: 3, number: 9 },
+    { term: 2, number: 40 },
+    { term: 3, number: 11 },
+    { term: 3, number: 10 },
+  ];
   for (const position of told) table.committed('ferries', position);
   assert.deepEqual(table.commits(), { ferries: { term: 3, number: 11 } });
   assert.ok(positions.compare({ term: 2, number: 40 }, { term: 3, number: 1 }) < 0);
@@ -518,7 +726,12 @@
   this.member = this.world.spawn('member-1', 'member-machine');
   await listenAsMember(this);
   this.kernel = this.world.spawn('proxy', 'edge-machine').kernel;
-  this.connections = connections.create(this.kernel, wire, () => ({ most: share, kept: share }), () => undefined);
+  this.connections = connections.create(
+    this.kernel,
+    wire,
+    () => ({ most: share, kept: share }),
+    () => undefined,
+  );
 });
 
 When('tenant {string} wants {int}', async function when(this: UnitStory, tenant: string, count: number) {
@@ -534,7 +747,10 @@
 
 Then('{int} are opened, and the third was told that there is no room', function then(this: UnitStory, count: number) {
   assert.deepEqual(this.wanted, [true, true, false]);
-  assert.deepEqual(this.heard, Array.from({ length: count }, () => 'OPEN ferries a member-1'));
+  assert.deepEqual(
+    this.heard,
+    Array.from({ length: count }, () => 'OPEN ferries a member-1'),
+  );
 });
 
 Then('{int} can be taken, and no third', function then(this: UnitStory, count: number) {
@@ -556,19 +772,26 @@
   assert.equal(this.connections.want(place, tenant), false);
 });
 
-Then('the member heard that a\'s was closed, and {string} can take one while {string} cannot', function then(this: UnitStory, taker: string, other: string) {
-  assert.deepEqual(this.wanted, [true]);
-  assert.deepEqual([...this.heard].sort(), ['CLOSE', 'OPEN ferries a member-1', 'OPEN ferries b member-1']);
-  assert.ok(Option.isNone(this.connections.take(place, other, 's1')));
-  assert.equal(take(this, taker, 's2').tenant, taker);
-});
+Then(
+  "the member heard that a's was closed, and {string} can take one while {string} cannot",
+  function then(this: UnitStory, taker: string, other: string) {
+    assert.deepEqual(this.wanted, [true]);
+    assert.deepEqual([...this.heard].sort(), ['CLOSE', 'OPEN ferries a member-1', 'OPEN ferries b member-1']);
+    assert.ok(Option.isNone(this.connections.take(place, other, 's1')));
+    assert.equal(take(this, taker, 's2').tenant, taker);
+  },
+);
 
 Then('a session that gave one back is handed the same one again', function then(this: UnitStory) {
   const [first, second, third] = ['s1', 's2', 's3'].map((session) => take(this, 'a', session)) as [PooledLine, PooledLine, PooledLine];
   second.image.values.set('mood', 'calm');
   third.image.values.set('mood', 'calm');
   for (const pooled of [second, first, third]) this.connections.giveBack(pooled, true);
-  for (const [session, pooled] of [['s1', first], ['s2', second], ['s3', third]] as const) {
+  for (const [session, pooled] of [
+    ['s1', first],
+    ['s2', second],
+    ['s3', third],
+  ] as const) {
     assert.equal(take(this, 'a', session), pooled);
     this.connections.giveBack(pooled, true);
   }
@@ -605,28 +828,34 @@
   while (story.connections.describe().opening > 0) await story.world.run(1);
 }
 
-Then('it is failing, told as not listening, and left alone for {int} to {int} ms', async function then(this: UnitStory, least: number, most: number) {
-  assert.deepEqual([this.connections.failing('member-1'), this.connections.notListening()], [true, ['member-1']]);
-  // The opening failed within the 50 ms that have passed since it was wanted.
-  const spent = await alone(this);
-  assert.ok(spent >= least - 50 && spent <= most, `${spent} ms`);
-  await failed(this);
-});
-
-Then('after {int} failures it is left alone for {int} to {int} ms', async function then(this: UnitStory, count: number, least: number, most: number) {
-  let spent = 0;
-  let before = 0;
-  for (let failures = 2; failures < count; failures += 1) {
-    before = spent;
+Then(
+  'it is failing, told as not listening, and left alone for {int} to {int} ms',
+  async function then(this: UnitStory, least: number, most: number) {
+    assert.deepEqual([this.connections.failing('member-1'), this.connections.notListening()], [true, ['member-1']]);
+    // The opening failed within the 50 ms that have passed since it was wanted.
+    const spent = await alone(this);
+    assert.ok(spent >= least - 50 && spent <= most, `${spent} ms`);
+    await failed(this);
+  },
+);
+
+Then(
+  'after {int} failures it is left alone for {int} to {int} ms',
+  async function then(this: UnitStory, count: number, least: number, most: number) {
+    let spent = 0;
+    let before = 0;
+    for (let failures = 2; failures < count; failures += 1) {
+      before = spent;
+      spent = await alone(this);
+      await failed(this);
+      if (failures < 5) assert.ok(spent > before, `${spent} ms after ${failures} failures, ${before} ms before`);
+    }
+    assert.equal(this.connections.describe().failed, count);
     spent = await alone(this);
+    assert.ok(spent >= least - 5 && spent <= most + 5, `${spent} ms`);
     await failed(this);
-    if (failures < 5) assert.ok(spent > before, `${spent} ms after ${failures} failures, ${before} ms before`);
-  }
-  assert.equal(this.connections.describe().failed, count);
-  spent = await alone(this);
-  assert.ok(spent >= least - 5 && spent <= most + 5, `${spent} ms`);
-  await failed(this);
-});
+  },
+);
 
 When('it listens again and tenant {string} wants 1', async function when(this: UnitStory, tenant: string) {
   await listenAsMember(this);
@@ -652,20 +881,27 @@
   await this.world.run(1_100);
 });
 
-When('its machine is lit and it replies {string} to every opening, and tenant {string} wants 1', async function when(this: UnitStory, opening: string, tenant: string) {
-  this.world.light('member-machine');
-  this.opening = `${opening}\r\n`;
-  await this.world.run(1_000);
-  assert.equal(this.connections.want(place, tenant), true);
-  await this.world.run(1_100);
-});
+When(
+  'its machine is lit and it replies {string} to every opening, and tenant {string} wants 1',
+  async function when(this: UnitStory, opening: string, tenant: string) {
+    this.world.light('member-machine');
+    this.opening = `${opening}\r\n`;
+    await this.world.run(1_000);
+    assert.equal(this.connections.want(place, tenant), true);
+    await this.world.run(1_100);
+  },
+);
 
 When('{float} s of connections pass', async function when(this: UnitStory, seconds: number) {
   assert.deepEqual(this.connections.notListening(), ['member-1']);
   await this.world.run(seconds * 1_000);
 });
 
-async function rested(story: UnitStory, milliseconds: number, members: ReadonlyMap<string, Readonly<{ address: string }>>): Promise<boolean> {
+async function rested(
+  story: UnitStory,
+  milliseconds: number,
+  members: ReadonlyMap<string, Readonly<{ address: string }>>,
+): Promise<boolean> {
   await story.world.run(milliseconds);
   story.connections.tend(members);
   const taken = story.connections.take(place, 'a', 's1');
--- a/packages/stories/src/wire.ts
+++ b/packages/stories/src/wire.ts
@@ -25,14 +25,17 @@
 }
 
 function plain(read: Incoming | Piece): unknown {
-  return JSON.parse(JSON.stringify(read, (_key, value: unknown) => {
-    if (typeof value !== 'object' || value === null || !('_tag' in value)) return value;
-    return 'value' in value ? value.value : null;
-  }));
+  return JSON.parse(
+    JSON.stringify(read, (_key, value: unknown) => {
+      if (typeof value !== 'object' || value === null || !('_tag' in value)) return value;
+      return 'value' in value ? value.value : null;
+    }),
+  );
 }
 
 Then('these messages of senders are read so:', function then(table: DataTable) {
-  for (const row of table.hashes()) assert.deepEqual(plain(wire.incoming(unshown(row['message'] ?? ''))), JSON.parse(row['read as'] ?? ''), row['message']);
+  for (const row of table.hashes())
+    assert.deepEqual(plain(wire.incoming(unshown(row['message'] ?? ''))), JSON.parse(row['read as'] ?? ''), row['message']);
 });
 
 function isLetIn(message: string): boolean {
@@ -45,7 +48,8 @@
 });
 
 Then('these messages of members are read so:', function then(table: DataTable) {
-  for (const row of table.hashes()) assert.deepEqual(plain(wire.piece(unshown(row['message'] ?? ''))), JSON.parse(row['read as'] ?? ''), row['message']);
+  for (const row of table.hashes())
+    assert.deepEqual(plain(wire.piece(unshown(row['message'] ?? ''))), JSON.parse(row['read as'] ?? ''), row['message']);
 });
 
 Then('the wire says what the pages show', function then() {
@@ -69,11 +73,21 @@
     [wire.rest('failed', Option.some(position)), 'IDLE E 3.43\r\n'],
     [wire.fault('denied', 'not let in'), 'FAULT DENIED not let in\r\n'],
     [
-      wire.reply({ rows: ['ROW two  gaps ', 'ROW'], ending: { kind: 'done', stamp: '4.a2.b.31' }, stance: 'idle', position: Option.some(position) }),
+      wire.reply({
+        rows: ['ROW two  gaps ', 'ROW'],
+        ending: { kind: 'done', stamp: '4.a2.b.31' },
+        stance: 'idle',
+        position: Option.some(position),
+      }),
       'ROW two  gaps \r\nROW\r\nDONE 4.a2.b.31\r\nIDLE I 3.43\r\n',
     ],
     [
-      wire.reply({ rows: [], ending: { kind: 'fault', condition: 'read-only', text: 'member-7' }, stance: 'failed', position: Option.some(position) }),
+      wire.reply({
+        rows: [],
+        ending: { kind: 'fault', condition: 'read-only', text: 'member-7' },
+        stance: 'failed',
+        position: Option.some(position),
+      }),
       'FAULT READONLY member-7\r\nIDLE E 3.43\r\n',
     ],
   ];
@@ -82,8 +96,20 @@
 
 Then('every condition of the wire is told by its code and read back from it', function then() {
   const codes: Readonly<Record<Condition, string>> = {
-    saturated: 'SATURATED', aborted: 'ABORTED', lagging: 'LAGGING', 'read-only': 'READONLY', 'wrong-member': 'WRONGNODE', overloaded: 'OVERLOAD', 'outcome-unknown': 'UNKNOWN',
-    expired: 'EXPIRED', failed: 'FAILED', undefined: 'UNDEFINED', denied: 'DENIED', 'no-database': 'NODB', oversize: 'OVERSIZE', malformed: 'MALFORMED',
+    saturated: 'SATURATED',
+    aborted: 'ABORTED',
+    lagging: 'LAGGING',
+    'read-only': 'READONLY',
+    'wrong-member': 'WRONGNODE',
+    overloaded: 'OVERLOAD',
+    'outcome-unknown': 'UNKNOWN',
+    expired: 'EXPIRED',
+    failed: 'FAILED',
+    undefined: 'UNDEFINED',
+    denied: 'DENIED',
+    'no-database': 'NODB',
+    oversize: 'OVERSIZE',
+    malformed: 'MALFORMED',
   };
   for (const [condition, code] of Object.entries(codes)) {
     assert.equal(wire.fault(condition as Condition, 'why'), `FAULT ${code} why\r\n`);
@@ -91,9 +117,15 @@
   }
 });
 
-Then('{string} tells a replica of term {int} that received {int}.{int} and lags {int} ms', function then(row: string, term: number, receivedTerm: number, number: number, lag: number) {
-  assert.deepEqual(wire.standing([row]), Option.some({ role: 'replica', term, received: { term: receivedTerm, number }, lagMilliseconds: lag }));
-});
+Then(
+  '{string} tells a replica of term {int} that received {int}.{int} and lags {int} ms',
+  function then(row: string, term: number, receivedTerm: number, number: number, lag: number) {
+    assert.deepEqual(
+      wire.standing([row]),
+      Option.some({ role: 'replica', term, received: { term: receivedTerm, number }, lagMilliseconds: lag }),
+    );
+  },
+);
 
 Then('none of these rows tells a standing:', function then(table: DataTable) {
   for (const row of messagesOf(table)) assert.ok(Option.isNone(wire.standing([row])), row);
@@ -117,7 +149,8 @@
 
 Then('a conversation cut at every place yields the same messages', function then() {
   const text = conversation.map((message) => `${message}\r\n`).join('');
-  for (let at = 0; at <= text.length; at += 1) assert.deepEqual(framed([text.slice(0, at), text.slice(at)]), { messages: conversation, oversize: false }, `cut at ${at}`);
+  for (let at = 0; at <= text.length; at += 1)
+    assert.deepEqual(framed([text.slice(0, at), text.slice(at)]), { messages: conversation, oversize: false }, `cut at ${at}`);
   assert.deepEqual(framed([...text]), { messages: conversation, oversize: false });
 });
 
@@ -139,17 +172,30 @@
 Then('a message of {int} bytes is taken, whole or cut before and within its line end', function then(bytes: number) {
   const message = `QUERY ab12 WRITE k77 ${'x'.repeat(bytes - 21)}`;
   assert.equal(message.length, bytes);
-  for (const pieces of [[`${message}\r\n`], [message, '\r\n'], [`${message}\r`, '\n'], [message.slice(0, 9), message.slice(9), '\r', '\n']]) {
+  for (const pieces of [
+    [`${message}\r\n`],
+    [message, '\r\n'],
+    [`${message}\r`, '\n'],
+    [message.slice(0, 9), message.slice(9), '\r', '\n'],
+  ]) {
     const taken = framed(pieces, bytes);
     // Not compared as a whole: a failure would print a megabyte.
-    assert.ok(!taken.oversize && taken.messages.length === 1 && taken.messages[0] === message, `${taken.messages.length} messages, oversize: ${taken.oversize}`);
+    assert.ok(
+      !taken.oversize && taken.messages.length === 1 && taken.messages[0] === message,
+      `${taken.messages.length} messages, oversize: ${taken.oversize}`,
+    );
   }
 });
 
 Then('one byte more is oversize, with or without its end, and what came before it is handed over', function then() {
   const most = 1_024;
   const longer = 'x'.repeat(most + 1);
-  for (const pieces of [[`CLOSE\r\n${longer}\r\n`], ['CLOSE\r\n', longer], ['CLOSE\r\n', longer.slice(0, most), 'x'], ['CLOSE\r\n', longer.slice(0, most), '\rx']]) {
+  for (const pieces of [
+    [`CLOSE\r\n${longer}\r\n`],
+    ['CLOSE\r\n', longer],
+    ['CLOSE\r\n', longer.slice(0, most), 'x'],
+    ['CLOSE\r\n', longer.slice(0, most), '\rx'],
+  ]) {
     assert.deepEqual(framed(pieces, most), { messages: ['CLOSE'], oversize: true });
   }
 });
@@ -157,12 +203,59 @@
 // -- Mutated messages, against the grammar written down a second time.
 
 const ofSenders = [
-  'OPEN harbour key1', 'QUERY ab12 BEGIN', 'QUERY ab12 BEGIN READ', 'QUERY ab12 COMMIT', 'QUERY ab12 REVERT', 'QUERY ab12 READ k77', 'QUERY ab12 WRITE k77 datadata',
-  'QUERY ab12 SET mood calm', 'QUERY ab12 DEFINE s1 WRITE shape', 'QUERY ab12 INVOKE s1 k77 datadata', 'QUERY ab12 UNDEFINE s1', 'CLOSE', 'QUERY ab12 SINCE 3.41 READ k77',
-  'QUERY - STATE', 'QUERY ab12 PAUSE 4', 'QUERY ab12 YIELD 4', 'QUERY ab12 CLEAR', 'QUERY ab12 CONTINUE',
+  'OPEN harbour key1',
+  'QUERY ab12 BEGIN',
+  'QUERY ab12 BEGIN READ',
+  'QUERY ab12 COMMIT',
+  'QUERY ab12 REVERT',
+  'QUERY ab12 READ k77',
+  'QUERY ab12 WRITE k77 datadata',
+  'QUERY ab12 SET mood calm',
+  'QUERY ab12 DEFINE s1 WRITE shape',
+  'QUERY ab12 INVOKE s1 k77 datadata',
+  'QUERY ab12 UNDEFINE s1',
+  'CLOSE',
+  'QUERY ab12 SINCE 3.41 READ k77',
+  'QUERY - STATE',
+  'QUERY ab12 PAUSE 4',
+  'QUERY ab12 YIELD 4',
+  'QUERY ab12 CLEAR',
+  'QUERY ab12 CONTINUE',
+];
+const ofMembers = [
+  'ROW found it',
+  'ROW replica 3 3.43 0 25 1 9',
+  'DONE 4.a2.b.31',
+  'DONE -',
+  'FAULT READONLY member-7',
+  'IDLE I 3.43',
+  'IDLE E -',
+];
+const bits = [
+  ' ',
+  '  ',
+  '\r',
+  '\n',
+  '\r\n',
+  '-',
+  '- ',
+  'QUERY ',
+  'OPEN ',
+  'READ ',
+  'WRITE',
+  'SINCE 3.1 ',
+  'STATE',
+  'CLEAR',
+  'PAUSE 9',
+  'YIELD 9',
+  'CONTINUE',
+  '\u0000',
+  'ÿ',
+  '9'.repeat(400),
+  '__proto__',
+  'I',
+  '.',
 ];
-const ofMembers = ['ROW found it', 'ROW replica 3 3.43 0 25 1 9', 'DONE 4.a2.b.31', 'DONE -', 'FAULT READONLY member-7', 'IDLE I 3.43', 'IDLE E -'];
-const bits = [' ', '  ', '\r', '\n', '\r\n', '-', '- ', 'QUERY ', 'OPEN ', 'READ ', 'WRITE', 'SINCE 3.1 ', 'STATE', 'CLEAR', 'PAUSE 9', 'YIELD 9', 'CONTINUE', '\u0000', 'ÿ', '9'.repeat(400), '__proto__', 'I', '.'];
 
 function mutated(random: () => number, from: readonly string[]): string {
   function any<Item>(of: readonly Item[]): Item {
@@ -175,7 +268,11 @@
     if (kind < 0.3) message = message.slice(0, at) + message.slice(at + 1 + Math.floor(random() * 3));
     else if (kind < 0.7) message = message.slice(0, at) + any(bits) + message.slice(at);
     else if (kind < 0.85) message = message.slice(0, at) + any(from).slice(Math.floor(random() * 12));
-    else message = message.split(' ').filter(() => random() < 0.8).join(random() < 0.8 ? ' ' : '  ');
+    else
+      message = message
+        .split(' ')
+        .filter(() => random() < 0.8)
+        .join(random() < 0.8 ? ' ' : '  ');
   }
   return message;
 }
@@ -196,17 +293,20 @@
   assert.ok(within > count / 10 && within < count * 0.9, `${within} of ${count} are within the grammar`);
 });
 
-Then('{int} messages of members mutated from seed {int} are read or unreadable, and none throws', function then(count: number, seed: number) {
-  const random = worlds.create(seed).fraction;
-  const named = /^(ROW( .*)?|DONE .+|FAULT [A-Z]{1,20}( .*)?|IDLE [ITE] (-|\d{1,15}\.\d{1,15}))$/s;
-  for (let round = 0; round < count; round += 1) {
-    const message = mutated(random, ofMembers);
-    const read = wire.piece(message);
-    assert.equal(read.kind !== 'unreadable', named.test(message), JSON.stringify(message));
-    if (read.kind === 'row') assert.equal(read.raw, message);
-    wire.standing([message]);
-  }
-});
+Then(
+  '{int} messages of members mutated from seed {int} are read or unreadable, and none throws',
+  function then(count: number, seed: number) {
+    const random = worlds.create(seed).fraction;
+    const named = /^(ROW( .*)?|DONE .+|FAULT [A-Z]{1,20}( .*)?|IDLE [ITE] (-|\d{1,15}\.\d{1,15}))$/s;
+    for (let round = 0; round < count; round += 1) {
+      const message = mutated(random, ofMembers);
+      const read = wire.piece(message);
+      assert.equal(read.kind !== 'unreadable', named.test(message), JSON.stringify(message));
+      if (read.kind === 'row') assert.equal(read.raw, message);
+      wire.standing([message]);
+    }
+  },
+);
 
 // -- What reaches a member.
 
@@ -215,7 +315,16 @@
 const feedAddress = '10.2.0.1:7002';
 
 const entry: RosterEntry = {
-  member: 'member-1', service: 'ferries', address: memberAddress, area: 'north', draining: false, role: 'primary', slots: 4, sequence: 1, gone: false, down: false,
+  member: 'member-1',
+  service: 'ferries',
+  address: memberAddress,
+  area: 'north',
+  draining: false,
+  role: 'primary',
+  slots: 4,
+  sequence: 1,
+  gone: false,
+  down: false,
 };
 
 /** A member that replies to everything and keeps what it heard; statements within a transaction leave it open. */
@@ -231,7 +340,10 @@
       if (text.startsWith('BEGIN')) stance = 'T';
       if (text === 'COMMIT' || text === 'REVERT') stance = 'I';
       if (message.startsWith('OPEN')) stream.write('IDLE I 3.7\r\n');
-      else stream.write(`${text.startsWith('READ') ? 'ROW found\r\n' : ''}DONE ${message.startsWith('QUERY - ') ? '-' : 'stamp.1'}\r\nIDLE ${stance} 3.7\r\n`);
+      else
+        stream.write(
+          `${text.startsWith('READ') ? 'ROW found\r\n' : ''}DONE ${message.startsWith('QUERY - ') ? '-' : 'stamp.1'}\r\nIDLE ${stance} 3.7\r\n`,
+        );
     }
   }
 }
@@ -241,7 +353,10 @@
   this.heard = [];
   this.sender = this.world.spawn('sender', 'sender-machine').kernel;
   const checked = sheets.check({
-    services: [{ service: 'ferries', connectionLimit: 56, registered: true }], rows: [], keys: [], tenants: [{ tenant: 'tenant-a', keys: ['key1'] }],
+    services: [{ service: 'ferries', connectionLimit: 56, registered: true }],
+    rows: [],
+    keys: [],
+    tenants: [{ tenant: 'tenant-a', keys: ['key1'] }],
     databases: [{ database: 'harbour', service: 'ferries', reads: 'leader', horizonMilliseconds: 800, aimMilliseconds: 100 }],
   });
   assert.ok(Either.isRight(checked));
@@ -252,14 +367,29 @@
     placement: async function placement(ask) {
       if (ask.hold > 0) await agentKernel.clock.sleep(ask.hold);
       return {
-        token: 'agent', number: 1, serial: 1, held: 0, demand: {}, marks: {}, configuration: ask.configuration === 1 ? null : { version: 1, sheet: checked.right }, configurationVersion: 1,
-        services: [{ service: 'ferries', epoch: 1, primary: 'member-1', left: 2_000, release: 0 }], roster: [entry], edges: { north: 1 }, area: 'north', node: 'edge-1',
+        token: 'agent',
+        number: 1,
+        serial: 1,
+        held: 0,
+        demand: {},
+        marks: {},
+        configuration: ask.configuration === 1 ? null : { version: 1, sheet: checked.right },
+        configurationVersion: 1,
+        services: [{ service: 'ferries', epoch: 1, primary: 'member-1', left: 2_000, release: 0 }],
+        roster: [entry],
+        edges: { north: 1 },
+        area: 'north',
+        node: 'edge-1',
       };
     },
     tell: () => ({ kept: true }),
   });
   const { kernel: proxyKernel } = this.world.spawn('proxy', 'edge-machine');
-  const started = await pooler.start(proxyKernel, { address: senderAddress, outward: '10.2.0.1:8001', feed: feedAddress, graceMilliseconds: 6_000 }, { dialect: wire, pages: () => [] });
+  const started = await pooler.start(
+    proxyKernel,
+    { address: senderAddress, outward: '10.2.0.1:8001', feed: feedAddress, graceMilliseconds: 6_000 },
+    { dialect: wire, pages: () => [] },
+  );
   await this.world.run(1_500);
   assert.ok(started.ready());
 });
@@ -293,7 +423,12 @@
 
 When('a session reads and writes, and says each of these in a session of its own:', async function when(this: WireStory, table: DataTable) {
   assert.deepEqual(await session(this, ['OPEN harbour key1', 'QUERY ab12 READ k77', 'QUERY ab13 WRITE k77 two words ']), [
-    'IDLE I -', 'ROW found', 'DONE stamp.1', 'IDLE I 3.7', 'DONE stamp.1', 'IDLE I 3.7',
+    'IDLE I -',
+    'ROW found',
+    'DONE stamp.1',
+    'IDLE I 3.7',
+    'DONE stamp.1',
+    'IDLE I 3.7',
   ]);
   this.said = [];
   for (const message of messagesOf(table)) this.said.push(await session(this, ['OPEN harbour key1', message]));
@@ -307,18 +442,23 @@
   assert.deepEqual(this.heard, ['OPEN ferries tenant-a member-1', 'QUERY ab12 READ k77', 'QUERY ab13 WRITE k77 two words ']);
 });
 
-When('{int} sessions say messages mutated from seed {int}', { timeout: 60_000 }, async function when(this: WireStory, count: number, seed: number) {
-  const random = worlds.create(seed).fraction;
-  for (let round = 0; round < count; round += 1) {
-    const messages = Array.from({ length: 1 + Math.floor(random() * 6) }, () => mutated(random, ofSenders));
-    await session(this, random() < 0.9 ? ['OPEN harbour key1', ...messages] : messages);
-  }
-});
+When(
+  '{int} sessions say messages mutated from seed {int}',
+  { timeout: 60_000 },
+  async function when(this: WireStory, count: number, seed: number) {
+    const random = worlds.create(seed).fraction;
+    for (let round = 0; round < count; round += 1) {
+      const messages = Array.from({ length: 1 + Math.floor(random() * 6) }, () => mutated(random, ofSenders));
+      await session(this, random() < 0.9 ? ['OPEN harbour key1', ...messages] : messages);
+    }
+  },
+);
 
 Then('the proxy still serves, and the member heard only what the grammar names', async function then(this: WireStory) {
   assert.equal((await session(this, ['OPEN harbour key1', 'QUERY ab12 READ k77']))[1], 'ROW found');
   const own = /^(OPEN ferries tenant-a member-1|QUERY - (BEGIN|BEGIN READ|REVERT|CLEAR|SET [^ ]+ .*|DEFINE p\d+ (READ|WRITE) .+)|CLOSE)$/;
   const passed = /^QUERY (?!- )[^ ]+ (COMMIT|READ .+|WRITE [^ ]+ .*|INVOKE p\d+ .+)$/;
-  for (const message of this.heard) assert.ok(!/[\r\n]/.test(message) && (own.test(message) || passed.test(message)), JSON.stringify(message));
+  for (const message of this.heard)
+    assert.ok(!/[\r\n]/.test(message) && (own.test(message) || passed.test(message)), JSON.stringify(message));
   assert.ok(this.heard.some((message) => passed.test(message)));
 });
--- a/packages/verdict/src/index.ts
+++ b/packages/verdict/src/index.ts
@@ -43,7 +43,17 @@
   const member = service.members.find((one) => one.member === known.primary);
   const target = known.targets.find((one) => one.member === known.primary);
   if (known.overdue || member === undefined || target === undefined || !target.alive || target.follows > known.epoch) return [];
-  return [{ member: member.member, address: member.address, weight: 1, here: member.area === area, leader: true, freshUntil: always, applied: Number.MAX_SAFE_INTEGER }];
+  return [
+    {
+      member: member.member,
+      address: member.address,
+      weight: 1,
+      here: member.area === area,
+      leader: true,
+      freshUntil: always,
+      applied: Number.MAX_SAFE_INTEGER,
+    },
+  ];
 }
 
 function replicaOf(member: SheetMember, known: KnownService, weight: number, allowance: number, area: string): readonly Choice[] {
@@ -51,33 +61,62 @@
   // A deposed primary, or a replica that does not follow the settled epoch yet, is no target (design 7.7).
   if (target === undefined || !target.alive || target.follows !== known.epoch || member.state !== 'serving' || weight <= 0) return [];
   if (member.member === known.primary) return [];
-  return [{
-    member: member.member, address: member.address, weight, here: member.area === area, leader: false,
-    freshUntil: (target.freshAt + allowance - stalenessMarginMilliseconds) as Instant, applied: target.applied,
-  }];
+  return [
+    {
+      member: member.member,
+      address: member.address,
+      weight,
+      here: member.area === area,
+      leader: false,
+      freshUntil: (target.freshAt + allowance - stalenessMarginMilliseconds) as Instant,
+      applied: target.applied,
+    },
+  ];
 }
 
 function judgeKind(sheet: Sheet, service: SheetService, known: KnownService | undefined, kind: StatementKind, area: string): Verdict {
   const row = sheets.row(sheet, service.service, area);
   const serves = row?.serves[kind];
   if (row === undefined || serves === undefined) {
-    return { verdict: 'deny', kind: 'statement-denied', message: `${service.service} serves no ${kind} in ${area}`, remedy: 'send it to an area that does, or ask the operators for a row' };
+    return {
+      verdict: 'deny',
+      kind: 'statement-denied',
+      message: `${service.service} serves no ${kind} in ${area}`,
+      remedy: 'send it to an area that does, or ask the operators for a row',
+    };
   }
   if (known === undefined || known.epoch === 0) {
-    return { verdict: 'deny', kind: 'read-only', message: `READONLY: no primary of ${service.service} is settled yet`, remedy: 'try again when an election has settled' };
+    return {
+      verdict: 'deny',
+      kind: 'read-only',
+      message: `READONLY: no primary of ${service.service} is settled yet`,
+      remedy: 'try again when an election has settled',
+    };
   }
   const leader = leaderOf(service, known, area);
   if (serves === 'leader') {
     if (leader.length > 0) return { verdict: 'serve', epoch: known.epoch, choices: leader, lastResort: [] };
-    return { verdict: 'deny', kind: 'read-only', message: `READONLY: the primary of ${service.service} is ${known.overdue ? 'to go and none has followed it' : 'down'}`, remedy: 'try again when an election has settled' };
+    return {
+      verdict: 'deny',
+      kind: 'read-only',
+      message: `READONLY: the primary of ${service.service} is ${known.overdue ? 'to go and none has followed it' : 'down'}`,
+      remedy: 'try again when an election has settled',
+    };
   }
-  const choices = service.members.filter((member) => serves.includes(member.member)).flatMap((member) => (
-    member.member === known.primary
-      ? leader.map((choice) => ({ ...choice, weight: row.weights[member.member] ?? 1 })).filter((choice) => choice.weight > 0)
-      : replicaOf(member, known, row.weights[member.member] ?? 1, row.staleMilliseconds, area)
-  ));
+  const choices = service.members
+    .filter((member) => serves.includes(member.member))
+    .flatMap((member) =>
+      member.member === known.primary
+        ? leader.map((choice) => ({ ...choice, weight: row.weights[member.member] ?? 1 })).filter((choice) => choice.weight > 0)
+        : replicaOf(member, known, row.weights[member.member] ?? 1, row.staleMilliseconds, area),
+    );
   if (choices.length > 0 || leader.length > 0) return { verdict: 'serve', epoch: known.epoch, choices, lastResort: leader };
-  return { verdict: 'deny', kind: 'no-target', message: `no member of ${service.service} may serve ${kind} in ${area} now`, remedy: 'try again when a member has caught up' };
+  return {
+    verdict: 'deny',
+    kind: 'no-target',
+    message: `no member of ${service.service} may serve ${kind} in ${area} now`,
+    remedy: 'try again when a member has caught up',
+  };
 }
 
 function compile(sheet: Sheet, services: readonly KnownService[], area: string): VerdictTable {
@@ -101,7 +140,13 @@
 
 /** The lookup a statement makes; nothing here waits. */
 function judge(
-  table: VerdictTable, service: string, kind: StatementKind, now: Instant, fraction: number, atLeast: number, without: ReadonlySet<string>,
+  table: VerdictTable,
+  service: string,
+  kind: StatementKind,
+  now: Instant,
+  fraction: number,
+  atLeast: number,
+  without: ReadonlySet<string>,
 ): Either.Either<Fault, Readonly<{ choice: Choice; epoch: number }>> {
   const verdict = table.get(keyOf(service, kind));
   if (verdict === undefined) {
@@ -111,9 +156,14 @@
   const fit = verdict.choices.filter((choice) => choice.freshUntil > now && choice.applied >= atLeast && !without.has(choice.member));
   const choice = draw(fit, fraction) ?? verdict.lastResort.find((one) => !without.has(one.member));
   if (choice !== undefined) return Either.right({ choice, epoch: verdict.epoch });
-  return Either.left(fault.create({
-    kind: 'no-target', message: `no member of ${service} that may serve ${kind} can be reached and is fresh enough now`, remedy: 'try again shortly', retryAfterSeconds,
-  }));
+  return Either.left(
+    fault.create({
+      kind: 'no-target',
+      message: `no member of ${service} that may serve ${kind} can be reached and is fresh enough now`,
+      remedy: 'try again shortly',
+      retryAfterSeconds,
+    }),
+  );
 }
 
 export const verdicts = { compile, judge, keyOf } as const;
