A winner reads the settled epoch under the duty, and settles before it lets the duty go

Cause: the promotion duty was released between the promotion and the write of the settled epoch, and whoever took the duty trusted the epoch that had been pushed to it. A winner that was frozen or cut off after its majority could promote over a later epoch: the platform takes it (its fencing token is higher), and the settled epoch names another member. Ruled out: the pushes alone (a register round that shares one core with the settling majority brings one push, not a majority). One story was a matter of luck: 'a platform that takes three seconds' kills a primary whose newest acknowledged write may be on no replica, so that nobody is eligible whatever the platform does.

--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -445,12 +445,23 @@
     if (Either.isLeft(majority)) return `epoch ${epoch} not won: ${majority.left}`;
     const [waited, holding] = await Promise.all([waitOut(service, candidate, epoch, majority.right), seekDuty(service.service, epoch)]);
     if (Option.isNone(holding)) return `epoch ${epoch} given up: another holds the promotion duty`;
-    if (!waited) {
-      await holding.value.release();
-      return `epoch ${epoch} given up: the candidate never held all acknowledged writes`;
-    }
-    const promoted = await order(service, candidate, epoch, holding.value);
+    const outcome = waited
+      ? await promoteAndSettle(service, candidate, epoch, holding.value)
+      : `epoch ${epoch} given up: the candidate never held all acknowledged writes`;
     await holding.value.release();
+    return outcome;
+  }
+
+  /**
+   * Under the promotion duty from the first read to the last write: what an earlier holder settled is seen, whatever was pushed to
+   * this node meanwhile, and the next holder sees what this one settles (design 7.6).
+   */
+  async function promoteAndSettle(service: SheetService, candidate: Found, epoch: number, holding: Holding): Promise<string> {
+    const current = await register.read(`epoch/${service.service}`);
+    if (Either.isLeft(current)) return `epoch ${epoch} given up: the settled epoch cannot be read`;
+    if (Option.isSome(current.right) && (current.right.value.value as Settled).epoch >= epoch)
+      return `epoch ${epoch} given up: a later epoch is settled`;
+    const promoted = await order(service, candidate, epoch, holding);
     if (Either.isLeft(promoted)) return `epoch ${epoch} given up: ${promoted.left}`;
     const done = await settle(service.service, {
       epoch,
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -113,6 +113,20 @@
     to: 'const handoverMilliseconds = 60_000;',
   },
   { name: 'release-never-told', story: 'shorten', file: pooler, from: 'released[service] = release;', to: '' },
+  {
+    name: 'promotes-over-a-later-epoch',
+    story: 'held up finds',
+    file: 'elect/build/election.js',
+    from: 'if (Option.isSome(current.right) && current.right.value.value.epoch >= epoch)',
+    to: 'if (false)',
+  },
+  {
+    name: 'duty-released-before-settling',
+    story: 'next holder of the duty',
+    file: 'elect/build/election.js',
+    from: 'const done = await settle(service.service, {',
+    to: 'await holding.release(); const done = await settle(service.service, {',
+  },
   {
     name: 'silent-edge-not-waited-out',
     story: 'waited out',
--- a/packages/stories/features/guarantees.feature
+++ b/packages/stories/features/guarantees.feature
@@ -11,7 +11,7 @@
     Given a fleet of Red Común with its sheet obeyed and its primaries elected
     And its senders are at work
     And a platform that takes 3000 ms for every call
-    When the primary of "bookings" is killed
+    When the primary of "bookings" is killed while a replica holds all of its log
     And 30 s pass
     Then another member of "bookings" is settled as its primary
     And every window that ended in the last 20 s but the latest 10 s was told in time
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -12,6 +12,7 @@
         'build/steps.js',
         'build/administration.js',
         'build/connections.js',
+        'build/candidacies.js',
         'build/platform-settings.js',
         'build/guarantees.js',
         'build/product.js',
--- /dev/null
+++ b/packages/stories/src/candidacies.ts
@@ -0,0 +1,167 @@
+// Steps over one election alone: its register, notes, members and platform are stubs on virtual time (design 7.6).
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { election, livenessService, type Election, type Liveness } from '@stallstall/elect';
+import { fence, fenceService } from '@stallstall/fence';
+import { identifiers } from '@stallstall/kernel';
+import { ballotZero, type Entry, type Seat, type Settled } from '@stallstall/message';
+import { notesService, registerService, type Notes, type NumberedRegister } from '@stallstall/register';
+import type { Sheet } from '@stallstall/sheet';
+import { world as worlds, type World } from '@stallstall/simulator';
+
+/** One chosen write of the stub register, in the order in which they were chosen. */
+type Write = Readonly<{ key: string; value: unknown }>;
+
+type CandidacyStory = {
+  world: World;
+  election: Election;
+  values: Map<string, Entry>;
+  writes: Write[];
+  promotions: number;
+  onWrite: (key: string) => void;
+};
+
+const service = 'ferries';
+const platformAddress = '10.4.0.1:9000';
+const stepMilliseconds = 200;
+const settledAtFirst: Settled = { epoch: 4, primary: 'ferries-1', wonBy: 'core-1', position: 10, settledAt: 0 };
+const seat: Seat = { node: 'core-1', role: 'core', area: 'north', address: '10.1.0.1:7000', outward: '10.1.0.1:7001', draining: false };
+
+function members(): Sheet['services'][number]['members'] {
+  return [1, 2].map((index) => ({
+    member: `ferries-${index}`,
+    area: 'north',
+    address: `10.3.0.${index}:5000`,
+    state: 'serving' as const,
+  })) as Sheet['services'][number]['members'];
+}
+
+function sheetOfStory(): Sheet {
+  return { services: [{ service, members: members(), synchronousReplicas: 0, registered: true }] } as unknown as Sheet;
+}
+
+function stubRegister(story: CandidacyStory): NumberedRegister {
+  function put(key: string, value: unknown): Entry {
+    const entry: Entry = { ballot: ballotZero, version: (story.values.get(key)?.version ?? 0) + 1, value };
+    story.values.set(key, entry);
+    story.writes.push({ key, value });
+    return entry;
+  }
+  const register: NumberedRegister = {
+    read: (key) => Promise.resolve(Either.right(Option.fromNullable(story.values.get(key)))),
+    change: function change(key, decide) {
+      const wanted = decide(Option.fromNullable(story.values.get(key)));
+      if (Option.isNone(wanted)) return Promise.resolve(Either.right({ wrote: false, entry: Option.fromNullable(story.values.get(key)) }));
+      const entry = put(key, wanted.value);
+      story.onWrite(key);
+      return Promise.resolve(Either.right({ wrote: true, entry: Option.some(entry) }));
+    },
+    under: () => register,
+  };
+  return register;
+}
+
+/** The first member is silent; the second replies to STATE as a replica. */
+function stubLiveness(): Liveness {
+  const unanswered = Either.left(new Error('silent') as never);
+  const state = { member: 'ferries-2', role: 'replica' as const, epoch: 4, received: 10, applied: 10, term: 4 };
+  return {
+    alive: (member: string) => member === 'ferries-2',
+    probe: (member: string) =>
+      Promise.resolve(member === 'ferries-2' ? Either.right({ sentAt: identifiers.instant(0), state }) : unanswered),
+  } as unknown as Liveness;
+}
+
+Given('a candidate for {string} whose pushes are behind', async function given(this: CandidacyStory, _service: string) {
+  const world = worlds.create(71);
+  Object.assign(this, { world, values: new Map(), writes: [], promotions: 0, onWrite: () => undefined });
+  const { kernel } = world.spawn('core-1', 'core-machine-1');
+  const platform = world.spawn('platform', 'platform-machine');
+  await platform.kernel.network.serve(identifiers.address(platformAddress), {
+    mappings: [
+      {
+        method: 'POST',
+        path: '/promotion',
+        handle: async () => {
+          this.promotions += 1;
+          return { status: 200, body: {} };
+        },
+      },
+    ],
+  });
+  kernel.services.offer(registerService, stubRegister(this));
+  kernel.services.offer(notesService, {
+    note: () => Promise.resolve(Either.right({})),
+    floors: () => Promise.resolve(Either.right({})),
+  } as Notes);
+  kernel.services.offer(livenessService, stubLiveness());
+  kernel.services.offer(fenceService, fence.create());
+  this.election = election.create(
+    kernel,
+    {
+      calls: Option.some({
+        promotion: () => ({ method: 'POST', path: '/promotion', body: {} }),
+        usage: () => ({ method: 'POST', path: '/usage', body: {} }),
+        restMilliseconds: 0,
+      }),
+      lessees: () => Option.some([]),
+      released: () => true,
+      onStance: () => undefined,
+      self: 'core-1',
+      membership: () => ({ seats: [seat], epochs: {} }),
+      membershipVersion: () => 1,
+      sheet: () => Option.some(sheetOfStory()),
+      // What this node was pushed is the epoch before, whatever the register holds.
+      settled: () => Option.some(settledAtFirst),
+      platform: () => platformAddress,
+      propose: () => Promise.resolve(Option.none),
+    },
+    { load: () => Promise.resolve(Either.right(Option.none)), record: () => Promise.resolve(true) },
+  );
+});
+
+When(
+  'epoch {int} is settled by another node while the candidate takes the promotion duty',
+  function when(this: CandidacyStory, epoch: number) {
+    this.onWrite = (key) => {
+      if (!key.startsWith('duty/') || this.values.has(`epoch/${service}`)) return;
+      const value: Settled = { ...settledAtFirst, epoch, primary: 'ferries-3', wonBy: 'core-2' };
+      this.values.set(`epoch/${service}`, { ballot: ballotZero, version: 1, value });
+    };
+  },
+);
+
+When("the candidate's primary is silent for {int} s", async function when(this: CandidacyStory, seconds: number) {
+  for (let spent = 0; spent < seconds * 1_000; spent += stepMilliseconds) {
+    this.election.step();
+    await this.world.run(stepMilliseconds);
+  }
+});
+
+Then('the platform was asked for no promotion', function then(this: CandidacyStory) {
+  assert.ok(
+    this.writes.some((write) => write.key === `duty/promotion/${service}`),
+    'the candidate took the duty',
+  );
+  assert.equal(this.promotions, 0);
+});
+
+Then('the platform was asked for a promotion', function then(this: CandidacyStory) {
+  assert.ok(this.promotions > 0, JSON.stringify(this.election.describe()));
+});
+
+Then('the promotion duty is released', function then(this: CandidacyStory) {
+  const duty = this.writes.filter((write) => write.key === `duty/promotion/${service}`).at(-1);
+  assert.equal((duty?.value as { released?: boolean } | undefined)?.released, true);
+});
+
+Then('the epoch was settled before the promotion duty was released', function then(this: CandidacyStory) {
+  const settledAt = this.writes.findIndex((write) => write.key === `epoch/${service}`);
+  const releasedAt = this.writes.findIndex(
+    (write) => write.key === `duty/promotion/${service}` && (write.value as { released?: boolean }).released === true,
+  );
+  assert.ok(settledAt >= 0 && releasedAt >= 0, 'both were written');
+  assert.ok(settledAt < releasedAt, `settled at write ${settledAt}, released at write ${releasedAt}`);
+});
--- a/packages/stories/src/steps.ts
+++ b/packages/stories/src/steps.ts
@@ -82,6 +82,17 @@
   this.fleet.stopSlot(slot);
 });
 
+When('the primary of {string} is killed while a replica holds all of its log', async function when(this: Story, service: string) {
+  const slot = primary(this, service);
+  const others = this.fleet.members.filter((member) => member.place.service === service && member !== slot);
+  assert.ok(
+    await this.fleet.until(() => others.some((other) => other.store.log.length === slot.store.log.length), 5_000),
+    'no replica caught up',
+  );
+  this.before = { member: slot.place.member, epoch: this.fleet.platformStore.leaders.get(service)?.epoch ?? 0 };
+  this.fleet.stopSlot(slot);
+});
+
 When('its senders work for {int} s', async function when(this: Story, seconds: number) {
   const senders = this.fleet.startSenders();
   await this.fleet.world.run(seconds * 1_000);
