Pooler in modules with one job; mutation lists are checked for lost guards

Cause: pooler.ts and requests.ts were closures of over five hundred lines with twenty variables each, requests.ts and copies.ts imported each other's types, and names were not the field's.

Now each part owns its state and has a doc comment: client-connection, clients, session-commands, transactions, admission (the client's side); statement-request (types alone, which ends the circle), request-table, passes, placement, exchange, rejection, response-times (a statement's way); placement-feed, epoch-release, connection-share, draining (the edge); member-connections under connections, outage-copies under copies. Names: ask -> request, sender -> client, shot -> attempt, horizon -> deadline, let in -> admit, deny -> reject, shape -> prepared statement, since -> minimumPosition, without -> excludedMembers. A client's state is one record in place of an entry in three maps, so a statement writes fewer of them.

`npm run mutation-guards`, part of the check chain, fails when an entry of a mutation list no longer finds its guard in the built code; the entries of the pooler moved with their guards.

Ruled out: another behaviour.

--- /dev/null
+++ b/packages/pooler/src/admission.ts
@@ -0,0 +1,20 @@
+/** Whether a client's key gives access to a database. */
+import type { SheetDatabase } from '@stallstall/sheet';
+import type { View } from './view.js';
+
+export type Admission =
+  | Readonly<{ admitted: true; database: SheetDatabase; tenant: string }>
+  | Readonly<{ admitted: false; condition: 'no-database' | 'denied' }>;
+
+/** The tenant of clients without a key on a database that is open to all. */
+const openTenant = '-';
+
+function admit(view: View, databaseName: string, key: string): Admission {
+  const database = view.databases.get(databaseName);
+  if (database === undefined) return { admitted: false, condition: 'no-database' };
+  const tenant = view.tenants.get(key);
+  if (database.open) return { admitted: true, database, tenant: tenant?.tenant ?? openTenant };
+  return tenant === undefined ? { admitted: false, condition: 'denied' } : { admitted: true, database, tenant: tenant.tenant };
+}
+
+export const admissions = { admit } as const;
--- /dev/null
+++ b/packages/pooler/src/placement-feed.ts
@@ -0,0 +1,125 @@
+/** Keeps the view of the placement up to date by asking the agent of this machine; leases count from this process's send time (design 7.3). */
+import * as Option from 'fp-ts/lib/Option.js';
+import { leastSpan } from '@stallstall/fence';
+import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
+import type { Reply } from '@stallstall/message';
+import type { Peer } from '@stallstall/peer';
+import type { Connections } from './connections.js';
+import type { Freshness } from './freshness.js';
+import { views, type View } from './view.js';
+
+/** What this edge reports with each request for news. */
+export type FeedReport = Readonly<{
+  /** By service: epochs below this are released here. */
+  released: Readonly<Record<string, number>>;
+  /** Statements a second. */
+  demand: number;
+  metrics: Readonly<Record<string, number>>;
+}>;
+
+export type FeedParts = Readonly<{
+  kernel: Kernel;
+  agent: Peer;
+  connections: Connections;
+  freshness: Freshness;
+  report: () => FeedReport;
+  /** The placement has changed. */
+  onNews: (leadersChanged: boolean) => void;
+  /** The agent has replied, with news or without: leases may have been renewed. */
+  onFed: () => void;
+  stopped: () => boolean;
+}>;
+
+export type PlacementFeed = Readonly<{
+  view: () => View;
+  /** Asks once, held by the agent for so long while there is no news; false when no reply came. */
+  refresh: (holdMilliseconds: number) => Promise<boolean>;
+  /** Asks until the process stops. */
+  run: () => Promise<void>;
+}>;
+
+const holdMilliseconds = 400;
+/** Held shorter while a leader is missing somewhere. */
+const troubledHoldMilliseconds = 100;
+const callMilliseconds = 1_200;
+const pauseMilliseconds = 50;
+
+function leadersOf(view: View): string {
+  return [...view.leaders.values()].map((leader) => `${leader.primary} ${leader.epoch}`).join(' ');
+}
+
+function isTroubled(view: View, now: Instant, connections: Connections): boolean {
+  return [...view.leaders.values()].some(
+    (leader) =>
+      leader.epoch > 0 && (leader.until <= now || view.members.get(leader.primary)?.down === true || connections.failing(leader.primary)),
+  );
+}
+
+/** The view, and how far this process has followed its agent: `token` names the agent's process, `seen` and `serial` its numbers. */
+type FeedState = { view: View; token: string; seen: number; serial: number };
+
+function request(parts: FeedParts, state: FeedState, hold: number): Promise<Option.Option<Reply<'placement'>>> {
+  const { agent, freshness, connections } = parts;
+  const { released, demand, metrics } = parts.report();
+  return agent.call(
+    'placement',
+    {
+      token: state.token,
+      seen: state.seen,
+      serial: state.serial,
+      hold,
+      configuration: state.view.version,
+      released: { ...released },
+      positions: { ...freshness.commits() },
+      marks: { ...freshness.marks() },
+      notListening: [...connections.notListening()],
+      demand,
+      metrics: { ...metrics },
+    },
+    hold + callMilliseconds,
+  );
+}
+
+/** Takes the reply to a request sent at `sentAt` into the state; returns whether the placement has changed. */
+function accept(parts: FeedParts, state: FeedState, reply: Reply<'placement'>, sentAt: Instant): boolean {
+  const { kernel, freshness } = parts;
+  const isNews = reply.token !== state.token || reply.number > state.seen;
+  const validFrom = identifiers.after(sentAt, leastSpan(reply.held));
+  state.view = views.fed(state.view, reply, validFrom, kernel.clock.now());
+  for (const [service, mark] of Object.entries(reply.marks))
+    freshness.learnt(service, identifiers.after(validFrom, -mark.ago), { term: mark.term, number: mark.number });
+  state.token = reply.token;
+  state.seen = reply.number;
+  state.serial = reply.serial;
+  return isNews;
+}
+
+function create(parts: FeedParts): PlacementFeed {
+  const { kernel, agent, connections } = parts;
+  const state: FeedState = { view: views.empty, token: '', seen: 0, serial: 0 };
+
+  async function refresh(hold: number): Promise<boolean> {
+    const sentAt = kernel.clock.now();
+    const reply = await request(parts, state, hold);
+    if (Option.isNone(reply)) return false;
+    // Overtaken by a later reply.
+    if (reply.value.token === state.token && reply.value.number < state.seen) return true;
+    const leadersBefore = leadersOf(state.view);
+    const isNews = accept(parts, state, reply.value, sentAt);
+    if (isNews) parts.onNews(leadersBefore !== leadersOf(state.view));
+    parts.onFed();
+    return true;
+  }
+
+  async function run(): Promise<void> {
+    while (!parts.stopped()) {
+      const hold = isTroubled(state.view, kernel.clock.now(), connections) ? troubledHoldMilliseconds : holdMilliseconds;
+      const fed = agent.connected() && (await refresh(hold));
+      if (!fed) await kernel.clock.sleep(pauseMilliseconds);
+    }
+  }
+
+  return { view: () => state.view, refresh, run };
+}
+
+export const placementFeeds = { create } as const;
--- /dev/null
+++ b/packages/pooler/src/request-parts.ts
@@ -0,0 +1,19 @@
+/** What the modules that handle a statement share. */
+import type { Kernel } from '@stallstall/kernel';
+import type { Dialect } from '@stallstall/statement';
+import type { Connections } from './connections.js';
+import type { Copies } from './copies.js';
+import type { Freshness } from './freshness.js';
+import type { Usage } from './usage.js';
+import type { View } from './view.js';
+
+export type RequestParts = Readonly<{
+  kernel: Kernel;
+  dialect: Dialect;
+  /** The placement as it is known now. */
+  view: () => View;
+  connections: Connections;
+  freshness: Freshness;
+  usage: Usage;
+  copies: Copies;
+}>;
--- /dev/null
+++ b/packages/pooler/src/session-commands.ts
@@ -0,0 +1,156 @@
+/** Carries out what a client asks of its session: transaction control, session values and prepared names here, statements on a member. */
+import * as Option from 'fp-ts/lib/Option.js';
+import type { Clock } from '@stallstall/kernel';
+import type { Command, Dialect, Incoming, StatementReply } from '@stallstall/statement';
+import { admissions } from './admission.js';
+import type { Connections } from './connections.js';
+import type { Copies } from './copies.js';
+import { replies } from './replies.js';
+import type { Requests } from './requests.js';
+import type { PreparedStatement, Session, Transaction } from './sessions.js';
+import type { StatementRequest } from './statement-request.js';
+import { transactions } from './transactions.js';
+import type { View } from './view.js';
+
+export type CommandParts = Readonly<{
+  clock: Clock;
+  dialect: Dialect;
+  view: () => View;
+  connections: Connections;
+  requests: Requests;
+  copies: Copies;
+}>;
+
+export type Query = Extract<Incoming, { kind: 'query' }>;
+
+/** A reply at once, or after a member has replied: no promise is made for what the pooler carries out itself. */
+type Handled = StatementReply | Promise<StatementReply>;
+
+const notAdmitted = 'not let in';
+const noSuchName = 'no such prepared name';
+const noTransaction = 'no transaction is open';
+
+/** A statement that cannot be run ends the session's open transaction. */
+function failTransaction(parts: CommandParts, session: Session): void {
+  if (Option.isNone(session.transaction)) return;
+  transactions.abandonIdle(parts.connections, session.transaction.value);
+  session.transaction.value.failureTold = true;
+}
+
+function begin(parts: CommandParts, session: Session, readOnly: boolean): StatementReply {
+  if (Option.isSome(session.transaction)) return replies.fault('malformed', 'a transaction is open already');
+  const admission = admissions.admit(parts.view(), session.database, session.key);
+  if (!admission.admitted) return replies.fault(admission.condition, notAdmitted);
+  const now = parts.clock.now();
+  session.transaction = Option.some({
+    readOnly,
+    database: admission.database,
+    tenant: admission.tenant,
+    startedAt: now,
+    held: Option.none,
+    failed: false,
+    failureTold: false,
+    busy: false,
+    idleSince: now,
+  });
+  return replies.done();
+}
+
+async function rollback(parts: CommandParts, session: Session): Promise<StatementReply> {
+  const { transaction } = session;
+  if (Option.isNone(transaction)) return replies.fault('malformed', noTransaction);
+  session.transaction = Option.none;
+  await transactions.rollback(parts.connections, parts.dialect, transaction.value);
+  return replies.done();
+}
+
+/** A transaction that has failed accepts only its end. One that the pooler ended is told of by the first statement after. */
+function handleFailed(session: Session, transaction: Transaction, command: Command): StatementReply {
+  if (command.kind !== 'rollback' && command.kind !== 'commit') {
+    if (transaction.failureTold) return replies.fault('malformed', 'the transaction has failed; end it');
+    transaction.failureTold = true;
+    return replies.fault('aborted', 'the transaction was ended and nothing of it is kept; begin it again');
+  }
+  session.transaction = Option.none;
+  return command.kind === 'rollback' ? replies.done() : replies.fault('aborted', 'the transaction had failed; nothing of it is kept');
+}
+
+/** Submits a statement for a member; `prepared` is present exactly for an execution. */
+async function submit(
+  parts: CommandParts,
+  session: Session,
+  query: Query,
+  command: Command,
+  prepared?: PreparedStatement,
+): Promise<StatementReply> {
+  const { transaction } = session;
+  const admission = Option.isSome(transaction) ? undefined : admissions.admit(parts.view(), session.database, session.key);
+  if (admission?.admitted === false) return replies.fault(admission.condition, notAdmitted);
+  const { database, tenant } = admission ?? (transaction as Option.Some<Transaction>).value;
+  if (Option.isSome(transaction)) transaction.value.busy = true;
+  const request: StatementRequest = {
+    session,
+    identifier: query.identifier,
+    text: query.text,
+    transaction,
+    database,
+    tenant,
+    prepared: command.kind === 'execute' && prepared !== undefined ? Option.some({ statement: prepared, rest: command.rest }) : Option.none,
+    writes: command.kind === 'write' || prepared?.writes === true,
+    commit: command.kind === 'commit',
+    copying: false,
+  };
+  const reply = await parts.requests.submit(request);
+  parts.copies.note(request, reply);
+  if (Option.isSome(transaction)) {
+    transaction.value.busy = false;
+    if (reply.ending.kind === 'fault') transaction.value.failureTold = true;
+    transaction.value.idleSince = parts.clock.now();
+    if (command.kind === 'commit') session.transaction = Option.none;
+  }
+  return reply;
+}
+
+function execute(parts: CommandParts, session: Session, query: Query, command: Extract<Command, { kind: 'execute' }>): Handled {
+  const prepared = session.prepared.get(command.name);
+  if (prepared !== undefined) return submit(parts, session, query, command, prepared);
+  failTransaction(parts, session);
+  return replies.fault('undefined', noSuchName);
+}
+
+function carryOut(parts: CommandParts, session: Session, query: Query, command: Command): Handled {
+  switch (command.kind) {
+    case 'set':
+      session.values.set(command.name, command.value);
+      return replies.done();
+    case 'prepare':
+      session.prepared.set(command.name, { writes: command.writes, text: command.shape });
+      return replies.done();
+    case 'forget':
+      return session.prepared.delete(command.name) ? replies.done() : replies.fault('undefined', noSuchName);
+    case 'begin':
+      return begin(parts, session, command.readOnly);
+    case 'rollback':
+      return rollback(parts, session);
+    case 'commit':
+      return Option.isNone(session.transaction) ? replies.fault('malformed', noTransaction) : submit(parts, session, query, command);
+    case 'execute':
+      return execute(parts, session, query, command);
+    default:
+      return submit(parts, session, query, command);
+  }
+}
+
+/** Replies to one query of a session; queries of one session come one after another. */
+function handle(parts: CommandParts, session: Session, query: Query): Handled {
+  if (Option.isNone(query.command)) {
+    failTransaction(parts, session);
+    return replies.fault('malformed', 'it cannot be read');
+  }
+  const command = query.command.value;
+  const { transaction } = session;
+  if (Option.isSome(transaction) && transaction.value.failed) return handleFailed(session, transaction.value, command);
+  return carryOut(parts, session, query, command);
+}
+
+export const sessionCommands = { handle } as const;
--- a/packages/pooler/src/sessions.ts
+++ b/packages/pooler/src/sessions.ts
@@ -1,13 +1,14 @@
-// A sender's session: its values and prepared names are its own until it ends (design 8.2, 8.10).
+/** A client's session: its values and prepared names are its own until it ends (design 8.2, 8.10). */
 import * as Option from 'fp-ts/lib/Option.js';
 import type { Instant } from '@stallstall/kernel';
 import type { SheetDatabase } from '@stallstall/sheet';
-import { positions, type Position, type Stance, type Dialect } from '@stallstall/statement';
+import { positions, type Dialect, type Position, type Stance } from '@stallstall/statement';
 import type { Image, PooledLine } from './connections.js';
 
-export type Prepared = Readonly<{ writes: boolean; shape: string }>;
+/** A statement that a session prepared under a name of its own. */
+export type PreparedStatement = Readonly<{ writes: boolean; text: string }>;
 
-/** Where a transaction runs once its first statement has found a place. */
+/** Where a transaction runs once its first statement has been placed: its connection, and the epoch it was placed under. */
 export type Held = Readonly<{ pooled: PooledLine; epoch: number; leader: boolean }>;
 
 export type Transaction = {
@@ -16,72 +17,82 @@
   readonly tenant: string;
   readonly startedAt: Instant;
   held: Option.Option<Held>;
-  /** Nothing but its end is taken any more. */
+  /** Only its end is accepted any more. */
   failed: boolean;
-  /** The sender has been told so. */
-  told: boolean;
+  /** The client has been told that it failed. */
+  failureTold: boolean;
   /** A statement of it is under way. */
   busy: boolean;
-  restsSince: Instant;
+  /** Since when no statement of it is under way. */
+  idleSince: Instant;
 };
 
 export type Session = {
   readonly id: string;
   readonly database: string;
-  readonly who: string;
+  /** The key that the client presented. */
+  readonly key: string;
   readonly values: Map<string, string>;
-  readonly prepared: Map<string, Prepared>;
+  readonly prepared: Map<string, PreparedStatement>;
+  /** The latest commit of the session on each service. */
   readonly commits: Map<string, Position>;
   /** The outcome of a commit of it is not known. */
   unsettled: boolean;
   transaction: Option.Option<Transaction>;
 };
 
-function create(id: string, database: string, who: string): Session {
-  return { id, database, who, values: new Map(), prepared: new Map(), commits: new Map(), unsettled: false, transaction: Option.none };
+/** When a connection has more prepared statements than this, its state is cleared before it is used again. */
+const mostPrepared = 200;
+
+function create(id: string, database: string, key: string): Session {
+  return { id, database, key, values: new Map(), prepared: new Map(), commits: new Map(), unsettled: false, transaction: Option.none };
 }
 
-function stance(session: Session): Stance {
+/** The transaction status that the client is told after each statement. */
+function transactionStatus(session: Session): Stance {
   if (Option.isNone(session.transaction)) return 'idle';
   return session.transaction.value.failed ? 'failed' : 'open';
 }
 
+/** Notes a commit of the session, so that its later reads see it. */
 function committed(session: Session, service: string, position: Position): void {
   const known = session.commits.get(service);
   session.commits.set(service, known === undefined ? position : positions.later(known, position));
 }
 
-const mostPrepared = 200;
-
-function shapeKey(prepared: Prepared): string {
-  return `${prepared.writes ? 'w' : 'r'} ${prepared.shape}`;
+function preparedKey(prepared: PreparedStatement): string {
+  return `${prepared.writes ? 'w' : 'r'} ${prepared.text}`;
 }
 
-/** What must be said on a connection before a statement of the session, so that exactly its values stand there. */
-function prelude(dialect: Dialect, session: Session, image: Image, needed: Option.Option<Prepared>): readonly string[] {
-  const said: string[] = [];
+/**
+ * The settings to be sent on a connection before a statement of the session, so that exactly the session's values stand there, and the
+ * needed prepared statement. The connection's image is changed at once: should they not be carried out, the connection must not be used.
+ */
+function prelude(dialect: Dialect, session: Session, image: Image, needed: Option.Option<PreparedStatement>): readonly string[] {
+  const settings: string[] = [];
   const foreign = [...image.values.keys()].some((name) => !session.values.has(name));
   if (foreign || image.prepared.size > mostPrepared) {
-    said.push(dialect.texts.clear);
+    settings.push(dialect.texts.clear);
     image.values.clear();
     image.prepared.clear();
   }
   for (const [name, value] of session.values) {
     if (image.values.get(name) === value) continue;
-    said.push(dialect.texts.set(name, value));
+    settings.push(dialect.texts.set(name, value));
     image.values.set(name, value);
   }
-  if (Option.isSome(needed) && !image.prepared.has(shapeKey(needed.value))) {
+  if (Option.isSome(needed) && !image.prepared.has(preparedKey(needed.value))) {
     image.names += 1;
     const name = `p${image.names}`;
-    said.push(dialect.texts.prepare(name, needed.value.writes, needed.value.shape));
-    image.prepared.set(shapeKey(needed.value), name);
+    settings.push(dialect.texts.prepare(name, needed.value.writes, needed.value.text));
+    image.prepared.set(preparedKey(needed.value), name);
   }
-  return said;
+  return settings;
 }
 
-function preparedName(image: Image, prepared: Prepared): string {
-  return image.prepared.get(shapeKey(prepared)) ?? '';
+/** The connection's name of a prepared statement; empty when it stands there under none. */
+function preparedName(image: Image, prepared: PreparedStatement): string {
+  return image.prepared.get(preparedKey(prepared)) ?? '';
 }
 
-export const sessions = { create, stance, committed, prelude, preparedName } as const;
+export const sessions = { create, transactionStatus, committed, prelude, preparedName } as const;
--- /dev/null
+++ b/packages/pooler/src/transactions.ts
@@ -0,0 +1,33 @@
+/** How open transactions end on their members, other than by a commit. */
+import * as Option from 'fp-ts/lib/Option.js';
+import type { Dialect } from '@stallstall/statement';
+import type { Connections } from './connections.js';
+import type { Transaction } from './sessions.js';
+
+const rollbackMilliseconds = 1_000;
+
+/** Breaks off the transaction's connection, so that its member rolls it back. Only its end is accepted from the client after this. */
+function abandon(connections: Connections, transaction: Transaction): void {
+  transaction.failed = true;
+  if (Option.isNone(transaction.held)) return;
+  const { pooled } = transaction.held.value;
+  transaction.held = Option.none;
+  connections.giveBack(pooled, false);
+}
+
+/** Abandons a transaction unless a statement of it is under way. */
+function abandonIdle(connections: Connections, transaction: Transaction): void {
+  if (!transaction.busy) abandon(connections, transaction);
+}
+
+/** Rolls the transaction back on its member, so that its connection can be used again. One whose statement is under way is only marked. */
+async function rollback(connections: Connections, dialect: Dialect, transaction: Transaction): Promise<void> {
+  transaction.failed = true;
+  if (Option.isNone(transaction.held) || transaction.busy) return;
+  const { pooled } = transaction.held.value;
+  transaction.held = Option.none;
+  const ran = await pooled.line.run([dialect.query(dialect.ownIdentifier, dialect.texts.rollback)], rollbackMilliseconds);
+  connections.giveBack(pooled, ran.whole && ran.replies[0]?.stance === 'idle');
+}
+
+export const transactions = { abandon, abandonIdle, rollback } as const;
--- a/packages/simulator/exploring-mutations.mjs
+++ b/packages/simulator/exploring-mutations.mjs
@@ -5,6 +5,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { checkGuards } from './mutation-guards.mjs';
 
 const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 const seconds = 30;
@@ -43,6 +44,7 @@
   },
 ];
 
+checkGuards(root, mutations);
 const wanted = process.argv.slice(2);
 const copy = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-exploring-'));
 execFileSync('cp', ['-a', path.join(root, 'packages'), path.join(root, 'node_modules'), path.join(root, 'package.json'), copy]);
--- a/packages/simulator/mutations.mjs
+++ b/packages/simulator/mutations.mjs
@@ -5,6 +5,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { checkGuards } from './mutation-guards.mjs';
 
 const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 const losses = ['kill-primary', 'primary-dies-half-seen', 'cut-edge', 'zone-lost', 'area-dark'];
@@ -244,6 +245,7 @@
   });
 }
 
+checkGuards(root, mutations);
 const wanted = process.argv.slice(2);
 const copy = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-mutations-'));
 execFileSync('cp', ['-a', path.join(root, 'packages'), path.join(root, 'node_modules'), path.join(root, 'package.json'), copy]);
