Sheet: schema, checks and outage windows each in their module

Cause: one file held the schema, every check in one function of 80 lines, the arithmetic of outage windows and the look-ups. The checks that a schema can't express are now one function for each section; what was written out for each list (a name that stands twice, a service that is not there) is one piece.

Ruled out: other wording or another order of faults; the outage and sheet stories compare them.

--- /dev/null
+++ b/packages/sheet/src/schema.ts
@@ -0,0 +1,143 @@
+/** The schema of the operators' placement sheet, and the types that follow from it (design 6.1). */
+import { z } from 'zod';
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/i, 'use letters, digits, dot, dash and underscore, at most 63');
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'give an IP number and a port, as in 127.0.0.1:7101');
+
+/** What a statement of the HTTP wire asks for; each kind is placed by a column of its own. */
+export const statementKinds = ['write', 'leader-read', 'bounded-read', 'own-read'] as const;
+export type StatementKind = (typeof statementKinds)[number];
+
+/** A database process that holds a copy of its service's data. */
+const memberSchema = z.strictObject({
+  member: name,
+  area: name,
+  address,
+  state: z.enum(['serving', 'draining']).default('serving'),
+});
+
+/** A database that is replicated over members, one of which leads. */
+const serviceSchema = z.strictObject({
+  service: name,
+  connectionLimit: z.number().int().min(1).max(100_000),
+  members: z.array(memberSchema).max(99).default([]),
+  /** Its members make themselves known by their beats; the sheet names none (design 4.7). */
+  registered: z.boolean().default(false),
+  /** How many replicas hold a commit before its member replies. */
+  synchronousReplicas: z.number().int().min(0).max(9).default(0),
+});
+
+/** How one area is served by one service: which members for each kind of statement, by weight, and how stale a read may be. */
+const rowSchema = z.strictObject({
+  service: name,
+  area: name,
+  serves: z.strictObject({
+    write: z.literal('leader').optional(),
+    'leader-read': z.literal('leader').optional(),
+    'bounded-read': z.array(name).min(1).optional(),
+    'own-read': z.array(name).min(1).optional(),
+  }),
+  weights: z.record(name, z.number().min(0).max(1_000)).default({}),
+  staleMilliseconds: z.number().int().min(200).max(60_000).default(1_500),
+  mostWaiting: z.number().int().min(1).max(100_000).default(400),
+});
+
+/** A key of the HTTP wire, and what may be sent with it. */
+const keySchema = z.strictObject({
+  key: z.string().min(8, 'use at least 8 characters').max(200),
+  services: z.array(name).min(1),
+  kinds: z
+    .array(z.enum(statementKinds))
+    .min(1)
+    .default([...statementKinds]),
+});
+
+/** A named statement that senders call by its name alone (design 8.7). */
+const mappingSchema = z.strictObject({
+  mapping: name,
+  service: name,
+  kind: z.enum(statementKinds),
+  text: z.string().min(1).max(65_536),
+});
+
+/** What a sender of the session wire opens by its name, and how its reads and writes are placed (design 8.10). */
+const databaseSchema = z.strictObject({
+  database: z.string().regex(/^[^\s]{1,253}$/, 'use 1 to 253 characters without blanks'),
+  service: name,
+  reads: z.enum(['leader', 'bounded', 'own']),
+  staleMilliseconds: z.number().int().min(0).max(600_000).default(0),
+  horizonMilliseconds: z.number().int().min(1).max(600_000),
+  aimMilliseconds: z.number().int().min(1).max(600_000).default(1_000),
+  rank: z.number().int().min(0).max(1_000).default(0),
+  /** Let in without a key. */
+  open: z.boolean().default(false),
+});
+
+/** Who holds keys of the session wire. */
+const tenantSchema = z.strictObject({
+  tenant: z.string().regex(/^[^\s]{1,200}$/, 'use 1 to 200 characters without blanks'),
+  keys: z.array(z.string().regex(/^[^\s]{1,200}$/, 'use 1 to 200 characters without blanks')).max(1_000),
+  rank: z.number().int().min(0).max(1_000).default(0),
+});
+
+export const weekdays = ['sunday', 'monday', 'tuesday', 'wednesday', 'thursday', 'friday', 'saturday'] as const;
+
+/** A window that recurs every week. */
+const weeklySchema = z.strictObject({
+  day: z.enum(weekdays),
+  /** Minutes of that day by UTC; what ends after midnight ends beyond 1440. */
+  from: z.number().int().min(0).max(1_439),
+  to: z.number().int().min(1).max(2_880),
+});
+
+/** Announced windows in which a site's uplink is away, and what its edges hold through them (design 8.13). */
+const outageSchema = z.strictObject({
+  site: name,
+  nodes: z.array(name).min(1).max(99),
+  databases: z.array(z.string()).min(1).max(1_000),
+  from: z.iso.datetime().optional(),
+  to: z.iso.datetime().optional(),
+  weekly: z.array(weeklySchema).max(50).default([]),
+  /** So long before a window its copy is made. */
+  holdMilliseconds: z.number().int().min(1_000).max(86_400_000).default(600_000),
+  mostBytes: z.number().int().min(1_024).max(67_108_864).default(16_777_216),
+  /** Reads to be held whether or not anybody asked them. */
+  things: z
+    .array(z.strictObject({ database: z.string(), tenant: z.string(), text: z.string().min(1).max(65_536) }))
+    .max(5_000)
+    .default([]),
+});
+
+/** Bounds of the session wire. */
+const boundsSchema = z.strictObject({
+  /** How long a transaction may rest before it may be ended. */
+  restMilliseconds: z.number().int().min(1).max(600_000).default(5_000),
+  messageBytes: z.number().int().min(1_024).max(1_048_576).default(1_048_576),
+});
+
+export const sheetSchema = z.strictObject({
+  services: z.array(serviceSchema).max(500),
+  rows: z.array(rowSchema).max(5_000),
+  keys: z.array(keySchema).max(10_000),
+  mappings: z.array(mappingSchema).max(5_000).default([]),
+  databases: z.array(databaseSchema).max(20_000).default([]),
+  tenants: z.array(tenantSchema).max(10_000).default([]),
+  /** None when left out: a sheet without any stays, byte for byte, what it was. */
+  outages: z.array(outageSchema).max(500).optional(),
+  bounds: boundsSchema.default({ restMilliseconds: 5_000, messageBytes: 1_048_576 }),
+});
+
+/** A whole placement configuration, as it is sent, stored and followed. */
+export type Sheet = z.infer<typeof sheetSchema>;
+export type SheetService = Sheet['services'][number];
+export type SheetMember = SheetService['members'][number];
+export type SheetRow = Sheet['rows'][number];
+export type SheetMapping = Sheet['mappings'][number];
+export type SheetKey = Sheet['keys'][number];
+export type SheetDatabase = Sheet['databases'][number];
+export type SheetTenant = Sheet['tenants'][number];
+
+/** An announced outage of a site's uplink. */
+export type SheetOutage = NonNullable<Sheet['outages']>[number];
+/** Milliseconds of the wall clock since 1970; `to` is not part of the window. */
+export type OutageWindow = Readonly<{ from: number; to: number }>;
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -280,8 +280,8 @@
   {
     name: 'overlapping-windows-taken',
     story: 'outages are checked whole',
-    file: 'sheet/build/index.js',
-    from: 'shared.length > 0 && overlap(outage, other)',
+    file: 'sheet/build/outage-checks.js',
+    from: 'shared.length > 0 && outageWindows.overlap(outage, other)',
     to: 'false',
   },
   {
