Each order number stands for one text: a ledger of claims in the register

Cause: a number that was not above the one that stood was acknowledged whatever its text, so two texts under one number were both confirmed, and a sendId could be used for two sheets. Send ids are claimed the same way and answered with their first version after any number of later sends. The argument stands in design 6.6. Ruled out: digests inside the configuration's cell (every change would carry all of them), one cell (500 kB a change at 10,000 numbers), digests over the letters (a document written anew on its way would be refused wrongly). administration.ts is split: orders, versions, ledger and digest have files of their own.

The history of orders is judged in the pooled runs (order-checks), with five faults: orders raced, sent again, numbers used again, acknowledgements lost, raced while a core is killed or cut off.

--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -6,24 +6,20 @@
 import { message, type Entry, type Membership } from '@stallstall/message';
 import type { Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { archivePrefix, notesService, registerService, usageWindowMilliseconds, type Changed } from '@stallstall/register';
+import { notesService, registerService, usageWindowMilliseconds } from '@stallstall/register';
 import { electionService, livenessService, waivedKey } from '@stallstall/elect';
-import type { Configuration, Node } from '@stallstall/node';
-import { sheets, type Sheet } from '@stallstall/sheet';
+import type { Node } from '@stallstall/node';
+import { sheets } from '@stallstall/sheet';
+import { orders as ordersOf, type Orders } from './orders.js';
 import { operators, ScopeSchema, type Caller, type Scope } from './operators.js';
 import type { Usage } from './usage.js';
+import { versions as versionsOf } from './versions.js';
 
-/** So many versions of the sheet are kept, each in a cell of its own that a version so many later takes over (design 5.4). */
-export const versionsKept = 10_000;
-/** The ids of so many sends are remembered, so that one whose fate was not known may be repeated. */
-const recentKept = 200;
 /** The health page speaks up before a core's disk is full of sheets. */
 const diskBytesMost = 2 * 1024 * 1024 * 1024;
 const pageLength = 100;
 const pageMost = 500;
 const usageLateMilliseconds = 10_000;
-/** An operator that hears nothing for a second turns to another core. */
-const configureMilliseconds = 850;
 
 const SendSchema = Type.Object({
   sheet: Type.Unknown(),
@@ -38,31 +34,20 @@
   ready: () => boolean;
   diskBytes: () => number;
   versionOf: (key: string) => number;
+  /** What this core's own disk holds, chosen or not. */
+  accepted: (key: string) => Option.Option<Entry>;
   changeMembership: (next: (table: Membership) => Membership) => Promise<Either.Either<Fault, Membership>>;
   /** What each node that holds a link to this core has acknowledged to obey. */
   obeyed: () => ReadonlyMap<string, number>;
   metrics: () => Readonly<Record<string, number>>;
 }>;
 
-/** A version that the sender counts itself, with the text as sent: it is read back unchanged (design 6.5). */
-export type ExternalVersion = Readonly<{ version: number; source: string }>;
-
 export type Administration = Readonly<{
   mappings: readonly HttpMapping[];
-  /** Of two external versions the higher stands; a lower one, or the same again, changes nothing and is right all the same. */
-  configure: (external: ExternalVersion, sheet: Sheet) => Promise<Either.Either<Fault, Readonly<{ version: number }>>>;
+  configure: Orders['configure'];
   source: () => Promise<Either.Either<Fault, string>>;
 }>;
 
-type SentVersion = Omit<Configuration, 'recent' | 'history'>;
-type ArchivedVersion = SentVersion & Readonly<{ number: number }>;
-const mostShots = 20;
-
-/** A disk of format 1 has the ids of earlier sends in its history. */
-function recentOf(configuration: Configuration): Configuration['recent'] {
-  return (configuration as Partial<Configuration>).recent ?? configuration.history ?? [];
-}
-
 type Need = 'read' | 'sheet' | 'nodes' | 'operators';
 
 /** One page of a listing: `limit` rows after the row whose place is `after`; `next` is missing on the last. */
@@ -80,6 +65,8 @@
   const members = kernel.services.find(livenessService);
   const elections = kernel.services.find(electionService);
   const table = operators.create(kernel, parts.rootKey);
+  const versions = versionsOf.create(register);
+  const orders = ordersOf.create(kernel, { register, versions, accepted: () => parts.accepted('configuration') });
 
   function has(scope: Scope, need: Need): boolean {
     return need === 'read' || need === 'sheet' || (need === 'nodes' ? scope.nodes : scope.operators);
@@ -97,56 +84,6 @@
 
   // -- The administration API (design 9.2).
 
-  async function readConfiguration(): Promise<Either.Either<Fault, Option.Option<Readonly<{ version: number; value: Configuration }>>>> {
-    const read = await register.read('configuration');
-    if (Either.isLeft(read)) return read;
-    return Either.right(Option.map((entry: Entry) => ({ version: entry.version, value: entry.value as Configuration }))(read.right));
-  }
-
-  function slotOf(version: number): string {
-    return `${archivePrefix}configuration/${version % versionsKept}`;
-  }
-
-  function oldestOf(latest: number): number {
-    return Math.max(1, latest - versionsKept + 1);
-  }
-
-  /** Keeps the current version under a key of its own; tells which it was. */
-  async function archiveCurrent(): Promise<Either.Either<Fault, number>> {
-    const read = await readConfiguration();
-    if (Either.isLeft(read)) return read;
-    if (Option.isNone(read.right)) return Either.right(0);
-    const { version, value } = read.right.value;
-    const { recent: _recent, history, ...kept } = value;
-    for (const { version: number, ...old } of history ?? []) {
-      const written = await archive({ ...old, number });
-      if (Either.isLeft(written)) return written;
-    }
-    const written = await archive({ ...kept, number: version });
-    return Either.isLeft(written) ? written : Either.right(version);
-  }
-
-  function archive(kept: ArchivedVersion): Promise<Either.Either<Fault, Changed>> {
-    return register.change(slotOf(kept.number), function put(current) {
-      return Option.isSome(current) && (current.value.value as ArchivedVersion).number >= kept.number ? Option.none : Option.some(kept);
-    });
-  }
-
-  /** A version by its number: the current one, or one of the archive. */
-  async function versionAt(
-    wanted: number,
-    current: Omit<Configuration, 'recent'> & Readonly<{ version: number }>,
-  ): Promise<Either.Either<Fault, Option.Option<SentVersion>>> {
-    if (wanted === current.version) return Either.right(Option.some(current));
-    if (!Number.isInteger(wanted) || wanted > current.version || wanted < oldestOf(current.version)) return Either.right(Option.none);
-    const read = await register.read(slotOf(wanted));
-    if (Either.isLeft(read)) return read;
-    const kept = Option.isSome(read.right) ? (read.right.value.value as ArchivedVersion) : undefined;
-    return Either.right(
-      kept?.number === wanted ? Option.some(kept) : Option.fromNullable(current.history?.find((old) => old.version === wanted)),
-    );
-  }
-
   async function sendSheet(request: HttpRequest, caller: Caller): Promise<HttpReply> {
     const body = request.body;
     if (!message.fits(SendSchema, body)) {
@@ -160,135 +97,30 @@
     }
     const checked = sheets.check(body.sheet);
     if (Either.isLeft(checked)) return http.denied(checked.left);
-    const sheet = checked.right;
     const expected = request.headers['if-match'];
     if (expected !== undefined && !/^"?\d+"?$/.test(expected)) {
       return http.denied(
         fault.create({ kind: 'bad-request', message: 'If-Match names no version', remedy: 'give a version number, as in If-Match: 7' }),
       );
     }
-    const sendId = body.sendId ?? kernel.randomness.token();
-    const sent = {
-      sheet,
-      sendId,
-      sentBy: caller.operator === 'anyone' ? (body.sentBy ?? 'unnamed') : caller.operator,
-      sentAt: kernel.clock.wall(),
-    };
-    let conflict: Option.Option<number> = Option.none;
-    let beyond: Option.Option<Fault> = Option.none;
-    let overtaken = false;
-    // What stands is archived before it is replaced, so that no version that was ever chosen is lost.
-    async function shot(): Promise<Either.Either<Fault, Changed>> {
-      overtaken = false;
-      const archived = await archiveCurrent();
-      if (Either.isLeft(archived)) return archived;
-      return register.change('configuration', function next(current) {
-        conflict = Option.none;
-        beyond = Option.none;
-        const version = Option.isSome(current) ? current.value.version : 0;
-        const before = Option.isSome(current) ? (current.value.value as Configuration) : undefined;
-        if (before !== undefined && recentOf(before).some((old) => old.sendId === sendId)) return Option.none;
-        const allowed = operators.mayChange(caller, before?.sheet, sheet);
-        if (Either.isLeft(allowed)) beyond = Option.some(allowed.left);
-        else if (expected !== undefined && Number(expected.replaceAll('"', '')) !== version) conflict = Option.some(version);
-        if (Option.isSome(beyond) || Option.isSome(conflict)) return Option.none;
-        overtaken = version !== archived.right;
-        if (overtaken) return Option.none;
-        return Option.some({
-          ...sent,
-          ...(before?.external === undefined ? {} : { external: before.external }),
-          recent: [...(before === undefined ? [] : recentOf(before)), { version: version + 1, sendId }].slice(-recentKept),
-        });
-      });
-    }
-    let changed = await shot();
-    for (let shots = 1; overtaken && Either.isRight(changed) && shots < mostShots; shots += 1) changed = await shot();
-    if (overtaken && Either.isRight(changed)) {
-      return http.denied(
-        fault.create({
-          kind: 'overloaded',
-          message: 'other operators sent sheets all the while; nothing was changed',
-          remedy: 'send it again',
-          retryAfterSeconds: 1,
-        }),
-      );
-    }
-    if (Either.isLeft(changed)) {
-      return http.denied(
-        fault.create({
-          kind: 'outcome-unknown',
-          message: 'it is not known whether the sheet was taken: no majority of disks answered in time',
-          remedy: 'read the sheet back, or send it again with the same sendId',
-          retryAfterSeconds: 1,
-          details: { sendId },
-        }),
-      );
-    }
-    if (Option.isSome(beyond)) return http.denied(beyond.value);
-    if (Option.isSome(conflict)) {
-      return http.denied(
-        fault.create({
-          kind: 'version-conflict',
-          message: `the current version is ${conflict.value}`,
-          remedy: 'read it, merge, and send again',
-          details: { version: conflict.value },
-        }),
-      );
-    }
-    const entry = (changed.right.entry as Option.Some<Entry>).value;
-    const version = recentOf(entry.value as Configuration).find((old) => old.sendId === sendId)?.version ?? entry.version;
-    await table.note(sent.sentBy, 'sheet', `version ${version}`);
+    const sentBy = caller.operator === 'anyone' ? (body.sentBy ?? 'unnamed') : caller.operator;
+    const taken = await orders.send({
+      caller,
+      sheet: checked.right,
+      document: body.sheet,
+      sendId: body.sendId ?? kernel.randomness.token(),
+      named: body.sendId !== undefined,
+      sentBy,
+      expected: Option.map((given: string) => Number(given.replaceAll('"', '')))(Option.fromNullable(expected)),
+    });
+    if (Either.isLeft(taken)) return http.denied(taken.left);
+    const { version } = taken.right;
+    await table.note(sentBy, 'sheet', `version ${version}`);
     return { status: 200, headers: { etag: `"${version}"` }, body: { version } };
   }
 
-  async function configure(external: ExternalVersion, sheet: Sheet): Promise<Either.Either<Fault, Readonly<{ version: number }>>> {
-    const horizon = kernel.clock.now() + configureMilliseconds;
-    while (kernel.clock.now() < horizon) {
-      const archived = await archiveCurrent();
-      if (Either.isLeft(archived)) return archived;
-      let overtaken = false;
-      const changed = await register.change(
-        'configuration',
-        function next(current) {
-          overtaken = false;
-          const before = Option.isSome(current) ? (current.value.value as Configuration) : undefined;
-          if (before?.external !== undefined && before.external.version >= external.version) return Option.none;
-          overtaken = (Option.isSome(current) ? current.value.version : 0) !== archived.right;
-          if (overtaken) return Option.none;
-          return Option.some({
-            sheet,
-            sendId: `external ${external.version}`,
-            sentBy: 'external',
-            sentAt: kernel.clock.wall(),
-            recent: before === undefined ? [] : recentOf(before),
-            external,
-          });
-        },
-        configureMilliseconds,
-      );
-      if (Either.isLeft(changed)) return changed;
-      if (!overtaken) {
-        const standing = Option.isSome(changed.right.entry) ? (changed.right.entry.value.value as Configuration) : undefined;
-        kernel.log('configuration.taken', {
-          external: external.version,
-          standing: standing?.external?.version ?? 0,
-          wrote: changed.right.wrote,
-        });
-        return Either.right({ version: standing?.external?.version ?? 0 });
-      }
-    }
-    return Either.left(
-      fault.create({
-        kind: 'no-majority',
-        message: 'the configuration was not settled in time',
-        remedy: 'send it again unchanged',
-        retryAfterSeconds: 1,
-      }),
-    );
-  }
-
   async function source(): Promise<Either.Either<Fault, string>> {
-    const read = await readConfiguration();
+    const read = await versions.current();
     if (Either.isLeft(read)) return read;
     const external = Option.isSome(read.right) ? read.right.value.value.external : undefined;
     return external === undefined
@@ -297,7 +129,7 @@
   }
 
   async function getSheet(request: HttpRequest): Promise<HttpReply> {
-    const read = await readConfiguration();
+    const read = await versions.current();
     if (Either.isLeft(read)) return http.denied(read.left);
     if (Option.isNone(read.right)) {
       return http.denied(
@@ -306,14 +138,14 @@
     }
     const { version, value } = read.right.value;
     const wanted = request.query['version'] === undefined ? version : Number(request.query['version']);
-    const found = await versionAt(wanted, { version, ...value });
+    const found = await versions.at(wanted, { version, value });
     if (Either.isLeft(found)) return http.denied(found.left);
     if (Option.isNone(found.right)) {
       return http.denied(
         fault.create({
           kind: wanted > version || !Number.isInteger(wanted) || wanted < 1 ? 'not-found' : 'version-forgotten',
           message: `version ${request.query['version']} is not kept`,
-          remedy: `ask for ${oldestOf(version)} to ${version}`,
+          remedy: `ask for ${versions.oldest(version)} to ${version}`,
         }),
       );
     }
@@ -321,7 +153,7 @@
     return {
       status: 200,
       headers: { etag: `"${wanted}"` },
-      body: { version: wanted, sheet, sentBy, sentAt, oldest: oldestOf(version), latest: version },
+      body: { version: wanted, sheet, sentBy, sentAt, oldest: versions.oldest(version), latest: version },
     };
   }
 
@@ -533,16 +365,15 @@
     return http.replied(Either.map((all: readonly unknown[]) => page(all, request))(rows));
   }
 
-  async function versions(request: HttpRequest): Promise<HttpReply> {
-    const read = await readConfiguration();
+  async function listVersions(request: HttpRequest): Promise<HttpReply> {
+    const read = await versions.current();
     if (Either.isLeft(read)) return http.denied(read.left);
     if (Option.isNone(read.right)) return { status: 200, body: page([], request) };
-    const current = { version: read.right.value.version, ...read.right.value.value };
-    const numbers = Array.from({ length: current.version - oldestOf(current.version) + 1 }, (_, index) => current.version - index);
-    const shown = page(numbers, request);
+    const current = read.right.value;
+    const shown = page(versions.numbers(current.version), request);
     const rows = await Promise.all(
       (shown.rows as readonly number[]).map(async function row(version) {
-        const found = await versionAt(version, current);
+        const found = await versions.at(version, current);
         return Either.isRight(found) && Option.isSome(found.right)
           ? { version, sentBy: found.right.value.sentBy, sentAt: found.right.value.sentAt }
           : { version };
@@ -663,13 +494,13 @@
     { method: 'PUT', path: '/v1/sheet', handle: guarded('sheet', sendSheet) },
     { method: 'POST', path: '/v1/sheet/check', handle: guarded('read', checkSheet) },
     { method: 'GET', path: '/v1/sheet', handle: guarded('read', getSheet) },
-    { method: 'GET', path: '/v1/sheet/versions', handle: guarded('read', versions) },
+    { method: 'GET', path: '/v1/sheet/versions', handle: guarded('read', listVersions) },
     { method: 'POST', path: '/v1/nodes/:node/drain', handle: guarded('nodes', (request, caller) => drain(request, caller, true)) },
     { method: 'DELETE', path: '/v1/nodes/:node/drain', handle: guarded('nodes', (request, caller) => drain(request, caller, false)) },
     { method: 'DELETE', path: '/v1/nodes/:node', handle: guarded('nodes', remove) },
   ];
 
-  return { mappings, configure, source };
+  return { mappings, configure: orders.configure, source };
 }
 
 export const administration = { create } as const;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,9 +22,10 @@
 import { roster as rosters, rosterService, type Registration, type Roster } from '@stallstall/roster';
 import { sheets, type SheetMember } from '@stallstall/sheet';
 import { Type } from '@sinclair/typebox';
-import { administration as administrations, type ExternalVersion } from './administration.js';
+import { administration as administrations } from './administration.js';
 import { cores as coreSets, type Cores, type Fleet } from './cores.js';
 import { diskFault, diskFormat, rosterKey } from './data-folder.js';
+import type { ExternalVersion } from './orders.js';
 import { forPush, subscribers } from './subscribers.js';
 import { usage as usages } from './usage.js';
 import { abstained, coreVotes } from './votes.js';
@@ -613,6 +614,7 @@
     rootKey: settings.operatorKey,
     ready: () => cells.ready() && !ending,
     versionOf,
+    accepted: cells.accepted,
     changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
     obeyed: subscriptions.obeyed,
     diskBytes: disk.size,
@@ -795,4 +797,6 @@
   return Either.right({ node, open: cells.ready, stop, drain });
 }
 
+export { claimsKept, ledger, type Ledger } from './ledger.js';
+
 export const core = { start } as const;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -75,8 +75,8 @@
   sentAt: number;
   /** The ids of the latest sends, so that none is taken twice; not pushed. */
   recent: ReadonlyArray<Readonly<{ version: number; sendId: string }>>;
-  /** The version its sender gave it and the text as sent, where another platform's operators count versions of their own (design 6.5). */
-  external?: Readonly<{ version: number; source: string }>;
+  /** The version its sender gave it and the text as sent, where another platform's operators count versions of their own (design 6.5); the digest of its document, which the ledger holds as well (6.6). */
+  external?: Readonly<{ version: number; source: string; digest?: string }>;
   /** Versions before this one, on disks of format 1 alone; archived at the next send. */
   history?: ReadonlyArray<Readonly<{ version: number; sheet: Sheet; sendId: string; sentBy: string; sentAt: number }>>;
 }>;
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -12,6 +12,7 @@
 const pooler = 'pooler/build/pooler.js';
 const copies = 'pooler/build/copies.js';
 const lag = ['replica-deaf', 'replica-crashed'];
+const orders = ['orders-raced', 'orders-resent', 'order-numbers-reused', 'acknowledgements-lost', 'orders-raced-in-trouble'];
 const sends = ['configuration-changed', 'key-withdrawn'];
 const mutations = [
   {
@@ -257,6 +258,57 @@
     from: 'shared.length > 0 && overlap(outage, other)',
     to: 'false',
   },
+  {
+    name: 'any-text-under-a-number',
+    story: 'stands for one text at every core',
+    expect: 'two-texts',
+    only: orders,
+    file: 'core/build/ledger.js',
+    from: "found.digest === digest ? 'own' : 'other'",
+    to: "'own'",
+  },
+  {
+    name: 'claim-not-waited-for',
+    story: 'Of two sheets under one number',
+    file: 'core/build/orders.js',
+    from: 'if (Either.isLeft(claimed))\n            return claimed;\n        if (claimed.right ===',
+    to: 'if (Either.isLeft(claimed))\n            return Either.right(undefined);\n        if (claimed.right ===',
+  },
+  {
+    name: 'forgotten-number-claimed-anew',
+    story: 'ledger has forgotten',
+    file: 'core/build/ledger.js',
+    from: 'number <= numbers.forgotten || ',
+    to: '',
+  },
+  {
+    name: 'digest-of-the-letters',
+    story: 'stands for one text at every core',
+    file: 'core/build/digest.js',
+    from: 'return ofDocument(JSON.parse(text));',
+    to: 'return ofDocument(text);',
+  },
+  {
+    name: 'standing-number-not-claimed',
+    story: 'confirmed before orders were kept',
+    file: 'core/build/orders.js',
+    from: 'if (local?.digest !== undefined)',
+    to: 'if (true)',
+  },
+  {
+    name: 'send-id-for-any-sheet',
+    story: 'A send id stands for one sheet',
+    file: 'core/build/orders.js',
+    from: 'claimed.right.digest === wanted.digest ?',
+    to: 'true ?',
+  },
+  {
+    name: 'send-without-its-version',
+    story: 'A send id stands for one sheet',
+    file: 'core/build/orders.js',
+    from: 'await ledger.settleSend(order.sendId, version);',
+    to: '',
+  },
   {
     name: 'turn-taken-at-once',
     expect: 'one-holder',
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -8,3 +8,4 @@
 export * from './pooled-checks.js';
 export * from './pooled-faults.js';
 export * from './pooled-storm.js';
+export * from './order-checks.js';
--- a/packages/simulator/src/pooled-checks.ts
+++ b/packages/simulator/src/pooled-checks.ts
@@ -262,7 +262,7 @@
 }
 
 function effects({ fleet, byTry }: Read): readonly Effect[] {
-  const versions = [...fleet.versions].sort((left, right) => left.version - right.version);
+  const versions = fleet.versions.filter((sent) => !sent.refused).sort((left, right) => left.version - right.version);
   const found: Effect[] = [];
   for (const opening of fleet.ledger.openings) {
     if (!['open', 'denied', 'no-database'].includes(opening.outcome)) continue;
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -8,6 +8,9 @@
 
 const returnMilliseconds = 1_000;
 const newVersionSteps = 5;
+const resentOrders = 4;
+const resendMilliseconds = 2_000;
+const lostReplies = 0.7;
 
 function pick<Item>(fleet: PooledFleet, items: readonly Item[]): Item {
   return items[Math.floor(fleet.world.fraction() * items.length)] as Item;
@@ -278,7 +281,8 @@
 }
 
 function lastSheet(fleet: PooledFleet): PooledSheet {
-  return [...fleet.versions].sort((left, right) => right.version - left.version)[0]?.sheet ?? fleet.firstSheet();
+  const standing = fleet.versions.filter((sent) => !sent.refused);
+  return standing.sort((left, right) => right.version - left.version)[0]?.sheet ?? fleet.firstSheet();
 }
 
 /** A database comes, goes, or moves to another service; now and then two operators send at once. */
@@ -309,6 +313,65 @@
     void fleet.configure(next + 1, { ...before, databases }, Math.floor(fleet.world.fraction() * fleet.cores.length));
 }
 
+/** A sheet that nobody else sends: it has a database of its own. */
+function ownSheet(fleet: PooledFleet): PooledSheet {
+  const before = lastSheet(fleet);
+  const [model] = before.databases;
+  if (model === undefined) return before;
+  const database = { ...model, database: `extra-${fleet.versions.length}`, service: pick(fleet, fleet.services) };
+  return { ...before, databases: [...before.databases, database] };
+}
+
+function anyCore(fleet: PooledFleet): number {
+  return Math.floor(fleet.world.fraction() * fleet.cores.length);
+}
+
+/** Two operators send sheets of their own under one number, each until it gets a clear reply. */
+function raceOrders(fleet: PooledFleet): void {
+  const number = nextVersion(fleet);
+  void fleet.configure(number, ownSheet(fleet), anyCore(fleet));
+  const second = ownSheet(fleet);
+  fleet.world.at(between(fleet, 0, 60), () => void fleet.configure(number, second, anyCore(fleet)));
+}
+
+/** What was sent before arrives again, to any core. */
+function resendOrders(fleet: PooledFleet): void {
+  for (let count = 0; count < resentOrders; count += 1) {
+    const sent = pick(fleet, fleet.versions);
+    fleet.world.at(between(fleet, 0, resendMilliseconds), () => void fleet.resend(sent, anyCore(fleet)));
+  }
+}
+
+/** Another sheet comes under a number that was sent before, or under an older one that nobody has used. */
+function reuseNumbers(fleet: PooledFleet): void {
+  const numbers = fleet.versions.map((sent) => sent.version);
+  const highest = Math.max(...numbers);
+  const unused = Array.from({ length: highest }, (_, index) => index + 1).filter((number) => !numbers.includes(number));
+  void fleet.configure(pick(fleet, numbers), ownSheet(fleet), anyCore(fleet));
+  if (unused.length > 0) {
+    const number = pick(fleet, unused);
+    void fleet.configure(number, ownSheet(fleet), anyCore(fleet));
+    void fleet.configure(number, ownSheet(fleet), anyCore(fleet));
+  }
+}
+
+/** Replies to operators are lost on their way while orders are raced. */
+function loseAcknowledgements(fleet: PooledFleet): void {
+  fleet.operatorKnobs.losesReplies = lostReplies;
+  fleet.world.at(between(fleet, 1_000, 6_000), function over() {
+    fleet.operatorKnobs.losesReplies = 0;
+  });
+  raceOrders(fleet);
+  fleet.world.at(resendMilliseconds / 2, () => reuseNumbers(fleet));
+}
+
+/** Orders are raced while a core crashes, or is cut off from all others. */
+function raceThroughTrouble(fleet: PooledFleet, storm: PooledStorm): void {
+  fleet.world.at(between(fleet, 0, 40), () => (fleet.world.fraction() < 0.5 ? killCore(fleet, storm) : cutCore(fleet, storm)));
+  raceOrders(fleet);
+  fleet.world.at(resendMilliseconds, () => resendOrders(fleet));
+}
+
 function withdrawKey(fleet: PooledFleet): void {
   const before = lastSheet(fleet);
   const has = before.tenants.some((tenant) => tenant.keys.includes(spareKey));
@@ -368,12 +431,18 @@
   { name: 'platform-slow', run: slowPlatform },
   { name: 'configuration-changed', run: changeConfiguration },
   { name: 'key-withdrawn', run: withdrawKey },
+  { name: 'orders-raced', run: raceOrders },
+  { name: 'orders-resent', run: resendOrders },
+  { name: 'order-numbers-reused', run: reuseNumbers },
+  { name: 'acknowledgements-lost', run: loseAcknowledgements },
+  { name: 'orders-raced-in-trouble', run: raceThroughTrouble },
   { name: 'all-stopped', run: stopAll },
 ];
 
 /** Everything runs again; what another fault was about to start comes now. */
 async function restore(fleet: PooledFleet, storm: PooledStorm): Promise<void> {
   fleet.world.healAll();
+  fleet.operatorKnobs.losesReplies = 0;
   Object.assign(fleet.platform().knobs, { slowMilliseconds: 0, down: false, losesReplies: false });
   for (const slot of fleet.cores) if (slot.process?.alive() !== true) await fleet.startCore(slot);
   for (const slot of fleet.edges) {
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -23,6 +23,7 @@
   type SessionPlatformStore,
   type SessionRun,
 } from '@stallstall/stand-in';
+import type { OrderCall } from './order-checks.js';
 import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
 
 export type PooledCore = {
@@ -77,8 +78,14 @@
   bounds: Readonly<{ restMilliseconds: number }>;
   outages?: readonly unknown[];
 }>;
-/** A version as sent; `acknowledgedAt` is infinite while nobody has acknowledged it. */
-export type PooledVersion = { readonly version: number; readonly sheet: PooledSheet; readonly sentAt: number; acknowledgedAt: number };
+/** A version as sent; `acknowledgedAt` is infinite while nobody has acknowledged it. A refused one must never be in force. */
+export type PooledVersion = {
+  readonly version: number;
+  readonly sheet: PooledSheet;
+  readonly sentAt: number;
+  acknowledgedAt: number;
+  refused: boolean;
+};
 
 export type PooledOptions = Readonly<{
   edges?: number;
@@ -91,6 +98,9 @@
   applyMilliseconds?: number;
 }>;
 
+/** `losesReplies`: this share of the replies to operators is lost on its way. */
+export type OperatorKnobs = { losesReplies: number };
+
 export type PooledFleet = Readonly<{
   world: World;
   cores: readonly PooledCore[];
@@ -101,6 +111,9 @@
   ledger: SessionLedger;
   runs: SessionRun[];
   versions: PooledVersion[];
+  /** Every order that an operator sent, with what came of it. */
+  orderCalls: OrderCall[];
+  operatorKnobs: OperatorKnobs;
   services: readonly string[];
   firstSheet: () => PooledSheet;
   startAll: () => Promise<void>;
@@ -116,6 +129,10 @@
   addMember: (service: string, area: string) => PooledMember;
   /** An operator that sends a version until it is acknowledged. */
   configure: (version: number, sheet: PooledSheet, coreIndex: number) => Promise<boolean>;
+  /** An operator that sends a version that was sent before once more, until it gets a clear reply. */
+  resend: (sent: PooledVersion, coreIndex: number) => Promise<boolean>;
+  /** One call of an operator. */
+  order: (sent: Pick<PooledVersion, 'version' | 'sheet'>, coreIndex: number) => Promise<OrderCall>;
   readBack: (coreIndex: number) => Promise<Option.Option<Readonly<{ version: number; sheet: unknown }>>>;
   call: (coreIndex: number, path: string, body: unknown) => Promise<HttpReply>;
   /** A session of a sender, at a given edge. */
@@ -235,6 +252,8 @@
   const ledger = sessionSender.emptyLedger();
   const runs: SessionRun[] = [];
   const versions: PooledVersion[] = [];
+  const orderCalls: OrderCall[] = [];
+  const operatorKnobs: OperatorKnobs = { losesReplies: 0 };
   const operator = world.spawn('operator', 'operator-machine').kernel;
   const senders = world.spawn('senders', 'sender-machine').kernel;
   const chooser = world.spawn('chooser', 'chooser-machine').kernel;
@@ -447,21 +466,47 @@
     );
   }
 
-  async function configure(version: number, sheet: PooledSheet, coreIndex: number): Promise<boolean> {
-    const sent: PooledVersion = { version, sheet, sentAt: operator.clock.now(), acknowledgedAt: Number.POSITIVE_INFINITY };
-    versions.push(sent);
+  async function order({ version, sheet }: Pick<PooledVersion, 'version' | 'sheet'>, coreIndex: number): Promise<OrderCall> {
+    const sentAt = operator.clock.now();
+    const reply = await call(coreIndex, '/configuration', { version, sheet });
+    const lost = operatorKnobs.losesReplies > 0 && world.fraction() < operatorKnobs.losesReplies;
+    const clear = lost ? 'none' : reply.status === 200 ? 'acknowledged' : reply.status >= 400 && reply.status < 500 ? 'refused' : 'none';
+    const done: OrderCall = {
+      number: version,
+      text: JSON.stringify(sheet),
+      core: coreIndex,
+      sentAt,
+      endedAt: operator.clock.now(),
+      outcome: clear,
+    };
+    orderCalls.push(done);
+    return done;
+  }
+
+  /** Goes on to other cores until one replies clearly. */
+  async function resend(sent: PooledVersion, coreIndex: number): Promise<boolean> {
     for (let shot = 0; shot < operatorShots; shot += 1) {
-      const reply = await call((coreIndex + shot) % cores.length, '/configuration', { version, sheet });
-      if (reply.status === 200) {
-        sent.acknowledgedAt = operator.clock.now();
-        return true;
-      }
-      if (reply.status >= 400 && reply.status < 500) return false;
+      const { outcome } = await order(sent, (coreIndex + shot) % cores.length);
+      if (outcome === 'acknowledged') sent.acknowledgedAt = Math.min(sent.acknowledgedAt, operator.clock.now());
+      if (outcome === 'refused') sent.refused = true;
+      if (outcome !== 'none') return outcome === 'acknowledged';
       await operator.clock.sleep(operatorPauseMilliseconds);
     }
     return false;
   }
 
+  function configure(version: number, sheet: PooledSheet, coreIndex: number): Promise<boolean> {
+    const sent: PooledVersion = {
+      version,
+      sheet,
+      sentAt: operator.clock.now(),
+      acknowledgedAt: Number.POSITIVE_INFINITY,
+      refused: false,
+    };
+    versions.push(sent);
+    return resend(sent, coreIndex);
+  }
+
   async function readBack(coreIndex: number): Promise<Option.Option<Readonly<{ version: number; sheet: unknown }>>> {
     const reply = await call(coreIndex, '/configuration', undefined);
     return reply.status === 200 ? Option.some(reply.body as Readonly<{ version: number; sheet: unknown }>) : Option.none;
@@ -575,6 +620,8 @@
     ledger,
     runs,
     versions,
+    orderCalls,
+    operatorKnobs,
     services,
     firstSheet,
     startAll,
@@ -587,6 +634,8 @@
     stopMember,
     addMember,
     configure,
+    resend,
+    order,
     readBack,
     call,
     session,
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -1,5 +1,6 @@
 // One seeded run of the pooled mode: a load of sessions, failures mixed from the seed, and every checker at the end (design 10.4).
 import * as Option from 'fp-ts/lib/Option.js';
+import { orderChecks } from './order-checks.js';
 import { pooledChecks } from './pooled-checks.js';
 import { pooledFaults, type PooledStorm } from './pooled-faults.js';
 import { pooledFleet, type PooledFleet } from './pooled-fleet.js';
@@ -37,7 +38,9 @@
     const read = await fleet.drive(fleet.readBack(index));
     if (Option.isNone(read)) found.push({ check: 'read-back', detail: `core ${index + 1} reads nothing back` });
     else {
-      const sent = fleet.versions.find((one) => Option.isSome(read) && one.version === read.value.version);
+      const { version } = read.value;
+      const sent = fleet.versions.find((one) => one.version === version && !one.refused);
+      found.push(...orderChecks.readBack(fleet.orderCalls, { number: version, text: JSON.stringify(read.value.sheet) }));
       if (read.value.version < acknowledged)
         found.push({ check: 'read-back', detail: `core ${index + 1} reads ${read.value.version} back, ${acknowledged} was acknowledged` });
       if (JSON.stringify(sent?.sheet) !== JSON.stringify(read.value.sheet))
@@ -47,6 +50,18 @@
   return found;
 }
 
+/** Every order is sent once more to every core: what each replies must agree with all that was replied before. */
+async function sendAllAgain(fleet: PooledFleet): Promise<readonly Violation[]> {
+  const calmFrom = fleet.world.now();
+  for (const sent of fleet.versions) {
+    for (const index of fleet.cores.keys()) {
+      const { outcome } = await fleet.drive(fleet.order(sent, index));
+      if (outcome === 'refused') sent.refused = true;
+    }
+  }
+  return orderChecks.judge(fleet.orderCalls, calmFrom);
+}
+
 function outcomes(fleet: PooledFleet): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
   for (const of of fleet.ledger.tries) {
@@ -113,6 +128,7 @@
   const until = fleet.world.now();
   await fleet.world.run(4_000);
   looking = false;
+  const ordered = await sendAllAgain(fleet);
   const read = pooledChecks.read(fleet, storm.troubles);
   const stale = pooledChecks.stale(read);
   const configuration = pooledChecks.configuration(read, storm.lives);
@@ -129,6 +145,7 @@
     ...stale.found,
     ...pooledChecks.lost(read),
     ...configuration.found,
+    ...ordered,
     ...draining.found,
     ...pooledChecks.duties(fleet.platformStore.calls),
     ...usage.found,
--- a/packages/stories/features/platform.feature
+++ b/packages/stories/features/platform.feature
@@ -52,6 +52,8 @@
     When version 5 is sent to core 1
     Then it is acknowledged, and every core reads back version 5
     When version 5 is sent to core 2 with another deadline
+    Then it is refused with 409 and a remedy, and every core reads back version 5 as it was
+    When version 5 is sent to core 3
     Then it is acknowledged, and every core reads back version 5 as it was
     When version 4 is sent to core 3
     Then it is acknowledged, and every core reads back version 5 as it was
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -23,6 +23,7 @@
         'build/capacity.js',
         'build/cores.js',
         'build/outages.js',
+        'build/orders.js',
       ],
       format: ['progress'],
       publish: false,
--- a/packages/stories/src/platform.ts
+++ b/packages/stories/src/platform.ts
@@ -365,6 +365,15 @@
   await asItWas(this, version);
 });
 
+Then(
+  'it is refused with 409 and a remedy, and every core reads back version {int} as it was',
+  async function then(this: PlatformStory, version: number) {
+    assert.equal(this.replies[0]?.status, 409, JSON.stringify(this.replies));
+    assert.ok(String((this.replies[0]?.body as { remedy?: unknown }).remedy).length > 0);
+    await asItWas(this, version);
+  },
+);
+
 When(
   'each invalid configuration is sent as version {int} to core {int}',
   { timeout: 60_000 },
