Proxy, pool and verdict in modules with one job, with the field's names

Cause: the proxy was two closures, of 380 and 540 lines; faults were spelled out where they were met, some of them three times; the pool was one closure of 120 lines.

Now: client-api (HTTP interface), placement-feed (what the agent told, each rule a function over one state), proxy (assembly and end), settings; statement-request (types), request-table, passes, fence-check, exchange, member-reply, confirmations (replies that wait to be durable), usage-windows, request-faults (every fault a client is told, once), session. The pool's functions work on its state; verdicts.judge takes what it requires as one typed value. Names as in the pooler: attempt, deadline, admit, reject, client. Paths and bodies of HTTP, messages between processes and counters keep theirs. Mutation entries moved with their guards. One text for people changed: "3 attempts at write failed" where it said shots.

Ruled out: another behaviour.

--- /dev/null
+++ b/packages/proxy/src/exchange.ts
@@ -0,0 +1,132 @@
+/** Sends one request to its member and settles it by what came back, or by what did not (design 8.2, 8.5). */
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, type Fault, type HttpAsk, type HttpReply } from '@stallstall/kernel';
+import type { MemberConnection } from '@stallstall/pool';
+import type { Confirmations } from './confirmations.js';
+import { memberReplies, type MemberResult } from './member-reply.js';
+import { requestFaults } from './request-faults.js';
+import { requestParts, type RequestParts } from './request-parts.js';
+import type { Session } from './sessions.js';
+import type { RequestRecord, Target } from './statement-request.js';
+
+export type ExchangeParts = Readonly<{
+  parts: RequestParts;
+  confirmations: Confirmations;
+  /** Runs the passes over the record once more. */
+  retry: (record: RequestRecord) => void;
+  sweep: () => void;
+}>;
+
+/** A request in stage `sent`, and where it was sent. */
+export type SentRequest = Readonly<{
+  record: RequestRecord;
+  connection: MemberConnection;
+  target: Target;
+  session: Option.Option<Session>;
+}>;
+
+const mostAttempts = 3;
+const leastExchangeMilliseconds = 1;
+
+function runCall({ record, session }: SentRequest): HttpAsk {
+  const { request } = record;
+  return {
+    method: 'POST',
+    path: '/run',
+    body: {
+      readOnly: request.kind !== 'write',
+      transaction: request.transaction,
+      // The member forgets what an earlier session left on this connection before anything runs (design 8.2).
+      reset: !requestParts.isPinned(record),
+      values: Option.isSome(session) ? session.value.values() : {},
+      shapes: Option.isSome(session) ? session.value.prepared() : {},
+      statements: request.statements,
+    },
+  };
+}
+
+/** Sends the request and settles it. */
+async function run(exchange: ExchangeParts, sent: SentRequest): Promise<void> {
+  const { kernel, table } = exchange.parts;
+  const { record, connection, session } = sent;
+  const sentAt = kernel.clock.now();
+  table.count('exchanges');
+  table.count('waitMilliseconds', sentAt - record.arrivedAt);
+  const left = Math.max(leastExchangeMilliseconds, record.deadline - sentAt);
+  const result = await connection.exchange(runCall(sent), left);
+  table.count('exchangeMilliseconds', kernel.clock.now() - sentAt);
+  if (Option.isSome(session)) session.value.setBusy(false);
+  settle(exchange, sent, result);
+  // Its key may have been withdrawn while the statement was under way (design 6.4).
+  if (Option.isSome(session) && session.value.ended()) requestParts.endTransaction(exchange.parts, session);
+  exchange.sweep();
+}
+
+function settle(exchange: ExchangeParts, sent: SentRequest, reply: Either.Either<Fault, HttpReply>): void {
+  if (Either.isLeft(reply)) {
+    settleLost(exchange, sent, fault.kind(reply.left) === 'unreachable');
+    return;
+  }
+  const result = memberReplies.result(reply.right);
+  if (Option.isSome(result)) settleResult(exchange, sent, result.value);
+  else if (memberReplies.isRejection(reply.right)) settleRejected(exchange, sent, reply.right);
+  else settleLost(exchange, sent, false);
+}
+
+/** No reply came, or one that cannot be read. `nothingLeft`: the request surely never left this process. */
+function settleLost(exchange: ExchangeParts, sent: SentRequest, nothingLeft: boolean): void {
+  const { parts, retry } = exchange;
+  const { kernel, pool, table } = parts;
+  const { record, connection, session } = sent;
+  const { choice } = sent.target;
+  const pinned = requestParts.isPinned(record);
+  if (pinned) requestParts.endTransaction(parts, session);
+  else pool.giveBack(connection, false);
+  if (requestParts.commits(record) && !nothingLeft) {
+    table.reject(record, requestFaults.outcomeUnknown(`the reply of ${choice.member} was lost`));
+    return;
+  }
+  if (pinned || record.request.transaction === 'begin') {
+    const message = `the connection to ${choice.member} broke; nothing of the transaction was kept`;
+    table.reject(record, requestFaults.transactionEnded(message));
+    return;
+  }
+  if (record.attempts >= mostAttempts || kernel.clock.now() >= record.deadline) {
+    const message = `${record.attempts} attempts at ${record.request.kind} failed; nothing was kept`;
+    table.reject(record, requestFaults.givenUp(message));
+    return;
+  }
+  const excludedMembers = choice.leader ? record.excludedMembers : new Set([...record.excludedMembers, choice.member]);
+  retry({ ...record, stage: 'waiting', excludedMembers, target: Option.none, connection: Option.none });
+}
+
+/** The member itself rejected it: nothing was kept, and an open transaction is over. */
+function settleRejected({ parts }: ExchangeParts, { record, connection, session }: SentRequest, reply: HttpReply): void {
+  if (requestParts.isPinned(record)) requestParts.endTransaction(parts, session);
+  else parts.pool.giveBack(connection, reply.status === 409);
+  parts.table.reject(record, requestFaults.rejectedByMember(reply.status, memberReplies.text(reply)));
+}
+
+/** The request ran: its connection is kept for an open transaction or given back, and the reply is confirmed before it leaves. */
+function settleResult({ parts, confirmations }: ExchangeParts, sent: SentRequest, result: MemberResult): void {
+  const { pool, table } = parts;
+  const { record, connection, target, session } = sent;
+  const { transaction, service } = record.request;
+  if (transaction === 'begin' && Option.isSome(session)) {
+    if (session.value.ended()) {
+      pool.giveBack(connection, false);
+      table.reject(record, requestFaults.sessionLost('the session was closed meanwhile; nothing was kept'));
+      return;
+    }
+    session.value.pin({ connection, choice: target.choice });
+  } else if (!requestParts.isPinned(record)) pool.giveBack(connection, true);
+  else if (transaction !== 'within' && Option.isSome(session)) {
+    session.value.unpin();
+    pool.giveBack(connection, true);
+  }
+  if (requestParts.commits(record) && Option.isSome(session)) session.value.committed(service, result.position);
+  confirmations.add(record, target, session, result);
+}
+
+export const exchanges = { run } as const;
--- a/packages/proxy/src/notes.ts
+++ b/packages/proxy/src/notes.ts
@@ -1,99 +1,140 @@
-// What must be on a majority of core disks before a reply leaves: how far commits reach, and what was served (design 7.5, 8.6).
+/** Reports what must be durable on a majority of core disks before a reply leaves: commit positions and usage (design 7.5, 8.6). */
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
 import { message, type Floor, type Floors } from '@stallstall/message';
 import type { Peer } from '@stallstall/peer';
-
-export type Counts = ReadonlyArray<Readonly<{ window: number; counts: Readonly<Record<string, number>> }>>;
+import type { UsageWindow } from './usage-windows.js';
 
 export type Notes = Readonly<{
-  /** The number of the telling that will hold what is counted before the next call of `note`. */
+  /** The number of the report that will hold what is counted before the next call of `note`. */
   next: () => number;
-  /** Has a position noted with all that is counted by now. */
-  note: (service: string, floor: Option.Option<Floor>) => void;
-  /** Whether that telling, or a later one, is on a majority of disks. */
+  /** Has a position reported, with all that is counted by now. */
+  note: (service: string, watermark: Option.Option<Floor>) => void;
+  /** Whether that report, or a later one, is durable. */
   noted: (number: number) => boolean;
-  /** The usage window of the latest telling that is: what it let go was served then. */
+  /** The usage window of the latest durable report: what it confirms was served then. */
   window: () => number;
-  /** Tells what was counted since, and that this proxy still counts. */
+  /** Reports what was counted since, and that this proxy still counts. */
   tick: () => void;
   flush: () => Promise<void>;
-  /** The agent can be reached, so that what is sent now can be noted. */
+  /** The agent can be reached, so that what is sent now can be made durable. */
   sound: () => boolean;
-  /** How many tellings there were, and how long they took in all. */
+  /** How many reports there were, and how long they took in all. */
   totals: () => Readonly<{ notes: number; noteMilliseconds: number }>;
 }>;
 
+export type NoteSources = Readonly<{
+  /** What was served, by window of the wall clock. */
+  counts: (window: number) => readonly UsageWindow[];
+  /** A report has become durable. */
+  onNoted: () => void;
+}>;
+
+type State = {
+  readonly kernel: Kernel;
+  readonly agent: Peer;
+  /** Names this run of the process: its counts replace none of an earlier run. */
+  readonly incarnation: string;
+  readonly sources: NoteSources;
+  /** The highest position of each service that was reported. */
+  watermarks: Floors;
+  /** Numbers of reports: the latest begun, the latest durable, the latest that somebody waits for. */
+  started: number;
+  durable: number;
+  wanted: number;
+  /** Of the latest durable report. */
+  durableWindow: number;
+  durableAt: Instant;
+  reporting: boolean;
+  /** By window: the counts that the latest durable report holds, as text. Empty once a report may be durable in part. */
+  readonly reported: Map<number, string>;
+  attempts: number;
+  attemptMilliseconds: number;
+};
+
 const tickMilliseconds = 200;
 const windowMilliseconds = 5_000;
 const windowsKept = 6;
-const tellMilliseconds = 1_000;
+const callMilliseconds = 1_000;
 
-function create(kernel: Kernel, agent: Peer, incarnation: string, counts: (window: number) => Counts, onNoted: () => void): Notes {
-  let floors: Floors = {};
-  let started = 0;
-  let kept = 0;
-  let keptWindow = 0;
-  let toldAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
-  let telling = false;
-  // What the latest telling that was kept says of each window; nothing, once one may have been kept in part.
-  const told = new Map<number, string>();
-  let wanted = 0;
-  let asked = 0;
-  let spent = 0;
+function windowOf(wall: number): number {
+  return Math.floor(wall / windowMilliseconds);
+}
 
-  async function shot(): Promise<boolean> {
-    started += 1;
-    const number = started;
-    const startedAt = kernel.clock.now();
-    const wall = kernel.clock.wall();
-    const window = Math.floor(wall / windowMilliseconds);
-    const usage = counts(window)
-      .map((one) => ({ window: one.window, counts: { ...one.counts } }))
-      .filter((one) => told.get(one.window) !== JSON.stringify(one.counts));
-    const reply = await agent.call('tell', { number, floors: { ...floors }, usage, through: wall, incarnation }, tellMilliseconds);
-    asked += 1;
-    spent += kernel.clock.now() - startedAt;
-    if (Option.isNone(reply) || !reply.value.kept) {
-      told.clear();
-      return false;
-    }
-    for (const one of usage) told.set(one.window, JSON.stringify(one.counts));
-    for (const old of told.keys()) if (old < window - windowsKept) told.delete(old);
-    // A telling that took longer than its window let nothing go: what waits is told again, in the window it is served in.
-    if (Math.floor(kernel.clock.wall() / windowMilliseconds) !== window) return true;
-    kept = number;
-    keptWindow = window;
-    toldAt = startedAt;
-    return true;
+/** Sends one report; false when it is not known to be durable. */
+async function attempt(state: State): Promise<boolean> {
+  const { kernel, agent, sources, incarnation, reported } = state;
+  state.started += 1;
+  const number = state.started;
+  const startedAt = kernel.clock.now();
+  const wall = kernel.clock.wall();
+  const window = windowOf(wall);
+  const usage = sources
+    .counts(window)
+    .map((one) => ({ window: one.window, counts: { ...one.counts } }))
+    .filter((one) => reported.get(one.window) !== JSON.stringify(one.counts));
+  const body = { number, floors: { ...state.watermarks }, usage, through: wall, incarnation };
+  const reply = await agent.call('tell', body, callMilliseconds);
+  state.attempts += 1;
+  state.attemptMilliseconds += kernel.clock.now() - startedAt;
+  if (Option.isNone(reply) || !reply.value.kept) {
+    reported.clear();
+    return false;
   }
+  for (const one of usage) reported.set(one.window, JSON.stringify(one.counts));
+  for (const old of reported.keys()) if (old < window - windowsKept) reported.delete(old);
+  // A report that took longer than its window confirms nothing: what waits is reported again, in the window it is served in.
+  if (windowOf(kernel.clock.wall()) !== window) return true;
+  state.durable = number;
+  state.durableWindow = window;
+  state.durableAt = startedAt;
+  return true;
+}
 
-  /** One telling at a time; whoever comes meanwhile is in the next. */
-  async function tell(): Promise<void> {
-    if (telling) return;
-    telling = true;
-    do {
-      if (!(await shot())) break;
-      onNoted();
-    } while (kept < wanted);
-    telling = false;
-  }
+/** One report at a time; whoever comes meanwhile is in the next. */
+async function report(state: State): Promise<void> {
+  if (state.reporting) return;
+  state.reporting = true;
+  do {
+    if (!(await attempt(state))) break;
+    state.sources.onNoted();
+  } while (state.durable < state.wanted);
+  state.reporting = false;
+}
+
+function create(kernel: Kernel, agent: Peer, incarnation: string, sources: NoteSources): Notes {
+  const state: State = {
+    kernel,
+    agent,
+    incarnation,
+    sources,
+    watermarks: {},
+    started: 0,
+    durable: 0,
+    wanted: 0,
+    durableWindow: 0,
+    durableAt: identifiers.instant(Number.NEGATIVE_INFINITY),
+    reporting: false,
+    reported: new Map(),
+    attempts: 0,
+    attemptMilliseconds: 0,
+  };
 
   return {
-    note: function note(service, floor) {
-      if (Option.isSome(floor)) floors = message.higherFloors(floors, { [service]: floor.value });
-      wanted = started + 1;
-      void tell();
+    note: function note(service, watermark) {
+      if (Option.isSome(watermark)) state.watermarks = message.higherFloors(state.watermarks, { [service]: watermark.value });
+      state.wanted = state.started + 1;
+      void report(state);
     },
-    next: () => started + 1,
-    noted: (number) => kept >= number,
-    window: () => keptWindow,
+    next: () => state.started + 1,
+    noted: (number) => state.durable >= number,
+    window: () => state.durableWindow,
     tick: function tick() {
-      if (kept < wanted || kernel.clock.now() - toldAt >= tickMilliseconds) void tell();
+      if (state.durable < state.wanted || kernel.clock.now() - state.durableAt >= tickMilliseconds) void report(state);
     },
-    flush: tell,
+    flush: () => report(state),
     sound: agent.connected,
-    totals: () => ({ notes: asked, noteMilliseconds: Math.round(spent) }),
+    totals: () => ({ notes: state.attempts, noteMilliseconds: Math.round(state.attemptMilliseconds) }),
   };
 }
 
--- /dev/null
+++ b/packages/proxy/src/proxy.ts
@@ -0,0 +1,194 @@
+/** The HTTP proxy of an edge: clients' statements in, verdicts looked up, members' replies out; fed by its agent (design 8). */
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, kernel as kernels, type HttpMapping, type Kernel, type Listening } from '@stallstall/kernel';
+import { peer, type Peer } from '@stallstall/peer';
+import { pools, type Pool } from '@stallstall/pool';
+import { clientApi } from './client-api.js';
+import { notes as noteTables, type Notes } from './notes.js';
+import { placementFeeds, type PlacementFeed } from './placement-feed.js';
+import { requests as requestTables, type Requests } from './requests.js';
+import { sessions as sessionTables, type Sessions } from './sessions.js';
+import { graceMilliseconds, lameDuckMilliseconds, type ProxySettings } from './settings.js';
+import type { Known } from './statement-request.js';
+
+export type Proxy = Readonly<{
+  /** Fails readiness at once, takes work for a moment more, lets what is in flight end, then stops. */
+  drain: () => Promise<void>;
+  /** Ends at once. */
+  stop: () => Promise<void>;
+  inFlight: () => number;
+  known: () => Known;
+  connections: () => ReturnType<Pool['describe']>;
+}>;
+
+/** The parts of a running proxy. */
+type Assembly = Readonly<{
+  kernel: Kernel;
+  agent: Peer;
+  feed: PlacementFeed;
+  pool: Pool;
+  sessions: Sessions;
+  notes: Notes;
+  requests: Requests;
+  /** Client connections that have sent a request and are still open. */
+  connected: Set<string>;
+}>;
+
+const feedMilliseconds = 100;
+const feedCallMilliseconds = 800;
+const sweepMilliseconds = 25;
+
+function assemble(kernel: Kernel, settings: ProxySettings): Assembly {
+  const incarnation = kernel.randomness.token();
+  const feed = placementFeeds.create(kernel.clock);
+  const pool = pools.create(kernel, () => requests.sweep());
+  const sessions = sessionTables.create(kernel, pool);
+  const agent = peer.dial(kernel, identifiers.address(settings.feed));
+  const notes = noteTables.create(kernel, agent, incarnation, {
+    counts: (window) => requests.counts(window),
+    onNoted: () => requests.sweep(),
+  });
+  const requests: Requests = requestTables.create({ kernel, known: feed.known, pool, sessions, notes });
+  return { kernel, agent, feed, pool, sessions, notes, requests, connected: new Set() };
+}
+
+function counters({ requests, notes, sessions }: Assembly): Readonly<Record<string, number>> {
+  return { ...requests.totals(), ...notes.totals(), inFlight: requests.inFlight(), sessions: sessions.all().length };
+}
+
+/** A withdrawn key ends its sessions, and with them any transaction under it (design 6.4). */
+function closeWithdrawn({ feed, sessions }: Assembly): void {
+  for (const session of sessions.all()) if (!clientApi.mayUse(feed.known(), session.key, session.service)) sessions.close(session);
+}
+
+async function follow(assembly: Assembly): Promise<void> {
+  const { kernel, agent, feed, pool, requests } = assembly;
+  const sentAt = kernel.clock.now();
+  const reply = await agent.call(
+    'feed',
+    { configuration: feed.known().version, open: { ...pool.open() }, metrics: { ...counters(assembly) } },
+    feedCallMilliseconds,
+  );
+  if (Option.isNone(reply)) return;
+  const accepted = feed.accept(reply.value, sentAt);
+  if (accepted === 'ignored') return;
+  if (accepted === 'new-configuration') closeWithdrawn(assembly);
+  pool.wish(feed.wishes());
+  requests.sweep();
+}
+
+function endOverdueTransactions({ feed, sessions }: Assembly): void {
+  for (const session of sessions.all()) {
+    const pinned = session.pinned();
+    if (Option.isSome(pinned) && feed.isGone(pinned.value.choice.member)) sessions.endTransaction(session);
+  }
+}
+
+function tick(assembly: Assembly): void {
+  assembly.feed.refreshDraining();
+  endOverdueTransactions(assembly);
+  assembly.sessions.expire();
+  assembly.notes.tick();
+  assembly.requests.sweep();
+}
+
+function isReady({ kernel, feed }: Assembly): boolean {
+  const { controlUntil, sheet } = feed.known();
+  return Option.isNone(feed.drainingSince()) && controlUntil > kernel.clock.now() && Option.isSome(sheet);
+}
+
+/** What the platform and the operators ask of this process itself. */
+function statusRoutes(assembly: Assembly): readonly HttpMapping[] {
+  const { feed, requests, pool } = assembly;
+  return [
+    { method: 'GET', path: '/live', handle: async () => ({ status: 200, body: { live: true } }) },
+    {
+      method: 'GET',
+      path: '/ready',
+      handle: async function handle() {
+        const ready = isReady(assembly);
+        return { status: ready ? 200 : 503, body: { ready, configuration: feed.known().version } };
+      },
+    },
+    {
+      method: 'GET',
+      path: '/v1/state',
+      handle: async () => ({
+        status: 200,
+        body: {
+          configuration: feed.known().version,
+          inFlight: requests.inFlight(),
+          connections: pool.describe(),
+          totals: counters(assembly),
+        },
+      }),
+    },
+  ];
+}
+
+/** Notes who is connected: a planned end waits until each has been told to close its connection (design 7.10). */
+function noteConnection({ connected, feed }: Assembly, route: HttpMapping): HttpMapping {
+  return {
+    ...route,
+    handle: async function handle(request) {
+      connected.add(request.connection);
+      const reply = await route.handle(request);
+      return feed.known().draining ? { ...reply, headers: { ...reply.headers, connection: 'close' } } : reply;
+    },
+  };
+}
+
+function isBusy({ connected, requests, sessions }: Assembly): boolean {
+  return connected.size > 0 || requests.inFlight() > 0 || sessions.all().some((session) => Option.isSome(session.pinned()));
+}
+
+/** Resolves once nothing is under way any more, or the grace is over. */
+async function awaitEnd(assembly: Assembly): Promise<void> {
+  const { kernel, feed, notes } = assembly;
+  feed.stop();
+  const deadline = identifiers.after(kernel.clock.now(), graceMilliseconds);
+  await kernel.clock.sleep(lameDuckMilliseconds);
+  while (kernel.clock.now() < deadline && isBusy(assembly)) await kernel.clock.sleep(sweepMilliseconds);
+  await notes.flush();
+}
+
+/** Starts listening and following the agent; resolves once clients can connect. */
+async function start(kernel: Kernel, settings: ProxySettings): Promise<Proxy> {
+  const assembly = assemble(kernel, settings);
+  const { agent, feed, pool, sessions, requests, connected } = assembly;
+  const routes = [...clientApi.routes({ clock: kernel.clock, known: feed.known, sessions, requests }), ...statusRoutes(assembly)];
+  let stopped = false;
+
+  const listening: Listening = await kernel.network.serve(identifiers.address(settings.address), {
+    mappings: routes.map((route) => noteConnection(assembly, route)),
+    connectionClosed: (connection) => void connected.delete(connection),
+  });
+  void kernels.every(
+    kernel.clock,
+    feedMilliseconds,
+    () => follow(assembly),
+    () => !stopped,
+  );
+  void kernels.every(
+    kernel.clock,
+    sweepMilliseconds,
+    () => tick(assembly),
+    () => !stopped,
+  );
+
+  async function stop(): Promise<void> {
+    stopped = true;
+    agent.close();
+    await listening.stop();
+    pool.closeAll();
+  }
+
+  async function drain(): Promise<void> {
+    await awaitEnd(assembly);
+    await stop();
+  }
+
+  return { drain, stop, inFlight: requests.inFlight, known: feed.known, connections: pool.describe };
+}
+
+export const proxy = { start } as const;
--- a/packages/verdict/src/index.ts
+++ b/packages/verdict/src/index.ts
@@ -1,10 +1,19 @@
-// The verdict table: worked out in advance from configuration, epochs and liveness (design 8.1).
+/** The verdict table: for each service and kind of statement, which members may serve it, worked out in advance (design 8.1). */
 import * as Either from 'fp-ts/lib/Either.js';
 import { fault, type Fault, type FaultKind, type Instant } from '@stallstall/kernel';
-import { sheets, statementKinds, type Sheet, type SheetMember, type SheetService, type StatementKind } from '@stallstall/sheet';
+import {
+  sheets,
+  statementKinds,
+  type Sheet,
+  type SheetMember,
+  type SheetRow,
+  type SheetService,
+  type StatementKind,
+} from '@stallstall/sheet';
 
-/** What the proxy knows of a member, in its own clock's moments. */
+/** What the proxy knows of a member; moments are of its own clock. */
 export type KnownTarget = Readonly<{ member: string; alive: boolean; freshAt: Instant; applied: number; follows: number }>;
+/** What the proxy knows of a service. */
 export type KnownService = Readonly<{
   service: string;
   epoch: number;
@@ -14,6 +23,7 @@
   overdue: boolean;
 }>;
 
+/** A member that may be chosen. */
 export type Choice = Readonly<{
   member: string;
   address: string;
@@ -24,13 +34,15 @@
   applied: number;
 }>;
 
+/** `lastResort` is chosen from when none of the choices suits. */
 export type Verdict =
   | Readonly<{ verdict: 'serve'; epoch: number; choices: readonly Choice[]; lastResort: readonly Choice[] }>
-  | Readonly<{ verdict: 'deny'; kind: FaultKind; message: string; remedy: string }>;
+  | Readonly<{ verdict: 'reject'; kind: FaultKind; message: string; remedy: string }>;
 
+/** By service and kind, see `keyOf`. */
 export type VerdictTable = ReadonlyMap<string, Verdict>;
 
-/** What is left of the allowance for the statement to reach its member and be read there. */
+/** Part of the allowed staleness that is left for the statement to reach its member and be read there. */
 export const stalenessMarginMilliseconds = 300;
 const retryAfterSeconds = 1;
 const always = Number.POSITIVE_INFINITY as Instant;
@@ -74,51 +86,54 @@
   ];
 }
 
+type RejectVerdict = Extract<Verdict, { verdict: 'reject' }>;
+
+function reject(kind: FaultKind, message: string, remedy: string): RejectVerdict {
+  return { verdict: 'reject', kind, message, remedy };
+}
+
+/** The verdict on kinds that only the leader serves. */
+function judgeLeaderKind(service: SheetService, known: KnownService, leader: readonly Choice[]): Verdict {
+  if (leader.length > 0) return { verdict: 'serve', epoch: known.epoch, choices: leader, lastResort: [] };
+  const state = known.overdue ? 'to go and none has followed it' : 'down';
+  return reject('read-only', `READONLY: the primary of ${service.service} is ${state}`, 'try again when an election has settled');
+}
+
+function choicesOf(
+  service: SheetService,
+  known: KnownService,
+  row: SheetRow,
+  serves: readonly string[],
+  leader: readonly Choice[],
+): readonly Choice[] {
+  return service.members
+    .filter((member) => serves.includes(member.member))
+    .flatMap(function choose(member) {
+      const weight = row.weights[member.member] ?? 1;
+      if (member.member !== known.primary) return replicaOf(member, known, weight, row.staleMilliseconds, row.area);
+      return leader.map((choice) => ({ ...choice, weight })).filter((choice) => choice.weight > 0);
+    });
+}
+
 function judgeKind(sheet: Sheet, service: SheetService, known: KnownService | undefined, kind: StatementKind, area: string): Verdict {
   const row = sheets.row(sheet, service.service, area);
   const serves = row?.serves[kind];
-  if (row === undefined || serves === undefined) {
-    return {
-      verdict: 'deny',
-      kind: 'statement-denied',
-      message: `${service.service} serves no ${kind} in ${area}`,
-      remedy: 'send it to an area that does, or ask the operators for a row',
-    };
-  }
-  if (known === undefined || known.epoch === 0) {
-    return {
-      verdict: 'deny',
-      kind: 'read-only',
-      message: `READONLY: no primary of ${service.service} is settled yet`,
-      remedy: 'try again when an election has settled',
-    };
-  }
-  const leader = leaderOf(service, known, area);
-  if (serves === 'leader') {
-    if (leader.length > 0) return { verdict: 'serve', epoch: known.epoch, choices: leader, lastResort: [] };
-    return {
-      verdict: 'deny',
-      kind: 'read-only',
-      message: `READONLY: the primary of ${service.service} is ${known.overdue ? 'to go and none has followed it' : 'down'}`,
-      remedy: 'try again when an election has settled',
-    };
-  }
-  const choices = service.members
-    .filter((member) => serves.includes(member.member))
-    .flatMap((member) =>
-      member.member === known.primary
-        ? leader.map((choice) => ({ ...choice, weight: row.weights[member.member] ?? 1 })).filter((choice) => choice.weight > 0)
-        : replicaOf(member, known, row.weights[member.member] ?? 1, row.staleMilliseconds, area),
+  if (row === undefined || serves === undefined)
+    return reject(
+      'statement-denied',
+      `${service.service} serves no ${kind} in ${area}`,
+      'send it to an area that does, or ask the operators for a row',
     );
+  if (known === undefined || known.epoch === 0)
+    return reject('read-only', `READONLY: no primary of ${service.service} is settled yet`, 'try again when an election has settled');
+  const leader = leaderOf(service, known, area);
+  if (serves === 'leader') return judgeLeaderKind(service, known, leader);
+  const choices = choicesOf(service, known, row, serves, leader);
   if (choices.length > 0 || leader.length > 0) return { verdict: 'serve', epoch: known.epoch, choices, lastResort: leader };
-  return {
-    verdict: 'deny',
-    kind: 'no-target',
-    message: `no member of ${service.service} may serve ${kind} in ${area} now`,
-    remedy: 'try again when a member has caught up',
-  };
+  return reject('no-target', `no member of ${service.service} may serve ${kind} in ${area} now`, 'try again when a member has caught up');
 }
 
+/** Works the table out anew, for an edge of the area. */
 function compile(sheet: Sheet, services: readonly KnownService[], area: string): VerdictTable {
   const table = new Map<string, Verdict>();
   for (const service of sheet.services) {
@@ -128,6 +143,7 @@
   return table;
 }
 
+/** Draws one by weight; undefined when there are none. */
 function draw(choices: readonly Choice[], fraction: number): Choice | undefined {
   const total = choices.reduce((sum, choice) => sum + choice.weight, 0);
   let left = fraction * total;
@@ -138,21 +154,30 @@
   return choices.at(-1);
 }
 
-/** The lookup a statement makes; nothing here waits. */
+/** What a statement asks of its member beside its kind. */
+export type Requirement = Readonly<{
+  now: Instant;
+  /** A random number from 0 to 1, by which the member is drawn. */
+  fraction: number;
+  /** The member has applied the log to this position. */
+  atLeast: number;
+  /** Members that are not to be chosen. */
+  without: ReadonlySet<string>;
+}>;
+
+/** The member that a statement goes to, and the epoch it is chosen under; or the fault to reject it with. A lookup; nothing here waits. */
 function judge(
   table: VerdictTable,
   service: string,
   kind: StatementKind,
-  now: Instant,
-  fraction: number,
-  atLeast: number,
-  without: ReadonlySet<string>,
+  requirement: Requirement,
 ): Either.Either<Fault, Readonly<{ choice: Choice; epoch: number }>> {
+  const { now, fraction, atLeast, without } = requirement;
   const verdict = table.get(keyOf(service, kind));
   if (verdict === undefined) {
     return Either.left(fault.create({ kind: 'not-found', message: `no sheet names a service ${service}`, remedy: 'check the name' }));
   }
-  if (verdict.verdict === 'deny') return Either.left(fault.create({ ...verdict, retryAfterSeconds }));
+  if (verdict.verdict === 'reject') return Either.left(fault.create({ ...verdict, retryAfterSeconds }));
   const fit = verdict.choices.filter((choice) => choice.freshUntil > now && choice.applied >= atLeast && !without.has(choice.member));
   const choice = draw(fit, fraction) ?? verdict.lastResort.find((one) => !without.has(one.member));
   if (choice !== undefined) return Either.right({ choice, epoch: verdict.epoch });
