Pooled seeds: faults of disks, clocks, orders, cores, herds, closings; availability judged

Cause: the pooled runs knew 21 faults, none of a disk, a clock, a lost acknowledgement or a closing one; they judged safety and, once everything was back, service, but never whether a majority still served after each loss.

Faults stand by theme in simulator/src/faults, as a typed list: those that take cores away wait until no other core counts as lost (down, cut or frozen, and 4 s after it is back). Three faults of each seed are taken by turn, so that 40 seeds have each of them; the run fails and names any that never took place.

New checks: an order sent 4 s after a loss is confirmed within 5 s and read back by all cores but those that may be lost; a quarter of the statements is served 12 s after it and each edge in touch serves leaders' statements; a valid order is never refused, an invalid one never acknowledged; all cores read the same back; no process ends by itself, also one that was started again later.

Both were errors of the run.

While most clocks are stepped, windows of usage are not judged yet.

--- /dev/null
+++ b/packages/simulator/src/faults/platform.ts
@@ -0,0 +1,38 @@
+// Trouble of the platform that takes promotions and usage: slow, down, silent, or with its connections reset.
+import type { SessionPlatformKnobs } from '@stallstall/stand-in';
+import type { PooledFleet } from '../pooled-fleet.js';
+import { between, pick, trouble, type PooledEvent, type PooledStorm } from './common.js';
+
+export const calmPlatform: SessionPlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false };
+const resetGapMilliseconds = 500;
+
+function spoil(fleet: PooledFleet, storm: PooledStorm, knobs: Partial<SessionPlatformKnobs>): void {
+  const milliseconds = between(fleet, 2_000, 12_000);
+  trouble(fleet, storm, 'platform', milliseconds);
+  Object.assign(fleet.platform().knobs, knobs);
+  fleet.world.at(milliseconds, () => void Object.assign(fleet.platform().knobs, calmPlatform));
+}
+
+function anyTrouble(fleet: PooledFleet, storm: PooledStorm): void {
+  const slow = { slowMilliseconds: between(fleet, 300, 3_000) };
+  spoil(fleet, storm, pick(fleet, [slow, { down: true }, { losesReplies: true }]));
+}
+
+/** Its connections are reset again and again for a while. */
+function reset(fleet: PooledFleet, storm: PooledStorm): void {
+  const until = fleet.world.now() + between(fleet, 2_000, 8_000);
+  trouble(fleet, storm, 'platform', until - fleet.world.now());
+  function round(): void {
+    if (fleet.world.now() >= until) return;
+    fleet.world.resetConnections(fleet.platformProcess(), 1);
+    fleet.world.at(resetGapMilliseconds, round);
+  }
+  round();
+}
+
+export const platformFaults: readonly PooledEvent[] = [
+  { name: 'platform-slow', run: anyTrouble },
+  { name: 'platform-down', run: (fleet, storm) => spoil(fleet, storm, { down: true }) },
+  { name: 'platform-silent', run: (fleet, storm) => spoil(fleet, storm, { losesReplies: true }) },
+  { name: 'platform-reset', run: reset },
+];
--- /dev/null
+++ b/packages/simulator/src/frames.ts
@@ -0,0 +1,34 @@
+// What the simulated network hands over: values copied as a wire would, and streams of text over links.
+import * as Option from 'fp-ts/lib/Option.js';
+import type { Link, Stream } from '@stallstall/kernel';
+
+/** What JSON would make of a value, without the text between; nobody shares what was sent. */
+export function copied(value: unknown): unknown {
+  if (typeof value === 'number') return Number.isFinite(value) ? value : null;
+  if (typeof value !== 'object' || value === null) return value;
+  if (Array.isArray(value)) return value.map((item) => copied(item) ?? null);
+  const result: Record<string, unknown> = {};
+  for (const [name, inner] of Object.entries(value)) if (inner !== undefined && typeof inner !== 'function') result[name] = copied(inner);
+  return result;
+}
+
+/** A stream carries text over a link, so that order, cuts and darkness hold for it as well. */
+export function streamOver(link: Link): Stream {
+  let closed = false;
+  function over(): void {
+    closed = true;
+    link.close();
+  }
+  return {
+    write: link.send,
+    read: async function read() {
+      if (closed) return Option.none;
+      const piece = await link.receive();
+      if (Option.isNone(piece)) closed = true;
+      return closed ? Option.none : Option.map(String)(piece);
+    },
+    close: over,
+    reset: over,
+    closed: () => closed,
+  };
+}
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -28,6 +28,10 @@
 export type PooledCore = {
   readonly name: string;
   readonly machine: string;
+  readonly area: string;
+  readonly host: string;
+  /** What its settings named when it last read them. */
+  seeds: readonly string[];
   disk: SimulatedDisk;
   process: Process | undefined;
   running: Core | undefined;
@@ -40,6 +44,8 @@
   agent: LesseeAgent | undefined;
   proxyProcess: Process | undefined;
   proxy: Pooler | undefined;
+  /** What its settings named when it last read them. */
+  seeds: readonly string[];
   /** Grows with every start: one life of its processes. */
   life: number;
 };
@@ -78,7 +84,14 @@
   outages?: readonly unknown[];
 }>;
 /** A version as sent; `acknowledgedAt` is infinite while nobody has acknowledged it. */
-export type PooledVersion = { readonly version: number; readonly sheet: PooledSheet; readonly sentAt: number; acknowledgedAt: number };
+export type PooledVersion = {
+  readonly version: number;
+  readonly sheet: PooledSheet;
+  readonly sentAt: number;
+  acknowledgedAt: number;
+  /** The status of a refusal. */
+  refused?: number;
+};
 
 export type PooledOptions = Readonly<{
   edges?: number;
@@ -91,12 +104,18 @@
   applyMilliseconds?: number;
 }>;
 
+/** Which share of the replies to operators is lost on the way. */
+export type OperatorTrouble = { lostShare: number };
+
 export type PooledFleet = Readonly<{
   world: World;
+  /** Those in use; a successor joins them, and whoever it replaces leaves. */
   cores: readonly PooledCore[];
   edges: readonly PooledEdge[];
   members: PooledMember[];
   platform: () => SessionPlatform;
+  platformProcess: () => Process;
+  operatorTrouble: OperatorTrouble;
   platformStore: SessionPlatformStore;
   ledger: SessionLedger;
   runs: SessionRun[];
@@ -106,6 +125,14 @@
   startAll: () => Promise<void>;
   startCore: (slot: PooledCore) => Promise<void>;
   stopCore: (slot: PooledCore) => void;
+  /** A machine that nobody has met, at another address, with an empty disk. */
+  addCore: (area: string) => PooledCore;
+  /** Takes a machine out of use for good; members and operators turn to the successor instead. */
+  removeCore: (slot: PooledCore, successor: PooledCore) => void;
+  coreAddress: (slot: PooledCore) => string;
+  /** Writes other seeds to the settings of all machines; a process knows them once it has read them. */
+  nameSeeds: (seeds: readonly string[]) => void;
+  readSettings: (slot: PooledCore | PooledEdge) => void;
   startEdge: (slot: PooledEdge) => Promise<void>;
   killEdge: (slot: PooledEdge) => void;
   /** SIGTERM to both of its processes; right once both have ended. */
@@ -211,13 +238,8 @@
 function create(seed: number, options: PooledOptions = {}): PooledFleet {
   const world = worlds.create(seed);
   const services = ['bookings', 'maps'].slice(0, options.services ?? 2);
-  const cores: readonly PooledCore[] = [1, 2, 3].map((index) => ({
-    name: `core-${index}`,
-    machine: `core-machine-${index}`,
-    disk: world.disk(),
-    process: undefined,
-    running: undefined,
-  }));
+  let coresEver = 0;
+  const cores: PooledCore[] = [1, 2, 3].map((index) => coreSlot(areas[index - 1] as string));
   const edges: readonly PooledEdge[] = Array.from({ length: options.edges ?? 3 }, (_, index) => ({
     name: `edge-${index + 1}`,
     machine: `edge-machine-${index + 1}`,
@@ -226,6 +248,7 @@
     agent: undefined,
     proxyProcess: undefined,
     proxy: undefined,
+    seeds: [],
     life: 0,
   }));
   const members: PooledMember[] = services.flatMap((service, serviceIndex) =>
@@ -240,6 +263,22 @@
   const chooser = world.spawn('chooser', 'chooser-machine').kernel;
   const platformAddress = '10.4.0.1:9000';
   let platformSlot: SessionPlatform | undefined;
+  let platformProcess: Process | undefined;
+  const operatorTrouble: OperatorTrouble = { lostShare: 0 };
+
+  function coreSlot(area: string): PooledCore {
+    coresEver += 1;
+    return {
+      name: `core-${coresEver}`,
+      machine: `core-machine-${coresEver}`,
+      area,
+      host: `10.1.0.${coresEver}`,
+      seeds: [],
+      disk: world.disk(),
+      process: undefined,
+      running: undefined,
+    };
+  }
 
   function memberSlot(service: string, serviceIndex: number, area: string, number: number): PooledMember {
     const host = `10.3.${serviceIndex}.${number}`;
@@ -258,8 +297,7 @@
   }
 
   function coreAddresses(slot: PooledCore): Readonly<{ address: string; outward: string; door: string }> {
-    const host = `10.1.0.${cores.indexOf(slot) + 1}`;
-    return { address: `${host}:7000`, outward: `${host}:7001`, door: `${host}:7002` };
+    return { address: `${slot.host}:7000`, outward: `${slot.host}:7001`, door: `${slot.host}:7002` };
   }
 
   function edgeAddresses(slot: PooledEdge): Readonly<{ feed: string; outward: string; senders: string }> {
@@ -267,22 +305,41 @@
     return { feed: `${host}:7000`, outward: `${host}:7001`, senders: `${host}:8000` };
   }
 
-  const seeds = cores.map((slot) => coreAddresses(slot).address);
+  const founders = cores.map((slot) => coreAddresses(slot).address);
+  /** Where members find cores: read anew at each beat. */
+  const doors = cores.map((slot) => coreAddresses(slot).door);
+  let namedSeeds: readonly string[] = founders;
   let first = true;
 
+  function readSettings(slot: PooledCore | PooledEdge): void {
+    slot.seeds = namedSeeds;
+  }
+
+  function addCore(area: string): PooledCore {
+    const slot = coreSlot(area);
+    cores.push(slot);
+    return slot;
+  }
+
+  function removeCore(slot: PooledCore, successor: PooledCore): void {
+    cores.splice(cores.indexOf(slot), 1);
+    doors[doors.indexOf(coreAddresses(slot).door)] = coreAddresses(successor).door;
+  }
+
   async function startCore(slot: PooledCore): Promise<void> {
     const spawned = world.spawn(slot.name, slot.machine, slot.disk);
     slot.process = spawned;
+    readSettings(slot);
     const { address, outward, door } = coreAddresses(slot);
-    const parts: CoreParts = { calls, probe: memberProbe(spawned.kernel), pages, door, founds: first, founders: seeds };
+    const parts: CoreParts = { calls, probe: memberProbe(spawned.kernel), pages, door, founds: first, founders };
     const started = await core.start(
       spawned.kernel,
       {
         node: slot.name,
-        area: areas[cores.indexOf(slot)] as string,
+        area: slot.area,
         address,
         outward,
-        seeds: () => seeds,
+        seeds: () => slot.seeds,
         platform: () => platformAddress,
         cores: 3,
       },
@@ -300,8 +357,9 @@
   async function startEdge(slot: PooledEdge): Promise<void> {
     const { feed, outward, senders: address } = edgeAddresses(slot);
     slot.life += 1;
+    readSettings(slot);
     slot.agentProcess = world.spawn(`${slot.name}/agent`, slot.machine);
-    slot.agent = await lesseeAgent.start(slot.agentProcess.kernel, { node: slot.name, area: slot.area, feed, seeds: () => seeds });
+    slot.agent = await lesseeAgent.start(slot.agentProcess.kernel, { node: slot.name, area: slot.area, feed, seeds: () => slot.seeds });
     slot.proxyProcess = world.spawn(`${slot.name}/proxy`, slot.machine);
     slot.proxy = await pooler.start(
       slot.proxyProcess.kernel,
@@ -340,7 +398,7 @@
         area: slot.area,
         address: slot.address,
         control: slot.control,
-        doors: cores.map((one) => coreAddresses(one).door),
+        doors,
         connectionLimit: options.connectionLimit ?? 60,
         slots: options.slots ?? 10,
         workMilliseconds: options.workMilliseconds ?? 8,
@@ -366,8 +424,9 @@
   }
 
   async function startAll(): Promise<void> {
+    platformProcess = world.spawn('platform', 'platform-machine');
     platformSlot = await sessionPlatform.start(
-      world.spawn('platform', 'platform-machine').kernel,
+      platformProcess.kernel,
       {
         address: platformAddress,
         promoteMilliseconds: 100,
@@ -447,16 +506,25 @@
     );
   }
 
+  /** The reply as the operator hears it: one that is lost on the way is silence. */
+  function arrived(reply: HttpReply): HttpReply {
+    const lost = operatorTrouble.lostShare > 0 && world.fraction() < operatorTrouble.lostShare;
+    return lost ? { status: 0, body: {} } : reply;
+  }
+
   async function configure(version: number, sheet: PooledSheet, coreIndex: number): Promise<boolean> {
     const sent: PooledVersion = { version, sheet, sentAt: operator.clock.now(), acknowledgedAt: Number.POSITIVE_INFINITY };
     versions.push(sent);
     for (let shot = 0; shot < operatorShots; shot += 1) {
-      const reply = await call((coreIndex + shot) % cores.length, '/configuration', { version, sheet });
+      const reply = arrived(await call((coreIndex + shot) % cores.length, '/configuration', { version, sheet }));
       if (reply.status === 200) {
         sent.acknowledgedAt = operator.clock.now();
         return true;
       }
-      if (reply.status >= 400 && reply.status < 500) return false;
+      if (reply.status >= 400 && reply.status < 500) {
+        sent.refused = reply.status;
+        return false;
+      }
       await operator.clock.sleep(operatorPauseMilliseconds);
     }
     return false;
@@ -571,6 +639,8 @@
     edges,
     members,
     platform: () => platformSlot as SessionPlatform,
+    platformProcess: () => platformProcess as Process,
+    operatorTrouble,
     platformStore,
     ledger,
     runs,
@@ -580,6 +650,13 @@
     startAll,
     startCore,
     stopCore,
+    addCore,
+    removeCore,
+    coreAddress: (slot) => coreAddresses(slot).address,
+    nameSeeds: function nameSeeds(seeds) {
+      namedSeeds = seeds;
+    },
+    readSettings,
     startEdge,
     killEdge,
     drainEdge,
--- /dev/null
+++ b/packages/simulator/src/pooled-orders.ts
@@ -0,0 +1,54 @@
+// What must hold of operators' orders, judged by their answers and by what is read back (design 10.4.1).
+import * as Option from 'fp-ts/lib/Option.js';
+import type { Violation } from './checks.js';
+import type { PooledStorm } from './faults/common.js';
+import type { PooledFleet, PooledVersion } from './pooled-fleet.js';
+
+function sameNumber(fleet: PooledFleet, sent: PooledVersion): readonly PooledVersion[] {
+  return fleet.versions.filter((one) => one.version === sent.version);
+}
+
+/** A valid order is acknowledged or left without a clear answer, never refused, unless another text holds its number. */
+function refused(fleet: PooledFleet): readonly Violation[] {
+  return fleet.versions
+    .filter((sent) => sent.refused !== undefined && sameNumber(fleet, sent).length === 1)
+    .map((sent) => ({ check: 'order-refused', detail: `version ${sent.version} is valid and was refused with ${sent.refused}` }));
+}
+
+/** What is invalid is never acknowledged. */
+function invalidAcknowledged(storm: PooledStorm): readonly Violation[] {
+  return storm.invalidOrders
+    .filter((order) => order.status === 200)
+    .map((order) => ({ check: 'order-invalid', detail: `an order (${order.variant}) was acknowledged at ${Math.round(order.at)}` }));
+}
+
+function readBackOf(fleet: PooledFleet, core: string, read: Readonly<{ version: number; sheet: unknown }>): readonly Violation[] {
+  const acknowledged = Math.max(...fleet.versions.filter((sent) => Number.isFinite(sent.acknowledgedAt)).map((sent) => sent.version));
+  const texts = fleet.versions.filter((sent) => sent.version === read.version).map((sent) => JSON.stringify(sent.sheet));
+  return [
+    ...(read.version < acknowledged
+      ? [{ check: 'read-back', detail: `${core} reads ${read.version} back, ${acknowledged} was acknowledged` }]
+      : []),
+    ...(texts.includes(JSON.stringify(read.sheet))
+      ? []
+      : [{ check: 'read-back', detail: `${core} reads ${read.version} back otherwise than it was sent` }]),
+  ];
+}
+
+/** Each core reads back the newest acknowledged configuration, or a newer one, as it was sent; and all read the same. */
+async function readBack(fleet: PooledFleet): Promise<readonly Violation[]> {
+  const found: Violation[] = [];
+  const texts = new Set<string>();
+  for (const [index, slot] of fleet.cores.entries()) {
+    const read = await fleet.drive(fleet.readBack(index));
+    if (Option.isNone(read)) found.push({ check: 'read-back', detail: `${slot.name} reads nothing back` });
+    else {
+      texts.add(JSON.stringify(read.value));
+      found.push(...readBackOf(fleet, slot.name, read.value));
+    }
+  }
+  if (texts.size > 1) found.push({ check: 'read-back', detail: `cores read ${texts.size} different configurations back` });
+  return found;
+}
+
+export const pooledOrders = { refused, invalidAcknowledged, readBack } as const;
--- a/packages/simulator/src/pooled-seeds.ts
+++ b/packages/simulator/src/pooled-seeds.ts
@@ -1,4 +1,4 @@
-// Seeded runs of the pooled mode from the command line: `pooled-seeds.js [first] [count] [--trace] [--only=fault,fault] [--workers=N]`.
+// Seeded runs of the pooled mode from the command line: `pooled-seeds.js [first] [count] [--trace] [--long] [--only=fault,fault] [--workers=N]`.
 import { Worker, isMainThread, parentPort, workerData } from 'node:worker_threads';
 import { fileURLToPath } from 'node:url';
 import { pooledStorm, type PooledResult, type PooledStormOptions } from './pooled-storm.js';
@@ -19,6 +19,12 @@
   console.log(`  replay: npm run pooled-seeds -- ${result.seed} 1 --trace`);
 }
 
+/** A run of enough seeds must have had every fault; one that is drawn from some, or is short, need not. */
+function neverStruck(results: readonly PooledResult[], options: PooledStormOptions): readonly string[] {
+  if (options.only !== undefined || results.length < pooledStorm.seedsForAll) return [];
+  return pooledStorm.faults.filter((name) => results.every((result) => (result.struck[name] ?? 0) === 0));
+}
+
 async function work(seeds: readonly number[], options: PooledStormOptions, done: (result: PooledResult) => void): Promise<void> {
   for (const seed of seeds) {
     try {
@@ -28,6 +34,7 @@
         seed,
         violations: [{ check: 'run-broke', detail: (error as Error).stack ?? '' }],
         faults: [],
+        struck: {},
         served: 0,
         outcomes: {},
         promotions: 0,
@@ -46,6 +53,7 @@
   const only = wish('only')?.split(',');
   const options: PooledStormOptions = {
     trace: words.includes('--trace'),
+    long: words.includes('--long'),
     ...(only === undefined ? {} : { only }),
     ...(wish('faults') === undefined ? {} : { faults: Number(wish('faults')) }),
   };
@@ -76,13 +84,15 @@
       ),
     );
   }
+  const missing = neverStruck(results, options);
   const bad = results
     .filter((result) => result.violations.length > 0)
     .map((result) => result.seed)
     .sort((left, right) => left - right);
   console.log(`pooled-seeded-run: ${results.length - bad.length} passed, ${bad.length + count - results.length} failed`);
   if (bad.length > 0) console.log(`failed seeds: ${bad.join(' ')}`);
-  if (results.length !== count || bad.length > 0) process.exitCode = 1;
+  if (missing.length > 0) console.log(`faults that never took place: ${missing.join(' ')}`);
+  if (results.length !== count || bad.length > 0 || missing.length > 0) process.exitCode = 1;
 }
 
 if (isMainThread) await main();
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -1,14 +1,19 @@
 // One seeded run of the pooled mode: a load of sessions, failures mixed from the seed, and every checker at the end (design 10.4).
 import * as Option from 'fp-ts/lib/Option.js';
+import { pooledAvailability, type AvailabilityWatch } from './pooled-availability.js';
 import { pooledChecks } from './pooled-checks.js';
-import { pooledFaults, type PooledStorm } from './pooled-faults.js';
+import { closings, pooledClosing } from './pooled-closing.js';
+import { pooledFaults, type PooledFault, type PooledStorm } from './pooled-faults.js';
 import { pooledFleet, type PooledFleet } from './pooled-fleet.js';
+import { pooledOrders } from './pooled-orders.js';
 import type { Violation } from './checks.js';
 
 export type PooledResult = Readonly<{
   seed: number;
   violations: readonly Violation[];
   faults: readonly string[];
+  /** How often each fault took place. */
+  struck: Readonly<Record<string, number>>;
   served: number;
   outcomes: Readonly<Record<string, number>>;
   promotions: number;
@@ -21,6 +26,8 @@
   faults?: number;
   only?: readonly string[];
   trace?: boolean;
+  /** A night's day: longer, with many more faults. */
+  long?: boolean;
   sessions?: number;
 }>;
 
@@ -29,23 +36,15 @@
 const leastServedShare = 0.9;
 const lookMilliseconds = 50;
 const thinkMilliseconds = 500;
-
-async function readBack(fleet: PooledFleet): Promise<readonly Violation[]> {
-  const acknowledged = Math.max(...fleet.versions.filter((sent) => Number.isFinite(sent.acknowledgedAt)).map((sent) => sent.version));
-  const found: Violation[] = [];
-  for (const index of fleet.cores.keys()) {
-    const read = await fleet.drive(fleet.readBack(index));
-    if (Option.isNone(read)) found.push({ check: 'read-back', detail: `core ${index + 1} reads nothing back` });
-    else {
-      const sent = fleet.versions.find((one) => Option.isSome(read) && one.version === read.value.version);
-      if (read.value.version < acknowledged)
-        found.push({ check: 'read-back', detail: `core ${index + 1} reads ${read.value.version} back, ${acknowledged} was acknowledged` });
-      if (JSON.stringify(sent?.sheet) !== JSON.stringify(read.value.sheet))
-        found.push({ check: 'read-back', detail: `core ${index + 1} reads ${read.value.version} back otherwise than it was sent` });
-    }
-  }
-  return found;
-}
+const dayMilliseconds = 30_000;
+const longMilliseconds = 120_000;
+const longFaultsLeast = 8;
+const longFaultsSpread = 20;
+/** Faults by turn strike early enough to take place also where they wait for others. */
+const latestByTurn = [6_000, 10_000, 16_000];
+const faultsByTurn = latestByTurn.length;
+/** So many seeds in a row have had each of them by turn. */
+const seedsForAll = Math.ceil(pooledFaults.every.length / faultsByTurn);
 
 function outcomes(fleet: PooledFleet): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
@@ -67,15 +66,32 @@
   return counts;
 }
 
-async function run(seed: number, options: PooledStormOptions = {}): Promise<PooledResult> {
-  const fleet = pooledFleet.create(seed, { synchronous: seed % 4 === 0 ? 1 : 0 });
-  const storm: PooledStorm = {
-    told: [],
-    troubles: [],
-    lives: fleet.edges.map((slot) => ({ edge: slot.name, life: 1, from: 0 })),
-    ends: [],
-    drains: [],
-  };
+/** The faults of a day: three by turn from seed to seed, so that a run of many seeds has each of them, and the rest drawn. */
+function drawFaults(fleet: PooledFleet, seed: number, options: PooledStormOptions): readonly PooledFault[] {
+  const { every } = pooledFaults;
+  const count = options.faults ?? (options.long === true ? longFaultsLeast + Math.floor(fleet.world.fraction() * longFaultsSpread) : 6);
+  const drawn = every.filter((fault) => options.only === undefined || options.only.includes(fault.name));
+  const chosen: PooledFault[] = [];
+  if (options.only === undefined)
+    for (let turn = 0; turn < faultsByTurn; turn += 1) chosen.push(every[(seed - 1 + turn * seedsForAll) % every.length] as PooledFault);
+  // On one day in five the same fault strikes again.
+  if (seed % 5 === 0 && chosen[0] !== undefined) chosen.push(chosen[0]);
+  while (chosen.length < count) chosen.push(pooledFaults.pick(fleet, drawn));
+  return chosen.slice(0, count);
+}
+
+function schedule(fleet: PooledFleet, storm: PooledStorm, faults: readonly PooledFault[], milliseconds: number, byTurn: boolean): void {
+  let together = 0;
+  for (const [index, fault] of faults.entries()) {
+    const latest = byTurn && index < faultsByTurn ? (latestByTurn[index] as number) : milliseconds - 4_000;
+    // One in four strikes at the very moment of the one before it.
+    if (index < faultsByTurn || fleet.world.fraction() > 0.25) together = pooledFaults.between(fleet, 3_000, latest);
+    fleet.world.at(together, () => void pooledFaults.strike(fleet, storm, fault));
+  }
+}
+
+/** Until the first configuration is in force everywhere. */
+async function begin(fleet: PooledFleet): Promise<readonly Violation[]> {
   const violations: Violation[] = [];
   await fleet.startAll();
   if (!(await fleet.drive(fleet.configure(3, fleet.firstSheet(), 0))))
@@ -83,20 +99,11 @@
   if (!(await fleet.until(() => fleet.edges.every((slot) => slot.proxy?.ready() === true), 20_000)))
     violations.push({ check: 'run-broke', detail: 'the edges were never ready' });
   await fleet.world.run(1_500);
-  const startedAt = fleet.world.now();
-  const senders = fleet.startSenders(options.sessions ?? 50, thinkMilliseconds);
-  const milliseconds = options.milliseconds ?? 30_000;
-  const drawn = pooledFaults.every.filter((fault) => options.only === undefined || options.only.includes(fault.name));
-  let together = 0;
-  for (let index = 0; index < (options.faults ?? 6); index += 1) {
-    const chosen = pooledFaults.pick(fleet, drawn);
-    // One in four strikes at the very moment of the one before it.
-    if (index === 0 || fleet.world.fraction() > 0.25) together = pooledFaults.between(fleet, 3_000, milliseconds - 4_000);
-    fleet.world.at(together, function strike() {
-      storm.told.push(`${Math.round(fleet.world.now())} ${chosen.name}`);
-      void chosen.run(fleet, storm);
-    });
-  }
+  return violations;
+}
+
+/** Notes members that drain, until it is stopped. */
+function lookForDrains(fleet: PooledFleet, storm: PooledStorm): () => void {
   let looking = true;
   function look(): void {
     if (!looking) return;
@@ -104,24 +111,24 @@
     fleet.world.at(lookMilliseconds, look);
   }
   look();
-  await fleet.world.run(milliseconds);
-  await pooledFaults.restore(fleet, storm);
-  storm.troubles.push({ who: 'all', from: fleet.world.now() - lookMilliseconds, to: fleet.world.now() });
-  const backAt = fleet.world.now();
-  await fleet.world.run(settleMilliseconds);
-  senders.stop();
-  const until = fleet.world.now();
-  await fleet.world.run(4_000);
-  looking = false;
+  return function stop() {
+    looking = false;
+  };
+}
+
+type Spans = Readonly<{ startedAt: number; faultsEndAt: number; backAt: number; until: number }>;
+type Judged = Readonly<{ violations: readonly Violation[]; judged: PooledResult['judged'] }>;
+
+async function judge(fleet: PooledFleet, storm: PooledStorm, spans: Spans, available: AvailabilityWatch): Promise<Judged> {
   const read = pooledChecks.read(fleet, storm.troubles);
   const stale = pooledChecks.stale(read);
   const configuration = pooledChecks.configuration(read, storm.lives);
   const draining = pooledChecks.draining(read, storm.drains);
-  const usage = pooledChecks.usage(read, startedAt, until);
+  const usage = pooledChecks.usage(read, spans.startedAt, spans.until);
   const ends = pooledChecks.plannedEnds(read, storm.ends);
-  const recovered = pooledChecks.served(fleet, backAt + recoveryMilliseconds, until - 3_000);
-  const processes = [...fleet.cores.map((slot) => slot.process), ...fleet.edges.flatMap((slot) => [slot.agentProcess, slot.proxyProcess])];
-  violations.push(
+  const served = pooledAvailability.served(fleet, storm, spans.startedAt, spans.faultsEndAt);
+  const recovered = pooledChecks.served(fleet, spans.backAt + recoveryMilliseconds, spans.until - 3_000);
+  const violations = [
     ...pooledChecks.stamps(read),
     ...pooledChecks.statements(read),
     ...pooledChecks.wellAsked(read),
@@ -133,26 +140,21 @@
     ...pooledChecks.duties(fleet.platformStore.calls),
     ...usage.found,
     ...ends.found,
-    ...(await readBack(fleet)),
+    ...available.found(),
+    ...served.found,
+    ...pooledOrders.refused(fleet),
+    ...pooledOrders.invalidAcknowledged(storm),
+    ...(await pooledOrders.readBack(fleet)),
     ...(recovered.served < recovered.asked * leastServedShare || recovered.asked === 0
       ? [{ check: 'recovery', detail: `${recovered.served} of ${recovered.asked} tries were served after everything was back` }]
       : []),
-    ...processes.flatMap((process) =>
-      process !== undefined && Option.isSome(process.stoppedBy())
-        ? [{ check: 'process-ended', detail: `${process.name} ended by itself` }]
-        : [],
-    ),
-  );
-  if (options.trace === true)
-    for (const line of fleet.world.logs) console.log(line.at.toFixed(1), line.process, line.event, JSON.stringify(line.fields));
-  const told = outcomes(fleet);
+    ...fleet.world.ended.map(({ process, at, reason }) => ({
+      check: 'process-ended',
+      detail: `${process} ended by itself at ${Math.round(at)}: ${reason.message}`,
+    })),
+  ];
   return {
-    seed,
     violations,
-    faults: storm.told,
-    served: told['served'] ?? 0,
-    outcomes: told,
-    promotions: fleet.platformStore.calls.filter((call) => call.duty === 'promotion' && call.accepted).length,
     judged: {
       tries: fleet.ledger.tries.length,
       runs: fleet.runs.length,
@@ -161,8 +163,52 @@
       draining: draining.judged,
       windows: usage.judged,
       ends: ends.judged,
+      available: available.judged(),
+      served: served.judged,
+      invalid: storm.invalidOrders.length,
     },
   };
 }
 
-export const pooledStorm = { run, faults: pooledFaults.every.map((fault) => fault.name) } as const;
+async function run(seed: number, options: PooledStormOptions = {}): Promise<PooledResult> {
+  const fleet = pooledFleet.create(seed, { synchronous: seed % 4 === 0 ? 1 : 0 });
+  const storm = pooledFaults.create(fleet);
+  const violations = [...(await begin(fleet))];
+  const startedAt = fleet.world.now();
+  const senders = fleet.startSenders(options.sessions ?? 50, thinkMilliseconds);
+  const milliseconds = options.milliseconds ?? (options.long === true ? longMilliseconds : dayMilliseconds);
+  schedule(fleet, storm, drawFaults(fleet, seed, options), milliseconds, options.only === undefined);
+  const stopLooking = lookForDrains(fleet, storm);
+  const available = pooledAvailability.watch(fleet, storm);
+  await fleet.world.run(milliseconds);
+  available.stop();
+  const faultsEndAt = fleet.world.now();
+  await pooledFaults.restore(fleet, storm);
+  storm.troubles.push({ who: 'all', from: fleet.world.now() - lookMilliseconds, to: fleet.world.now() });
+  if (!(await pooledClosing.run(fleet, storm, seed)))
+    violations.push({ check: 'order-lost', detail: 'the order before the closing fault was not acknowledged' });
+  const backAt = fleet.world.now();
+  await fleet.world.run(settleMilliseconds);
+  senders.stop();
+  const until = fleet.world.now();
+  await fleet.world.run(4_000);
+  stopLooking();
+  const judgement = await judge(fleet, storm, { startedAt, faultsEndAt, backAt, until }, available);
+  if (options.trace === true)
+    for (const line of fleet.world.logs) console.log(line.at.toFixed(1), line.process, line.event, JSON.stringify(line.fields));
+  const told = outcomes(fleet);
+  return {
+    seed,
+    violations: [...violations, ...judgement.violations],
+    faults: storm.told,
+    struck: Object.fromEntries(storm.struck),
+    served: told['served'] ?? 0,
+    outcomes: told,
+    promotions: fleet.platformStore.calls.filter((call) => call.duty === 'promotion' && call.accepted).length,
+    judged: judgement.judged,
+  };
+}
+
+/** Every fault that a run of many seeds must have had. */
+const faults: readonly string[] = [...pooledFaults.every, ...closings].map((fault) => fault.name);
+export const pooledStorm = { run, faults, seedsForAll } as const;
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -24,8 +24,10 @@
   type Stream,
 } from '@stallstall/kernel';
 import { generator, queue } from './event-queue.js';
+import { copied, streamOver } from './frames.js';
 
-export type DiskTrouble = { failing: boolean; slowMilliseconds: number };
+/** `full`: each put fails for want of room. `hanging`: nothing is read or written until it is over. */
+export type DiskTrouble = { failing: boolean; full: boolean; hanging: boolean; slowMilliseconds: number };
 export type SimulatedDisk = { readonly entries: Map<string, string>; readonly trouble: DiskTrouble };
 
 export type Process = Readonly<{
@@ -50,8 +52,13 @@
   readonly closers: Set<() => void>;
   /** Puts under way: whether one stands when its process is killed, only the disk knows. */
   readonly puts: Set<() => void>;
+  /** One for each connection that stands: breaks it at both ends. */
+  readonly resets: Set<() => void>;
 };
 
+/** A process that ended by itself. */
+export type EndedProcess = Readonly<{ process: string; at: number; reason: Fault }>;
+
 export type LogLine = Readonly<{ at: number; process: string; event: string; fields: LogFields }>;
 
 export type World = Readonly<{
@@ -65,6 +72,8 @@
   /** The machine from which an HTTP connection came. */
   machineOf: (connection: string) => string;
   freeze: (process: Process, milliseconds: number) => void;
+  /** Breaks a share of the connections of a process at both ends; how many. */
+  resetConnections: (process: Process, share: number) => number;
   /** Sets the wall clock of a process on, or back. */
   stepWall: (process: Process, milliseconds: number) => void;
   frozen: (process: Process) => boolean;
@@ -78,6 +87,8 @@
   run: (milliseconds: number) => Promise<void>;
   at: (milliseconds: number, action: () => void) => void;
   logs: LogLine[];
+  /** Processes that ended by themselves. */
+  ended: readonly EndedProcess[];
   events: () => number;
   /** Frames and bytes that each process has sent over links between nodes. */
   sent: ReadonlyMap<string, Readonly<{ frames: number; bytes: number }>>;
@@ -93,16 +104,8 @@
 const leastLatency = 0.2;
 const latencySpread = 0.8;
 const connectMilliseconds = 3_000;
-
-/** What JSON would make of a value, without the text between; nobody shares what was sent. */
-function copied(value: unknown): unknown {
-  if (typeof value === 'number') return Number.isFinite(value) ? value : null;
-  if (typeof value !== 'object' || value === null) return value;
-  if (Array.isArray(value)) return value.map((item) => copied(item) ?? null);
-  const result: Record<string, unknown> = {};
-  for (const [name, inner] of Object.entries(value)) if (inner !== undefined && typeof inner !== 'function') result[name] = copied(inner);
-  return result;
-}
+/** How often an access to a hanging disk looks whether it is over. */
+const hangingLookMilliseconds = 20;
 
 function create(seed: number, weighing = false): World {
   const random = generator(seed);
@@ -113,6 +116,7 @@
   const origins = new Map<string, string>();
   const dark = new Map<string, Body[]>();
   const logs: LogLine[] = [];
+  const ended: EndedProcess[] = [];
   const sent = new Map<string, Readonly<{ frames: number; bytes: number }>>();
   let now = 0;
   let order = 0;
@@ -264,11 +268,21 @@
         },
         () => hangUp(back, near),
       );
-      function hangUp(put: (action: () => void) => void, other: End): void {
+      function forget(): void {
         body.closers.delete(nearGone);
         listener?.body.closers.delete(farGone);
+        body.resets.delete(reset);
+        listener?.body.resets.delete(reset);
+      }
+      function hangUp(put: (action: () => void) => void, other: End): void {
+        forget();
         put(other.broken);
       }
+      function reset(): void {
+        forget();
+        inside(body, near.broken);
+        if (listener !== undefined) inside(listener.body, far.broken);
+      }
       function nearGone(): void {
         there(far.broken);
       }
@@ -278,6 +292,8 @@
       there(() => {
         listener.body.closers.add(farGone);
         body.closers.add(nearGone);
+        listener.body.resets.add(reset);
+        body.resets.add(reset);
         listener.greet(far.link);
         // Whoever has given up meanwhile says so: nothing stays half open.
         back(() => (settled ? near.link.close() : settle(Either.right(near.link))));
@@ -291,26 +307,6 @@
     return `stream ${address}`;
   }
 
-  function streamOver(link: Link): Stream {
-    let closed = false;
-    function over(): void {
-      closed = true;
-      link.close();
-    }
-    return {
-      write: link.send,
-      read: async function read() {
-        if (closed) return Option.none;
-        const piece = await link.receive();
-        if (Option.isNone(piece)) closed = true;
-        return closed ? Option.none : Option.map(String)(piece);
-      },
-      close: over,
-      reset: over,
-      closed: () => closed,
-    };
-  }
-
   async function openStream(body: Body, address: string, milliseconds: number): Promise<Either.Either<Fault, Stream>> {
     const listener = listeners.get(streamKey(address));
     const late = new Promise<Either.Either<Fault, Link>>((resolve) => {
@@ -373,9 +369,26 @@
       const server = peerServer;
       if (peerBody === undefined || server === undefined) return;
       peerBody.closers.delete(farGone);
+      forgetReset();
       carry(body, peerBody, latency(), () => server.connectionClosed?.(id));
     }
 
+    function forgetReset(): void {
+      body.resets.delete(reset);
+      peerBody?.resets.delete(reset);
+    }
+
+    function reset(): void {
+      if (closed || peerBody === undefined) return;
+      closed = true;
+      forgetReset();
+      peerBody.closers.delete(farGone);
+      body.closers.delete(tellClosed);
+      const server = peerServer;
+      inside(peerBody, () => server?.connectionClosed?.(id));
+      inside(body, () => pending?.(Either.left(lostFault('reply-lost'))));
+    }
+
     function close(): void {
       if (closed) return;
       closed = true;
@@ -405,6 +418,8 @@
           peerServer = found.server;
           found.body.closers.add(farGone);
           body.closers.add(tellClosed);
+          found.body.resets.add(reset);
+          body.resets.add(reset);
           carry(found.body, body, latency(), () => resolve(true));
         });
       });
@@ -517,28 +532,39 @@
       };
     }
 
+    /** What a read gives, once the disk answers. */
+    function answered<Result>(kept: SimulatedDisk, result: () => Result): Promise<Result> {
+      if (!kept.trouble.hanging) return Promise.resolve(result());
+      return new Promise((resolve) => at(hangingLookMilliseconds, () => inside(body, () => resolve(answered(kept, result)))));
+    }
+
+    function pageOf(kept: SimulatedDisk, prefix: string, after: string, bytes: number): ReadonlyArray<readonly [string, unknown]> {
+      const found: Array<readonly [string, unknown]> = [];
+      let left = bytes;
+      for (const key of [...kept.entries.keys()].filter((one) => one.startsWith(prefix) && one > after).sort()) {
+        if (left <= 0) break;
+        const text = kept.entries.get(key) as string;
+        found.push([key, JSON.parse(text)]);
+        left -= text.length;
+      }
+      return found;
+    }
+
     const stored: Option.Option<Disk> = Option.map((kept: SimulatedDisk): Disk => ({
       puts: () => Number(kept.entries.get(putsKey) ?? 0),
       load: (without) =>
-        Promise.resolve(
-          new Map(
-            [...kept.entries]
-              .filter(([key]) => key !== putsKey && !key.startsWith(without))
-              .map(([key, value]) => [key, JSON.parse(value) as unknown]),
-          ),
+        answered(
+          kept,
+          () =>
+            new Map(
+              [...kept.entries]
+                .filter(([key]) => key !== putsKey && !key.startsWith(without))
+                .map(([key, value]) => [key, JSON.parse(value) as unknown]),
+            ),
         ),
-      read: (key) => Promise.resolve(Option.map((text: string) => JSON.parse(text) as unknown)(Option.fromNullable(kept.entries.get(key)))),
-      page: function page(prefix, after, bytes) {
-        const found: Array<readonly [string, unknown]> = [];
-        let left = bytes;
-        for (const key of [...kept.entries.keys()].filter((one) => one.startsWith(prefix) && one > after).sort()) {
-          if (left <= 0) break;
-          const text = kept.entries.get(key) as string;
-          found.push([key, JSON.parse(text)]);
-          left -= text.length;
-        }
-        return Promise.resolve(found);
-      },
+      read: (key) =>
+        answered(kept, () => Option.map((text: string) => JSON.parse(text) as unknown)(Option.fromNullable(kept.entries.get(key)))),
+      page: (prefix, after, bytes) => answered(kept, () => pageOf(kept, prefix, after, bytes)),
       size: () => [...kept.entries].reduce((sum, [key, value]) => sum + key.length + value.length, 0),
       put: (key: string, value: unknown) =>
         new Promise<Either.Either<Fault, null>>((resolve) => {
@@ -548,16 +574,22 @@
             kept.entries.set(putsKey, String(Number(kept.entries.get(putsKey) ?? 0) + 1));
           }
           body.puts.add(write);
-          at(0.5 + random() * 2 + kept.trouble.slowMilliseconds, () => {
+          function written(): void {
             if (!body.alive) return;
+            if (kept.trouble.hanging) {
+              at(hangingLookMilliseconds, written);
+              return;
+            }
             body.puts.delete(write);
-            if (kept.trouble.failing) {
-              inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error('the disk is set to fail')))));
+            if (kept.trouble.failing || kept.trouble.full) {
+              const reason = kept.trouble.full ? 'no space left on device' : 'the disk is set to fail';
+              inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error(reason)))));
               return;
             }
             write();
             inside(body, () => resolve(Either.right(null)));
-          });
+          }
+          at(0.5 + random() * 2 + kept.trouble.slowMilliseconds, written);
         }),
     }))(Option.fromNullable(disk));
 
@@ -595,6 +627,7 @@
       services: kernels.directory(),
       stop: function stop(reason) {
         body.stoppedBy = Option.some(reason);
+        if (body.alive) ended.push({ process: body.name, at: now, reason });
         die(body);
       },
     };
@@ -607,6 +640,7 @@
     body.alive = false;
     for (const close of body.closers) close();
     body.closers.clear();
+    body.resets.clear();
     endPuts(body);
   }
 
@@ -648,6 +682,7 @@
       stoppedBy: Option.none,
       closers: new Set(),
       puts: new Set(),
+      resets: new Set(),
     };
     const process: Process = {
       name,
@@ -708,6 +743,11 @@
       const body = bodies.get(process) as Body;
       body.frozenUntil = Math.max(body.frozenUntil, now + milliseconds);
     },
+    resetConnections: function resetConnections(process, share) {
+      const chosen = [...(bodies.get(process) as Body).resets].filter(() => random() < share);
+      for (const reset of chosen) reset();
+      return chosen.length;
+    },
     stepWall: function stepWall(process, milliseconds) {
       (bodies.get(process) as Body).wallOffset += milliseconds;
     },
@@ -724,10 +764,11 @@
     healAll: function healAll() {
       for (const way of [...cuts.keys()]) healWay(way);
     },
-    disk: () => ({ entries: new Map(), trouble: { failing: false, slowMilliseconds: 0 } }),
+    disk: () => ({ entries: new Map(), trouble: { failing: false, full: false, hanging: false, slowMilliseconds: 0 } }),
     run,
     at,
     logs,
+    ended,
     sent,
     events: () => count,
   };
