--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -15,7 +15,7 @@
 const copies = 'pooler/build/copies.js';
 const outageCopies = 'pooler/build/outage-copies.js';
 const lag = ['replica-deaf', 'replica-crashed'];
-const orders = ['orders-raced', 'orders-resent', 'order-numbers-reused', 'acknowledgements-lost', 'orders-raced-in-trouble'];
+const orders = ['orders-raced-on-one-number', 'orders-resent', 'order-numbers-reused', 'acknowledgements-lost', 'orders-raced-in-trouble'];
 const sends = ['configuration-changed', 'key-withdrawn'];
 const mutations = [
   {
