A full or hanging disk ends no process; a folder that is half there is healed by copying

With disk_full on one core the core ended by itself. lmdb tells the cause of a failed commit by a second promise that nobody took, and its own batches drop the promises of their commits: both rejections are unhandled and end the process.

Commits go through one place (machine/commits): puts share a commit, one is in flight, both promises are taken, a few bytes are written and free space is looked at before each. Trouble is a state that the acceptor, the notes and the votes ask before they take anything up; it is logged once for each change and stands in liveness as disk-syncs. The disk is tried every 250 ms and the core goes on by itself. A start on a full disk waits. The store is made whole under another name and gets its own by a rename, the folder is synced, and what a loss of power left half there is moved aside for an empty store, whose core copies the others and founds nothing (design 4.3, 5.1).

Ruled out: awaiting the put inside the transaction (it is no promise of its own there; the rejections are lmdb's); trying a full disk by commits of lmdb (the heap); a map that is written (a full disk is then a SIGBUS); counting pages against the file's length as a proof of damage (lmdb may leave free pages at the end unwritten).

The story "A damaged disk is refused with the remedy, or read as it was" asked for a refusal where healing is asked for now. The one in its place is as strict: each of 40 starts opens within 10 s, or is refused for another node or a later version alone.

--- a/packages/bench/src/hollow/child.ts
+++ b/packages/bench/src/hollow/child.ts
@@ -43,7 +43,7 @@
 
 async function playCore(kernel: (disk: Kernel['disk']) => Kernel, role: Extract<HollowRole, { role: 'core' }>): Promise<Playing> {
   const { disk } = await import('@stallstall/machine/disk');
-  const opened = disk.open(role.data);
+  const opened = await disk.open(role.data);
   if (Either.isLeft(opened)) throw opened.left;
   const own = kernel(Option.some(opened.right));
   const probes = prober.create(own, plainDialect, '-');
--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -37,6 +37,8 @@
   rootKey: string | undefined;
   ready: () => boolean;
   diskBytes: () => number;
+  /** Why this core's disk does not sync now; none while it does. */
+  diskTrouble: () => Option.Option<Fault>;
   versionOf: (key: string) => number;
   changeMembership: (next: (table: Membership) => Membership) => Promise<Either.Either<Fault, Membership>>;
   /** What each node that holds a link to this core has acknowledged to obey. */
@@ -575,6 +577,15 @@
           .filter((one) => !one.sent && (one.window + 1) * usageWindowMilliseconds + usageLateMilliseconds < kernel.clock.wall())
           .map((one) => one.window)
       : [];
+    function syncing(): Readonly<{ check: string; sound: boolean; detail: string; remedy: string }> {
+      const trouble = parts.diskTrouble();
+      return {
+        check: 'disk-syncs',
+        sound: Option.isNone(trouble),
+        detail: Option.isSome(trouble) ? trouble.value.message : 'what is put on the disk is synced',
+        remedy: 'make room, or mend the disk: this core answers no ballot until then, and goes on by itself after it',
+      };
+    }
     const checks = [
       {
         check: 'cores',
@@ -606,6 +617,7 @@
         detail: unsent.length === 0 ? 'sent in time' : `late windows: ${unsent.join(' ')}`,
         remedy: 'see whether the platform answers',
       },
+      syncing(),
       {
         check: 'disk',
         sound: parts.diskBytes() < diskBytesMost,
--- a/packages/core/src/data-folder.ts
+++ b/packages/core/src/data-folder.ts
@@ -1,9 +1,11 @@
 // What lies in a core's data folder, and what a core says of a folder that it cannot use (design 4.3, 4.6).
+import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { Type } from '@sinclair/typebox';
-import { fault, type Fault } from '@stallstall/kernel';
-import { message, SeatSchema } from '@stallstall/message';
-import { acceptor } from '@stallstall/register';
+import { fault, type Disk, type Fault, type Kernel } from '@stallstall/kernel';
+import { message, messages, SeatSchema } from '@stallstall/message';
+import { acceptor, coldPrefix, notesPrefix, registerPrefix } from '@stallstall/register';
+import { VoteSchema, votesPrefix } from './votes.js';
 
 /** Of what lies in a data folder. 1: the sheet's history inside its cell, no notes; 2: an archive and notes (design 4.6). */
 export const diskFormat = 2;
@@ -19,50 +21,68 @@
   epochs: Type.Optional(Type.Record(Type.String(), Type.Integer({ minimum: 0 }))),
 });
 
+/** A disk that takes no bytes as its store is given up is tried again after so long. */
+const discardMilliseconds = 500;
+
 /** The roster's entry in the folder: it saves time after a restart, and nothing leans on it. */
 export const rosterKey = 'roster';
 
-/** Why this folder cannot be used by this node; none when it can. */
-export function diskFault(stored: ReadonlyMap<string, unknown>, node: string): Option.Option<Fault> {
+/** Whether a folder can be used by this node: as it is, not at all, or only as that of a core that lost its disk (design 4.3). */
+type FolderState =
+  | Readonly<{ kind: 'sound' }>
+  | Readonly<{ kind: 'refused'; reason: Fault }>
+  /** What is stored is half there, or cannot be read. */
+  | Readonly<{ kind: 'broken'; reason: string }>;
+
+const sound: FolderState = { kind: 'sound' };
+
+/** A folder of another node or of a later version is an operator's mistake, and stays as it is. */
+function refused(message: string, remedy: string): FolderState {
+  return { kind: 'refused', reason: fault.create({ kind: 'foreign-disk', message, remedy }) };
+}
+
+function broken(reason: string): FolderState {
+  return { kind: 'broken', reason };
+}
+
+/** Whether an entry that a core leans on can be read; others are of no matter. */
+function isReadable(key: string, value: unknown): boolean {
+  if (key.startsWith(registerPrefix)) return acceptor.isCellState(value);
+  if (key.startsWith(votesPrefix)) return message.fits(VoteSchema, value);
+  if (key.startsWith(notesPrefix)) return message.fits(messages.note.ask, value);
+  return true;
+}
+
+function stateOf(stored: ReadonlyMap<string, unknown>, node: string): FolderState {
   const fleet = stored.get('fleet');
-  if (fleet === undefined && [...stored.keys()].some((key) => key !== rosterKey)) {
-    return Option.some(
-      fault.create({
-        kind: 'foreign-disk',
-        message: 'the data folder holds entries but no fleet',
-        remedy: 'the folder is damaged: move it away and start with an empty one, so that this core copies the others',
-      }),
+  if (fleet === undefined) return [...stored.keys()].some((key) => key !== rosterKey) ? broken('it holds entries but no fleet') : sound;
+  const told = fleet as Readonly<{ format?: unknown; node?: unknown }> | null;
+  if (typeof told?.format === 'number' && told.format > diskFormat) {
+    return refused(
+      `the data folder has format ${told.format}, this version knows ${diskFormat} and those before it`,
+      'run the version that wrote it or a later one, or start with an empty folder, so that this core copies the others',
     );
   }
-  if (fleet === undefined) return Option.none;
-  if (!message.fits(FleetSchema, fleet) || fleet.node !== node) {
-    return Option.some(
-      fault.create({
-        kind: 'foreign-disk',
-        message: 'the data folder belongs to another node or is damaged',
-        remedy: `point --data at the folder of ${node}, or start with an empty one`,
-      }),
-    );
+  if (typeof told?.node === 'string' && told.node !== node) {
+    return refused(`the data folder belongs to ${told.node}`, `point --data at the folder of ${node}, or start with an empty one`);
   }
-  if ((fleet.format ?? 1) > diskFormat) {
-    return Option.some(
-      fault.create({
-        kind: 'foreign-disk',
-        message: `the data folder has format ${fleet.format}, this version knows ${diskFormat} and those before it`,
-        remedy: 'run the version that wrote it or a later one, or start with an empty folder, so that this core copies the others',
-      }),
-    );
-  }
-  for (const [key, value] of stored) {
-    if (key.startsWith('register/') && !acceptor.isCellState(value)) {
-      return Option.some(
-        fault.create({
-          kind: 'foreign-disk',
-          message: `the entry ${key} in the data folder cannot be read`,
-          remedy: 'move the folder away and start with an empty one, so that this core copies the others',
-        }),
-      );
-    }
+  if (!message.fits(FleetSchema, fleet)) return broken('its fleet cannot be read');
+  for (const [key, value] of stored) if (!isReadable(key, value)) return broken(`its entry ${key} cannot be read`);
+  return sound;
+}
+
+/** All that the folder holds but the archive; nothing, once a broken store has been given up for an empty one. */
+export async function readFolder(kernel: Kernel, disk: Disk, node: string): Promise<Either.Either<Fault, ReadonlyMap<string, unknown>>> {
+  const loaded = await disk.load(coldPrefix);
+  const lost = disk.lost();
+  if (Option.isSome(lost) && Either.isRight(loaded) && !loaded.right.has('fleet')) kernel.log('disk.replaced', { reason: lost.value });
+  const state = Either.isLeft(loaded) ? broken(loaded.left.message) : stateOf(loaded.right, node);
+  if (state.kind === 'refused') return Either.left(state.reason);
+  if (state.kind === 'sound') return loaded;
+  kernel.log('disk.replaced', { reason: state.reason });
+  for (let given = await disk.discard(state.reason); Either.isLeft(given); given = await disk.discard(state.reason)) {
+    kernel.log('disk.failed', { reason: given.left.message });
+    await kernel.clock.sleep(discardMilliseconds);
   }
-  return Option.none;
+  return Either.right(new Map());
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,7 +15,7 @@
 import { MembershipSchema, message, RosterEntrySchema, type Ask, type Membership, type Reply, type Seat } from '@stallstall/message';
 import { peer, type Caller, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { acceptor, coldPrefix, keeper, registerService, watcher, type Holding, type RegisterTarget } from '@stallstall/register';
+import { acceptor, keeper, registerService, watcher, type Holding, type RegisterTarget } from '@stallstall/register';
 import { node as nodes, beatMilliseconds, type Node, type NodeSettings } from '@stallstall/node';
 import { livenessService, type MemberProbe, type PlatformCalls, type Vote } from '@stallstall/elect';
 import { lessor as lessors, lessorService, type Lessor } from '@stallstall/lease';
@@ -24,7 +24,7 @@
 import { Type } from '@sinclair/typebox';
 import { administration as administrations, type ExternalVersion } from './administration.js';
 import { cores as coreSets, type Cores, type Fleet } from './cores.js';
-import { diskFault, diskFormat, rosterKey } from './data-folder.js';
+import { diskFormat, readFolder, rosterKey } from './data-folder.js';
 import { forPush, subscribers } from './subscribers.js';
 import { usage as usages } from './usage.js';
 import { abstained, coreVotes } from './votes.js';
@@ -85,9 +85,9 @@
     return Either.left(fault.create({ kind: 'bad-settings', message: 'a core needs a data folder', remedy: 'name one with --data' }));
   }
   const disk = kernel.disk.value;
-  const stored = await disk.load(coldPrefix);
-  const broken = diskFault(stored, settings.node);
-  if (Option.isSome(broken)) return Either.left(broken.value);
+  const folder = await readFolder(kernel, disk, settings.node);
+  if (Either.isLeft(folder)) return folder;
+  const stored = folder.right;
 
   let fleet: Option.Option<Fleet> = Option.fromNullable(stored.get('fleet') as Fleet | undefined);
   const subscriptions = subscribers.create(stoodAt);
@@ -119,14 +119,15 @@
       subscriptions.push(key, entry);
       feedOwn();
     },
-    diskFailed,
+    (error) => kernel.log('disk.damaged', { reason: error.message }),
     standing,
   );
-  const notes = keeper.create(kernel, disk, stored, diskFailed);
+  const notes = keeper.create(kernel, disk, stored);
 
-  function diskFailed(error: Fault): void {
-    kernel.log('disk.failed', { reason: error.message });
-  }
+  disk.onTrouble(function changed(trouble) {
+    if (Option.isSome(trouble)) kernel.log('disk.failed', { reason: trouble.value.message });
+    else kernel.log('disk.works', {});
+  });
 
   /** The number of the set that this core stands at, where it may change (design 4.8). */
   function stoodAt(): Readonly<{ set?: number }> {
@@ -225,7 +226,6 @@
     const written: Fleet = { ...next, format: diskFormat };
     const kept = await disk.put('fleet', written);
     if (Either.isRight(kept)) fleet = Option.some(written);
-    else kernel.log('disk.failed', { reason: kept.left.message });
     return Either.isRight(kept);
   }
 
@@ -419,6 +419,7 @@
 
   async function agree(told: Ask<'form'>): Promise<Reply<'form'>> {
     const known: Fleet = { fleet: told.fleet, node: settings.node, cores: told.cores, stage: 'founding' };
+    if (stage() === 'blank' && Option.isSome(disk.lost())) return { agreed: false };
     if (stage() === 'blank' && told.step === 'propose' && !(await keepFleet(known))) return { agreed: false };
     if (Option.isNone(fleet) || fleet.value.fleet !== told.fleet) return { agreed: false };
     if (told.step === 'formed' && fleet.value.stage === 'founding') await becomeFormed(fleet.value);
@@ -527,7 +528,12 @@
   async function ownHolding(): Promise<Holding> {
     const keys: string[] = [];
     for (let after = ''; ;) {
-      const { entries, next } = await cells.page(after);
+      const page = await cells.page(after);
+      if (Either.isLeft(page)) {
+        await kernel.clock.sleep(beatMilliseconds);
+        continue;
+      }
+      const { entries, next } = page.right;
       keys.push(...entries.map((entry) => entry.key));
       if (next === '') return { keys, votes: await votedEpochs(), notes: notes.all() };
       after = next;
@@ -575,12 +581,13 @@
     form: agree,
     copy: async function copied(ask) {
       const at = stoodAt();
+      const page = await cells.page(ask.after);
       return {
-        ready: cells.ready() && (standing === undefined || at.set !== undefined),
+        ready: Either.isRight(page) && cells.ready() && (standing === undefined || at.set !== undefined),
         ...at,
         votes: { ...(await votedEpochs()) },
         notes: notes.all(),
-        ...(await cells.page(ask.after)),
+        ...(Either.isRight(page) ? page.right : { entries: [], next: '' }),
       };
     },
     adopt: async (ask) => (Option.isSome(coreSet) ? coreSet.value.adopt(ask) : { adopted: false, silent: [] }),
@@ -616,6 +623,7 @@
     changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
     obeyed: subscriptions.obeyed,
     diskBytes: disk.size,
+    diskTrouble: disk.trouble,
     metrics: () => ({
       cells: cells.keys().length,
       puts: disk.puts(),
@@ -772,7 +780,8 @@
   if (Option.isSome(coreSet)) coreSet.value.start();
   if (stage() === 'formed' && Option.isSome(fleet)) void reopen(fleet.value);
   else if (Option.isNone(coreSet) && stage() === 'copying' && Option.isSome(fleet)) void copy(fleet.value);
-  else if (Option.isNone(parts) || parts.value.founds) void form();
+  // One that lost what it held founds nothing: there was a fleet, and what it acknowledged must not be forgotten (design 4.3).
+  else if (Option.isNone(disk.lost()) && (Option.isNone(parts) || parts.value.founds)) void form();
 
   async function stop(): Promise<void> {
     stopped = true;
--- a/packages/core/src/votes.ts
+++ b/packages/core/src/votes.ts
@@ -1,9 +1,14 @@
 // A core's votes in elections, each on its disk before it is counted (design 7.3).
 import * as Either from 'fp-ts/lib/Either.js';
+import { Type } from '@sinclair/typebox';
 import * as Option from 'fp-ts/lib/Option.js';
 import { owner, type Disk } from '@stallstall/kernel';
 import type { Vote, VoteStore } from '@stallstall/elect';
 
+/** Where votes lie in the data folder. */
+export const votesPrefix = 'vote/';
+export const VoteSchema = Type.Object({ epoch: Type.Integer({ minimum: 0 }), candidate: Type.String(), proposer: Type.String() });
+
 /** A vote for nobody: all it does is deny that epoch and those before it. */
 export const abstained = { candidate: '', proposer: '' } as const;
 
@@ -13,17 +18,21 @@
 /** Restores the votes that `stored` holds under `vote/`. */
 export function coreVotes(disk: Disk, stored: ReadonlyMap<string, unknown>): CoreVotes {
   const votes = owner.create('votes', new Map<string, Vote>());
-  for (const [key, value] of stored) if (key.startsWith('vote/')) void votes.ask((table) => void table.set(key.slice(5), value as Vote));
+  for (const [key, value] of stored)
+    if (key.startsWith(votesPrefix)) void votes.ask((table) => void table.set(key.slice(votesPrefix.length), value as Vote));
   return {
     epochs: () => votes.ask((table) => Object.fromEntries([...table].map(([service, vote]) => [service, vote.epoch]))),
     load: (service) => votes.ask((table) => Either.right(Option.fromNullable(table.get(service)))),
-    record: (service, vote) =>
-      votes.ask(async function record(table) {
+    record: async function record(service, vote) {
+      // A vote that cannot be synced now is none, and those who ask meanwhile do not queue up behind a disk that hangs.
+      if (Option.isSome(disk.trouble())) return false;
+      return votes.ask(async function sync(table) {
         if ((table.get(service)?.epoch ?? 0) >= vote.epoch) return false;
-        const kept = await disk.put(`vote/${service}`, vote);
+        const kept = await disk.put(`${votesPrefix}${service}`, vote);
         if (Either.isLeft(kept)) return false;
         table.set(service, vote);
         return true;
-      }),
+      });
+    },
   };
 }
--- /dev/null
+++ b/packages/kernel/src/disk-health.ts
@@ -0,0 +1,62 @@
+// Whether a disk syncs what is put on it: told to whoever must not promise anything meanwhile (design 5.1).
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, type Fault } from './fault.js';
+import type { Clock } from './kernel.js';
+
+export type TroubleListener = (trouble: Option.Option<Fault>) => void;
+
+export type DiskHealth = Readonly<{
+  /** Why the disk does not sync now; none while it does. */
+  trouble: () => Option.Option<Fault>;
+  /** Calls back at each change of state, not at each put. */
+  onTrouble: (listener: TroubleListener) => void;
+  /** Runs a commit; one that lasts too long is trouble until it ends, one that fails is trouble until a probe succeeds. */
+  follow: (commit: () => Promise<Either.Either<Fault, null>>) => Promise<Either.Either<Fault, null>>;
+}>;
+
+/** A commit that has not ended by then is taken for a disk that hangs. */
+export const stallMilliseconds = 1_000;
+/** How often a disk that failed is tried again. */
+export const probeMilliseconds = 250;
+
+/** `probe` tries whether the disk takes bytes again; it writes nothing that anybody reads. */
+function create(clock: Clock, probe: () => Promise<Either.Either<Fault, null>>): DiskHealth {
+  const listeners: TroubleListener[] = [];
+  let current: Option.Option<Fault> = Option.none;
+  let probing = false;
+
+  function change(next: Option.Option<Fault>): void {
+    const changes = Option.isSome(current) !== Option.isSome(next);
+    current = next;
+    if (changes) for (const listener of listeners) listener(next);
+  }
+
+  async function watched(commit: () => Promise<Either.Either<Fault, null>>): Promise<Either.Either<Fault, null>> {
+    const alarm = clock.alarm(stallMilliseconds, () => change(Option.some(fault.diskStalled(stallMilliseconds))));
+    const outcome = await commit();
+    alarm.cancel();
+    change(Either.isLeft(outcome) ? Option.some(outcome.left) : Option.none);
+    return outcome;
+  }
+
+  async function probeUntilWorking(): Promise<void> {
+    if (probing) return;
+    probing = true;
+    do await clock.sleep(probeMilliseconds);
+    while (Either.isLeft(await watched(probe)));
+    probing = false;
+  }
+
+  return {
+    trouble: () => current,
+    onTrouble: (listener) => void listeners.push(listener),
+    follow: async function follow(commit) {
+      const outcome = await watched(commit);
+      if (Either.isLeft(outcome)) void probeUntilWorking();
+      return outcome;
+    },
+  };
+}
+
+export const diskHealth = { create } as const;
--- a/packages/kernel/src/fault.ts
+++ b/packages/kernel/src/fault.ts
@@ -28,6 +28,7 @@
   | 'departed'
   | 'foreign-disk'
   | 'disk-failed'
+  | 'disk-damaged'
   | 'unsafe-step'
   | 'internal';
 
@@ -69,6 +70,7 @@
   departed: 409,
   'foreign-disk': 409,
   'disk-failed': 503,
+  'disk-damaged': 503,
   'unsafe-step': 409,
   internal: 500,
 };
@@ -119,4 +121,23 @@
   });
 }
 
-export const fault = { create, diskFailed, kind, details, status, body, headers } as const;
+/** A sync that takes too long: nobody knows whether it will ever end. */
+function diskStalled(milliseconds: number): Fault {
+  return create({
+    kind: 'disk-failed',
+    message: `the data folder has not synced for ${milliseconds} ms`,
+    remedy: 'see that the disk works',
+  });
+}
+
+/** What is stored cannot be read: as good as lost. */
+function diskDamaged(what: string, cause?: Error): Fault {
+  return create({
+    kind: 'disk-damaged',
+    message: `${what} cannot be read`,
+    remedy: 'nothing to be done if most cores run: this core starts with an empty store and copies the others',
+    ...(cause === undefined ? {} : { cause }),
+  });
+}
+
+export const fault = { create, diskFailed, diskStalled, diskDamaged, kind, details, status, body, headers } as const;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -4,3 +4,4 @@
 export * from './kernel.js';
 export * from './http.js';
 export * from './waiters.js';
+export * from './disk-health.js';
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -98,16 +98,24 @@
 
 export type Disk = Readonly<{
   /** Every key and value, as last synced, but those under a prefix that is read only when asked for. */
-  load: (without: string) => Promise<ReadonlyMap<string, unknown>>;
-  read: (key: string) => Promise<Option.Option<unknown>>;
+  load: (without: string) => Promise<Either.Either<Fault, ReadonlyMap<string, unknown>>>;
+  read: (key: string) => Promise<Either.Either<Fault, Option.Option<unknown>>>;
   /** Entries under a prefix in the order of their keys, after one of them, until so many bytes are reached. */
-  page: (prefix: string, after: string, bytes: number) => Promise<ReadonlyArray<readonly [string, unknown]>>;
+  page: (prefix: string, after: string, bytes: number) => Promise<Either.Either<Fault, ReadonlyArray<readonly [string, unknown]>>>;
   /** What the data folder takes up, in bytes. */
   size: () => number;
   /** Right only once the value would survive the loss of power; after a left it may stand there or not. */
   put: (key: string, value: unknown) => Promise<Either.Either<Fault, null>>;
   /** How many puts this disk has taken in its life; kept with each of them, so that an old copy tells itself. */
   puts: () => number;
+  /** Why this disk does not sync now; none while it does. Puts fail at once meanwhile. */
+  trouble: () => Option.Option<Fault>;
+  /** Calls back at each change between a disk that syncs and one that does not. */
+  onTrouble: (listener: (trouble: Option.Option<Fault>) => void) => void;
+  /** Why an earlier store in this folder was given up for an empty one; none if this is the first, or if it stands. */
+  lost: () => Option.Option<string>;
+  /** Gives up what is stored and starts an empty store that knows it is not the first (design 4.3). */
+  discard: (reason: string) => Promise<Either.Either<Fault, null>>;
 }>;
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
--- a/packages/machine/src/base.ts
+++ b/packages/machine/src/base.ts
@@ -2,10 +2,8 @@
 import { randomBytes } from 'node:crypto';
 import type * as Option from 'fp-ts/lib/Option.js';
 import {
-  identifiers,
   kernel as kernels,
   protocolsSpoken,
-  type Clock,
   type Disk,
   type Fault,
   type Kernel,
@@ -13,19 +11,7 @@
   type LogFields,
   type Network,
 } from '@stallstall/kernel';
-
-const clock: Clock = {
-  now: () => identifiers.instant(performance.now()),
-  wall: () => identifiers.wallTime(Date.now()),
-  alarm: function alarm(milliseconds, action) {
-    const alarm = setTimeout(action, milliseconds);
-    return { cancel: () => clearTimeout(alarm) };
-  },
-  sleep: (milliseconds) =>
-    new Promise((resolve) => {
-      setTimeout(resolve, milliseconds);
-    }),
-};
+import { clock } from './clock.js';
 
 function shown(value: string | number | boolean): string {
   const text = String(value);
--- a/packages/operator/src/daemons.ts
+++ b/packages/operator/src/daemons.ts
@@ -66,7 +66,10 @@
   async run(): Promise<void> {
     const { flags } = await this.parse(RunCore);
     const first = orFail(this, settings.read(coreSettings, flags.settings, given(flags)));
-    const kernel = await machine.create('core', Option.some(orFail(this, disk.open(first.data))));
+    const kernel = await machine.create(
+      'core',
+      Option.some(orFail(this, await disk.openWhenWorking(first.data, (reason) => this.warn(reason.message)))),
+    );
     const current = settings.follow(kernel, changes, coreSettings, flags.settings, given(flags), first);
     const started = orFail(this, await core.start(kernel, { ...first, seeds: () => current().seeds, platform: () => current().platform }));
     endWith(kernel, started.drain);
--- a/packages/register/src/acceptor.ts
+++ b/packages/register/src/acceptor.ts
@@ -29,6 +29,8 @@
 /** A set that never changes. */
 const unchanging: Standing = { number: () => 0, newer: () => undefined };
 
+export type Page = Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>;
+
 export type Acceptor = Readonly<{
   prepare: (ask: Ask<'prepare'>) => Promise<Reply<'prepare'>>;
   accept: (ask: Ask<'accept'>) => Promise<Reply<'accept'>>;
@@ -37,7 +39,7 @@
   keys: () => readonly string[];
   cells: () => ReadonlyArray<Readonly<{ key: string; state: CellState }>>;
   /** A page of all cells as they stand on the disk, the archive among them. */
-  page: (after: string) => Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>>;
+  page: (after: string) => Promise<Either.Either<Fault, Page>>;
   /** Takes over what another disk holds, never going back (design 4.3). */
   merge: (key: string, state: CellState) => Promise<boolean>;
   /** Forgets all cells: a disk that was taken out of the set is as good as lost (design 4.8). */
@@ -47,10 +49,11 @@
   ready: () => boolean;
 }>;
 
-const prefix = 'register/';
+/** Where cells lie in the data folder. */
+export const registerPrefix = 'register/';
 /** Cells that are read from the disk when asked for: they are many, and nobody waits for them (design 5.4). */
 export const archivePrefix = 'archive/';
-export const coldPrefix = `${prefix}${archivePrefix}`;
+export const coldPrefix = `${registerPrefix}${archivePrefix}`;
 const pageBytes = 256 * 1024;
 const archiveOwners = 32;
 const unborn: CellState = { promised: ballotZero, accepted: null };
@@ -77,7 +80,7 @@
   disk: Disk,
   stored: ReadonlyMap<string, unknown>,
   onAccepted: (key: string, entry: Entry) => void,
-  onDiskFailed: (error: Fault) => void,
+  onDamaged: (error: Fault) => void,
   standing: Standing = unchanging,
 ): Acceptor {
   const cells = new Map<string, Owner<Cell>>();
@@ -87,7 +90,7 @@
   let open = false;
 
   for (const [key, value] of stored) {
-    if (key.startsWith(prefix) && isCellState(value)) place(key.slice(prefix.length), value);
+    if (key.startsWith(registerPrefix) && isCellState(value)) place(key.slice(registerPrefix.length), value);
   }
 
   function place(key: string, state: CellState): Owner<Cell> {
@@ -106,27 +109,22 @@
     if (!key.startsWith(archivePrefix)) return cellOf(key).ask(command);
     const archive = archives[Number(/\d+$/.exec(key)?.[0] ?? 0) % archiveOwners] as Owner<null>;
     return archive.ask(async function fetched() {
-      const stored = await disk.read(prefix + key);
-      if (Option.isNone(stored)) return command({ state: unborn });
-      if (isCellState(stored.value)) return command({ state: stored.value });
-      onDiskFailed(
-        fault.create({
-          kind: 'disk-failed',
-          message: `the entry ${key} cannot be read`,
-          remedy: 'start this core with an empty folder, so that it copies the others',
-        }),
-      );
+      const stored = await disk.read(registerPrefix + key);
+      if (Either.isLeft(stored)) {
+        onDamaged(stored.left);
+        return unread;
+      }
+      if (Option.isNone(stored.right)) return command({ state: unborn });
+      if (isCellState(stored.right.value)) return command({ state: stored.right.value });
+      onDamaged(fault.diskDamaged(key));
       return unread;
     });
   }
 
   /** False when the disk did not sync: then this core gives no answer, whatever the disk may hold. */
   async function keep(key: string, cell: Cell, state: CellState): Promise<boolean> {
-    const kept = await disk.put(prefix + key, state);
-    if (Either.isLeft(kept)) {
-      onDiskFailed(kept.left);
-      return false;
-    }
+    const kept = await disk.put(registerPrefix + key, state);
+    if (Either.isLeft(kept)) return false;
     cell.state = state;
     if (!key.startsWith(archivePrefix)) states.set(key, state);
     return true;
@@ -144,7 +142,13 @@
     return Option.some(newer === undefined ? unanswered : { ...unanswered, newer });
   }
 
+  /** While the disk does not sync no ballot is taken up: none would be answered, and they would pile up behind a disk that hangs. */
+  function syncs(): boolean {
+    return Option.isNone(disk.trouble());
+  }
+
   function prepare(ask: Ask<'prepare'>): Promise<Reply<'prepare'>> {
+    if (!syncs()) return Promise.resolve(unanswered);
     return on(ask.key, unanswered, async function promise(cell) {
       if (!open) return unanswered;
       const strange = stranger(ask.set);
@@ -158,6 +162,7 @@
   // Only a ballot this very disk has promised is accepted: a promise that was lost with an earlier disk counts for
   // nothing (design 5.1).
   function accept(ask: Ask<'accept'>): Promise<Reply<'accept'>> {
+    if (!syncs()) return Promise.resolve(unanswered);
     return on(ask.key, unanswered, async function take(cell) {
       if (!open) return unanswered;
       const strange = stranger(ask.set);
@@ -184,16 +189,20 @@
 
   async function wipe(): Promise<boolean> {
     let kept = true;
-    for (let found = await page(''); found.entries.length > 0; found = await page(found.next)) {
-      for (const { key } of found.entries) kept = (await on(key, false, (cell) => keep(key, cell, unborn))) && kept;
+    for (let after = ''; ;) {
+      const found = await page(after);
+      if (Either.isLeft(found)) return false;
+      for (const { key } of found.right.entries) kept = (await on(key, false, (cell) => keep(key, cell, unborn))) && kept;
+      if (found.right.entries.length === 0) return kept;
+      after = found.right.next;
     }
-    return kept;
   }
 
-  async function page(after: string): Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>> {
-    const found = await disk.page(prefix, after === '' ? '' : prefix + after, pageBytes);
-    const entries = found.map(([key, state]) => ({ key: key.slice(prefix.length), state }));
-    return { entries, next: entries.at(-1)?.key ?? '' };
+  async function page(after: string): Promise<Either.Either<Fault, Page>> {
+    const found = await disk.page(registerPrefix, after === '' ? '' : registerPrefix + after, pageBytes);
+    if (Either.isLeft(found)) return found;
+    const entries = found.right.map(([key, state]) => ({ key: key.slice(registerPrefix.length), state }));
+    return Either.right({ entries, next: entries.at(-1)?.key ?? '' });
   }
 
   return {
--- a/packages/register/src/keeper.ts
+++ b/packages/register/src/keeper.ts
@@ -1,6 +1,7 @@
 // The disk half of the notes: what only grows, so that the highest wins and no ballot is needed (design 5.5).
 import * as Either from 'fp-ts/lib/Either.js';
-import { owner, type Disk, type Fault, type Kernel } from '@stallstall/kernel';
+import * as Option from 'fp-ts/lib/Option.js';
+import { owner, type Disk, type Kernel } from '@stallstall/kernel';
 import { message, messages, type Ask, type Floors, type Reply, type UsageReport } from '@stallstall/message';
 
 export type Keeper = Readonly<{
@@ -46,7 +47,7 @@
   synced: number;
 };
 
-function create(kernel: Kernel, disk: Disk, stored: ReadonlyMap<string, unknown>, onDiskFailed: (error: Fault) => void): Keeper {
+function create(kernel: Kernel, disk: Disk, stored: ReadonlyMap<string, unknown>): Keeper {
   const table: Table = { floors: {}, reports: new Map(), through: new Map(), dirty: new Set(), changes: 0, synced: 0 };
   const notes = owner.create('notes', table);
   let open = false;
@@ -92,7 +93,6 @@
         const put = await disk.put(`${notesPrefix}${window % slots}`, { floors: table.floors, reports: reportsOf(window), through: {} });
         if (Either.isRight(put)) continue;
         for (const behind of windows) table.dirty.add(behind);
-        onDiskFailed(put.left);
         return false;
       }
       table.synced = upTo;
@@ -102,6 +102,8 @@
 
   /** Those who come while the disk is at work share its next sync. */
   async function keep(told: Ask<'note'>): Promise<Reply<'note'>> {
+    // What could not be synced is not taken up: nobody would be answered, and it would pile up behind a disk that hangs.
+    if (Option.isSome(disk.trouble())) return { ready: false, floors: { ...table.floors } };
     merge(told);
     const changes = table.changes;
     const kept = await notes.ask(() => sync(changes));
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -265,6 +265,55 @@
     from: 'if (state.released)',
     to: 'if (true)',
   },
+  {
+    name: 'ballots-on-a-full-disk',
+    story: 'whose disk hangs',
+    file: 'register/build/acceptor.js',
+    from: 'return Option.isNone(disk.trouble());',
+    to: 'return true;',
+  },
+  {
+    name: 'notes-on-a-full-disk',
+    story: 'whose disk hangs',
+    file: 'register/build/keeper.js',
+    from: 'if (Option.isSome(disk.trouble()))',
+    to: 'if (false)',
+  },
+  {
+    name: 'disk-not-looked-at',
+    story: 'A process that starts on a full disk',
+    file: 'machine/build/disk.js',
+    from: 'const proven = await room.prove(0);',
+    to: 'const proven = Either.right(null);',
+  },
+  {
+    name: 'commit-error-left-alone',
+    story: 'opened anew',
+    file: 'machine/build/commits.js',
+    from: 'if (commitError === undefined)',
+    to: 'if (true)',
+  },
+  {
+    name: 'lost-core-founds',
+    story: 'lost what they held',
+    file: 'core/build/index.js',
+    from: 'disk.lost()',
+    to: 'Option.none',
+  },
+  {
+    name: 'count-not-looked-for',
+    story: 'What a loss of power leaves',
+    file: 'machine/build/disk.js',
+    from: "typeof store.get(putsKey) === 'number'",
+    to: 'true',
+  },
+  {
+    name: 'damaged-entries-kept',
+    story: 'whose store is half there',
+    file: 'core/build/data-folder.js',
+    from: 'if (!isReadable(key, value))',
+    to: 'if (false)',
+  },
 ];
 
 const wanted = process.argv.slice(2);
--- a/packages/stories/features/input.feature
+++ b/packages/stories/features/input.feature
@@ -21,10 +21,11 @@
     Given 3000 spoilt sheets and settings
     Then each is either taken as sound or denied with a remedy
 
-  Scenario: A damaged disk is refused with the remedy, or read as it was
+  Scenario: A damaged disk is given up and the others copied; only another node's or a later version's is refused
     Given a fleet of Red Común with its sheet obeyed and its primaries elected
     When core-3 is started 40 times on a disk with one entry spoilt
-    Then each start was refused as "foreign-disk" or went on
+    Then each start opened within 10 s, or was refused as "foreign-disk" for what its fleet says
+    And some gave up what was stored
     And the current version is 1
 
   Scenario: A core and an agent that reply with nothing readable are as good as away, and no more
--- a/packages/stories/features/runtime.feature
+++ b/packages/stories/features/runtime.feature
@@ -54,3 +54,48 @@
     When 20 puts are begun and none is awaited
     Then none is told until it is synced, and all are told then
     And a process that opens the folder again tells all 20
+
+  Scenario: A full disk takes nothing and ends no process, and takes puts again once it has room
+    Given a process of its own that has put something
+    When its disk takes no more bytes
+    Then its puts fail as "disk-failed", and it tells once that its disk does not sync
+    When the disk has room again
+    Then it tells once that its disk syncs, and what it puts then is there
+
+  Scenario: A process that starts on a full disk waits until there is room
+    Given a process of its own that starts on a full disk
+    Then it tells once that its disk does not sync, and waits
+    When the disk has room again
+    Then it opens, and what it puts then is there
+
+  Scenario: A disk that hangs holds up no read and no caller
+    Given an empty data folder
+    When its disk hangs under a put
+    Then within 2 s it is in trouble, and 50 more puts fail at once
+    And what was synced before is read at once
+    When the disk goes on
+    Then the put that hung stands, and the trouble is over, told once each
+
+  Scenario: A store that must be opened anew after a failed sync is opened anew
+    Given an empty data folder
+    When the sync of its meta page fails once
+    Then that put fails as "disk-failed", and within 2 s puts are taken again
+
+  Scenario: What a loss of power leaves of a data folder is told apart
+    Then a folder that was used is opened like this after a loss of power:
+      | what is left                                    | opened as |
+      | all of it                                       | sound     |
+      | the store, and no holder                        | sound     |
+      | the store, and half a holder                    | sound     |
+      | the store, and another that was being made      | sound     |
+      | the holder, and no store                        | lost      |
+      | the holder, and a store that was being made     | lost      |
+      | an empty store                                  | lost      |
+      | half a first page                               | lost      |
+      | a store whose first pages are noise             | lost      |
+      | a store without its second page                 | lost      |
+      | a store whose count of puts is gone             | lost      |
+      | a store that ends before its last page          | lost      |
+      | a store whose entries are noise                 | damaged   |
+      | nothing but a store that was being made         | blank     |
+      | nothing                                         | blank     |
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -22,6 +22,7 @@
         'build/pooled.js',
         'build/capacity.js',
         'build/cores.js',
+        'build/disks.js',
         'build/outages.js',
       ],
       format: ['progress'],
--- /dev/null
+++ b/packages/stories/src/disks.ts
@@ -0,0 +1,173 @@
+// Steps of the stories of disks.feature about disks that are full, hang, or hold the half of what they held.
+import assert from 'node:assert/strict';
+import { Then, When, type DataTable } from '@cucumber/cucumber';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, identifiers } from '@stallstall/kernel';
+import type { Ask } from '@stallstall/message';
+import { peer } from '@stallstall/peer';
+import { coreOf, type Story } from './story.js';
+
+const patienceMilliseconds = 10_000;
+
+When('the disk of {word} takes no more bytes', function when(this: Story, core: string) {
+  coreOf(this, core).disk.trouble.failing = true;
+});
+
+When('the disk of {word} hangs', function when(this: Story, core: string) {
+  coreOf(this, core).disk.trouble.hanging = true;
+});
+
+When('the disk of {word} is mended, and {int} s pass', async function when(this: Story, core: string, seconds: number) {
+  Object.assign(coreOf(this, core).disk.trouble, { failing: false, hanging: false });
+  await this.fleet.world.run(seconds * 1_000);
+});
+
+When(
+  '{word} takes a sheet {int} times, each within {int} s',
+  async function when(this: Story, core: string, times: number, seconds: number) {
+    const index = this.fleet.cores.indexOf(coreOf(this, core));
+    for (let shot = 0; shot < times; shot += 1) {
+      const from = this.fleet.world.now();
+      const reply = await this.fleet.operate('PUT', '/v1/sheet', { sheet: this.fleet.sheet() }, {}, index);
+      assert.equal(reply.status, 200, JSON.stringify(reply.body));
+      assert.ok(this.fleet.world.now() - from < seconds * 1_000);
+    }
+  },
+);
+
+/** A link to a core, as another node holds one. */
+async function dialled(story: Story, core: string): Promise<ReturnType<typeof peer.dial>> {
+  const { kernel } = story.fleet.world.spawn(`asker of ${core}`, 'asker-machine');
+  const link = peer.dial(kernel, identifiers.address(story.fleet.place(coreOf(story, core)).address));
+  assert.ok(await story.fleet.until(link.connected, patienceMilliseconds));
+  return link;
+}
+
+/** Runs virtual time until an answer has come. */
+async function answered<Reply>(story: Story, asked: Promise<Option.Option<Reply>>): Promise<Reply> {
+  let reply: Option.Option<Reply> = Option.none;
+  void asked.then((told) => (reply = told));
+  await story.fleet.until(() => Option.isSome(reply), patienceMilliseconds);
+  const come = reply as Option.Option<Reply>;
+  assert.ok(Option.isSome(come), 'no answer came');
+  return come.value;
+}
+
+Then('{word} answers no ballot, vote or note', async function then(this: Story, core: string) {
+  const link = await dialled(this, core);
+  const ballot = { counter: 1_000_000, node: 'asker' };
+  const prepared = await answered(this, link.call('prepare', { key: 'configuration', ballot }, patienceMilliseconds));
+  assert.equal(prepared.ready, false);
+  const entry: Ask<'accept'>['entry'] = { ballot, version: 99, value: null };
+  assert.equal((await answered(this, link.call('accept', { key: 'configuration', entry }, patienceMilliseconds))).ready, false);
+  const note: Ask<'note'> = { floors: {}, reports: [], through: { 'edge-1': 1 } };
+  assert.equal((await answered(this, link.call('note', note, patienceMilliseconds))).ready, false);
+  link.close();
+});
+
+Then('{word} says what it accepted while its disk hangs', async function then(this: Story, core: string) {
+  const link = await dialled(this, core);
+  const looked = await answered(this, link.call('look', { key: 'configuration' }, patienceMilliseconds));
+  assert.ok(looked.ready && coreOf(this, core).disk.trouble.hanging);
+  link.close();
+});
+
+async function disksSyncs(story: Story, core: string): Promise<boolean> {
+  const reply = await story.fleet.operate('GET', '/v1/liveness', undefined, {}, story.fleet.cores.indexOf(coreOf(story, core)));
+  const { checks } = reply.body as { checks: ReadonlyArray<Readonly<{ check: string; sound: boolean }>> };
+  return checks.find((one) => one.check === 'disk-syncs')?.sound ?? false;
+}
+
+function assertLogged(story: Story, core: string, event: string, times: number): void {
+  assert.equal(story.fleet.world.logs.filter((line) => line.process === core && line.event === event).length, times, event);
+}
+
+Then(
+  'core-{int} has logged {string} once and {string} {int} times, and its liveness names {string}',
+  async function then(this: Story, index: number, failed: string, works: string, times: number, _check: string) {
+    assertLogged(this, `core-${index}`, failed, 1);
+    assertLogged(this, `core-${index}`, works, times);
+    assert.equal(await disksSyncs(this, `core-${index}`), false);
+  },
+);
+
+Then(
+  'core-{int} has logged {string} once and {string} {int} times, and its liveness is sound of {string}',
+  async function then(this: Story, index: number, failed: string, works: string, times: number, _check: string) {
+    assertLogged(this, `core-${index}`, failed, 1);
+    assertLogged(this, `core-${index}`, works, times);
+    assert.equal(await disksSyncs(this, `core-${index}`), true);
+  },
+);
+
+// -- Stores that hold the half of what they held.
+
+type Entries = Map<string, string>;
+
+function halve(entries: Entries, prefix: string): void {
+  const key = [...entries.keys()].find((one) => one.startsWith(prefix));
+  assert.ok(key !== undefined, `nothing lies under ${prefix}`);
+  const text = entries.get(key) as string;
+  entries.set(key, text.slice(0, text.length / 2));
+}
+
+/** The word of the fleet under a name, changed by another. */
+function rewrite(entries: Entries, changes: Readonly<Record<string, unknown>>): void {
+  entries.set('fleet', JSON.stringify({ ...(JSON.parse(entries.get('fleet') ?? '{}') as object), ...changes }));
+}
+
+const losses: Readonly<Record<string, (entries: Entries) => void>> = {
+  'the fleet': (entries) => entries.delete('fleet'),
+  'a word of the fleet': (entries) => rewrite(entries, { stage: 'halfway' }),
+  'half of a cell': (entries) => halve(entries, 'register/configuration'),
+  'half of a vote': (entries) => halve(entries, 'vote/'),
+  'half of the notes': (entries) => halve(entries, 'notes/'),
+  'the count of puts': (entries) => entries.delete('#puts'),
+  everything: (entries) => entries.clear(),
+  'its place, to another node': (entries) => rewrite(entries, { node: 'core-1' }),
+};
+
+function loggedSince(story: Story, core: string, from: number): ReadonlySet<string> {
+  return new Set(story.fleet.world.logs.slice(from).flatMap((line) => (line.process === core ? [line.event] : [])));
+}
+
+async function comesBackAs(story: Story, core: string): Promise<string> {
+  const slot = coreOf(story, core);
+  const from = story.fleet.world.logs.length;
+  await story.fleet.startCore(slot);
+  await story.fleet.until(() => slot.running?.open() === true || slot.process?.alive() === false, patienceMilliseconds);
+  const stoppedBy = slot.process?.stoppedBy() ?? Option.none;
+  if (Option.isSome(stoppedBy)) return fault.kind(stoppedBy.value) === 'foreign-disk' ? 'refused' : fault.kind(stoppedBy.value);
+  assert.equal(slot.running?.open(), true, 'it did not open');
+  const logged = loggedSince(story, core, from);
+  assert.ok(logged.has('core.copying'), 'it copied nothing');
+  return logged.has('disk.replaced') ? 'replaced' : logged.has('core.old-disk') ? 'old' : 'copying';
+}
+
+Then('{word} comes back like this when its disk has lost this:', async function then(this: Story, core: string, table: DataTable) {
+  const slot = coreOf(this, core);
+  for (const [lost = '', expected = ''] of table.rows()) {
+    this.fleet.stopSlot(slot);
+    const entries = new Map(slot.disk.entries);
+    losses[lost]?.(entries);
+    slot.disk = this.fleet.world.disk();
+    for (const [key, value] of entries) slot.disk.entries.set(key, value);
+    assert.equal(await comesBackAs(this, core), expected, lost);
+    await this.fleet.world.run(1_000);
+  }
+});
+
+When('every core has lost half of a cell, and starts again', async function when(this: Story) {
+  for (const slot of this.fleet.cores) this.fleet.stopSlot(slot);
+  for (const slot of this.fleet.cores) {
+    losses['half of a cell']?.(slot.disk.entries);
+    await this.fleet.startCore(slot);
+  }
+});
+
+Then('no core is open, and each has logged {string}', function then(this: Story, event: string) {
+  for (const slot of this.fleet.cores) {
+    assert.equal(slot.running?.open(), false, slot.name);
+    assert.ok(loggedSince(this, slot.name, 0).has(event));
+  }
+});
