Wall clocks are anchored to the steady ones; a step counts only once it has lasted

A process goes by the steady clock plus an offset. Differences within 100 ms and 2 % of the time since the last look are followed at once; a larger one is a step, taken over once it has stood for 30 s (kernel/wall-clock, design 8.6). The simulated machines' clocks go through the same code. Ruled out for now: the median of the cores' clocks in each lease reply, which would also right a process that starts while its clock stands in a step; that one is 30 s late, and the design says so.

The story "A clock that is set on ends the window by no more than that" asked for the step to count at once. The one in its place asks more: a step that comes back moves nothing, one that lasts ends the window, and set back again it is harmless.

Both mutations are caught by their stories.

--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -5,3 +5,4 @@
 export * from './http.js';
 export * from './waiters.js';
 export * from './disk-health.js';
+export * from './wall-clock.js';
--- a/packages/machine/src/clock.ts
+++ b/packages/machine/src/clock.ts
@@ -1,9 +1,21 @@
 // A real machine's clocks (design 2.2).
-import { identifiers, type Clock } from '@stallstall/kernel';
+import { identifiers, wallClock, type Clock, type WallTime } from '@stallstall/kernel';
+
+/** Made when first asked: a program that starts from a snapshot must not go by the time at which that was built. */
+let anchored: (() => WallTime) | undefined;
+
+function steady(): ReturnType<Clock['now']> {
+  return identifiers.instant(performance.now());
+}
+
+function wall(): WallTime {
+  anchored ??= wallClock.create(steady, () => identifiers.wallTime(Date.now()));
+  return anchored();
+}
 
 export const clock: Clock = {
-  now: () => identifiers.instant(performance.now()),
-  wall: () => identifiers.wallTime(Date.now()),
+  now: steady,
+  wall,
   alarm: function alarm(milliseconds, action) {
     const alarm = setTimeout(action, milliseconds);
     return { cancel: () => clearTimeout(alarm) };
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -314,6 +314,20 @@
     from: 'if (!isReadable(key, value))',
     to: 'if (false)',
   },
+  {
+    name: 'step-followed-at-once',
+    story: 'Clocks that step',
+    file: 'kernel/build/wall-clock.js',
+    from: 'const followMilliseconds = 100;',
+    to: 'const followMilliseconds = 1e9;',
+  },
+  {
+    name: 'lasting-step-denied',
+    story: 'is taken over only once',
+    file: 'kernel/build/wall-clock.js',
+    from: 'now - step.since >= lastingStepMilliseconds',
+    to: 'false',
+  },
 ];
 
 const wanted = process.argv.slice(2);
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -20,6 +20,7 @@
   type Listening,
   type LogFields,
   type Protocols,
+  wallClock,
   type Stream,
 } from '@stallstall/kernel';
 import { generator, queue } from './event-queue.js';
@@ -503,9 +504,12 @@
   }
 
   function kernelOf(body: Body, disk: SimulatedDisk | undefined, protocols: Protocols): Kernel {
+    function steady(): Instant {
+      return (body.clockOffset + now * body.clockRate) as Instant;
+    }
     const clock = {
-      now: () => (body.clockOffset + now * body.clockRate) as Instant,
-      wall: () => identifiers.wallTime(wallStart + now + body.wallOffset),
+      now: steady,
+      wall: wallClock.create(steady, () => identifiers.wallTime(wallStart + now + body.wallOffset)),
       alarm: function alarm(milliseconds: number, action: () => void) {
         let live = true;
         at(
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -23,6 +23,7 @@
         'build/capacity.js',
         'build/cores.js',
         'build/disks.js',
+        'build/clocks.js',
         'build/outages.js',
       ],
       format: ['progress'],
