--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,7 +24,7 @@
 } from '@stallstall/message';
 import { peer, type Caller, type Handlers } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { acceptor, coldPrefix, keeper, registerService, watcher, type RegisterTarget } from '@stallstall/register';
+import { acceptor, keeper, registerService, watcher, type RegisterTarget } from '@stallstall/register';
 import { node as nodes, beatMilliseconds, type Node, type NodeSettings } from '@stallstall/node';
 import { livenessService, type MemberProbe, type PlatformCalls, type Vote } from '@stallstall/elect';
 import { lessor as lessors, lessorService, type Lessor } from '@stallstall/lease';
@@ -35,7 +35,7 @@
 import { coreCalls } from './core-calls.js';
 import { copying as copyings } from './copying.js';
 import { cores as coreSets, type Cores } from './cores.js';
-import { diskFault, diskFormat, rosterKey } from './data-folder.js';
+import { diskFormat, readFolder, rosterKey } from './data-folder.js';
 import { setOf, standingOf, type Fleet } from './fleet-record.js';
 import type { ExternalVersion } from './orders.js';
 import { forPush, subscribers } from './subscribers.js';
@@ -98,9 +98,9 @@
     return Either.left(fault.create({ kind: 'bad-settings', message: 'a core needs a data folder', remedy: 'name one with --data' }));
   }
   const disk = kernel.disk.value;
-  const stored = await disk.load(coldPrefix);
-  const broken = diskFault(stored, settings.node);
-  if (Option.isSome(broken)) return Either.left(broken.value);
+  const folder = await readFolder(kernel, disk, settings.node);
+  if (Either.isLeft(folder)) return folder;
+  const stored = folder.right;
 
   let fleet: Option.Option<Fleet> = Option.fromNullable(stored.get('fleet') as Fleet | undefined);
   const subscriptions = subscribers.create(stoodAt);
@@ -133,14 +133,15 @@
       subscriptions.push(key, entry);
       feedOwn();
     },
-    diskFailed,
+    (error) => kernel.log('disk.damaged', { reason: error.message }),
     standing,
   );
-  const notes = keeper.create(kernel, disk, stored, diskFailed);
+  const notes = keeper.create(kernel, disk, stored);
 
-  function diskFailed(error: Fault): void {
-    kernel.log('disk.failed', { reason: error.message });
-  }
+  disk.onTrouble(function changed(trouble) {
+    if (Option.isSome(trouble)) kernel.log('disk.failed', { reason: trouble.value.message });
+    else kernel.log('disk.works', {});
+  });
 
   /** The number of the set that this core stands at, where it may change (design 4.8). */
   function stoodAt(): Readonly<{ set?: number }> {
@@ -241,7 +242,6 @@
     const written: Fleet = { ...next, format: diskFormat };
     const kept = await disk.put('fleet', written);
     if (Either.isRight(kept)) fleet = Option.some(written);
-    else kernel.log('disk.failed', { reason: kept.left.message });
     return Either.isRight(kept);
   }
 
@@ -409,6 +409,7 @@
 
   async function agree(told: Ask<'form'>): Promise<Reply<'form'>> {
     const known: Fleet = { fleet: told.fleet, node: settings.node, cores: told.cores, stage: 'founding' };
+    if (stage() === 'blank' && Option.isSome(disk.lost())) return { agreed: false };
     if (stage() === 'blank' && told.step === 'propose' && !(await keepFleet(known))) return { agreed: false };
     if (Option.isNone(fleet) || fleet.value.fleet !== told.fleet) return { agreed: false };
     if (told.step === 'formed' && fleet.value.stage === 'founding') await becomeFormed(fleet.value);
@@ -556,12 +557,13 @@
     form: agree,
     copy: async function copied(ask) {
       const at = stoodAt();
+      const page = await cells.page(ask.after);
       return {
-        ready: cells.ready() && (standing === undefined || at.set !== undefined),
+        ready: Either.isRight(page) && cells.ready() && (standing === undefined || at.set !== undefined),
         ...at,
         votes: { ...(await votedEpochs()) },
         notes: notes.all(),
-        ...(await cells.page(ask.after)),
+        ...(Either.isRight(page) ? page.right : { entries: [], next: '' }),
       };
     },
     adopt: async (ask) => (Option.isSome(coreSet) ? coreSet.value.adopt(ask) : { adopted: false, silent: [] }),
@@ -598,6 +600,7 @@
     changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
     obeyed: subscriptions.obeyed,
     diskBytes: disk.size,
+    diskTrouble: disk.trouble,
     metrics: () => ({
       cells: cells.keys().length,
       puts: disk.puts(),
@@ -755,7 +758,8 @@
   if (Option.isSome(coreSet)) coreSet.value.start();
   if (stage() === 'formed') void reopen();
   else if (Option.isNone(coreSet) && stage() === 'copying' && Option.isSome(fleet)) void copy(fleet.value);
-  else if (Option.isNone(parts) || parts.value.founds) void form();
+  // One that lost what it held founds nothing: there was a fleet, and what it acknowledged must not be forgotten (design 4.3).
+  else if (Option.isNone(disk.lost()) && (Option.isNone(parts) || parts.value.founds)) void form();
 
   async function stop(): Promise<void> {
     stopped = true;
--- a/packages/simulator/src/explored-machines.ts
+++ b/packages/simulator/src/explored-machines.ts
@@ -1,5 +1,6 @@
 // Cores that hold a register while their seats change hands, for explorations: acceptors, proposers, steps, learners and copying are
 // the product's own; messages, syncs and losses happen when and as the exploration says (design 4.8, 10.4).
+import { soundDisk } from './sound-disk.js';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { copying, cores, setOf, standingOf, type CoreCall, type Cores, type Fleet } from '@stallstall/core';
@@ -117,16 +118,9 @@
   }
 
   function diskOf(state: State, alive: () => boolean): Disk {
-    return {
-      load: () => Promise.resolve(state.entries),
-      read: (key) => Promise.resolve(Option.fromNullable(state.entries.get(key))),
-      page: (prefix, after) =>
-        Promise.resolve(
-          [...state.entries].filter(([key]) => key.startsWith(prefix) && key > after).sort(([left], [right]) => (left < right ? -1 : 1)),
-        ),
-      size: () => 0,
-      puts: () => 0,
-      put: (key, value) =>
+    return soundDisk.create(
+      () => state.entries,
+      (key, value) =>
         new Promise((resolve) =>
           course.later(function sync() {
             if (!alive()) return;
@@ -134,7 +128,7 @@
             resolve(Either.right(null));
           }, 'sync'),
         ),
-    };
+    );
   }
 
   async function answer(state: State, kind: MessageKind, body: unknown): Promise<unknown> {
@@ -151,7 +145,9 @@
     const isFormed = running.cells.ready() && Option.isSome(running.fleet) && running.fleet.value.stage === 'formed';
     const set = Option.isSome(running.fleet) ? setOf(running.fleet.value).number : 0;
     const page = await running.cells.page(ask.after);
-    return { ready: isFormed, ...(isFormed ? { set } : {}), votes: {}, notes: { floors: {}, reports: [], through: {} }, ...page };
+    const read = Either.isRight(page) ? page.right : { entries: [], next: '' };
+    const ready = isFormed && Either.isRight(page);
+    return { ready, ...(isFormed ? { set } : {}), votes: {}, notes: { floors: {}, reports: [], through: {} }, ...read };
   }
 
   /** A call is answered, lost, or, once its callee has ended, given up. */
--- a/packages/simulator/src/schedules.ts
+++ b/packages/simulator/src/schedules.ts
@@ -1,4 +1,5 @@
 // Orders of events too rare to be drawn, written down: each shows a guard of design 4.8 at work (design 10.4).
+import { soundDisk } from './sound-disk.js';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { identifiers, type Disk, type Kernel } from '@stallstall/kernel';
@@ -20,17 +21,13 @@
 
 function diskOf(): Disk {
   const entries = new Map<string, unknown>();
-  return {
-    load: () => Promise.resolve(entries),
-    read: (key) => Promise.resolve(Option.fromNullable(entries.get(key))),
-    page: (prefix, after) => Promise.resolve([...entries].filter(([key]) => key.startsWith(prefix) && key > after)),
-    size: () => 0,
-    puts: () => 0,
-    put: function put(key, value) {
+  return soundDisk.create(
+    () => entries,
+    function put(key, value) {
       entries.set(key, value);
       return Promise.resolve(Either.right(null));
     },
-  };
+  );
 }
 
 function kernelOf(): Kernel {
@@ -121,7 +118,9 @@
         [...sources].map(seatOf),
         levelling.sourcesNeeded(secondSeats.length),
         async function copy(source) {
-          for (const { key: copied, state } of (await core(source.node).cells.page('')).entries)
+          const page = await core(source.node).cells.page('');
+          if (Either.isLeft(page)) return false;
+          for (const { key: copied, state } of page.right.entries)
             if (acceptor.isCellState(state)) await core(name).cells.merge(copied, state);
           return true;
         },
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -9,7 +9,6 @@
   identifiers,
   kernel as kernels,
   protocolsSpoken,
-  type Disk,
   type Fault,
   type HttpAsk,
   type HttpConnection,
@@ -21,14 +20,14 @@
   type Listening,
   type LogFields,
   type Protocols,
+  wallClock,
   type Stream,
 } from '@stallstall/kernel';
 import { generator, queue } from './event-queue.js';
 import { copied, streamOver } from './frames.js';
+import { simulatedDisk, type SimulatedDisk } from './simulated-disk.js';
 
-/** `full`: each put fails for want of room. `hanging`: nothing is read or written until it is over. */
-export type DiskTrouble = { failing: boolean; full: boolean; hanging: boolean; slowMilliseconds: number };
-export type SimulatedDisk = { readonly entries: Map<string, string>; readonly trouble: DiskTrouble };
+export type { DiskTrouble, SimulatedDisk } from './simulated-disk.js';
 
 export type Process = Readonly<{
   name: string;
@@ -98,14 +97,12 @@
 /** Lets every promise that can go on do so before the next event, at a third of the cost of a turn of the event loop. */
 const settlePromises = vm.runInThisContext('(function settlePromises() { %PerformMicrotaskCheckpoint(); })') as () => void;
 
-const putsKey = '#puts';
+const hangLookMilliseconds = 5;
 /** What the wall clocks show as a run begins. */
 export const wallStart = 1_800_000_000_000;
 const leastLatency = 0.2;
 const latencySpread = 0.8;
 const connectMilliseconds = 3_000;
-/** How often an access to a hanging disk looks whether it is over. */
-const hangingLookMilliseconds = 20;
 
 function create(seed: number, weighing = false): World {
   const random = generator(seed);
@@ -493,10 +490,39 @@
     return { exchange, close, closed: () => closed };
   }
 
+  // -- Disks.
+
+  /** When a disk that hangs goes on, and at once if it does not. */
+  function whileHanging(body: Body, kept: SimulatedDisk, action: () => void): void {
+    if (kept.trouble.hanging && body.alive) at(hangLookMilliseconds, () => whileHanging(body, kept, action));
+    else action();
+  }
+
+  function putOn(body: Body, kept: SimulatedDisk, key: string, write: () => void): Promise<Either.Either<Fault, null>> {
+    return new Promise((resolve) => {
+      body.puts.add(write);
+      function end(): void {
+        if (!body.alive) return;
+        body.puts.delete(write);
+        if (kept.trouble.failing || kept.trouble.full) {
+          const reason = kept.trouble.full ? 'no space left on device' : 'the disk is set to fail';
+          inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error(reason)))));
+          return;
+        }
+        write();
+        inside(body, () => resolve(Either.right(null)));
+      }
+      at(0.5 + random() * 2 + kept.trouble.slowMilliseconds, () => whileHanging(body, kept, end));
+    });
+  }
+
   function kernelOf(body: Body, disk: SimulatedDisk | undefined, protocols: Protocols): Kernel {
+    function steady(): Instant {
+      return (body.clockOffset + now * body.clockRate) as Instant;
+    }
     const clock = {
-      now: () => (body.clockOffset + now * body.clockRate) as Instant,
-      wall: () => identifiers.wallTime(wallStart + now + body.wallOffset),
+      now: steady,
+      wall: wallClock.create(steady, () => identifiers.wallTime(wallStart + now + body.wallOffset)),
       alarm: function alarm(milliseconds: number, action: () => void) {
         let live = true;
         at(
@@ -532,66 +558,9 @@
       };
     }
 
-    /** What a read gives, once the disk answers. */
-    function answered<Result>(kept: SimulatedDisk, result: () => Result): Promise<Result> {
-      if (!kept.trouble.hanging) return Promise.resolve(result());
-      return new Promise((resolve) => at(hangingLookMilliseconds, () => inside(body, () => resolve(answered(kept, result)))));
-    }
-
-    function pageOf(kept: SimulatedDisk, prefix: string, after: string, bytes: number): ReadonlyArray<readonly [string, unknown]> {
-      const found: Array<readonly [string, unknown]> = [];
-      let left = bytes;
-      for (const key of [...kept.entries.keys()].filter((one) => one.startsWith(prefix) && one > after).sort()) {
-        if (left <= 0) break;
-        const text = kept.entries.get(key) as string;
-        found.push([key, JSON.parse(text)]);
-        left -= text.length;
-      }
-      return found;
-    }
-
-    const stored: Option.Option<Disk> = Option.map((kept: SimulatedDisk): Disk => ({
-      puts: () => Number(kept.entries.get(putsKey) ?? 0),
-      load: (without) =>
-        answered(
-          kept,
-          () =>
-            new Map(
-              [...kept.entries]
-                .filter(([key]) => key !== putsKey && !key.startsWith(without))
-                .map(([key, value]) => [key, JSON.parse(value) as unknown]),
-            ),
-        ),
-      read: (key) =>
-        answered(kept, () => Option.map((text: string) => JSON.parse(text) as unknown)(Option.fromNullable(kept.entries.get(key)))),
-      page: (prefix, after, bytes) => answered(kept, () => pageOf(kept, prefix, after, bytes)),
-      size: () => [...kept.entries].reduce((sum, [key, value]) => sum + key.length + value.length, 0),
-      put: (key: string, value: unknown) =>
-        new Promise<Either.Either<Fault, null>>((resolve) => {
-          const text = JSON.stringify(value);
-          function write(): void {
-            kept.entries.set(key, text);
-            kept.entries.set(putsKey, String(Number(kept.entries.get(putsKey) ?? 0) + 1));
-          }
-          body.puts.add(write);
-          function written(): void {
-            if (!body.alive) return;
-            if (kept.trouble.hanging) {
-              at(hangingLookMilliseconds, written);
-              return;
-            }
-            body.puts.delete(write);
-            if (kept.trouble.failing || kept.trouble.full) {
-              const reason = kept.trouble.full ? 'no space left on device' : 'the disk is set to fail';
-              inside(body, () => resolve(Either.left(fault.diskFailed(key, new Error(reason)))));
-              return;
-            }
-            write();
-            inside(body, () => resolve(Either.right(null)));
-          }
-          at(0.5 + random() * 2 + kept.trouble.slowMilliseconds, written);
-        }),
-    }))(Option.fromNullable(disk));
+    const stored = Option.map((kept: SimulatedDisk) => simulatedDisk.over(kept, clock, (key, write) => putOn(body, kept, key, write)))(
+      Option.fromNullable(disk),
+    );
 
     return {
       clock,
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -23,6 +23,8 @@
         'build/pooled.js',
         'build/capacity.js',
         'build/cores.js',
+        'build/disks.js',
+        'build/clocks.js',
         'build/outages.js',
         'build/orders.js',
       ],
