Operator's commands by what they act on; settings follow one typed source

Cause: operator.ts held the way to a core, tables and nineteen commands.

Now: core-client, tables, and the commands as listing-, condition-, sheet-, node- and operator-commands; the check that a core was reached stands once. settings.follow takes schema, file and flags as one value, so one call in the stories changed with it. Names of commands and flags are what they were, so nothing needs an alias.

--- a/packages/operator/src/commands.ts
+++ b/packages/operator/src/commands.ts
@@ -1,26 +1,11 @@
+/** The commands by their names on the command line. */
 import { MappingsImport } from './mappings.js';
 import { RunAgent, RunCore, RunProxy } from './daemons.js';
-import {
-  AcceptLoss,
-  Audit,
-  Drain,
-  Elections,
-  Liveness,
-  Members,
-  Metrics,
-  OperatorPut,
-  OperatorRemove,
-  Operators,
-  Remove,
-  Retire,
-  SheetCheck,
-  SheetDiff,
-  SheetGet,
-  SheetSend,
-  SheetVersions,
-  Status,
-  Usage,
-} from './operator.js';
+import { Liveness, Metrics } from './condition-commands.js';
+import { Audit, Elections, Members, Operators, SheetVersions, Status, Usage } from './listing-commands.js';
+import { AcceptLoss, Drain, Remove, Retire } from './node-commands.js';
+import { OperatorPut, OperatorRemove } from './operator-commands.js';
+import { SheetCheck, SheetDiff, SheetGet, SheetSend } from './sheet-commands.js';
 
 export const commands = {
   'run:core': RunCore,
--- a/packages/operator/src/daemons.ts
+++ b/packages/operator/src/daemons.ts
@@ -1,4 +1,4 @@
-// The daemons. oclif asks for classes; they are the forced exception of design 2.6.
+/** The commands that run a process of the fleet. oclif asks for classes; they are the forced exception of design 2.6. */
 import fs from 'node:fs';
 import { Command, Flags } from '@oclif/core';
 import * as Either from 'fp-ts/lib/Either.js';
@@ -67,7 +67,7 @@
     const { flags } = await this.parse(RunCore);
     const first = orFail(this, settings.read(coreSettings, flags.settings, given(flags)));
     const kernel = await machine.create('core', Option.some(orFail(this, disk.open(first.data))));
-    const current = settings.follow(kernel, changes, coreSettings, flags.settings, given(flags), first);
+    const current = settings.follow(kernel, changes, { schema: coreSettings, file: flags.settings, flags: given(flags) }, first);
     const started = orFail(this, await core.start(kernel, { ...first, seeds: () => current().seeds, platform: () => current().platform }));
     endWith(kernel, started.drain);
     kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
@@ -75,14 +75,14 @@
 }
 
 export class RunAgent extends Command {
-  static override description = 'Run an agent: the control link, beats and votes of an edge.';
+  static override description = 'Run an agent: the control link, heartbeats and votes of an edge.';
   static override flags = { ...nodeFlags, feed: Flags.string({ description: 'the loopback address its proxy is fed at' }) };
 
   async run(): Promise<void> {
     const { flags } = await this.parse(RunAgent);
     const first = orFail(this, settings.read(agentSettings, flags.settings, given(flags)));
     const kernel = await machine.create('agent', Option.none);
-    const current = settings.follow(kernel, changes, agentSettings, flags.settings, given(flags), first);
+    const current = settings.follow(kernel, changes, { schema: agentSettings, file: flags.settings, flags: given(flags) }, first);
     const started = orFail(this, await agent.start(kernel, { ...first, seeds: () => current().seeds, platform: () => current().platform }));
     endWith(kernel, started.drain);
     kernel.log('process.runs', { node: first.node, address: first.address, outward: first.outward });
@@ -90,10 +90,10 @@
 }
 
 export class RunProxy extends Command {
-  static override description = "Run a proxy: the senders' side of an edge, fed by its agent.";
+  static override description = "Run a proxy: the clients' side of an edge, fed by its agent.";
   static override flags = {
     ...shared,
-    address: Flags.string({ description: 'where senders reach it over HTTP' }),
+    address: Flags.string({ description: 'where clients reach it over HTTP' }),
     feed: Flags.string({ description: "its agent's feed address" }),
   };
 
@@ -101,7 +101,7 @@
     const { flags } = await this.parse(RunProxy);
     const first = orFail(this, settings.read(proxySettings, flags.settings, given(flags)));
     const kernel = await machine.create('proxy', Option.none);
-    settings.follow(kernel, changes, proxySettings, flags.settings, given(flags), first);
+    settings.follow(kernel, changes, { schema: proxySettings, file: flags.settings, flags: given(flags) }, first);
     const started = await proxy.start(kernel, first);
     endWith(kernel, started.drain);
     kernel.log('process.runs', { address: first.address });
--- a/packages/operator/src/mappings.ts
+++ b/packages/operator/src/mappings.ts
@@ -1,4 +1,4 @@
-// Mappings from OpenAPI files, read by a library (design 8.7).
+/** Mappings from OpenAPI files, read by a library (design 8.7). */
 import fs from 'node:fs';
 import { dereference } from '@readme/openapi-parser';
 import { Args, Command, Flags } from '@oclif/core';
--- a/packages/operator/src/settings.ts
+++ b/packages/operator/src/settings.ts
@@ -1,4 +1,4 @@
-// Settings of a process: its addresses, its area, three seeds; from a file, from flags, or both (design 9.3).
+/** Settings of a process: its addresses, its area, three seeds; from a file, from flags, or both (design 9.3). */
 import fs from 'node:fs';
 import * as Either from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
@@ -20,6 +20,7 @@
 /** What may change while the process runs; anything else waits for a restart. */
 const changeable = new Set(['platform', 'seeds']);
 
+/** Calls back whenever a settings file may have changed. */
 export type Changes = Readonly<{ watch: (file: string, again: () => void) => void }>;
 
 function readFile(file: string | undefined): Either.Either<Fault, Readonly<Record<string, unknown>>> {
@@ -59,15 +60,30 @@
   );
 }
 
-/** Reads the file again whenever it is told to; an invalid or half-written one keeps the old settings and logs the remedy. */
-function follow<Schema extends z.ZodType<Readonly<Record<string, unknown>>>>(
+/** Where a process has its settings from: flags go before the file. */
+export type SettingsSource<Schema> = Readonly<{
+  schema: Schema;
+  file: string | undefined;
+  flags: Readonly<Record<string, unknown>>;
+}>;
+
+type Values = Readonly<Record<string, unknown>>;
+
+function changedColumns(before: Values, after: Values): readonly string[] {
+  return Object.keys(after).filter((column) => JSON.stringify(after[column]) !== JSON.stringify(before[column]));
+}
+
+/**
+ * Reads the file again whenever it is told to; an invalid or half-written one keeps the old settings and logs the remedy. `first`: what the
+ * process was started with. Returns a function that gives the current settings.
+ */
+function follow<Schema extends z.ZodType<Values>>(
   kernel: Kernel,
   changes: Changes,
-  schema: Schema,
-  file: string | undefined,
-  flags: Readonly<Record<string, unknown>>,
+  source: SettingsSource<Schema>,
   first: z.infer<Schema>,
 ): () => z.infer<Schema> {
+  const { schema, file, flags } = source;
   let current = first;
 
   function again(): void {
@@ -76,16 +92,13 @@
       kernel.log('settings.denied', { reason: next.left.message });
       return;
     }
-    const changed = Object.keys(next.right).filter((column) => JSON.stringify(next.right[column]) !== JSON.stringify(current[column]));
-    if (changed.length === 0) return;
+    const changed = changedColumns(current, next.right);
+    const obeyed = changed.filter((column) => changeable.has(column));
     for (const column of changed)
       if (!changeable.has(column)) kernel.log('settings.waits', { column, remedy: 'restart the process to obey it' });
-    current = {
-      ...current,
-      ...Object.fromEntries(changed.filter((column) => changeable.has(column)).map((column) => [column, next.right[column]])),
-    };
-    if (changed.some((column) => changeable.has(column)))
-      kernel.log('settings.obeyed', { columns: changed.filter((column) => changeable.has(column)).join(',') });
+    if (obeyed.length === 0) return;
+    current = { ...current, ...Object.fromEntries(obeyed.map((column) => [column, next.right[column]])) };
+    kernel.log('settings.obeyed', { columns: obeyed.join(',') });
   }
 
   if (file !== undefined) changes.watch(file, again);
--- a/packages/stories/src/product.ts
+++ b/packages/stories/src/product.ts
@@ -37,9 +37,7 @@
         this.again = again;
       },
     },
-    agentSettings,
-    file,
-    {},
+    { schema: agentSettings, file, flags: {} },
     first.right,
   );
 });
