A core without a majority confirms nothing, refuses nothing, and says so within a second

Cause: a core that was cut off acknowledged beats, draining and leaves that it could tell nobody: members stayed with it, a healthy primary was unheard by all others, and a leave was lost for good, since beats missed in a cut were never told again. Reads and orders were held for 4.8 s. A leave of a member that a core had not met was acknowledged and told to nobody. A candidacy overtaken while its core was away could still take the duty and promote; a call whose connection opened after the term left all the same; a call went on up to 1.9 s after its duty was let go.

Now: contact (a majority answered what was sent within 0.9 s) is part of every answer; draining and leaving are acknowledged once a majority has taken them; a core whose telling was missed is told everything; the settled epoch is read under the duty, and settled before the duty is let go; no byte of a duty's call leaves once the term is over. Design 7.14 has the review, what, who asks, what stops it, and the test.

Ruled out: refusing leases without contact (a strict majority is the confirmation; cores cut from each other alone would cost all service); a round between cores for every beat.

--- a/packages/bench/src/hollow/child.ts
+++ b/packages/bench/src/hollow/child.ts
@@ -27,7 +27,7 @@
     {
       method: 'POST',
       path: '/beats',
-      handle: async (request) => ({ status: door.beat(request.body as Registration) ? 200 : 503, body: {} }),
+      handle: async (request) => ({ status: (await door.beat(request.body as Registration)) ? 200 : 503, body: {} }),
     },
     {
       method: 'PUT',
--- a/packages/bench/src/hollow/counts.ts
+++ b/packages/bench/src/hollow/counts.ts
@@ -26,6 +26,7 @@
       frames.sent += 1;
       link.send(message);
     },
+    reset: link.reset,
     receive: async function receive() {
       const message = await link.receive();
       if (Option.isSome(message)) frames.received += 1;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,8 +23,10 @@
 import { sheets, type SheetMember } from '@stallstall/sheet';
 import { Type } from '@sinclair/typebox';
 import { administration as administrations, type ExternalVersion } from './administration.js';
+import { contact as contacts } from './contact.js';
 import { cores as coreSets, type Cores, type Fleet } from './cores.js';
 import { diskFault, diskFormat, rosterKey } from './data-folder.js';
+import { spreader as spreaders, type Spreader } from './spreader.js';
 import { forPush, subscribers } from './subscribers.js';
 import { usage as usages } from './usage.js';
 import { abstained, coreVotes } from './votes.js';
@@ -38,9 +40,10 @@
   configure: (external: ExternalVersion, sheet: unknown) => Promise<Either.Either<Fault, Readonly<{ version: number }>>>;
   /** The newest configuration as its sender wrote it. */
   source: () => Promise<Either.Either<Fault, string>>;
-  /** False when this core is of no fleet yet and could tell nobody. */
-  beat: (registration: Registration) => boolean;
-  leave: (member: string) => boolean;
+  /** False when no majority of cores would know of it; that a member drains is confirmed by one. */
+  beat: (registration: Registration) => Promise<boolean>;
+  /** The same: right once a majority of cores knows that the member has left. */
+  leave: (member: string) => Promise<boolean>;
 }>;
 
 /** How a fleet runs where members register, edges hold leases, and the platform has words of its own (design 9.6). */
@@ -71,7 +74,6 @@
 const spreadMilliseconds = 100;
 const keepMilliseconds = 300;
 const RosterSchema = Type.Array(RosterEntrySchema);
-const spreadHorizonMilliseconds = 1_000;
 /** So often this core sees that its own connection to whoever leads stands. */
 const lookMilliseconds = 300;
 const lookHorizonMilliseconds = 800;
@@ -96,6 +98,7 @@
 
   let lessor: Option.Option<Lessor> = Option.none;
   let roster: Option.Option<Roster> = Option.none;
+  let spreader: Option.Option<Spreader> = Option.none;
 
   function news(): void {
     if (Option.isSome(lessor)) lessor.value.changed();
@@ -179,6 +182,8 @@
         }),
   });
 
+  const contact = contacts.create(kernel, node.answeredAt);
+
   /** A primary that no beat has named yet is not gone: liveness tells whether it is DOWN (design 7.1). */
   function membersOf(service: string): readonly SheetMember[] {
     if (Option.isNone(roster)) return [];
@@ -235,6 +240,7 @@
     else node.follow(coreSets.setOf(known));
     cells.open();
     notes.open();
+    contact.opened();
     feedOwn();
     news();
     kernel.log('core.open', { fleet: known.fleet, cores: known.cores.length });
@@ -593,7 +599,7 @@
     usageLook: (ask) => notes.look(ask.window),
     spread: function spread(ask) {
       if (Option.isSome(roster)) roster.value.take(ask.beats);
-      return { taken: true };
+      return { taken: Option.isSome(roster) && cells.ready() };
     },
     lease: async function lease(ask, caller) {
       const granting = lessor;
@@ -635,6 +641,7 @@
     // Where members were, until their beats tell: after a stop of everything nobody waits for these (design 4.7).
     if (message.fits(RosterSchema, known)) kept.restore(known);
     roster = Option.some(kept);
+    spreader = Option.some(spreaders.create(node, kept));
     kernel.services.offer(rosterService, kept);
     const granting = lessors.create(kernel, {
       ready: () => cells.ready() && !ending,
@@ -652,14 +659,7 @@
 
   /** Beats taken here go to the other cores, several at a time; a change at once. */
   function spreadBeats(): void {
-    if (Option.isNone(roster) || stopped) return;
-    const beats = roster.value.spread();
-    if (beats.length === 0) return;
-    for (const other of node.cores()) {
-      const held = node.callPeer(other.node);
-      if (other.node !== settings.node && Option.isSome(held))
-        void held.value.call('spread', { beats: [...beats] }, spreadHorizonMilliseconds);
-    }
+    if (Option.isSome(spreader) && !stopped) spreader.value.spread();
   }
 
   /** The roster as it stands goes to the disk now and then: it saves time after a restart, and nothing leans on it. */
@@ -726,15 +726,19 @@
     configure: async function configure(external, sheet) {
       if (!cells.ready()) return Either.left(notOpen());
       const checked = sheets.check(sheet);
-      return Either.isLeft(checked) ? checked : administration.configure(external, checked.right);
+      return Either.isLeft(checked) ? checked : contact.during(() => administration.configure(external, checked.right));
+    },
+    source: async () => (cells.ready() ? contact.during(administration.source) : Either.left(notOpen())),
+    // One that is of no fleet could tell nobody, nor one that no majority answers: who calls turns to another.
+    beat: async function beat(registration) {
+      if (Option.isNone(roster) || Option.isNone(spreader) || !cells.ready()) return false;
+      roster.value.beat(registration);
+      return contact.inTouch() && (!registration.draining || spreader.value.confirm(registration.member));
     },
-    source: async () => (cells.ready() ? administration.source() : Either.left(notOpen())),
-    // One that is of no fleet could tell nobody: who calls turns to another.
-    beat: (registration) => Option.isSome(roster) && cells.ready() && (roster.value.beat(registration) || true),
-    leave: function leave(member) {
-      if (Option.isNone(roster) || !cells.ready()) return false;
+    leave: async function leave(member) {
+      if (Option.isNone(roster) || Option.isNone(spreader) || !cells.ready()) return false;
       roster.value.leave(member);
-      return true;
+      return contact.inTouch() && spreader.value.confirm(member);
     },
   };
 
@@ -751,7 +755,11 @@
     void kernels.every(kernel.clock, lookMilliseconds, lookAtPrimaries, () => !stopped);
   }
 
-  const pages = http.counted([...node.mappings, ...administration.mappings, ...(Option.isSome(parts) ? parts.value.pages(door) : [])]);
+  const pages = http.counted([
+    ...node.mappings,
+    ...administration.mappings.map(contact.guard),
+    ...(Option.isSome(parts) ? parts.value.pages(door) : []),
+  ]);
   const doorPages = Option.isSome(parts) ? new Set(parts.value.pages(door).map((one) => `${one.method} ${one.path}`)) : new Set<string>();
   const listening: readonly Listening[] = [
     await peer.listen(kernel, identifiers.address(settings.address), handlers),
--- a/packages/elect/src/duty.ts
+++ b/packages/elect/src/duty.ts
@@ -2,7 +2,17 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { Type, type Static } from '@sinclair/typebox';
-import { fault, identifiers, type Address, type Fault, type HttpAsk, type HttpReply, type Instant, type Kernel } from '@stallstall/kernel';
+import {
+  fault,
+  identifiers,
+  type Address,
+  type Fault,
+  type HttpAsk,
+  type HttpConnection,
+  type HttpReply,
+  type Instant,
+  type Kernel,
+} from '@stallstall/kernel';
 import { message, type Entry } from '@stallstall/message';
 import { registerService } from '@stallstall/register';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
@@ -55,6 +65,8 @@
     let until = identifiers.after(from, termMilliseconds);
     let renewing: Promise<boolean> | undefined;
     let released = false;
+    /** Calls under way. */
+    const calling = new Set<HttpConnection>();
 
     /** Who asks while a renewal is under way shares it. */
     function renew(): Promise<boolean> {
@@ -97,6 +109,7 @@
         );
       }
       const connection = kernel.network.connect(address);
+      calling.add(connection);
       let under = true;
       function guard(): void {
         if (!under) return;
@@ -109,9 +122,10 @@
       guard();
       void renewBeside();
       acted = Option.some({ turn, at: kernel.clock.now() });
-      const reply = await connection.exchange(ask, milliseconds);
+      const reply = await connection.exchange({ ...ask, leaveBefore: until }, milliseconds);
       acted = Option.some({ turn, at: kernel.clock.now() });
       under = false;
+      calling.delete(connection);
       connection.close();
       return reply;
     }
@@ -123,6 +137,8 @@
       release: async function release() {
         released = true;
         until = kernel.clock.now();
+        // What is under way is taken back: the next holder may act as soon as the release stands.
+        for (const connection of calling) connection.close();
         await replace(true);
       },
     };
--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -346,7 +346,11 @@
     const horizon = identifiers.after(kernel.clock.now(), 2 * (termMilliseconds + marginMilliseconds));
     while (kernel.clock.now() < horizon && !outvoted(service, epoch)) {
       const holding = await promotion.seek();
-      if (Option.isSome(holding)) return holding;
+      if (Option.isSome(holding)) {
+        if (await isUnsettled(service, epoch)) return holding;
+        await holding.value.release();
+        return Option.none;
+      }
       await kernel.clock.sleep(250);
     }
     return Option.none;
@@ -407,6 +411,17 @@
     return Either.left(last);
   }
 
+  /**
+   * Whether a majority of cores knows of no epoch as late, asked under the duty: who was frozen or cut off since its ACCEPTs learns here
+   * what was settled meanwhile, before it promotes anybody (design 7.14).
+   */
+  async function isUnsettled(service: string, epoch: number): Promise<boolean> {
+    const read = await register.read(`epoch/${service}`, 1_000);
+    if (Either.isLeft(read)) return false;
+    const settled = Option.isSome(read.right) ? (read.right.value.value as Settled).epoch : 0;
+    return settled < epoch;
+  }
+
   async function settle(service: string, settled: Settled): Promise<boolean> {
     const written = await register.change(`epoch/${service}`, function next(current: Option.Option<Entry>) {
       const standing = Option.isSome(current) ? (current.value.value as Settled) : undefined;
@@ -444,14 +459,17 @@
     });
     if (Either.isLeft(majority)) return `epoch ${epoch} not won: ${majority.left}`;
     const [waited, holding] = await Promise.all([waitOut(service, candidate, epoch, majority.right), seekDuty(service.service, epoch)]);
-    if (Option.isNone(holding)) return `epoch ${epoch} given up: another holds the promotion duty`;
+    if (Option.isNone(holding)) return `epoch ${epoch} given up: another holds the promotion duty, or has settled an epoch as late`;
     if (!waited) {
       await holding.value.release();
       return `epoch ${epoch} given up: the candidate never held all acknowledged writes`;
     }
     const promoted = await order(service, candidate, epoch, holding.value);
-    await holding.value.release();
-    if (Either.isLeft(promoted)) return `epoch ${epoch} given up: ${promoted.left}`;
+    if (Either.isLeft(promoted)) {
+      await holding.value.release();
+      return `epoch ${epoch} given up: ${promoted.left}`;
+    }
+    // Settled before the duty is let go: whoever takes it next reads it, however long it was away (design 7.14).
     const done = await settle(service.service, {
       epoch,
       primary: candidate.member.member,
@@ -459,6 +477,7 @@
       position: candidate.state.received,
       settledAt: kernel.clock.wall(),
     });
+    await holding.value.release();
     return done ? `epoch ${epoch} settled on ${candidate.member.member}` : `epoch ${epoch} promoted but not settled`;
   }
 
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -24,7 +24,10 @@
 export type Link = Readonly<{
   send: (message: unknown) => void;
   receive: () => Promise<Option.Option<unknown>>;
+  /** Ends the connection after what was sent. */
   close: () => void;
+  /** Ends it at once: what has not arrived yet never does. */
+  reset: () => void;
 }>;
 
 /** A held connection that carries text both ways as it comes, one character for each byte; what it says is its users' own (design 2.2). */
@@ -71,6 +74,8 @@
   path: string;
   headers?: Readonly<Record<string, string>>;
   body?: unknown;
+  /** No byte of the request leaves at this moment of the process's own clock or later, however long the connection took to open. */
+  leaveBefore?: Instant;
 }>;
 
 /**
--- a/packages/machine/src/links.ts
+++ b/packages/machine/src/links.ts
@@ -43,14 +43,18 @@
   socket.setNoDelay(true);
   socket.setEncoding('utf8');
 
-  function over(): void {
+  function end(closeSocket: () => void): void {
     if (!open) return;
     open = false;
-    socket.destroy();
+    closeSocket();
     waiting?.(Option.none);
     waiting = undefined;
   }
 
+  function over(): void {
+    end(() => socket.destroy());
+  }
+
   function take(line: string): void {
     let message: unknown;
     try {
@@ -88,6 +92,7 @@
       });
     },
     close: over,
+    reset: () => end(() => socket.resetAndDestroy()),
   };
 }
 
--- a/packages/machine/src/network.ts
+++ b/packages/machine/src/network.ts
@@ -134,6 +134,7 @@
     const alarm = setTimeout(close, milliseconds);
     try {
       if (closed) throw new Error('the connection is closed');
+      if (ask.leaveBefore !== undefined && performance.now() >= ask.leaveBefore) throw new Error('the time to leave is over');
       under = true;
       const reply = await held.request({
         method: ask.method as 'GET',
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -125,6 +125,8 @@
   epochs: () => Readonly<Record<string, number>>;
   stances: () => ReadonlyArray<Readonly<{ node: string; membership: number; epochs: Readonly<Record<string, number>> }>>;
   heardAt: (node: string) => Option.Option<Instant>;
+  /** The latest moment after which a majority of cores, this node included where it is one, was asked and has answered (design 7.14). */
+  answeredAt: () => Instant;
   callPeer: (node: string) => Option.Option<Peer>;
   cores: () => readonly Seat[];
   setCores: (cores: readonly Seat[]) => void;
@@ -159,6 +161,8 @@
   const told = new Map<string, Told>();
   const incarnations = new Map<string, number>();
   const confirmations = new Map<string, Readonly<{ sentAt: Instant; configuration: number; membership: number }>>();
+  /** When the newest call that a core answered was sent. */
+  const answered = new Map<string, Instant>();
   const acknowledged = new Map<string, number>();
   const puts = new Map<string, number>();
   const greeting = new Set<string>();
@@ -374,6 +378,7 @@
     );
     if (Option.isNone(reply) || peers.get(node)?.peer !== to) return;
     if (reply.value.superseded) return superseded();
+    noteAnswer(node, sentAt);
     takeTold(node, reply.value);
     if (Option.isSome(followed) && reply.value.membership > followed.value.number) void askNewer(to);
     // One that is behind may hold no link to anybody who is further (design 4.8).
@@ -382,6 +387,17 @@
     terms.heard(node, { sentAt, epochs: reply.value.epochs });
   }
 
+  function noteAnswer(node: string, sentAt: Instant): void {
+    if (sentAt > (answered.get(node) ?? Number.NEGATIVE_INFINITY)) answered.set(node, sentAt);
+  }
+
+  function answeredAt(): Instant {
+    const others = cores.filter((core) => core.node !== settings.node);
+    const moments = others.map((core) => answered.get(core.node) ?? Number.NEGATIVE_INFINITY);
+    const newest = quorum.reachedByMajority(moments, cores.length, Option.isSome(parts.own));
+    return identifiers.instant(Math.min(newest, kernel.clock.now()));
+  }
+
   async function askNewer(to: Peer): Promise<void> {
     const reply = await to.call('hello', { seat: ownSeat, incarnation, fleet: fleetName }, callMilliseconds);
     if (Option.isSome(reply) && reply.value.fleet === fleetName && reply.value.set !== undefined) sets.learn(reply.value.set);
@@ -400,8 +416,9 @@
       },
       callMilliseconds,
     );
-    if (Option.isNone(reply)) return;
+    if (Option.isNone(reply) || peers.get(core)?.peer !== to) return;
     if (reply.value.superseded) return superseded();
+    if (reply.value.ready) noteAnswer(core, sentAt);
     puts.set(core, Math.max(reply.value.puts, puts.get(core) ?? 0));
     if (reply.value.ready)
       confirmations.set(core, { sentAt, configuration: reply.value.configuration, membership: reply.value.membership });
@@ -674,6 +691,7 @@
       });
       return [{ node: settings.node, membership: membership().version, epochs: epochs() }, ...others];
     },
+    answeredAt,
     heardAt: (node) => Option.map((entry: Told) => entry.at)(Option.fromNullable(told.get(node))),
     callPeer: (node) => Option.map((held: Readonly<{ peer: Peer }>) => held.peer)(Option.fromNullable(peers.get(node))),
     cores: () => cores,
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -20,6 +20,8 @@
   restore: (entries: readonly RosterEntry[]) => void;
   /** Beats taken here since the last call, for the other cores. */
   spread: () => readonly Spread[];
+  /** All that is known here of members, for a core that has missed some of it. */
+  everything: () => readonly Spread[];
   /** Grows with every change that a reader must know of. */
   number: () => number;
   /** What has changed since a number. */
@@ -53,6 +55,11 @@
   );
 }
 
+/** A member of which no beat was heard here: all that can be told of it is that it has left. */
+function unmet(member: string): RosterEntry {
+  return { member, service: '-', address: '-', area: '-', draining: true, role: 'replica', slots: 0, sequence: 0, gone: true, down: false };
+}
+
 function create(kernel: Kernel, onChange: () => void): Roster {
   const liveness = kernel.services.find(livenessService);
   const table = new Map<string, Known>();
@@ -68,19 +75,21 @@
   }
 
   /** What leaves never comes back, and of two tellings the later one stands. */
-  function isLate(entry: RosterEntry): boolean {
+  function isLate(entry: RosterEntry, takenAt: Instant): boolean {
     const known = table.get(entry.member);
     if (known === undefined) return false;
     return (
-      (known.left && !entry.gone) ||
-      (!entry.gone && entry.sequence < known.entry.sequence && kernel.clock.now() - known.takenAt < lateMilliseconds)
+      (known.left && !entry.gone) || (!entry.gone && entry.sequence < known.entry.sequence && takenAt - known.takenAt < lateMilliseconds)
     );
   }
 
   function heard(entry: RosterEntry, ago: number): boolean {
-    if (isLate(entry)) return false;
+    const takenAt = identifiers.after(kernel.clock.now(), -ago);
+    if (isLate(entry, takenAt)) return false;
     if (!entry.gone) liveness.heard(entry.member, ago);
-    put({ ...entry, down: !entry.gone && liveness.down(entry.member) }, identifiers.after(kernel.clock.now(), -ago), entry.gone);
+    const known = table.get(entry.member);
+    const newest = identifiers.instant(Math.max(takenAt, known?.takenAt ?? Number.NEGATIVE_INFINITY));
+    put({ ...entry, down: !entry.gone && liveness.down(entry.member) }, newest, entry.gone);
     return true;
   }
 
@@ -92,8 +101,8 @@
 
   function leave(member: string): void {
     const known = table.get(member);
-    if (known === undefined || known.left) return;
-    put({ ...known.entry, gone: true }, kernel.clock.now(), true);
+    if (known?.left === true) return;
+    put({ ...(known?.entry ?? unmet(member)), gone: true }, kernel.clock.now(), true);
     toSpread.set(member, kernel.clock.now());
   }
 
@@ -111,6 +120,14 @@
     return told;
   }
 
+  /** One that is gone by its silence alone is left out: told as gone it would never come back. */
+  function everything(): readonly Spread[] {
+    const now = kernel.clock.now();
+    return [...table.values()]
+      .filter((known) => known.left || !known.entry.gone)
+      .map((known) => ({ entry: known.entry, ago: Math.max(0, now - known.takenAt) }));
+  }
+
   function step(): void {
     const now = kernel.clock.now();
     for (const [member, known] of table) {
@@ -130,6 +147,7 @@
     restore,
     leave,
     spread,
+    everything,
     step,
     take: function take(told) {
       for (const one of told) heard(one.entry, one.ago);
--- a/packages/simulator/src/core-fleet.ts
+++ b/packages/simulator/src/core-fleet.ts
@@ -2,7 +2,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
 import { core, type Core, type Door } from '@stallstall/core';
-import { fault, type HttpAsk } from '@stallstall/kernel';
+import { fault, type HttpAsk, type Kernel } from '@stallstall/kernel';
 import { lessee as lessees, type Lessee } from '@stallstall/lease';
 import { registerService } from '@stallstall/register';
 import { areas, deployments, redComun } from '@stallstall/stand-in';
@@ -19,10 +19,19 @@
   door: Door | undefined;
 };
 
+export type FleetEdge = Readonly<{ edge: Lessee; machine: string; kernel: Kernel }>;
+
 export type CoreFleet = Readonly<{
   world: World;
   machines: CoreMachine[];
   edge: Lessee;
+  /** One more edge, on a machine of its own. */
+  newEdge: (name: string, seeds: readonly string[]) => FleetEdge;
+  /** The service whose epoch is settled, and the sheet that every version here holds. */
+  service: string;
+  sheet: unknown;
+  /** Of a machine that every core can reach. */
+  operatorKernel: Kernel;
   /** Sends configurations one after the other, each to the next core that is there, until told to stop. */
   startOperator: () => Readonly<{ stop: () => void }>;
   /** The highest version that any core acknowledged. */
@@ -212,26 +221,32 @@
     };
   }
 
+  function startEdge(name: string, machine: string, edgeSeeds: readonly string[]): FleetEdge {
+    const { kernel } = world.spawn(name, machine);
+    const started = lessees.create(
+      kernel,
+      { node: name, area: areas[0] as string, seeds: () => edgeSeeds },
+      {
+        released: () => ({}),
+        positions: () => ({}),
+        marks: () => ({}),
+        positionsAgo: () => 0,
+        troubled: () => false,
+        notListening: () => [],
+        demand: () => 0,
+        onChange: () => undefined,
+      },
+    );
+    started.start();
+    return { edge: started, machine, kernel };
+  }
+
   for (let index = 0; index < founded; index += 1) add();
   const seeds = machines.slice(0, 3).map((machine) => machine.address);
   for (const machine of machines) seedsOf.set(machine, seeds);
   for (const machine of [...machines]) await start(machine, true);
-  const edgeProcess = world.spawn('edge-1', 'edge-machine');
-  const edge = lessees.create(
-    edgeProcess.kernel,
-    { node: 'edge-1', area: areas[0] as string, seeds: () => seeds },
-    {
-      released: () => ({}),
-      positions: () => ({}),
-      marks: () => ({}),
-      positionsAgo: () => 0,
-      troubled: () => false,
-      notListening: () => [],
-      demand: () => 0,
-      onChange: () => undefined,
-    },
-  );
-  edge.start();
+  const { edge, kernel: edgeKernel } = startEdge('edge-1', 'edge-machine', seeds);
+  const operatorKernel = world.spawn('operator', 'operator-machine').kernel;
   world.at(restartMilliseconds, restartEnded);
 
   async function until(condition: () => boolean, milliseconds: number): Promise<boolean> {
@@ -257,11 +272,11 @@
   void Promise.all([opened, settled]).then(() => {
     done = true;
   });
-  if (!(await until(() => done && edge.leaseUntil(service) > edgeProcess.kernel.clock.now(), 10_000)))
+  if (!(await until(() => done && edge.leaseUntil(service) > edgeKernel.clock.now(), 10_000)))
     throw new Error('the edge was granted no lease');
 
   function lookAtLease(): void {
-    if (edge.leaseUntil(service) <= edgeProcess.kernel.clock.now()) gaps += 1;
+    if (edge.leaseUntil(service) <= edgeKernel.clock.now()) gaps += 1;
     world.at(20, lookAtLease);
   }
   lookAtLease();
@@ -270,6 +285,10 @@
     world,
     machines,
     edge,
+    newEdge: (name, edgeSeeds) => startEdge(name, `${name}-machine`, edgeSeeds),
+    service,
+    sheet,
+    operatorKernel,
     startOperator,
     readAt,
     violations,
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -151,13 +151,13 @@
       path: '/members/:member/beat',
       handle: async function beat(request) {
         const told = request.body as Omit<Registration, 'member'>;
-        return door.beat({ ...told, member: request.query['member'] ?? '' }) ? { status: 200, body: {} } : away;
+        return (await door.beat({ ...told, member: request.query['member'] ?? '' })) ? { status: 200, body: {} } : away;
       },
     },
     {
       method: 'POST',
       path: '/members/:member/leave',
-      handle: async (request) => (door.leave(request.query['member'] ?? '') ? { status: 200, body: {} } : away),
+      handle: async (request) => ((await door.leave(request.query['member'] ?? '')) ? { status: 200, body: {} } : away),
     },
     {
       method: 'POST',
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -165,7 +165,8 @@
 
   type End = { readonly link: Link; readonly take: (message: unknown) => void; readonly broken: () => void };
 
-  function end(send: (message: unknown) => void, close: () => void): End {
+  /** `drop`: what was sent and has not arrived never does. */
+  function end(send: (message: unknown) => void, close: () => void, drop: () => void): End {
     const arrived: unknown[] = [];
     let waiting: ((message: Option.Option<unknown>) => void) | undefined;
     let open = true;
@@ -206,6 +207,12 @@
           broken();
           close();
         },
+        reset: function resetOn() {
+          if (!open) return;
+          drop();
+          broken();
+          close();
+        },
       },
     };
   }
@@ -248,21 +255,29 @@
       }
       const there = lane(body, listener.body);
       const back = lane(listener.body, body);
+      let nearDropped = false;
+      let farDropped = false;
       const near: End = end(
         (message) => {
           if (!body.alive) return;
           const copy = frame(body, message);
-          there(() => far.take(copy));
+          there(() => (nearDropped ? undefined : far.take(copy)));
         },
         () => hangUp(there, far),
+        () => {
+          nearDropped = true;
+        },
       );
       const far: End = end(
         (message) => {
           if (!listener.body.alive) return;
           const copy = frame(listener.body, message);
-          back(() => near.take(copy));
+          back(() => (farDropped ? undefined : near.take(copy)));
         },
         () => hangUp(back, near),
+        () => {
+          farDropped = true;
+        },
       );
       function hangUp(put: (action: () => void) => void, other: End): void {
         body.closers.delete(nearGone);
@@ -293,10 +308,6 @@
 
   function streamOver(link: Link): Stream {
     let closed = false;
-    function over(): void {
-      closed = true;
-      link.close();
-    }
     return {
       write: link.send,
       read: async function read() {
@@ -305,8 +316,14 @@
         if (Option.isNone(piece)) closed = true;
         return closed ? Option.none : Option.map(String)(piece);
       },
-      close: over,
-      reset: over,
+      close: function close() {
+        closed = true;
+        link.close();
+      },
+      reset: function reset() {
+        closed = true;
+        link.reset();
+      },
       closed: () => closed,
     };
   }
@@ -443,6 +460,11 @@
             settle(Either.left(lostFault('unreachable')));
             return;
           }
+          if (ask.leaveBefore !== undefined && body.clockOffset + now * body.clockRate >= ask.leaveBefore) {
+            settle(Either.left(lostFault('unreachable')));
+            close();
+            return;
+          }
           left = true;
           const [path, query] = ask.path.split('?');
           const copy = copied(ask.body);
--- /dev/null
+++ b/packages/stories/features/cut-core.feature
@@ -0,0 +1,70 @@
+Feature: A core that is cut off, frozen, or just back (design 7.14)
+
+  Scenario Outline: A core without a majority confirms nothing, at once, and is of use again once it is back
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-3 is cut off <way>
+    And 3 s of cores pass
+    Then core-3 confirms no beat, no draining, no leave, no configuration and no read, and says so within 100 ms
+    When 20 s of cores pass
+    Then core-3 confirms no beat, no draining, no leave, no configuration and no read, and says so within 100 ms
+    When the cuts are healed
+    Then within 3 s core-3 confirms a beat, a draining, a leave and a configuration, and reads the newest one
+    And every core reads back what was acknowledged
+
+    Examples:
+      | way                     |
+      | both ways               |
+      | from what it sends      |
+      | from what is sent to it |
+
+  Scenario Outline: What is asked in the moment of the cut is not held
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-3 is cut off <way>
+    Then core-3 confirms no draining, no leave, no configuration and no read, and says so within 1100 ms
+
+    Examples:
+      | way                     |
+      | both ways               |
+      | from what it sends      |
+      | from what is sent to it |
+
+  Scenario: The pages of the administration are answered at once as well
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-3 is cut off both ways
+    Then core-3 answers a read of its sheet with 503 and Retry-After within 1100 ms
+    And 3 s of cores pass
+    And core-3 answers a read of its sheet with 503 and Retry-After within 100 ms
+    And core-3 answers its status within 100 ms
+
+  Scenario: A core that was frozen confirms nothing from before, and reads nothing old
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-3 is frozen for 20 s, and is told a draining, a leave and a configuration meanwhile
+    Then it confirmed none of them by itself, and every later read is the newest
+
+  Scenario: What a core was told while cut off the others learn once it is back, and it learns what they were told
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When "bookings-1" and "bookings-2" beat to core-1
+    And core-3 is cut off both ways
+    And 3 s of cores pass
+    And "bookings-1" leaves at core-1
+    And "bookings-2" leaves at core-3
+    And 20 s of cores pass
+    And the cuts are healed
+    Then within 3 s all cores know that "bookings-1" has left
+    And within 3 s all cores know that "bookings-2" has left
+
+  Scenario: A leave of a member that the core has not met is not lost
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When "bookings-1" and "bookings-2" beat to core-1
+    And core-3 is killed and comes back after 1 s with an empty roster
+    And "bookings-1" leaves at core-3
+    Then within 3 s all cores know that "bookings-1" has left
+
+  Scenario: An edge and a blank core that reach the cut core alone get nothing of it
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-3 is cut off both ways
+    And an edge and a blank machine begin that reach core-3 alone
+    And 25 s of cores pass
+    Then that edge obeys no configuration and holds no lease, and that machine is of no set
+    When the cuts are healed
+    Then within 10 s that edge obeys the newest configuration and holds its lease
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -22,6 +22,8 @@
         'build/pooled.js',
         'build/capacity.js',
         'build/cores.js',
+        'build/cut-core.js',
+        'build/duties.js',
         'build/outages.js',
       ],
       format: ['progress'],
--- a/packages/stories/src/cores.ts
+++ b/packages/stories/src/cores.ts
@@ -188,7 +188,7 @@
   const { door } = this.cores.machine(`core-${index}`);
   assert.ok(door !== undefined && !door.ready());
   assert.equal(
-    door.beat({
+    await door.beat({
       member: 'bookings-1',
       service: 'bookings',
       address: '10.3.0.1:5000',
@@ -200,7 +200,7 @@
     }),
     false,
   );
-  assert.equal(door.leave('bookings-1'), false);
+  assert.equal(await door.leave('bookings-1'), false);
   const replies: Either.Either<unknown, unknown>[] = [];
   void door.configure({ version: 9, source: '9' }, {}).then((reply) => replies.push(reply));
   void door.source().then((reply) => replies.push(reply));
--- /dev/null
+++ b/packages/stories/src/cut-core.ts
@@ -0,0 +1,246 @@
+// Steps of cut-core.feature: what a core confirms while no majority answers it (design 7.14).
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import type { Door } from '@stallstall/core';
+import { http, identifiers, type HttpReply } from '@stallstall/kernel';
+import { rosterService, type Registration } from '@stallstall/roster';
+import type { CoreFleet, CoreMachine } from '@stallstall/simulator';
+
+type Operation = 'beat' | 'draining' | 'leave' | 'configuration' | 'read';
+
+type CutCoreStory = {
+  cores: CoreFleet;
+  operator: Readonly<{ stop: () => void }>;
+  lostEdge: ReturnType<CoreFleet['newEdge']>;
+  lostCore: CoreMachine;
+  frozenAnswers: readonly Answer[];
+};
+
+type Answer = Readonly<{ operation: Operation; confirmed: boolean; after: number }>;
+
+/** How long a story waits for any answer at all. */
+const patienceMilliseconds = 12_000;
+const lookMilliseconds = 10;
+
+/** Higher than any version the operator of the stories sends. */
+let version = 1_000_000;
+let sequence = 0;
+
+function registration(member: string, draining: boolean): Registration {
+  sequence += 1;
+  return { member, service: 'bookings', address: '10.3.0.1:5000', area: 'north', draining, role: 'replica', slots: 4, sequence };
+}
+
+function doorOf(machine: CoreMachine): Door {
+  assert.ok(machine.door !== undefined, `${machine.name} does not run`);
+  return machine.door;
+}
+
+async function perform(fleet: CoreFleet, machine: CoreMachine, operation: Operation): Promise<boolean> {
+  const door = doorOf(machine);
+  version += 1;
+  switch (operation) {
+    case 'beat':
+      return door.beat(registration('bookings-7', false));
+    case 'draining':
+      return door.beat(registration('bookings-8', true));
+    case 'leave':
+      return door.leave('bookings-9');
+    case 'configuration':
+      return Either.isRight(await door.configure({ version, source: String(version) }, fleet.sheet));
+    case 'read':
+      return Either.isRight(await door.source());
+  }
+}
+
+/** Asks for all of these at once, and waits for every answer. */
+async function answersOf(fleet: CoreFleet, machine: CoreMachine, operations: readonly Operation[]): Promise<readonly Answer[]> {
+  const answers: Answer[] = [];
+  for (const operation of operations) {
+    const asked = fleet.world.now();
+    void perform(fleet, machine, operation).then((confirmed) => answers.push({ operation, confirmed, after: fleet.world.now() - asked }));
+  }
+  await fleet.until(() => answers.length === operations.length, patienceMilliseconds);
+  assert.equal(answers.length, operations.length, `only ${answers.map((one) => one.operation).join(', ')} were answered`);
+  return answers;
+}
+
+function assertDenied(answers: readonly Answer[], milliseconds: number): void {
+  for (const { operation, confirmed, after } of answers) {
+    assert.equal(confirmed, false, `${operation} was confirmed after ${Math.round(after)} ms`);
+    assert.ok(after <= milliseconds, `${operation} was answered after ${Math.round(after)} ms`);
+  }
+}
+
+function everyoneElse(fleet: CoreFleet, machine: CoreMachine): readonly string[] {
+  return [...fleet.machines.map((one) => one.machine), 'edge-machine'].filter((one) => one !== machine.machine);
+}
+
+When('core-{int} is cut off from what it sends', function when(this: CutCoreStory, index: number) {
+  const machine = this.cores.machine(`core-${index}`);
+  for (const other of everyoneElse(this.cores, machine)) this.cores.world.cut(machine.machine, other);
+});
+
+When('core-{int} is cut off from what is sent to it', function when(this: CutCoreStory, index: number) {
+  const machine = this.cores.machine(`core-${index}`);
+  for (const other of everyoneElse(this.cores, machine)) this.cores.world.cut(other, machine.machine);
+});
+
+When('core-{int} is cut off both ways', function when(this: CutCoreStory, index: number) {
+  this.cores.cutOff(this.cores.machine(`core-${index}`));
+});
+
+Then(
+  'core-{int} confirms no beat, no draining, no leave, no configuration and no read, and says so within {int} ms',
+  async function then(this: CutCoreStory, index: number, milliseconds: number) {
+    const machine = this.cores.machine(`core-${index}`);
+    assertDenied(await answersOf(this.cores, machine, ['beat', 'draining', 'leave', 'configuration', 'read']), milliseconds);
+  },
+);
+
+Then(
+  'core-{int} confirms no draining, no leave, no configuration and no read, and says so within {int} ms',
+  async function then(this: CutCoreStory, index: number, milliseconds: number) {
+    const machine = this.cores.machine(`core-${index}`);
+    assertDenied(await answersOf(this.cores, machine, ['draining', 'leave', 'configuration', 'read']), milliseconds);
+  },
+);
+
+Then(
+  'within {int} s core-{int} confirms a beat, a draining, a leave and a configuration, and reads the newest one',
+  async function then(this: CutCoreStory, seconds: number, index: number) {
+    const machine = this.cores.machine(`core-${index}`);
+    await this.cores.world.run(seconds * 1_000);
+    for (const answer of await answersOf(this.cores, machine, ['beat', 'draining', 'leave', 'configuration']))
+      assert.ok(answer.confirmed, `${answer.operation} was not confirmed`);
+    const newest = version;
+    assert.deepEqual(await this.cores.readAt(machine), Option.some(newest));
+  },
+);
+
+/** A page of a core's own administration, asked from a machine that every core can reach. */
+async function page(fleet: CoreFleet, machine: CoreMachine, path: string): Promise<Readonly<{ reply: HttpReply; after: number }>> {
+  const asked = fleet.world.now();
+  let found: HttpReply | undefined;
+  const asking = http.once(fleet.operatorKernel, identifiers.address(machine.outward), { method: 'GET', path }, patienceMilliseconds);
+  void asking.then((reply) => {
+    found = Either.isRight(reply) ? reply.right : { status: 0, body: null };
+  });
+  await fleet.until(() => found !== undefined, patienceMilliseconds);
+  assert.ok(found !== undefined, `${path} was not answered`);
+  return { reply: found, after: fleet.world.now() - asked };
+}
+
+Then(
+  'core-{int} answers a read of its sheet with 503 and Retry-After within {int} ms',
+  async function then(this: CutCoreStory, index: number, milliseconds: number) {
+    const { reply, after } = await page(this.cores, this.cores.machine(`core-${index}`), '/v1/sheet');
+    assert.equal(reply.status, 503);
+    assert.ok(reply.headers?.['retry-after'] !== undefined);
+    assert.ok(after <= milliseconds, `after ${Math.round(after)} ms`);
+  },
+);
+
+Then('core-{int} answers its status within {int} ms', async function then(this: CutCoreStory, index: number, milliseconds: number) {
+  const { reply, after } = await page(this.cores, this.cores.machine(`core-${index}`), '/v1/fleet');
+  assert.equal(reply.status, 200);
+  assert.ok(after <= milliseconds, `after ${Math.round(after)} ms`);
+});
+
+When(
+  'core-{int} is frozen for {int} s, and is told a draining, a leave and a configuration meanwhile',
+  async function when(this: CutCoreStory, index: number, seconds: number) {
+    const machine = this.cores.machine(`core-${index}`);
+    assert.ok(machine.process !== undefined);
+    this.cores.world.freeze(machine.process, seconds * 1_000);
+    await this.cores.world.run(seconds * 1_000);
+    const answers = await answersOf(this.cores, machine, ['draining', 'leave', 'configuration']);
+    this.frozenAnswers = answers;
+  },
+);
+
+/** In the moment of its thaw nobody has answered it yet: what it confirms then, it confirms by itself. */
+Then('it confirmed none of them by itself, and every later read is the newest', async function then(this: CutCoreStory) {
+  assertDenied(this.frozenAnswers, 100);
+  await this.cores.world.run(3_000);
+  assert.deepEqual(this.cores.violations, []);
+  this.operator.stop();
+});
+
+When('{string} and {string} beat to core-{int}', async function when(this: CutCoreStory, one: string, other: string, index: number) {
+  for (const member of [one, other]) void doorOf(this.cores.machine(`core-${index}`)).beat(registration(member, false));
+  await this.cores.world.run(300);
+});
+
+When('{string} leaves at core-{int}', async function when(this: CutCoreStory, member: string, index: number) {
+  void doorOf(this.cores.machine(`core-${index}`)).leave(member);
+  await this.cores.world.run(lookMilliseconds);
+});
+
+When(
+  'core-{int} is killed and comes back after {int} s with an empty roster',
+  async function when(this: CutCoreStory, index: number, seconds: number) {
+    const machine = this.cores.machine(`core-${index}`);
+    this.cores.kill(machine);
+    machine.disk.entries.delete('roster');
+    await this.cores.world.run(seconds * 1_000);
+    await this.cores.start(machine, false);
+    assert.ok(await this.cores.until(() => machine.running?.open() === true, 5_000));
+    // In touch with the others, and not a moment longer: a later one would have been told by them.
+    await this.cores.world.run(lookMilliseconds);
+  },
+);
+
+function hasLeft(machine: CoreMachine, member: string): boolean {
+  const entry = machine.process?.kernel.services.find(rosterService).entryOf(member);
+  return entry !== undefined && Option.isSome(entry) && entry.value.gone;
+}
+
+Then('within {int} s all cores know that {string} has left', async function then(this: CutCoreStory, seconds: number, member: string) {
+  const { machines } = this.cores;
+  assert.ok(
+    await this.cores.until(() => machines.every((machine) => hasLeft(machine, member)), seconds * 1_000),
+    machines.map((machine) => `${machine.name}: ${hasLeft(machine, member)}`).join(', '),
+  );
+  this.operator.stop();
+});
+
+When('an edge and a blank machine begin that reach core-{int} alone', async function when(this: CutCoreStory, index: number) {
+  const machine = this.cores.machine(`core-${index}`);
+  const others = this.cores.machines.filter((one) => one !== machine);
+  this.lostEdge = this.cores.newEdge('edge-2', [machine.address]);
+  for (const other of others) {
+    this.cores.world.cut(this.lostEdge.machine, other.machine);
+    this.cores.world.cut(other.machine, this.lostEdge.machine);
+  }
+  this.lostCore = await this.cores.spare([machine.address]);
+  for (const other of others) {
+    this.cores.world.cut(this.lostCore.machine, other.machine);
+    this.cores.world.cut(other.machine, this.lostCore.machine);
+  }
+  this.cores.world.heal(this.lostCore.machine, machine.machine);
+  this.cores.world.heal(machine.machine, this.lostCore.machine);
+});
+
+Then('that edge obeys no configuration and holds no lease, and that machine is of no set', function then(this: CutCoreStory) {
+  const { edge, kernel } = this.lostEdge;
+  assert.ok(Option.isNone(edge.configuration()));
+  assert.ok(edge.leaseUntil(this.cores.service) <= kernel.clock.now());
+  assert.deepEqual(this.cores.setOf(this.lostCore).cores, []);
+});
+
+Then(
+  'within {int} s that edge obeys the newest configuration and holds its lease',
+  async function then(this: CutCoreStory, seconds: number) {
+    const { edge, kernel } = this.lostEdge;
+    assert.ok(
+      await this.cores.until(
+        () => Option.isSome(edge.configuration()) && edge.leaseUntil(this.cores.service) > kernel.clock.now(),
+        seconds * 1_000,
+      ),
+    );
+    this.operator.stop();
+  },
+);
--- /dev/null
+++ b/packages/stories/src/duties.ts
@@ -0,0 +1,222 @@
+// Steps of duties.feature: duties and candidacies over a register that is a table, on virtual time (design 7.6, 7.14).
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { duty, election, liveness, livenessService, type Holding, type MemberState, type VoteStore } from '@stallstall/elect';
+import { fence, fenceService } from '@stallstall/fence';
+import { fault, identifiers, kernel as kernels, type Fault, type HttpReply, type Kernel } from '@stallstall/kernel';
+import { ballotZero, type Entry, type Membership, type Settled } from '@stallstall/message';
+import { notesService, registerService, type Notes, type NumberedRegister, type Register } from '@stallstall/register';
+import type { Sheet } from '@stallstall/sheet';
+import { world as worlds, type Process, type World } from '@stallstall/simulator';
+
+type DutyStory = {
+  world: World;
+  holder: Process;
+  holding: Holding;
+  told: string[];
+  ended: Option.Option<Readonly<{ at: number; result: Either.Either<Fault, HttpReply> }>>;
+  releasedAt: number;
+};
+
+const platformAddress = identifiers.address('10.4.0.1:9000');
+const callMilliseconds = 4_000;
+const roundMilliseconds = 2;
+const beatMilliseconds = 200;
+
+/** A register that a majority always answers: one table, a round long. */
+function tableRegister(kernel: Kernel, table: Map<string, Entry>): NumberedRegister {
+  const register: Register = {
+    read: async function read(key) {
+      await kernel.clock.sleep(roundMilliseconds);
+      return Either.right(Option.fromNullable(table.get(key)));
+    },
+    change: async function change(key, decide) {
+      await kernel.clock.sleep(roundMilliseconds);
+      const current = Option.fromNullable(table.get(key));
+      const decided = decide(current);
+      if (Option.isNone(decided)) return Either.right({ wrote: false, entry: current });
+      const version = Option.isSome(current) ? current.value.version + 1 : 1;
+      const entry: Entry = { ballot: ballotZero, version, value: decided.value };
+      table.set(key, entry);
+      return Either.right({ wrote: true, entry: Option.some(entry) });
+    },
+  };
+  return { ...register, under: () => register };
+}
+
+async function startPlatform(story: DutyStory, speaks: boolean): Promise<void> {
+  const { kernel } = story.world.spawn('platform', 'platform-machine');
+  await kernel.network.serve(platformAddress, {
+    mappings: [
+      {
+        method: 'POST',
+        path: '/promotion',
+        handle: async function promote(request): Promise<HttpReply> {
+          story.told.push(request.path);
+          if (!speaks) await kernel.clock.sleep(2 * callMilliseconds);
+          return { status: 200, body: {} };
+        },
+      },
+    ],
+  });
+}
+
+async function startHolder(story: DutyStory, speaks: boolean): Promise<void> {
+  story.world = worlds.create(5);
+  story.told = [];
+  story.ended = Option.none;
+  await startPlatform(story, speaks);
+  story.holder = story.world.spawn('core-1', 'core-machine-1');
+  const { kernel } = story.holder;
+  kernel.services.offer(registerService, tableRegister(kernel, new Map()));
+  const sought = duty.create(kernel, 'promotion/ferries', 'core-1').seek();
+  await story.world.run(10);
+  const holding = await sought;
+  assert.ok(Option.isSome(holding));
+  story.holding = holding.value;
+}
+
+function call(story: DutyStory): void {
+  const calling = story.holding.act(platformAddress, { method: 'POST', path: '/promotion', body: {} }, callMilliseconds);
+  void calling.then((result) => {
+    story.ended = Option.some({ at: story.world.now(), result });
+  });
+}
+
+Given('a holder of a duty, and a platform that counts what it is told', async function given(this: DutyStory) {
+  await startHolder(this, true);
+});
+
+Given('a holder of a duty, and a platform that counts what it is told, and says nothing', async function given(this: DutyStory) {
+  await startHolder(this, false);
+});
+
+When(
+  'the holder begins a call and is frozen for {int} s before its connection is open',
+  async function when(this: DutyStory, seconds: number) {
+    call(this);
+    await this.world.run(0.1);
+    this.world.freeze(this.holder, seconds * 1_000);
+  },
+);
+
+When('{int} s of the duty pass', async function when(this: DutyStory, seconds: number) {
+  await this.world.run(seconds * 1_000);
+});
+
+Then('the platform was told nothing, and the call is answered as one of which no byte has left', function then(this: DutyStory) {
+  assert.deepEqual(this.told, []);
+  assert.ok(Option.isSome(this.ended) && Either.isLeft(this.ended.value.result));
+  assert.equal(fault.kind(this.ended.value.result.left), 'unreachable');
+});
+
+When('the holder begins a call, and lets the duty go {int} ms later', async function when(this: DutyStory, milliseconds: number) {
+  call(this);
+  await this.world.run(milliseconds);
+  this.releasedAt = this.world.now();
+  void this.holding.release();
+  await this.world.run(callMilliseconds);
+});
+
+Then('the call ends with the duty', function then(this: DutyStory) {
+  assert.equal(this.told.length, 1);
+  assert.ok(Option.isSome(this.ended) && Either.isLeft(this.ended.value.result));
+  assert.ok(this.ended.value.at - this.releasedAt < 10, `${Math.round(this.ended.value.at - this.releasedAt)} ms later`);
+});
+
+// -- A candidacy.
+
+const seats = [1, 2, 3].map((index) => ({
+  node: `core-${index}`,
+  role: 'core' as const,
+  area: 'north',
+  address: `10.1.0.${index}:7000`,
+  outward: `10.1.0.${index}:7001`,
+  draining: false,
+}));
+const membership: Membership = { seats, epochs: {} };
+const primary = 'ferries-1';
+const replicas = ['ferries-2', 'ferries-3'];
+const sheet = {
+  services: [
+    {
+      service: 'ferries',
+      connectionLimit: 40,
+      registered: true,
+      synchronousReplicas: 0,
+      members: [primary, ...replicas].map((member) => ({ member, area: 'north', address: '10.3.0.1:5000', state: 'serving' })),
+    },
+  ],
+} as unknown as Sheet;
+
+function settledAt(epoch: number): Settled {
+  return { epoch, primary, wonBy: 'core-2', position: 0, settledAt: 0 };
+}
+
+/** The old primary says nothing; the platform's word is what makes a replica lead. */
+function stateOf(member: string, promoted: boolean): Either.Either<Fault, MemberState> {
+  if (member === primary) return Either.left(fault.create({ kind: 'unreachable', message: 'it is gone', remedy: 'none' }));
+  const leads = promoted && member === replicas[0];
+  return Either.right({ member, role: leads ? 'primary' : 'replica', epoch: 3, received: 7, applied: 7, term: leads ? 4 : 3 });
+}
+
+function votesInMemory(): VoteStore {
+  return { load: () => Promise.resolve(Either.right(Option.none)), record: () => Promise.resolve(true) };
+}
+
+Given(
+  'a core that stands for a service without a leader, knows of epoch {int}, and whose register has epoch {int}',
+  async function given(this: DutyStory, known: number, settled: number) {
+    this.world = worlds.create(6);
+    this.told = [];
+    await startPlatform(this, true);
+    const { kernel } = this.world.spawn('core-1', 'core-machine-1');
+    const table = new Map<string, Entry>([['epoch/ferries', { ballot: ballotZero, version: 1, value: settledAt(settled) }]]);
+    kernel.services.offer(registerService, tableRegister(kernel, table));
+    kernel.services.offer(notesService, { floors: () => Promise.resolve(Either.right({})) } as unknown as Notes);
+    kernel.services.offer(
+      livenessService,
+      liveness.create(
+        kernel,
+        Option.some({
+          ask: (_service, member) => Promise.resolve(stateOf(member, this.told.length > 0)),
+          hold: () => Promise.resolve(Either.right(null)),
+        }),
+      ),
+    );
+    kernel.services.offer(fenceService, { ...fence.create(), reachable: () => seats.length });
+    /** What was settled by others has not been told here; what this core settles itself is. */
+    function settledHere(): Settled {
+      const own = table.get('epoch/ferries')?.value as Settled;
+      return own.wonBy === 'core-1' ? own : settledAt(known);
+    }
+    const elections = election.create(
+      kernel,
+      {
+        self: 'core-1',
+        calls: Option.some({
+          promotion: () => ({ method: 'POST', path: '/promotion', body: {} }),
+          usage: () => ({ method: 'POST', path: '/usage', body: {} }),
+          restMilliseconds: 0,
+        }),
+        lessees: () => Option.some([]),
+        released: () => true,
+        onStance: () => undefined,
+        membership: () => membership,
+        membershipVersion: () => 1,
+        sheet: () => Option.some(sheet),
+        settled: () => Option.some(settledHere()),
+        platform: () => platformAddress,
+        propose: (_node, ask) => Promise.resolve(Option.some({ accepted: true, reason: '', epoch: ask.epoch, lessees: [] })),
+      },
+      votesInMemory(),
+    );
+    void kernels.every(kernel.clock, beatMilliseconds, elections.step, () => true);
+  },
+);
+
+Then('the platform was told {int} promotions or more, and at most {int}', function then(this: DutyStory, least: number, most: number) {
+  assert.ok(this.told.length >= least && this.told.length <= most, `${this.told.length} promotions`);
+});
--- a/packages/stories/src/platform.ts
+++ b/packages/stories/src/platform.ts
@@ -480,8 +480,8 @@
       return Promise.resolve(Either.isLeft(checked) ? checked : Either.right({ version: external.version }));
     },
     source: () => Promise.resolve(Either.right('{}')),
-    beat: (registration) => this.beats.push(registration) > 0,
-    leave: (member) => this.left.push(member) > 0,
+    beat: (registration) => Promise.resolve(this.beats.push(registration) > 0),
+    leave: (member) => Promise.resolve(this.left.push(member) > 0),
   };
   this.mappings = pages.control(door);
 });
