Stories of a proposer that is cut off for 22 s, and of clock steps beside a cut

A proposer of a step of the set of cores is cut off at six moments around the step: it confirms no order while it is alone, the others go on, and once it is back all stand at one set and nothing older than what was acknowledged is read. The first story of cut-core.feature also has the time of day of the cut core jump by 8 s and back. Both pass on the code as it stands; they found no fault.

--- a/packages/stories/features/cut-core.feature
+++ b/packages/stories/features/cut-core.feature
@@ -5,7 +5,8 @@
     When core-3 is cut off <way>
     And 3 s of cores pass
     Then core-3 confirms no beat, no draining, no leave, no configuration and no read, and says so within 100 ms
-    When 20 s of cores pass
+    When the time of day of core-3 jumps by 8 s, and back after 4 s
+    And 20 s of cores pass
     Then core-3 confirms no beat, no draining, no leave, no configuration and no read, and says so within 100 ms
     When the cuts are healed
     Then within 3 s core-3 confirms a beat, a draining, a leave and a configuration, and reads the newest one
@@ -68,3 +69,6 @@
     Then that edge obeys no configuration and holds no lease, and that machine is of no set
     When the cuts are healed
     Then within 10 s that edge obeys the newest configuration and holds its lease
+
+  Scenario: Whoever proposes a step is cut off for 22 s at any moment around it
+    Then a step ends well though its proposer is cut off for 22 s at any of 6 moments around it
--- a/packages/stories/src/cut-core.ts
+++ b/packages/stories/src/cut-core.ts
@@ -6,7 +6,7 @@
 import type { Door } from '@stallstall/core';
 import { http, identifiers, type HttpReply } from '@stallstall/kernel';
 import { rosterService, type Registration } from '@stallstall/roster';
-import type { CoreFleet, CoreMachine } from '@stallstall/simulator';
+import { coreFleet, type CoreFleet, type CoreMachine } from '@stallstall/simulator';
 
 type Operation = 'beat' | 'draining' | 'leave' | 'configuration' | 'read';
 
@@ -244,3 +244,68 @@
     this.operator.stop();
   },
 );
+
+When(
+  'the time of day of core-{int} jumps by {int} s, and back after {int} s',
+  async function when(this: CutCoreStory, index: number, seconds: number, after: number) {
+    const { process } = this.cores.machine(`core-${index}`);
+    assert.ok(process !== undefined);
+    this.cores.world.stepWall(process, seconds * 1_000);
+    await this.cores.world.run(after * 1_000);
+    this.cores.world.stepWall(process, -seconds * 1_000);
+  },
+);
+
+// -- A step whose proposer is cut off.
+
+/** How far apart the moments lie, from before the step is decided until it has been told to everyone. */
+const momentMilliseconds = 2.5;
+/** By then contact has ended: what the proposer confirms later it confirms alone. */
+const contactOverMilliseconds = 1_000;
+
+async function proposerOfStep(fleet: CoreFleet): Promise<CoreMachine> {
+  function proposer(): string | undefined {
+    return fleet.world.logs.find((line) => line.event === 'core.proposes')?.process;
+  }
+  for (let spent = 0; proposer() === undefined && spent < patienceMilliseconds; spent += 1) await fleet.world.run(1);
+  const found = proposer();
+  assert.ok(found !== undefined, 'nobody proposed a step');
+  return fleet.machine(found);
+}
+
+/** All that run and are open stand at one set. */
+function standTogether(fleet: CoreFleet): boolean {
+  const sets = fleet.machines.filter((machine) => machine.running?.open() === true).map((machine) => fleet.setOf(machine));
+  return sets.length >= 3 && sets.every((set) => set.number === sets[0]?.number);
+}
+
+async function cutProposerAt(moment: number, seconds: number): Promise<void> {
+  const fleet = await coreFleet.create(40 + moment, 3);
+  const operator = fleet.startOperator();
+  await fleet.world.run(1_000);
+  await fleet.spare(fleet.machines.map((machine) => machine.address));
+  const proposer = await proposerOfStep(fleet);
+  await fleet.world.run(moment * momentMilliseconds);
+  fleet.cutOff(proposer);
+  await fleet.world.run(contactOverMilliseconds);
+  const alone = fleet.acknowledgedBy(proposer.name);
+  const together = fleet.acknowledged();
+  await fleet.world.run(seconds * 1_000 - contactOverMilliseconds);
+  assert.equal(fleet.acknowledgedBy(proposer.name), alone, `${moment}: the proposer confirmed orders by itself`);
+  assert.ok(fleet.acknowledged() > together, `${moment}: the others confirm no order`);
+  fleet.healAll();
+  assert.ok(await fleet.until(() => standTogether(fleet), 20_000), `${moment}: the cores stand apart`);
+  operator.stop();
+  await fleet.world.run(2_000);
+  assert.deepEqual(fleet.violations, []);
+  const newest = fleet.acknowledged();
+  const read = await fleet.readAt(proposer);
+  assert.ok(Option.isNone(read) || read.value >= newest, `${moment}: ${JSON.stringify(read)} was read after ${newest}`);
+}
+
+Then(
+  'a step ends well though its proposer is cut off for {int} s at any of {int} moments around it',
+  async function then(seconds: number, moments: number) {
+    for (let moment = 0; moment < moments; moment += 1) await cutProposerAt(moment, seconds);
+  },
+);
