Settle an epoch once its member leads, not when the platform has taken the call

Cause: a candidacy settled its epoch on the platform's 200. That reply says that the call was taken; the member leads 0.1 to 1 s later and is a replica until then. Edges were granted leases for it, and reads ran there without what the old primary had acknowledged.

Now the candidate's own STATE is awaited after the reply, every 40 ms for up to 3 s while the duty is renewed; then the call is repeated.

The seeded fleet's platform still promotes before it replies; that is left to the simulator.

--- a/packages/elect/src/election.ts
+++ b/packages/elect/src/election.ts
@@ -68,6 +68,11 @@
 /** Where a promotion may be asked for again without harm, a platform that says nothing is asked again this soon. */
 const promoteAgainMilliseconds = 1_500;
 const promotedLookMilliseconds = 300;
+/** So long a promotion that the platform has taken may need to take effect before it is asked for again. */
+const effectMilliseconds = 3_000;
+const effectLookMilliseconds = 40;
+/** The duty is renewed this often while a promotion takes effect. */
+const effectRenewMilliseconds = 500;
 const orderMilliseconds = 12_000;
 const catchUpMilliseconds = 5_000;
 const releaseLookMilliseconds = 10;
@@ -383,6 +388,24 @@
     );
   }
 
+  /**
+   * Waits until the candidate leads by its own STATE. Its log may lack what was acknowledged until then, so no lease may be granted for
+   * it on the platform's reply alone (design 7.13).
+   */
+  async function takesEffect(service: string, chosen: Found, epoch: number, holding: Holding): Promise<boolean> {
+    const horizon = identifiers.after(kernel.clock.now(), effectMilliseconds);
+    let renewsAt = identifiers.after(kernel.clock.now(), effectRenewMilliseconds);
+    while (kernel.clock.now() < horizon && !outvoted(service, epoch)) {
+      if (await isPromoted(service, chosen, epoch)) return true;
+      if (kernel.clock.now() >= renewsAt) {
+        if (!(await holding.renew())) return false;
+        renewsAt = identifiers.after(kernel.clock.now(), effectRenewMilliseconds);
+      }
+      await kernel.clock.sleep(effectLookMilliseconds);
+    }
+    return false;
+  }
+
   async function order(service: SheetService, chosen: Found, epoch: number, holding: Holding): Promise<Either.Either<string, null>> {
     const horizon = identifiers.after(kernel.clock.now(), orderMilliseconds);
     let last = 'no call was made';
@@ -399,7 +422,12 @@
         if (outvoted(service.service, epoch)) return Either.left('a later epoch was voted');
       }
       const reply = (replied as Option.Some<Either.Either<Fault, null>>).value;
-      if (Either.isRight(reply) || (await isPromoted(service.service, chosen, epoch))) return Either.right(null);
+      if (Either.isRight(reply)) {
+        if (Option.isNone(view.calls) || (await takesEffect(service.service, chosen, epoch, holding))) return Either.right(null);
+        last = 'the platform took the promotion, and the candidate does not lead yet';
+        continue;
+      }
+      if (await isPromoted(service.service, chosen, epoch)) return Either.right(null);
       last = reply.left.message;
       if (fault.kind(reply.left) === 'superseded') return Either.left(last);
       await kernel.clock.sleep(200);
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -257,6 +257,13 @@
     from: 'shared.length > 0 && overlap(outage, other)',
     to: 'false',
   },
+  {
+    name: 'promotion-believed-on-its-reply',
+    story: 'before its promotion has taken effect',
+    file: 'elect/build/election.js',
+    from: 'Option.isNone(view.calls) || (await takesEffect(',
+    to: 'true || (await takesEffect(',
+  },
   {
     name: 'turn-taken-at-once',
     expect: 'one-holder',
--- a/packages/stand-in/src/session-platform.ts
+++ b/packages/stand-in/src/session-platform.ts
@@ -25,7 +25,13 @@
   readonly leaders: Map<string, Readonly<{ member: string; term: number; at: number }>>;
   readonly turns: Map<string, number>;
 };
-export type SessionPlatformKnobs = { slowMilliseconds: number; down: boolean; losesReplies: boolean };
+export type SessionPlatformKnobs = {
+  slowMilliseconds: number;
+  down: boolean;
+  losesReplies: boolean;
+  /** A promotion takes effect this long after its reply; 0: before it. */
+  effectAfterReplyMilliseconds: number;
+};
 export type SessionPlatform = Readonly<{ knobs: SessionPlatformKnobs; stop: () => Promise<void> }>;
 export type SessionPlatformSettings = Readonly<{
   address: string;
@@ -40,7 +46,7 @@
 }
 
 async function start(kernel: Kernel, settings: SessionPlatformSettings, store: SessionPlatformStore): Promise<SessionPlatform> {
-  const knobs: SessionPlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false };
+  const knobs: SessionPlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false, effectAfterReplyMilliseconds: 0 };
   let stopped = false;
 
   /** Whoever calls with a lower turn than one already seen for the same duty and subject is denied. */
@@ -65,17 +71,26 @@
 
   async function promote(service: string, member: string): Promise<HttpReply> {
     if (store.leaders.get(service)?.member === member) return { status: 200, body: {} };
+    if (knobs.effectAfterReplyMilliseconds > 0) {
+      kernel.clock.alarm(knobs.effectAfterReplyMilliseconds, () => void lead(service, member));
+      return { status: 200, body: {} };
+    }
     await kernel.clock.sleep(settings.promoteMilliseconds);
+    return { status: lead(service, member) ? 200 : 409, body: {} };
+  }
+
+  /** False when that member is not running. */
+  function lead(service: string, member: string): boolean {
     const target = settings.members().find((one) => one.member === member && one.service === service && one.runs());
-    if (target === undefined) return { status: 409, body: {} };
+    if (target === undefined) return false;
     const before = store.leaders.get(service);
-    if (before?.member === member) return { status: 200, body: {} };
+    if (before?.member === member) return true;
     const term = (before?.term ?? 0) + 1;
     store.leaders.set(service, { member, term, at: kernel.clock.now() });
     // In the same moment whoever led gives up the lead.
     target.lead(term);
     follow();
-    return { status: 200, body: {} };
+    return true;
   }
 
   /** Members that come new learn whom to follow. */
--- a/packages/stories/features/pooled.feature
+++ b/packages/stories/features/pooled.feature
@@ -32,6 +32,13 @@
     And another member of "bookings" leads
     Then it was promoted more than 1700 ms after edge-3 was frozen and nothing of edge-3 ran on the old one since
 
+  Scenario: No lease is granted for a member before its promotion has taken effect
+    Given a pooled fleet at work
+    And a platform whose promotions take effect 600 ms after its replies
+    When the primary of "bookings" is cut off from the cores
+    And gets of "x1" in "bookings-lead" through edge-2 are sent until another member of "bookings" serves them
+    Then the new primary ran none of them before it led
+
   Scenario: An open transaction holds the hand-over up for a moment only
     Given a pooled fleet whose transactions may rest for 9000 ms
     And a session in "bookings-lead" through edge-1 has put "x1" as "open" within a transaction
--- a/packages/stories/src/pooled.ts
+++ b/packages/stories/src/pooled.ts
@@ -213,6 +213,37 @@
   void this.old.running?.drain();
 });
 
+Given(
+  'a platform whose promotions take effect {int} ms after its replies',
+  function given(this: PooledStory, effectAfterReplyMilliseconds: number) {
+    this.pooled.platform().knobs.effectAfterReplyMilliseconds = effectAfterReplyMilliseconds;
+  },
+);
+
+When(
+  'gets of {string} in {string} through {word} are sent until another member of {string} serves them',
+  async function when(this: PooledStory, thing: string, database: string, name: string, service: string) {
+    const horizon = this.pooled.world.now() + 20_000;
+    function isServedByAnother(story: PooledStory): boolean {
+      const leader = primary(story, service);
+      return leader !== story.old && story.pooled.runs.some((run) => run.member === leader.member && run.rest === thing);
+    }
+    while (this.pooled.world.now() < horizon && !isServedByAnother(this)) {
+      await once(this, database, name, `get ${thing}`);
+      await this.pooled.world.run(20);
+    }
+    assert.ok(isServedByAnother(this), 'no other member served a get');
+  },
+);
+
+Then('the new primary ran none of them before it led', function then(this: PooledStory) {
+  const leader = primary(this, 'bookings');
+  const led = this.pooled.platformStore.leaders.get('bookings');
+  assert.equal(led?.member, leader.member);
+  const early = this.pooled.runs.filter((run) => run.member === leader.member && run.kind === 'get' && run.at < led.at);
+  assert.equal(early.length, 0, `it led at ${led.at} and ran ${early.length} before, the first at ${early[0]?.at}`);
+});
+
 function handOver(story: PooledStory): Readonly<{ proposedAt: number; promotedAt: number }> {
   const proposed = story.pooled.world.logs.filter(
     (line) => line.event === 'elect.propose' && line.fields['service'] === 'bookings' && line.at >= story.calledAt,
