--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -456,6 +456,13 @@
     from: 'await ledger.settleSend(order.sendId, version);',
     to: '',
   },
+  {
+    name: 'promotion-believed-on-its-reply',
+    story: 'before its promotion has taken effect',
+    file: 'elect/build/election.js',
+    from: 'Option.isNone(view.calls) || (await takesEffect(',
+    to: 'true || (await takesEffect(',
+  },
   {
     name: 'turn-taken-at-once',
     expect: 'one-holder',
--- a/packages/simulator/src/faults/platform.ts
+++ b/packages/simulator/src/faults/platform.ts
@@ -3,7 +3,12 @@
 import type { PooledFleet } from '../pooled-fleet.js';
 import { between, pick, trouble, type PooledEvent, type PooledStorm } from './common.js';
 
-export const calmPlatform: SessionPlatformKnobs = { slowMilliseconds: 0, down: false, losesReplies: false };
+/** How late a promotion takes effect is the platform's own way, and no trouble. */
+export const calmPlatform: Omit<SessionPlatformKnobs, 'effectAfterReplyMilliseconds'> = {
+  slowMilliseconds: 0,
+  down: false,
+  losesReplies: false,
+};
 const resetGapMilliseconds = 500;
 
 function spoil(fleet: PooledFleet, storm: PooledStorm, knobs: Partial<SessionPlatformKnobs>): void {
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -172,9 +172,15 @@
   };
 }
 
+/** On two days in three the platform replies to a promotion before the member leads, by up to a second. */
+function effectDelay(seed: number): number {
+  return seed % 3 === 0 ? 0 : (seed * 97) % 1_000;
+}
+
 async function run(seed: number, options: PooledStormOptions = {}): Promise<PooledResult> {
   const fleet = pooledFleet.create(seed, { synchronous: seed % 4 === 0 ? 1 : 0 });
   const storm = pooledFaults.create(fleet);
+  fleet.platform().knobs.effectAfterReplyMilliseconds = effectDelay(seed);
   const violations = [...(await begin(fleet))];
   const startedAt = fleet.world.now();
   const senders = fleet.startSenders(options.sessions ?? 50, thinkMilliseconds);
--- a/packages/stories/src/cut-core.ts
+++ b/packages/stories/src/cut-core.ts
@@ -280,9 +280,11 @@
 }
 
 async function cutProposerAt(moment: number, seconds: number): Promise<void> {
-  const fleet = await coreFleet.create(40 + moment, 3);
+  // Of five seats one is vacant and its proposer is cut off: the three others are a majority.
+  const fleet = await coreFleet.create(40 + moment, 5);
   const operator = fleet.startOperator();
   await fleet.world.run(1_000);
+  fleet.kill(fleet.machine('core-5'));
   await fleet.spare(fleet.machines.map((machine) => machine.address));
   const proposer = await proposerOfStep(fleet);
   await fleet.world.run(moment * momentMilliseconds);
