Schedules and a scenario for guards that random exploration missed; one story sees every change of seats

Four mutations were not caught as the exploration stood: rounds of an earlier set answered, sources at an earlier set copied, a seat given away before the first newcomer is level, any seat held to be vacant. Two schedules (a late accept at a source, and at a core that lags), a scenario (a core leaves while a newcomer is not level) and a step of a story now catch them, each seen to. The rule which source may be copied moved into levelling, so that schedules play the product's own.

--- a/packages/core/src/copying.ts
+++ b/packages/core/src/copying.ts
@@ -2,7 +2,7 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import type { Kernel } from '@stallstall/kernel';
 import type { Seat } from '@stallstall/message';
-import { acceptor, type Acceptor, type Keeper } from '@stallstall/register';
+import { acceptor, levelling, type Acceptor, type Keeper } from '@stallstall/register';
 import type { CoreCall } from './core-calls.js';
 import { abstained, type CoreVotes } from './votes.js';
 
@@ -32,7 +32,7 @@
   const { cells, notes, votes } = parts;
 
   function mayBeCopied(wanted: CopiedSet, told: number | undefined): boolean {
-    return Option.isNone(wanted) ? told === undefined : told !== undefined && told >= wanted.value;
+    return Option.isNone(wanted) ? told === undefined : levelling.mayBeCopied(wanted.value, told);
   }
 
   async function pages(other: Seat, set: CopiedSet, epochs: Record<string, number>, given: () => boolean = () => false): Promise<boolean> {
--- a/packages/register/src/levelling.ts
+++ b/packages/register/src/levelling.ts
@@ -20,6 +20,11 @@
   return seats - quorum.majority(seats) + 1;
 }
 
+/** A source must have left every set before the one that gave this core its seat: then it agrees to nothing there any more. */
+function mayBeCopied(since: number, told: number | undefined): boolean {
+  return told !== undefined && told >= since;
+}
+
 /** Copies from all sources at once and settles with the first that are enough: none that is out of reach is waited for. */
 function copyEnough(sources: readonly Seat[], needed: number, copy: CopySource, abandoned: () => boolean): Promise<boolean> {
   return new Promise(function collect(resolve) {
@@ -60,4 +65,4 @@
   return true;
 }
 
-export const levelling = { sourcesNeeded, copyEnough, settleDoubtful } as const;
+export const levelling = { sourcesNeeded, mayBeCopied, copyEnough, settleDoubtful } as const;
--- a/packages/simulator/src/explore-losses.ts
+++ b/packages/simulator/src/explore-losses.ts
@@ -98,6 +98,16 @@
     afterwards: false,
     strike: (table) => loseForGood(table, 'm4'),
   },
+  {
+    // It stays until its seat is taken, which must not be before the first newcomer is level.
+    name: 'replacement with two newcomers, another core leaves meanwhile',
+    begin: function begin(table) {
+      replaceUnplanned(table);
+      table.machines.add([]);
+    },
+    afterwards: false,
+    strike: (table) => machine(table, 'm2').leave(),
+  },
   {
     name: 'lost disk, the same core loses power',
     begin: (table, plan) => loseDisk(table, plan, 'm1'),
--- a/packages/simulator/src/schedules.ts
+++ b/packages/simulator/src/schedules.ts
@@ -121,6 +121,7 @@
         [...sources].map(seatOf),
         levelling.sourcesNeeded(secondSeats.length),
         async function copy(source) {
+          if (!levelling.mayBeCopied(2, core(source.node).set)) return false;
           for (const { key: copied, state } of (await core(source.node).cells.page('')).entries)
             if (acceptor.isCellState(state)) await core(name).cells.merge(copied, state);
           return true;
@@ -172,4 +173,33 @@
   return found.includes('chosen') ? undefined : `chosen, read back ${found}`;
 }
 
-export const schedules: Readonly<Record<string, () => Promise<string | undefined>>> = { copiedButOvertaken, copiedFromTooFew };
+/**
+ * An entry that the leaver and one other accepted, and a third core that promised it: its accept is on the way. Whatever the third
+ * does with it later, those who no longer count the leaver must agree with who does.
+ */
+async function lateAccept(stepped: string): Promise<string | undefined> {
+  const cores = table();
+  const entry: Entry = { ballot: { counter: 5, node: 'late' }, version: 1, value: 'late' };
+  await cores.promise('abc', entry.ballot);
+  await cores.accept('ab', entry);
+  cores.stepTo(stepped, 2);
+  if (!(await cores.level('f', 'cde'))) return stepped.includes('c') ? 'the newcomer never became level' : undefined;
+  const late = await cores.core('c').cells.accept({ key, entry, set: 1 });
+  const found = await reads(cores.reaching('def', 2));
+  return late.agreed && !found.includes('late') ? `chosen by the leaver and two others, read back ${found}` : undefined;
+}
+
+async function lateAcceptAtASource(): Promise<string | undefined> {
+  return lateAccept('bcdef');
+}
+
+async function lateAcceptAtOneThatLags(): Promise<string | undefined> {
+  return lateAccept('bdef');
+}
+
+export const schedules: Readonly<Record<string, () => Promise<string | undefined>>> = {
+  copiedButOvertaken,
+  copiedFromTooFew,
+  lateAcceptAtASource,
+  lateAcceptAtOneThatLags,
+};
--- a/packages/stories/features/cores.feature
+++ b/packages/stories/features/cores.feature
@@ -12,7 +12,8 @@
     Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
     When a blank machine comes whose seeds name core-1 and core-2
     And 10 s of cores pass
-    Then within 1 s the cores are core-1, core-2 and core-3
+    Then no seat has changed hands
+    And within 1 s the cores are core-1, core-2 and core-3
     And core-4 turns away a beat, a leave, a configuration and a read within 1 ms
     When core-3 is killed and comes back after 5 s with its disk
     Then within 1 s the cores are core-1, core-2 and core-4
--- a/packages/stories/src/cores.ts
+++ b/packages/stories/src/cores.ts
@@ -177,6 +177,10 @@
   this.cores.kill(machine);
 });
 
+Then('no seat has changed hands', function then(this: CoreStory) {
+  assert.ok(!this.cores.world.logs.some((line) => line.event === 'core.seated'));
+});
+
 When('{int} s of cores pass', async function when(this: CoreStory, seconds: number) {
   await this.cores.world.run(seconds * 1_000);
 });
