--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -641,7 +641,7 @@
     // Where members were, until their beats tell: after a stop of everything nobody waits for these (design 4.7).
     if (message.fits(RosterSchema, known)) kept.restore(known);
     roster = Option.some(kept);
-    spreader = Option.some(spreaders.create(node, kept));
+    spreader = Option.some(spreaders.create(kernel, node, kept));
     kernel.services.offer(rosterService, kept);
     const granting = lessors.create(kernel, {
       ready: () => cells.ready() && !ending,
--- a/packages/core/src/spreader.ts
+++ b/packages/core/src/spreader.ts
@@ -1,5 +1,6 @@
 // Beats that this core took go to the other cores; what a member builds on is confirmed by a majority of them (design 4.7, 7.14).
 import * as Option from 'fp-ts/lib/Option.js';
+import type { Kernel } from '@stallstall/kernel';
 import type { Seat } from '@stallstall/message';
 import type { Node } from '@stallstall/node';
 import type { Peer } from '@stallstall/peer';
@@ -16,8 +17,10 @@
 const spreadMilliseconds = 1_000;
 /** A member gives an acknowledgement one second. */
 const confirmMilliseconds = 800;
+/** Everything is told again to who did not take it after so long. */
+const againMilliseconds = 1_000;
 
-function create(node: Node, roster: Roster): Spreader {
+function create(kernel: Kernel, node: Node, roster: Roster): Spreader {
   /** Cores that have been told everything, over a link that has stood since. */
   const informed = new Set<string>();
   /** Cores to which everything is on its way. */
@@ -39,6 +42,8 @@
   async function tellEverything(core: string, link: Peer): Promise<void> {
     informing.add(core);
     if (await tell(link, roster.everything(), spreadMilliseconds)) informed.add(core);
+    // One that is there and not open yet takes nothing: it is asked again in a while, not at every look.
+    else await kernel.clock.sleep(againMilliseconds);
     informing.delete(core);
   }
 
