Configurations are handed over as what differs; cores push to each other without contents

Every accepted configuration went whole to each edge from one core, and whole from every core to every other core, which accepts it anyway.

An edge names the ballot of the content it holds; the core sends what makes the new one of it (message/differences), and the whole where it does not know that ballot or where the whole is not much longer (design 5.6). The waiting for contents moves from the lessee to register/contents and serves cores as well: they watch each other with `content: false`. Whoever names no ballot is told the whole, so that versions may be mixed.

Ruled out: JSON merge patches (they cannot change an array), a digest beside the ballot (a ballot is given to one value alone).

--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -15,7 +15,7 @@
 } from '@stallstall/message';
 import { peer, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
-import { notes, proposer, watcher, type CoreSets, type Notes, type NoteTarget, type RegisterTarget } from '@stallstall/register';
+import { contents, notes, proposer, watcher, type CoreSets, type Notes, type NoteTarget, type RegisterTarget } from '@stallstall/register';
 import { fence, leastSpan } from '@stallstall/fence';
 import type { Configuration, Obeyed } from '@stallstall/node';
 
@@ -85,9 +85,6 @@
 const callMilliseconds = 500;
 /** Told where nobody wants to know. */
 const untoldMilliseconds = 3_600_000;
-/** A configuration that another core was to hand over whole is asked for after so long; of one core at a time, since an edge's link may be narrow. */
-const contentMilliseconds = 500;
-const contentCallMilliseconds = 3_000;
 const redialLookMilliseconds = 20;
 const greetMilliseconds = 50;
 const resolveMilliseconds = 200;
@@ -279,56 +276,7 @@
     return choices[sum % Math.max(1, choices.length)]?.node ?? '';
   }
 
-  const contents = new Map<string, unknown>();
-  const slim = new Map<string, Change>();
-
-  function contentKey(change: Change): string {
-    return `${change.key} ${change.entry.ballot.counter} ${change.entry.ballot.node}`;
-  }
-
-  /** What was told without its content waits for it: from whoever hands it over whole, else it is asked for. */
-  function takeChange(core: string, link: Peer, change: Change): void {
-    const key = contentKey(change);
-    if (change.entry.value !== null) {
-      if (change.key === 'configuration') {
-        contents.clear();
-        contents.set(key, change.entry.value);
-      }
-      watch.changed(core, change);
-      for (const [other, waiting] of [...slim]) if (contentKey(waiting) === key) fill(other, waiting, change.entry.value);
-      return;
-    }
-    if (contents.has(key)) {
-      watch.changed(core, { ...change, entry: { ...change.entry, value: contents.get(key) } });
-      return;
-    }
-    slim.set(core, change);
-    kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
-  }
-
-  function fill(core: string, change: Change, value: unknown): void {
-    slim.delete(core);
-    watch.changed(core, { ...change, entry: { ...change.entry, value } });
-  }
-
-  let fetching = false;
-
-  async function fetchContent(core: string, link: Peer, change: Change): Promise<void> {
-    if (slim.get(core) !== change || stopped) return;
-    if (fetching) {
-      kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
-      return;
-    }
-    fetching = true;
-    const reply = await link.call('look', { key: change.key, set: setNumber }, contentCallMilliseconds);
-    fetching = false;
-    const entry = Option.isSome(reply) ? reply.value.accepted : null;
-    if (slim.get(core) !== change) return;
-    if (entry !== null) {
-      slim.delete(core);
-      takeChange(core, link, { ...change, entry });
-    } else kernel.clock.alarm(contentMilliseconds, () => void fetchContent(core, link, change));
-  }
+  const changes = contents.create(kernel, { set: () => setNumber, take: watch.changed, stopped: () => stopped });
 
   async function ask(core: string, link: Peer, hold: number): Promise<boolean> {
     const known = toldOf(core);
@@ -351,6 +299,7 @@
         notListening: [...parts.notListening()],
         demand: parts.demand(),
         content: core === contentCore(),
+        holds: changes.holds(),
         set: setNumber,
       },
       hold + callMilliseconds,
@@ -449,7 +398,7 @@
       },
       changed: function changed(change: Change) {
         toldOf(core.node).acknowledged = change.number;
-        takeChange(core.node, link, change);
+        changes.changed(core.node, Option.some(link), change);
       },
     });
     held.set(core.node, { address: core.address, peer: link });
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -1,4 +1,5 @@
 // What this system's own processes say to each other: typebox schemas over JSON (design 3).
+import { DifferenceSchema } from './differences.js';
 import { Type, type Static, type TSchema } from '@sinclair/typebox';
 import { TypeCompiler, type TypeCheck } from '@sinclair/typebox/compiler';
 
@@ -159,7 +160,18 @@
   newer: NewerSet,
 });
 
-const WatchAsk = Type.Object({ node: Name, incarnation: Count, acknowledged: Count, obeyed: Count });
+/** The ballot of the newest configuration whose content is known here; left out by whoever takes contents whole alone (design 5.6). */
+const Holds = Type.Optional(BallotSchema);
+
+const WatchAsk = Type.Object({
+  node: Name,
+  incarnation: Count,
+  acknowledged: Count,
+  obeyed: Count,
+  /** False where contents are known without this core's handing them over: to another core (design 5.6). */
+  content: Type.Optional(Type.Boolean()),
+  holds: Holds,
+});
 const WatchReply = Type.Object({
   ready: Type.Boolean(),
   number: Count,
@@ -229,6 +241,7 @@
   demand: Type.Number({ minimum: 0 }),
   /** Whether configurations are to be handed over whole by this core; the others tell that there is one (design 5.6). */
   content: Type.Boolean(),
+  holds: Holds,
 });
 const LeaseReply = Type.Object({
   set: SetNumber,
@@ -380,7 +393,14 @@
 export type Reply<Kind extends MessageKind> = Readonly<Static<(typeof messages)[Kind]['reply']>>;
 
 /** Numbered changes a core pushes down held links (design 5.2). */
-export const ChangeSchema = Type.Object({ number: Count, key: Name, entry: EntrySchema, set: SetNumber });
+export const ChangeSchema = Type.Object({
+  number: Count,
+  key: Name,
+  entry: EntrySchema,
+  set: SetNumber,
+  /** In place of the content: what makes it of the one under another ballot, which whoever is told said it holds (design 5.6). */
+  differs: Type.Optional(Type.Object({ from: BallotSchema, all: Type.Array(DifferenceSchema) })),
+});
 export type Change = Readonly<Static<typeof ChangeSchema>>;
 
 /** The first frame of each side: the versions it speaks; the highest that both speak is used (design 3.5). */
@@ -440,3 +460,5 @@
 export const ballotZero: Ballot = { counter: 0, node: '' };
 
 export const message = { fits, isKind, compareBallots, compareFloors, reaches, higherFloors } as const;
+
+export { differences, type Difference } from './differences.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -29,6 +29,7 @@
 import { peer, type Handlers, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
 import {
+  contents,
   notes,
   notesService,
   proposer,
@@ -218,6 +219,9 @@
     { number: sets.number, includes: (core) => Option.isNone(followed) || cores.some((one) => one.node === core) },
   );
 
+  // A core accepts nearly every configuration itself: what the others push of it needs no content (design 5.6).
+  const changes = contents.create(kernel, { set: sets.number, take: watch.changed, stopped: () => stopped });
+
   function configuration(): Option.Option<Obeyed<Configuration>> {
     const entry = watch.obeyed('configuration');
     return Option.isSome(entry) ? Option.some({ version: entry.value.version, value: entry.value.value as Configuration }) : Option.none;
@@ -291,7 +295,7 @@
       },
       changed: function changed(change: Change) {
         acknowledged.set(seat.node, change.number);
-        watch.changed(seat.node, change);
+        changes.changed(seat.node, Option.some(dialled), change);
       },
     });
     peers.set(seat.node, { address: seat.address, peer: dialled });
@@ -397,6 +401,7 @@
         incarnation,
         acknowledged: acknowledged.get(core) ?? 0,
         obeyed: Option.getOrElse(() => 0)(Option.map((current: Obeyed<Configuration>) => current.version)(configuration())),
+        ...(Option.isSome(parts.own) ? { content: false } : { holds: changes.holds() }),
       },
       callMilliseconds,
     );
@@ -660,7 +665,7 @@
     setCores,
     follow,
     isStale,
-    changed: watch.changed,
+    changed: (core, change) => changes.changed(core, Option.none, change),
     capsOfOthers: function capsOfOthers() {
       return quorum
         .withRole(membership().value, 'edge')
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -328,6 +328,27 @@
     from: 'now - step.since >= lastingStepMilliseconds',
     to: 'false',
   },
+  {
+    name: 'contents-between-cores',
+    story: 'tells what differs',
+    file: 'core/build/subscribers.js',
+    from: 'if (!to.content)',
+    to: 'if (false)',
+  },
+  {
+    name: 'differences-to-whoever-asks',
+    story: 'tells what differs',
+    file: 'core/build/subscribers.js',
+    from: 'to.holds === undefined ? undefined : recent',
+    to: 'recent',
+  },
+  {
+    name: 'differences-forced',
+    story: 'waits for it, and asks',
+    file: 'message/build/differences.js',
+    from: 'if (inner === undefined)',
+    to: 'if (false)',
+  },
 ];
 
 const wanted = process.argv.slice(2);
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -24,6 +24,7 @@
         'build/cores.js',
         'build/disks.js',
         'build/clocks.js',
+        'build/contents.js',
         'build/outages.js',
       ],
       format: ['progress'],
