A usage window waits for edges out of reach while it can still be sent in time

An edge (node_cut) or the fronts on a primary's side (primary_cut) were cut off from the cores for 5 to 7 s.

`usage.fixed` is logged with its count.

The story failed with the old span (its mutation).

--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -14,6 +14,11 @@
  * that an edge out of reach can still add is what it had under way.
  */
 const graceMilliseconds = 2_500;
+/**
+ * Where senders hold sessions, replies wait for no note: an edge out of reach serves until its lease ends, and its counts come when it is
+ * back. They are waited for as long as a window can then still be sent in time.
+ */
+const sessionGraceMilliseconds = 6_000;
 /** How far the machines' wall clocks may differ. */
 const skewMilliseconds = 200;
 /** A platform may take its time: the duty is renewed beside the call. */
@@ -53,6 +58,7 @@
   const register = kernel.services.find(registerService);
   // Windows on their way to the platform: one that it is slow over holds up none of the others.
   const sending = new Set<number>();
+  const grace = Option.isSome(parts) ? sessionGraceMilliseconds : graceMilliseconds;
   let stopped = false;
   let ended: Promise<void> = Promise.resolve();
 
@@ -74,7 +80,7 @@
     const end = (window + 1) * usageWindowMilliseconds;
     const edges = Option.isSome(parts) ? parts.value.edges() : quorum.withRole(node.membership().value, 'edge').map((edge) => edge.node);
     const whole = edges.every((edge) => Math.max(...replies.map((one) => one.through[edge] ?? 0)) >= end + skewMilliseconds);
-    if (!whole && kernel.clock.wall() < end + graceMilliseconds) return Option.none;
+    if (!whole && kernel.clock.wall() < end + grace) return Option.none;
     return Option.some(keeper.add(replies.flatMap((one) => one.reports)));
   }
 
@@ -91,6 +97,7 @@
       1_500,
     );
     if (Either.isLeft(changed)) return Option.none;
+    if (changed.right.wrote) kernel.log('usage.fixed', { window, counted: Object.values(counts).reduce((sum, count) => sum + count, 0) });
     return Option.fromNullable(fixedOf(changed.right.entry).windows.find((known) => known.window === window));
   }
 
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -349,6 +349,13 @@
     from: 'if (inner === undefined)',
     to: 'if (false)',
   },
+  {
+    name: 'window-fixed-without-edges-out-of-reach',
+    story: 'while it is cut off from the cores is told',
+    file: 'core/build/usage.js',
+    from: 'const sessionGraceMilliseconds = 6_000;',
+    to: 'const sessionGraceMilliseconds = 2_500;',
+  },
 ];
 
 const wanted = process.argv.slice(2);
--- a/packages/stories/features/clocks.feature
+++ b/packages/stories/features/clocks.feature
@@ -22,3 +22,8 @@
       | way    |
       | ahead  |
       | behind |
+
+  Scenario: What an edge serves while it is cut off from the cores is told once it is back
+    Given a pooled fleet at work
+    When gets are asked for 30 s, and edge-1 is cut off from the cores from second 7 to second 12
+    Then each window in between was told as it was served
--- a/packages/stories/src/clocks.ts
+++ b/packages/stories/src/clocks.ts
@@ -46,26 +46,44 @@
   );
 }
 
+/** Asks for something at each edge in turn, notes when it was served, and waits until all windows are told. */
+async function askGets(story: ClockStory, seconds: number): Promise<void> {
+  const fleet = story.pooled;
+  const lines = await Promise.all(fleet.edges.map((edge) => fleet.session(edge, 'bookings-lead', firstKey)));
+  story.served = [];
+  story.from = fleet.world.now();
+  for (let shot = 0; fleet.world.now() - story.from < seconds * 1_000; shot += 1) {
+    const line = lines[shot % lines.length];
+    assert.ok(line !== undefined && typeof line !== 'string');
+    const askedAt = fleet.world.now();
+    const reply = await fleet.ask(line, 'get x1');
+    if (Option.isSome(reply) && reply.value.ending.kind === 'done') story.served.push(askedAt);
+    await fleet.world.run(Math.max(1, askedAt + getEveryMilliseconds - fleet.world.now()));
+  }
+  await fleet.world.run(15_000);
+}
+
 When(
   /^gets are asked for (\d+) s, and the clocks of all machines but that of (\S+) are (ahead|behind) by 8 s from second (\d+) to second (\d+)$/,
   async function when(this: ClockStory, seconds: string, spared: string, way: string, from: string, to: string) {
     const fleet = this.pooled;
     const machine = fleet.cores.find((core) => core.name === spared)?.machine ?? '';
     const step = way === 'ahead' ? stepMilliseconds : -stepMilliseconds;
-    const lines = await Promise.all(fleet.edges.map((edge) => fleet.session(edge, 'bookings-lead', firstKey)));
-    this.served = [];
-    this.from = fleet.world.now();
     for (const [second, by] of [[Number(from), step] as const, [Number(to), -step] as const])
       fleet.world.at(second * 1_000, () => othersThan(fleet, machine).forEach((process) => fleet.world.stepWall(process, by)));
-    for (let shot = 0; fleet.world.now() - this.from < Number(seconds) * 1_000; shot += 1) {
-      const line = lines[shot % lines.length];
-      assert.ok(line !== undefined && typeof line !== 'string');
-      const askedAt = fleet.world.now();
-      const reply = await fleet.ask(line, 'get x1');
-      if (Option.isSome(reply) && reply.value.ending.kind === 'done') this.served.push(askedAt);
-      await fleet.world.run(Math.max(1, askedAt + getEveryMilliseconds - fleet.world.now()));
-    }
-    await fleet.world.run(15_000);
+    await askGets(this, Number(seconds));
+  },
+);
+
+When(
+  /^gets are asked for (\d+) s, and (\S+) is cut off from the cores from second (\d+) to second (\d+)$/,
+  async function when(this: ClockStory, seconds: string, name: string, from: string, to: string) {
+    const { world, cores, edges } = this.pooled;
+    const machine = edges.find((edge) => edge.name === name)?.machine ?? '';
+    const ways = cores.flatMap((core) => [[machine, core.machine] as const, [core.machine, machine] as const]);
+    world.at(Number(from) * 1_000, () => ways.forEach(([one, other]) => world.cut(one, other)));
+    world.at(Number(to) * 1_000, () => ways.forEach(([one, other]) => world.heal(one, other)));
+    await askGets(this, Number(seconds));
   },
 );
 
