--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -5,3 +5,4 @@
 export * from './notes.js';
 export * from './stepper.js';
 export * from './levelling.js';
+export * from './contents.js';
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -534,6 +534,34 @@
     from: 'now - step.since >= lastingStepMilliseconds',
     to: 'false',
   },
+  {
+    name: 'contents-between-cores',
+    story: 'tells what differs',
+    file: 'core/build/subscribers.js',
+    from: 'if (!to.content)',
+    to: 'if (false)',
+  },
+  {
+    name: 'differences-to-whoever-asks',
+    story: 'tells what differs',
+    file: 'core/build/subscribers.js',
+    from: 'to.holds === undefined ? undefined : recent',
+    to: 'recent',
+  },
+  {
+    name: 'differences-forced',
+    story: 'waits for it, and asks',
+    file: 'message/build/differences.js',
+    from: 'if (inner === undefined)',
+    to: 'if (false)',
+  },
+  {
+    name: 'window-fixed-without-edges-out-of-reach',
+    story: 'while it is cut off from the cores is told',
+    file: 'core/build/usage.js',
+    from: 'const sessionGraceMilliseconds = 6_000;',
+    to: 'const sessionGraceMilliseconds = 2_500;',
+  },
 ];
 
 checkGuards(root, mutations);
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -29,6 +29,7 @@
         'build/cut-core.js',
         'build/duties.js',
         'build/replies.js',
+        'build/contents.js',
         'build/outages.js',
         'build/orders.js',
       ],
