Table and stories of the pooled faults, mutations of their checks; orders met by a cut

Two faults came of that (an order sent to a core that is cut off; the same, and its disk lost), a read-back before the closing order, and one before each order of the availability check.

Violations are shown three of each check; they were the first six of all.

--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -1,6 +1,6 @@
 // Shows that the stories and checkers of the pooled mode can fail: takes one guard at a time out of a copy of the build.
 // `npm run pooled-mutations [-- name]`; works in a temporary copy, never in this tree. `story`: the scenario that must fail;
-// `expect`: what a checker must say in a seeded run drawn from `only`.
+// `expect`: what a checker must say in a seeded run drawn from `only`, `faults` of them a day.
 import { execFileSync, spawn, spawnSync } from 'node:child_process';
 import fs from 'node:fs';
 import os from 'node:os';
@@ -265,6 +265,48 @@
     from: 'if (state.released)',
     to: 'if (true)',
   },
+  {
+    name: 'core-never-opens-again',
+    expect: 'availability',
+    only: ['cores-killed-together'],
+    faults: 1,
+    file: 'core/build/index.js',
+    from: 'void reopen(fleet.value);',
+    to: '{ }',
+  },
+  {
+    name: 'shared-keys-taken',
+    expect: 'order-invalid',
+    only: ['order-invalid-shared-key'],
+    file: 'sheet/build/index.js',
+    from: 'repeated(sheet.tenants.flatMap((tenant) => [...new Set(tenant.keys)]))',
+    to: '[]',
+  },
+  {
+    name: 'open-order-refused',
+    expect: 'order-refused',
+    only: ['core-cut-from-cores'],
+    file: 'kernel/build/fault.js',
+    from: "'no-majority': 503",
+    to: "'no-majority': 409",
+  },
+  {
+    name: 'one-disk-confirms',
+    expect: 'read-back|availability',
+    only: ['core-cut-ordered-then-disk-lost'],
+    faults: 1,
+    file: 'register/build/proposer.js',
+    from: 'replies.length >= quorum.majority(size)',
+    to: 'replies.length >= 1',
+  },
+  {
+    name: 'full-disk-ends-process',
+    expect: 'process-ended',
+    only: ['core-disk-full'],
+    file: 'core/build/index.js',
+    from: "kernel.log('disk.failed', { reason: error.message });",
+    to: 'kernel.stop(error);',
+  },
 ];
 
 const wanted = process.argv.slice(2);
@@ -283,7 +325,14 @@
   return new Promise((resolve) => {
     const run = spawn(
       process.execPath,
-      [path.join(copy, 'packages/simulator/build/pooled-seeds.js'), '1', '24', '--workers=2', `--only=${mutation.only.join(',')}`],
+      [
+        path.join(copy, 'packages/simulator/build/pooled-seeds.js'),
+        '1',
+        '24',
+        '--workers=2',
+        `--only=${mutation.only.join(',')}`,
+        ...(mutation.faults === undefined ? [] : [`--faults=${mutation.faults}`]),
+      ],
       { stdio: ['ignore', 'pipe', 'ignore'] },
     );
     let told = '';
--- a/packages/simulator/src/faults/cores.ts
+++ b/packages/simulator/src/faults/cores.ts
@@ -25,6 +25,8 @@
 const slowRoundMilliseconds = 50;
 const slowHeldMilliseconds = 40;
 const restartMilliseconds = 500;
+/** The order is under way for so long before the disk is lost. */
+const wipedAfterMilliseconds = 2_000;
 const acknowledgedWithinMilliseconds = 4;
 const orderLookMilliseconds = 1;
 const orderHorizonMilliseconds = 5_000;
@@ -80,6 +82,30 @@
   };
 }
 
+/** An order is sent to the core while it is cut off from the others, and another as it returns. */
+function cutAndOrdered(fleet: PooledFleet, storm: PooledStorm, back: () => void): void {
+  const slot = pick(fleet, fleet.cores);
+  const milliseconds = between(fleet, 3_000, mostDownMilliseconds);
+  trouble(fleet, storm, 'core', milliseconds);
+  cutOff(fleet, slot.machine, coreMachines(fleet), milliseconds);
+  function order(): void {
+    const index = fleet.cores.indexOf(slot);
+    if (index >= 0) void fleet.configure(nextVersion(fleet), lastSheet(fleet), index);
+  }
+  fleet.world.at(between(fleet, 200, 1_500), order);
+  fleet.world.at(milliseconds + between(fleet, 0, 50), order);
+  fleet.world.at(milliseconds, back);
+}
+
+/** An order is sent to the core while it is cut off from the others, and soon its disk is lost: nobody else has what it alone confirmed. */
+function cutOrderedAndWiped(fleet: PooledFleet, storm: PooledStorm, back: () => void): void {
+  const slot = pick(fleet, fleet.cores);
+  trouble(fleet, storm, 'core', wipedAfterMilliseconds);
+  cutOff(fleet, slot.machine, coreMachines(fleet), wipedAfterMilliseconds);
+  void fleet.configure(nextVersion(fleet), lastSheet(fleet), fleet.cores.indexOf(slot));
+  fleet.world.at(wipedAfterMilliseconds, () => loseDisk(fleet, storm, back, slot));
+}
+
 /** The settings name the core that is cut off first, and some edges are restarted with these seeds. */
 function cutWithSeeds(fleet: PooledFleet, storm: PooledStorm, back: () => void): void {
   const slot = pick(fleet, fleet.cores);
@@ -192,6 +218,8 @@
   { name: 'core-cut-from-cores', losses: [cut('both', coreMachines)] },
   { name: 'core-unheard', losses: [cut('leaving', everyMachine)] },
   { name: 'core-deaf', losses: [cut('coming', everyMachine)] },
+  { name: 'core-cut-and-ordered', losses: [cutAndOrdered] },
+  { name: 'core-cut-ordered-then-disk-lost', losses: [cutOrderedAndWiped] },
   { name: 'core-cut-with-seeds', losses: [cutWithSeeds] },
   { name: 'core-cut-and-restarted', losses: [cutAndRestarted] },
   { name: 'core-restarted', losses: [restartAsPlanned] },
--- a/packages/simulator/src/faults/members.ts
+++ b/packages/simulator/src/faults/members.ts
@@ -30,17 +30,28 @@
 
 /** A primary and an edge on the wrong side, now and then with a core: the edge still reaches a primary that is soon deposed, and senders reach the edge. */
 function cutHalf(fleet: PooledFleet, storm: PooledStorm): void {
+  if (fleet.world.fraction() < 0.5) {
+    cutInside(fleet, storm, []);
+    return;
+  }
+  storm.losses.take(function allowed(back) {
+    fleet.world.at(cutInside(fleet, storm, [pick(fleet, fleet.cores).machine]), () => back());
+  });
+}
+
+/** For how long. */
+function cutInside(fleet: PooledFleet, storm: PooledStorm, cores: readonly string[]): number {
   const slot = runningPrimary(fleet);
-  if (slot === undefined) return;
+  if (slot === undefined) return 0;
   const edge = pick(fleet, fleet.edges);
   const milliseconds = between(fleet, 7_000, 14_000);
   trouble(fleet, storm, 'member', milliseconds);
   trouble(fleet, storm, edge.name, milliseconds);
-  const withCore = fleet.world.fraction() < 0.5;
-  const inside = [slot.machine, edge.machine, ...(withCore ? [pick(fleet, fleet.cores).machine] : [])];
-  if (withCore) trouble(fleet, storm, 'core', milliseconds);
+  if (cores.length > 0) trouble(fleet, storm, 'core', milliseconds);
+  const inside = [slot.machine, edge.machine, ...cores];
   const others = everyMachine(fleet).filter((machine) => !inside.includes(machine));
   for (const machine of inside) cutOff(fleet, machine, others, milliseconds);
+  return milliseconds;
 }
 
 /** The hand-over begins while an edge that has just gone silent may still hold its lease; whoever led receives nothing for a while. */
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -4,6 +4,7 @@
 export * from './checks.js';
 export * from './storm.js';
 export * from './fuzz.js';
+export * from './loss-budget.js';
 export * from './pooled-fleet.js';
 export * from './pooled-checks.js';
 export * from './pooled-faults.js';
--- a/packages/simulator/src/pooled-availability.ts
+++ b/packages/simulator/src/pooled-availability.ts
@@ -9,8 +9,10 @@
 
 /** How far an order came that was sent once a loss had settled; it counts for nothing when another loss came between. */
 type Probe = {
-  readonly sentAt: number;
+  sentAt: number;
   acknowledged: boolean;
+  /** What was acknowledged before it is read back. */
+  earlierKept: boolean;
   /** Cores that did not read it back. */
   missing: readonly string[];
   over: boolean;
@@ -33,6 +35,10 @@
 const crossingMilliseconds = 1_000;
 const pauseMilliseconds = 300;
 
+function newestAcknowledged(fleet: PooledFleet): number {
+  return Math.max(...fleet.versions.filter((sent) => Number.isFinite(sent.acknowledgedAt)).map((sent) => sent.version));
+}
+
 /** Follows the losses of a day, and sends an order once each has settled. */
 function watch(fleet: PooledFleet, storm: PooledStorm): AvailabilityWatch {
   const probes: Probe[] = [];
@@ -63,17 +69,24 @@
   }
 
   async function sendProbe(moments: number): Promise<void> {
-    const probe: Probe = { sentAt: fleet.world.now(), acknowledged: false, missing: [], over: false, disturbed: false };
+    const probe: Probe = { sentAt: fleet.world.now(), acknowledged: false, earlierKept: false, missing: [], over: false, disturbed: false };
     probes.push(probe);
+    await readBack(probe, newestAcknowledged(fleet), moments);
+    probe.earlierKept = probe.missing.length === 0;
+    if (probe.earlierKept) await order(probe, moments);
+    probe.over = true;
+  }
+
+  async function order(probe: Probe, moments: number): Promise<void> {
+    probe.sentAt = fleet.world.now();
     const version = nextVersion(fleet);
-    const order = fleet.configure(version, lastSheet(fleet), Math.floor(fleet.world.fraction() * fleet.cores.length));
+    const sent = fleet.configure(version, lastSheet(fleet), Math.floor(fleet.world.fraction() * fleet.cores.length));
     // What is confirmed later than in time is not confirmed.
-    void order.then((taken) => {
+    void sent.then((taken) => {
       probe.acknowledged ||= taken && !probe.over;
     });
     while (!probe.acknowledged && goesOn(probe, moments)) await pause(lookMilliseconds);
     if (probe.acknowledged) await readBack(probe, version, moments);
-    probe.over = true;
   }
 
   function look(): void {
@@ -97,6 +110,11 @@
       probes
         .filter((probe) => probe.over && !probe.disturbed)
         .flatMap((probe) => {
+          if (!probe.earlierKept)
+            return probe.missing.map((core) => ({
+              check: 'availability',
+              detail: `${core} does not read back what was acknowledged, ${settleMilliseconds} ms after the loss before ${Math.round(probe.sentAt)}`,
+            }));
           const sent = `an order sent at ${Math.round(probe.sentAt)}, ${settleMilliseconds} ms after the last loss`;
           if (!probe.acknowledged) return [{ check: 'availability', detail: `${sent}, was confirmed by no core` }];
           return probe.missing.map((core) => ({ check: 'availability', detail: `${sent}, was not read back from ${core}` }));
--- a/packages/simulator/src/pooled-closing.ts
+++ b/packages/simulator/src/pooled-closing.ts
@@ -1,7 +1,9 @@
 // The last fault of a day of the pooled mode, right after an order was acknowledged; all is back when it ends (design 10.4.1).
+import type { Violation } from './checks.js';
 import { between, lastSheet, nextVersion, pick, type PooledStorm } from './faults/common.js';
 import { cutPower } from './faults/cores.js';
 import { settleMilliseconds } from './loss-budget.js';
+import { pooledOrders } from './pooled-orders.js';
 import type { PooledCore, PooledFleet } from './pooled-fleet.js';
 
 /** What strikes once the order is acknowledged; the machines that it takes away. */
@@ -76,12 +78,14 @@
   }
 }
 
-/** Strikes in turn from seed to seed; false when the order before it was not acknowledged. */
-async function run(fleet: PooledFleet, storm: PooledStorm, seed: number): Promise<boolean> {
+/** Strikes in turn from seed to seed; what was wrong before it. */
+async function run(fleet: PooledFleet, storm: PooledStorm, seed: number): Promise<readonly Violation[]> {
   const closing = closings[seed % closings.length] as Closing;
   const acknowledger = pick(fleet, fleet.cores);
   await fleet.until(storm.losses.idle, idleHorizonMilliseconds);
   await fleet.world.run(settleMilliseconds);
+  // The order to come overtakes those of the day: they are read back before it.
+  const violations = [...(await pooledOrders.readBack(fleet))];
   const from = fleet.world.now();
   let taken = false;
   void fleet.configure(nextVersion(fleet), lastSheet(fleet), fleet.cores.indexOf(acknowledger)).then((confirmed) => {
@@ -100,7 +104,8 @@
   }
   await startEdges(fleet, storm);
   storm.troubles.push({ who: 'all', from, to: fleet.world.now() });
-  return taken;
+  if (!taken) violations.push({ check: 'order-lost', detail: 'the order before the closing fault was not confirmed in time' });
+  return violations;
 }
 
 export const pooledClosing = { run } as const;
--- a/packages/simulator/src/pooled-seeds.ts
+++ b/packages/simulator/src/pooled-seeds.ts
@@ -6,15 +6,19 @@
 type Work = Readonly<{ seeds: readonly number[]; options: PooledStormOptions }>;
 
 const workersDefault = 2;
-const shownMost = 6;
+/** Of each check. */
+const shownMost = 3;
 
 function tell(result: PooledResult): void {
   console.log(
     `seed=${result.seed} ${result.violations.length === 0 ? 'passed' : 'FAILED'} served=${result.served} promotions=${result.promotions} judged=${JSON.stringify(result.judged)} outcomes=${JSON.stringify(result.outcomes)}`,
   );
   if (result.violations.length === 0) return;
-  for (const violation of result.violations.slice(0, shownMost)) console.log(`  ${violation.check}: ${violation.detail}`);
-  if (result.violations.length > shownMost) console.log(`  and ${result.violations.length - shownMost} more`);
+  for (const check of new Set(result.violations.map((violation) => violation.check))) {
+    const found = result.violations.filter((violation) => violation.check === check);
+    for (const { detail } of found.slice(0, shownMost)) console.log(`  ${check}: ${detail}`);
+    if (found.length > shownMost) console.log(`  and ${found.length - shownMost} more of ${check}`);
+  }
   console.log(`  faults: ${result.faults.join('; ')}`);
   console.log(`  replay: npm run pooled-seeds -- ${result.seed} 1 --trace`);
 }
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -185,8 +185,7 @@
   const faultsEndAt = fleet.world.now();
   await pooledFaults.restore(fleet, storm);
   storm.troubles.push({ who: 'all', from: fleet.world.now() - lookMilliseconds, to: fleet.world.now() });
-  if (!(await pooledClosing.run(fleet, storm, seed)))
-    violations.push({ check: 'order-lost', detail: 'the order before the closing fault was not acknowledged' });
+  violations.push(...(await pooledClosing.run(fleet, storm, seed)));
   const backAt = fleet.world.now();
   await fleet.world.run(settleMilliseconds);
   senders.stop();
--- /dev/null
+++ b/packages/stories/features/simulator.feature
@@ -0,0 +1,31 @@
+Feature: The seeded runs themselves
+
+  Scenario: Every fault of the pooled runs stands in the table of what must be survived
+    Given the faults of the pooled runs
+    Then the table in guarantees.md names each of them, and no other
+
+  Scenario: A loss beyond the tolerance waits until the one before has been back for long enough
+    Given a tolerance of one core
+    When two cores are to be lost at once, each for 2 s
+    Then the second is lost 6 s after the first
+
+  Scenario: Losses that still wait when the day ends do not come
+    Given a tolerance of one core
+    When two cores are to be lost at once, each for 2 s
+    And the day ends a second later
+    Then only the first was lost
+
+  Scenario: A hanging disk keeps whoever reads or writes waiting, and loses nothing
+    Given a process with a disk
+    When its disk hangs for 3 s, with a put under way
+    Then the put is done after 3 s, and reads back
+
+  Scenario: A full disk fails each put, and works again once there is room
+    Given a process with a disk
+    When its disk is full for 3 s
+    Then a put fails, and one after 3 s succeeds
+
+  Scenario: A reset breaks a connection at both ends
+    Given two processes with a connection
+    When the connections of one are reset
+    Then both find it closed
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -23,6 +23,7 @@
         'build/capacity.js',
         'build/cores.js',
         'build/outages.js',
+        'build/simulator.js',
       ],
       format: ['progress'],
       publish: false,
--- /dev/null
+++ b/packages/stories/src/simulator.ts
@@ -0,0 +1,146 @@
+// Steps of the stories of simulator.feature: what the seeded runs lean on (design 10.4.1).
+import assert from 'node:assert/strict';
+import fs from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { Given, Then, When } from '@cucumber/cucumber';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { identifiers, type Disk, type Fault, type Link } from '@stallstall/kernel';
+import {
+  lossBudget,
+  pooledStorm,
+  world as worlds,
+  type LossBudget,
+  type Process,
+  type SimulatedDisk,
+  type World,
+} from '@stallstall/simulator';
+
+type SimulatorStory = {
+  faults: readonly string[];
+  world: World;
+  losses: LossBudget;
+  lostAt: number[];
+  disk: SimulatedDisk;
+  process: Process;
+  put: Promise<Either.Either<Fault, null>>;
+  putAt: number;
+  near: Link;
+  far: Link;
+};
+
+const tableStart = '## What the pooled runs do';
+
+function diskOf(process: Process): Disk {
+  assert(Option.isSome(process.kernel.disk));
+  return process.kernel.disk.value;
+}
+
+Given('the faults of the pooled runs', function given(this: SimulatorStory) {
+  this.faults = pooledStorm.faults;
+});
+
+Then('the table in guarantees.md names each of them, and no other', function then(this: SimulatorStory) {
+  const page = fs.readFileSync(fileURLToPath(new URL('../../../docs/guarantees.md', import.meta.url)), 'utf8');
+  const section = page.slice(page.indexOf(tableStart)).split('\n## ')[0] ?? '';
+  const rows = section.split('\n').filter((line) => line.startsWith('| '));
+  const named = rows.slice(2).flatMap((row) => (row.split('|')[2] ?? '').split(',').map((name) => name.trim()));
+  assert.deepEqual([...new Set(named)].sort(), [...this.faults].sort());
+});
+
+Given('a tolerance of one core', function given(this: SimulatorStory) {
+  this.world = worlds.create(1);
+  this.losses = lossBudget.create(this.world);
+  this.lostAt = [];
+});
+
+When('two cores are to be lost at once, each for {int} s', function when(this: SimulatorStory, seconds: number) {
+  const { world, losses, lostAt } = this;
+  for (let core = 0; core < 2; core += 1)
+    losses.take(function lose(back) {
+      lostAt.push(world.now());
+      world.at(seconds * 1_000, () => back());
+    });
+});
+
+When('the day ends a second later', async function when(this: SimulatorStory) {
+  await this.world.run(1_000);
+  this.losses.close();
+});
+
+Then('the second is lost {int} s after the first', async function then(this: SimulatorStory, seconds: number) {
+  await this.world.run(20_000);
+  assert.deepEqual(this.lostAt, [0, seconds * 1_000]);
+});
+
+Then('only the first was lost', async function then(this: SimulatorStory) {
+  await this.world.run(20_000);
+  assert.deepEqual(this.lostAt, [0]);
+});
+
+Given('a process with a disk', function given(this: SimulatorStory) {
+  this.world = worlds.create(1);
+  this.disk = this.world.disk();
+  this.process = this.world.spawn('core-1', 'machine-1', this.disk);
+});
+
+When('its disk hangs for {int} s, with a put under way', function when(this: SimulatorStory, seconds: number) {
+  const { world, disk } = this;
+  disk.trouble.hanging = true;
+  world.at(seconds * 1_000, function over() {
+    disk.trouble.hanging = false;
+  });
+  this.put = diskOf(this.process).put('key', 'value');
+  void this.put.then(() => {
+    this.putAt = world.now();
+  });
+});
+
+Then('the put is done after {int} s, and reads back', async function then(this: SimulatorStory, seconds: number) {
+  await this.world.run(seconds * 1_000 + 100);
+  assert(this.putAt >= seconds * 1_000);
+  assert(Either.isRight(await this.put));
+  assert.deepEqual(await diskOf(this.process).read('key'), Option.some('value'));
+});
+
+When('its disk is full for {int} s', function when(this: SimulatorStory, seconds: number) {
+  const { world, disk } = this;
+  disk.trouble.full = true;
+  world.at(seconds * 1_000, function over() {
+    disk.trouble.full = false;
+  });
+});
+
+Then('a put fails, and one after {int} s succeeds', async function then(this: SimulatorStory, seconds: number) {
+  const failed = diskOf(this.process).put('key', 'value');
+  await this.world.run(seconds * 1_000);
+  assert(Either.isLeft(await failed));
+  const kept = diskOf(this.process).put('key', 'value');
+  await this.world.run(100);
+  assert(Either.isRight(await kept));
+});
+
+Given('two processes with a connection', async function given(this: SimulatorStory) {
+  this.world = worlds.create(1);
+  const address = identifiers.address('10.0.0.1:7000');
+  this.process = this.world.spawn('core-1', 'machine-1');
+  const other = this.world.spawn('core-2', 'machine-2');
+  await other.kernel.network.listen(address, (link) => {
+    this.far = link;
+  });
+  const opening = this.process.kernel.network.open(address);
+  await this.world.run(100);
+  const opened = await opening;
+  assert(Either.isRight(opened));
+  this.near = opened.right;
+});
+
+When('the connections of one are reset', async function when(this: SimulatorStory) {
+  assert.equal(this.world.resetConnections(this.process, 1), 1);
+  await this.world.run(10);
+});
+
+Then('both find it closed', async function then(this: SimulatorStory) {
+  assert(Option.isNone(await this.near.receive()));
+  assert(Option.isNone(await this.far.receive()));
+});
