--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -7,6 +7,7 @@
 import { memberFaults } from './faults/members.js';
 import { operatorFaults } from './faults/operators.js';
 import { calmPlatform, platformFaults } from './faults/platform.js';
+import { replacementFaults } from './faults/replacements.js';
 import { lossBudget } from './loss-budget.js';
 import type { PooledFleet } from './pooled-fleet.js';
 
@@ -16,6 +17,7 @@
   ...edgeFaults,
   ...coreFaults,
   ...fleetFaults,
+  ...replacementFaults,
   ...diskFaults,
   ...clockFaults,
   ...memberFaults,
