--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -32,6 +32,7 @@
         'build/contents.js',
         'build/outages.js',
         'build/orders.js',
+        'build/simulator.js',
       ],
       format: ['progress'],
       publish: false,
