Ballots carry differences; each core keeps earlier versions by itself, within 16 MB

Cause: each change cost an archive read and ballot besides its own, replies to prepare, look and accept carried whole entries from every core, accepts the whole value, and cores pushed whole configurations to one another; ten thousand whole versions lay on each disk. Now prepare and look name the ballot that the asker holds and the reply leaves that entry out, accept carries the compressed difference from the base that the acceptor holds (the whole where it does not fit), accept replies carry no entry, cores push to one another without contents, and a core puts the version that it replaces into a compressed tail of its own, 16 MB at the most; what it missed it asks the others for. The tail is no part of a step of the set nor of a copy. Design 5.4 and 5.7; ballots.feature. Ruled out: structural differences (text and sheet would each need one), content by digest and a fetch (a round more), sending the version before along with its successor (twice the whole to whoever is behind).

--- a/packages/core/src/administration.ts
+++ b/packages/core/src/administration.ts
@@ -13,10 +13,11 @@
 import { orders as ordersOf, type Orders } from './orders.js';
 import { operators, ScopeSchema, type Caller, type Scope } from './operators.js';
 import type { Usage } from './usage.js';
+import type { VersionStore } from './version-store.js';
 import { versions as versionsOf } from './versions.js';
 
 /** The health page speaks up before a core's disk is full of sheets. */
-const diskBytesMost = 2 * 1024 * 1024 * 1024;
+const diskBytesMost = 128 * 1024 * 1024;
 const pageLength = 100;
 const pageMost = 500;
 const usageLateMilliseconds = 10_000;
@@ -33,6 +34,7 @@
   rootKey: string | undefined;
   ready: () => boolean;
   diskBytes: () => number;
+  versions: VersionStore;
   versionOf: (key: string) => number;
   /** What this core's own disk holds, chosen or not. */
   accepted: (key: string) => Option.Option<Entry>;
@@ -65,7 +67,7 @@
   const members = kernel.services.find(livenessService);
   const elections = kernel.services.find(electionService);
   const table = operators.create(kernel, parts.rootKey);
-  const versions = versionsOf.create(register);
+  const versions = versionsOf.create(register, parts.versions);
   const orders = ordersOf.create(kernel, { register, versions, accepted: () => parts.accepted('configuration') });
 
   function has(scope: Scope, need: Need): boolean {
@@ -371,14 +373,7 @@
     if (Option.isNone(read.right)) return { status: 200, body: page([], request) };
     const current = read.right.value;
     const shown = page(versions.numbers(current.version), request);
-    const rows = await Promise.all(
-      (shown.rows as readonly number[]).map(async function row(version) {
-        const found = await versions.at(version, current);
-        return Either.isRight(found) && Option.isSome(found.right)
-          ? { version, sentBy: found.right.value.sentBy, sentAt: found.right.value.sentAt }
-          : { version };
-      }),
-    );
+    const rows = await Promise.all((shown.rows as readonly number[]).map((version) => versions.row(version, current)));
     return { status: 200, body: { ...shown, rows } };
   }
 
@@ -441,7 +436,7 @@
         check: 'disk',
         sound: parts.diskBytes() < diskBytesMost,
         detail: `${Math.round(parts.diskBytes() / 1e6)} MB of ${Math.round(diskBytesMost / 1e6)} MB`,
-        remedy: 'send smaller sheets: the last ten thousand are kept',
+        remedy: 'start this core with an empty folder, so that it copies the others',
       },
     ];
     return { status: checks.every((one) => one.sound) ? 200 : 503, body: { core: node.settings.node, checks } };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,30 +19,21 @@
 import { node as nodes, beatMilliseconds, type Node, type NodeSettings } from '@stallstall/node';
 import { livenessService, type MemberProbe, type PlatformCalls, type Vote } from '@stallstall/elect';
 import { lessor as lessors, lessorService, type Lessor } from '@stallstall/lease';
-import { roster as rosters, rosterService, type Registration, type Roster } from '@stallstall/roster';
+import { roster as rosters, rosterService, type Roster } from '@stallstall/roster';
 import { sheets, type SheetMember } from '@stallstall/sheet';
 import { Type } from '@sinclair/typebox';
 import { administration as administrations } from './administration.js';
 import { cores as coreSets, type Cores, type Fleet } from './cores.js';
 import { diskFault, diskFormat, rosterKey } from './data-folder.js';
-import type { ExternalVersion } from './orders.js';
+import type { Door } from './door.js';
 import { forPush, subscribers } from './subscribers.js';
 import { usage as usages } from './usage.js';
+import { versionStore } from './version-store.js';
 import { abstained, coreVotes } from './votes.js';
 
 export type CoreSettings = NodeSettings & Readonly<{ cores: number; operatorKey?: string | undefined }>;
 
-/** What another platform's pages are served from: decisions stay here, words there (design 9.6). */
-export type Door = Readonly<{
-  ready: () => boolean;
-  /** Takes a whole sheet under its sender's own version; of two the higher stands, and a lower one changes nothing. */
-  configure: (external: ExternalVersion, sheet: unknown) => Promise<Either.Either<Fault, Readonly<{ version: number }>>>;
-  /** The newest configuration as its sender wrote it. */
-  source: () => Promise<Either.Either<Fault, string>>;
-  /** False when this core is of no fleet yet and could tell nobody. */
-  beat: (registration: Registration) => boolean;
-  leave: (member: string) => boolean;
-}>;
+export type { Door } from './door.js';
 
 /** How a fleet runs where members register, edges hold leases, and the platform has words of its own (design 9.6). */
 export type CoreParts = Readonly<{
@@ -122,6 +113,7 @@
     },
     diskFailed,
     standing,
+    (entry) => versions.keep(entry),
   );
   const notes = keeper.create(kernel, disk, stored, diskFailed);
 
@@ -148,6 +140,7 @@
   const votes = coreVotes(disk, stored);
   const ownTarget: RegisterTarget = {
     core: settings.node,
+    local: true,
     ask: async function ask(kind, body) {
       const reply = await cells[kind](body as never);
       return Option.some(reply as never);
@@ -180,6 +173,8 @@
         }),
   });
 
+  const versions = versionStore.create(kernel, { disk, node, newest: () => versionOf('configuration') });
+
   /** A primary that no beat has named yet is not gone: liveness tells whether it is DOWN (design 7.1). */
   function membersOf(service: string): readonly SheetMember[] {
     if (Option.isNone(roster)) return [];
@@ -591,6 +586,7 @@
     watch,
     join,
     note,
+    earlier: versions.earlier,
     usageLook: (ask) => notes.look(ask.window),
     spread: function spread(ask) {
       if (Option.isSome(roster)) roster.value.take(ask.beats);
@@ -618,6 +614,7 @@
     changeMembership: (next) => membershipCommands.ask(() => changeMembership(next)),
     obeyed: subscriptions.obeyed,
     diskBytes: disk.size,
+    versions,
     metrics: () => ({
       cells: cells.keys().length,
       puts: disk.puts(),
@@ -770,6 +767,7 @@
   ];
 
   node.start();
+  await versions.start();
   usage.start();
   if (Option.isSome(coreSet)) coreSet.value.start();
   if (stage() === 'formed' && Option.isSome(fleet)) void reopen(fleet.value);
@@ -778,6 +776,7 @@
 
   async function stop(): Promise<void> {
     stopped = true;
+    versions.stop();
     if (Option.isSome(coreSet)) coreSet.value.stop();
     if (Option.isSome(lessor)) lessor.value.stop();
     void usage.stop();
@@ -798,5 +797,5 @@
 }
 
 export { claimsKept, ledger, type Ledger } from './ledger.js';
-
+export { versionBytesMost, versionStore, type VersionStore } from './version-store.js';
 export const core = { start } as const;
--- a/packages/core/src/orders.ts
+++ b/packages/core/src/orders.ts
@@ -45,7 +45,6 @@
 const recentKept = 200;
 /** A claim may be so many versions older than what the configuration tells of its send, for reads race with sends. */
 const recentSlack = 10;
-const mostShots = 20;
 /** An operator that hears nothing for a second turns to another core. */
 const configureMilliseconds = 850;
 
@@ -109,15 +108,6 @@
   });
 }
 
-function notSettled(): Fault {
-  return fault.create({
-    kind: 'no-majority',
-    message: 'the configuration was not settled in time',
-    remedy: 'send it again unchanged',
-    retryAfterSeconds: 1,
-  });
-}
-
 /** Whether the configuration still tells of every send that was claimed at that version or later. */
 function tells(version: number, claim: SendClaim): boolean {
   return version - claim.since < recentKept - recentSlack;
@@ -141,18 +131,14 @@
     return claimed.right.digest === wanted.digest ? claimed : Either.left(otherSheet(order.sendId));
   }
 
-  type Shot = Readonly<{ changed: Changed; refused: Option.Option<Fault>; overtaken: boolean }>;
+  type Sent = Readonly<{ changed: Changed; refused: Option.Option<Fault> }>;
 
-  /** What stands is archived before it is replaced, so that no version that was ever chosen is lost. */
-  async function shoot(order: SheetOrder, claim: SendClaim, sentAt: number): Promise<Either.Either<Fault, Shot>> {
+  async function propose(order: SheetOrder, claim: SendClaim): Promise<Either.Either<Fault, Sent>> {
     const { caller, sheet, sendId, sentBy, expected } = order;
-    const archived = await versions.archiveCurrent();
-    if (Either.isLeft(archived)) return archived;
+    const sentAt = kernel.clock.wall();
     let refused: Option.Option<Fault> = Option.none;
-    let overtaken = false;
     const changed = await register.change('configuration', function next(current) {
       refused = Option.none;
-      overtaken = false;
       const version = versionOf(current);
       const before = configurationOf(current);
       if (before !== undefined && recentOf(before).some((old) => old.sendId === sendId)) return Option.none;
@@ -161,8 +147,6 @@
       else if (Either.isLeft(allowed)) refused = Option.some(allowed.left);
       else if (Option.isSome(expected) && expected.value !== version) refused = Option.some(versionConflict(version));
       if (Option.isSome(refused)) return Option.none;
-      overtaken = version !== archived.right;
-      if (overtaken) return Option.none;
       return Option.some({
         sheet,
         sendId,
@@ -172,7 +156,7 @@
         recent: [...(before === undefined ? [] : recentOf(before)), { version: version + 1, sendId }].slice(-recentKept),
       });
     });
-    return Either.map((done: Changed) => ({ changed: done, refused, overtaken }))(changed);
+    return Either.map((done: Changed) => ({ changed: done, refused }))(changed);
   }
 
   function versionConflict(version: number): Fault {
@@ -191,23 +175,10 @@
       return Either.left(refused ? claimed.left : outcomeUnknown(order.sendId));
     }
     if (claimed.right.version !== undefined) return Either.right({ version: claimed.right.version });
-    const sentAt = kernel.clock.wall();
-    let shot = await shoot(order, claimed.right, sentAt);
-    for (let shots = 1; Either.isRight(shot) && shot.right.overtaken && shots < mostShots; shots += 1)
-      shot = await shoot(order, claimed.right, sentAt);
-    if (Either.isLeft(shot)) return Either.left(outcomeUnknown(order.sendId));
-    if (shot.right.overtaken) {
-      return Either.left(
-        fault.create({
-          kind: 'overloaded',
-          message: 'other operators sent sheets all the while; nothing was changed',
-          remedy: 'send it again',
-          retryAfterSeconds: 1,
-        }),
-      );
-    }
-    if (Option.isSome(shot.right.refused)) return Either.left(shot.right.refused.value);
-    const entry = (shot.right.changed.entry as Option.Some<Entry>).value;
+    const sent = await propose(order, claimed.right);
+    if (Either.isLeft(sent)) return Either.left(outcomeUnknown(order.sendId));
+    if (Option.isSome(sent.right.refused)) return Either.left(sent.right.refused.value);
+    const entry = (sent.right.changed.entry as Option.Some<Entry>).value;
     const version = recentOf(entry.value as Configuration).find((old) => old.sendId === order.sendId)?.version ?? entry.version;
     if (order.named) await ledger.settleSend(order.sendId, version);
     return Either.right({ version });
@@ -244,37 +215,26 @@
       kernel.log('configuration.not-taken', { external: external.version, reason: fault.kind(claimed.left) });
       return claimed;
     }
-    while (kernel.clock.now() < horizon) {
-      const archived = await versions.archiveCurrent();
-      if (Either.isLeft(archived)) return archived;
-      let overtaken = false;
-      const changed = await register.change(
-        'configuration',
-        function next(current) {
-          overtaken = false;
-          const before = configurationOf(current);
-          if (before?.external !== undefined && before.external.version >= external.version) return Option.none;
-          overtaken = versionOf(current) !== archived.right;
-          if (overtaken) return Option.none;
-          return Option.some({
-            sheet,
-            sendId: `external ${external.version}`,
-            sentBy: 'external',
-            sentAt: kernel.clock.wall(),
-            recent: before === undefined ? [] : recentOf(before),
-            external: { ...external, digest: textDigest },
-          });
-        },
-        horizon - kernel.clock.now(),
-      );
-      if (Either.isLeft(changed)) return changed;
-      if (!overtaken) {
-        const standing = configurationOf(changed.right.entry)?.external?.version ?? 0;
-        kernel.log('configuration.taken', { external: external.version, standing, wrote: changed.right.wrote });
-        return Either.right({ version: standing });
-      }
-    }
-    return Either.left(notSettled());
+    const changed = await register.change(
+      'configuration',
+      function next(current) {
+        const before = configurationOf(current);
+        if (before?.external !== undefined && before.external.version >= external.version) return Option.none;
+        return Option.some({
+          sheet,
+          sendId: `external ${external.version}`,
+          sentBy: 'external',
+          sentAt: kernel.clock.wall(),
+          recent: before === undefined ? [] : recentOf(before),
+          external: { ...external, digest: textDigest },
+        });
+      },
+      horizon - kernel.clock.now(),
+    );
+    if (Either.isLeft(changed)) return changed;
+    const standing = configurationOf(changed.right.entry)?.external?.version ?? 0;
+    kernel.log('configuration.taken', { external: external.version, standing, wrote: changed.right.wrote });
+    return Either.right({ version: standing });
   }
 
   return { send, configure };
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -9,7 +9,8 @@
 export const BallotSchema = Type.Readonly(Type.Object({ counter: Count, node: Type.String({ maxLength: 200 }) }));
 export type Ballot = Readonly<Static<typeof BallotSchema>>;
 
-export const EntrySchema = Type.Object({ ballot: BallotSchema, version: Count, value: Type.Unknown() });
+/** `after`: the ballot of the entry that this one succeeded, where earlier versions are kept (design 5.4). */
+export const EntrySchema = Type.Object({ ballot: BallotSchema, version: Count, value: Type.Unknown(), after: Type.Optional(BallotSchema) });
 export type Entry = Readonly<Static<typeof EntrySchema>>;
 
 export const NodeRoleSchema = Type.Union([Type.Literal('core'), Type.Literal('edge')]);
@@ -149,17 +150,43 @@
 });
 
 /** `set`: the number of the set that the proposer counts majorities of; an acceptor at another gives no answer (design 4.8). */
-const RegisterAsk = Type.Object({ key: Name, ballot: BallotSchema, set: SetNumber });
-const AcceptAsk = Type.Object({ key: Name, entry: EntrySchema, set: SetNumber });
+const RegisterAsk = Type.Object({ key: Name, ballot: BallotSchema, set: SetNumber, holds: Type.Optional(BallotSchema) });
+/** `holds`: the ballot whose entry the asker has already; a reply leaves that entry out (design 5.7). */
+const LookAsk = Type.Object({ key: Name, set: SetNumber, holds: Type.Optional(BallotSchema) });
+/** What a value differs by from another: pieces of its text, compressed against the other's, and the digest of the whole. */
+export const DifferenceSchema = Type.Object({
+  pieces: Type.Array(Type.String({ maxLength: 64 * 1024 }), { maxItems: 1_000 }),
+  digest: Type.String({ maxLength: 100 }),
+});
+export type Difference = Readonly<Static<typeof DifferenceSchema>>;
+/** With `base`, the entry's value is left out: it differs so from what the acceptor holds under that ballot (design 5.7). */
+const AcceptAsk = Type.Object({
+  key: Name,
+  entry: EntrySchema,
+  set: SetNumber,
+  base: Type.Optional(Type.Object({ ballot: BallotSchema, difference: DifferenceSchema })),
+});
 const RegisterReply = Type.Object({
   ready: Type.Boolean(),
   agreed: Type.Boolean(),
   promised: BallotSchema,
+  /** Null as well in replies to `accept`, and where it is the entry that the asker holds. */
   accepted: Type.Union([EntrySchema, Type.Null()]),
+  /** The accepted entry is the one that the asker holds. */
+  held: Type.Optional(Type.Boolean()),
+  /** The difference did not fit: the whole entry is asked for. */
+  whole: Type.Optional(Type.Boolean()),
   newer: NewerSet,
 });
 
-const WatchAsk = Type.Object({ node: Name, incarnation: Count, acknowledged: Count, obeyed: Count });
+/** `content`: whether configurations are to be handed over whole, as they are if it is not said (design 5.6). */
+const WatchAsk = Type.Object({
+  node: Name,
+  incarnation: Count,
+  acknowledged: Count,
+  obeyed: Count,
+  content: Type.Optional(Type.Boolean()),
+});
 const WatchReply = Type.Object({
   ready: Type.Boolean(),
   number: Count,
@@ -169,6 +196,18 @@
   superseded: Type.Boolean(),
 });
 
+/** An earlier version of the configuration, its content compressed (design 5.4). */
+export const EarlierVersionSchema = Type.Object({
+  version: Count,
+  sentBy: Type.String({ maxLength: 200 }),
+  sentAt: Moment,
+  content: Type.String(),
+});
+export type EarlierVersion = Readonly<Static<typeof EarlierVersionSchema>>;
+const EarlierAsk = Type.Object({ versions: Type.Array(Count, { maxItems: 100 }) });
+/** As many of the versions asked for as are kept and a reply may hold. */
+const EarlierReply = Type.Object({ found: Type.Array(EarlierVersionSchema, { maxItems: 100 }) });
+
 const UsageLook = Type.Object({ window: Count });
 const UsageLookReply = Type.Object({ ready: Type.Boolean(), reports: NoteAsk.properties.reports, through: NoteAsk.properties.through });
 
@@ -362,10 +401,11 @@
   propose: { ask: ProposeAsk, reply: ProposeReply },
   prepare: { ask: RegisterAsk, reply: RegisterReply },
   accept: { ask: AcceptAsk, reply: RegisterReply },
-  look: { ask: Type.Object({ key: Name, set: SetNumber }), reply: RegisterReply },
+  look: { ask: LookAsk, reply: RegisterReply },
   adopt: { ask: AdoptAsk, reply: AdoptReply },
   watch: { ask: WatchAsk, reply: WatchReply },
   note: { ask: NoteAsk, reply: NoteReply },
+  earlier: { ask: EarlierAsk, reply: EarlierReply },
   usageLook: { ask: UsageLook, reply: UsageLookReply },
   tell: { ask: TellAsk, reply: TellReply },
   status: { ask: Empty, reply: StatusReply },
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -26,6 +26,7 @@
   type Seat,
   type Settled,
 } from '@stallstall/message';
+import { contents } from './contents.js';
 import { peer, type Handlers, type Peer } from '@stallstall/peer';
 import { quorum } from '@stallstall/quorum';
 import {
@@ -200,7 +201,14 @@
     number: () => (Option.isSome(followed) ? followed.value.number : 0),
     learn: (set) => (Option.isSome(registered) ? registered.value.learn(set) : undefined),
   };
-  const register = proposer.create(kernel, settings.node, targets, () => cores.length, sets);
+  const register = proposer.create(
+    kernel,
+    settings.node,
+    targets,
+    () => cores.length,
+    sets,
+    (key) => (Option.isSome(parts.own) ? parts.own.value.accepted(key) : Option.none),
+  );
   const noted = notes.create(noteTargets, () => cores.length, sets);
   kernel.services.offer(notesService, noted);
   kernel.services.offer(registerService, register);
@@ -218,6 +226,22 @@
     { number: sets.number, includes: (core) => Option.isNone(followed) || cores.some((one) => one.node === core) },
   );
 
+  const whole = contents.create({
+    clock: kernel.clock,
+    own: (key) => (Option.isSome(parts.own) ? parts.own.value.accepted(key) : Option.none),
+    fetch: fetchEntry,
+    changed: watch.changed,
+    goesOn,
+  });
+
+  async function fetchEntry(core: string, key: string): Promise<Option.Option<Entry>> {
+    const held = peers.get(core);
+    if (held === undefined) return Option.none;
+    const set = sets.number();
+    const reply = await held.peer.call('look', { key, ...(set === 0 ? {} : { set }) }, callMilliseconds);
+    return Option.isSome(reply) && reply.value.ready ? Option.fromNullable(reply.value.accepted) : Option.none;
+  }
+
   function configuration(): Option.Option<Obeyed<Configuration>> {
     const entry = watch.obeyed('configuration');
     return Option.isSome(entry) ? Option.some({ version: entry.value.version, value: entry.value.value as Configuration }) : Option.none;
@@ -291,7 +315,7 @@
       },
       changed: function changed(change: Change) {
         acknowledged.set(seat.node, change.number);
-        watch.changed(seat.node, change);
+        whole.take(seat.node, change);
       },
     });
     peers.set(seat.node, { address: seat.address, peer: dialled });
@@ -396,6 +420,8 @@
         node: settings.node,
         incarnation,
         acknowledged: acknowledged.get(core) ?? 0,
+        // A core's own disk is sent the same entries.
+        content: Option.isNone(parts.own),
         obeyed: Option.getOrElse(() => 0)(Option.map((current: Obeyed<Configuration>) => current.version)(configuration())),
       },
       callMilliseconds,
@@ -660,7 +686,10 @@
     setCores,
     follow,
     isStale,
-    changed: watch.changed,
+    changed: function changed(core, change) {
+      if (core === settings.node) whole.accepted(change.key, change.entry);
+      watch.changed(core, change);
+    },
     capsOfOthers: function capsOfOthers() {
       return quorum
         .withRole(membership().value, 'edge')
--- a/packages/register/src/acceptor.ts
+++ b/packages/register/src/acceptor.ts
@@ -13,6 +13,7 @@
   type Entry,
   type Reply,
 } from '@stallstall/message';
+import { difference } from './difference.js';
 
 export type CellState = Readonly<{ promised: Ballot; accepted: Entry | null }>;
 
@@ -36,7 +37,7 @@
   accepted: (key: string) => Option.Option<Entry>;
   keys: () => readonly string[];
   cells: () => ReadonlyArray<Readonly<{ key: string; state: CellState }>>;
-  /** A page of all cells as they stand on the disk, the archive among them. */
+  /** A page of the cells as they stand on the disk, but for the archive. */
   page: (after: string) => Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>>;
   /** Takes over what another disk holds, never going back (design 4.3). */
   merge: (key: string, state: CellState) => Promise<boolean>;
@@ -51,6 +52,8 @@
 /** Cells that are read from the disk when asked for: they are many, and nobody waits for them (design 5.4). */
 export const archivePrefix = 'archive/';
 export const coldPrefix = `${prefix}${archivePrefix}`;
+/** Follows every key of the archive, and no other key lies between: '0' comes next to '/'. */
+const afterArchive = `${archivePrefix.slice(0, -1)}0`;
 const pageBytes = 256 * 1024;
 const archiveOwners = 32;
 const unborn: CellState = { promised: ballotZero, accepted: null };
@@ -79,6 +82,8 @@
   onAccepted: (key: string, entry: Entry) => void,
   onDiskFailed: (error: Fault) => void,
   standing: Standing = unchanging,
+  /** Keeps an entry that is about to be replaced by its successor; without it the successor is not accepted. */
+  keepEarlier: (entry: Entry) => Promise<boolean> = () => Promise.resolve(true),
 ): Acceptor {
   const cells = new Map<string, Owner<Cell>>();
   const states = new Map<string, CellState>();
@@ -132,8 +137,30 @@
     return true;
   }
 
-  function reply(state: CellState, agreed: boolean): Reply<'prepare'> {
-    return { ready: true, agreed, promised: state.promised, accepted: state.accepted };
+  /** The accepted entry is left out where the asker holds it. */
+  function reply(state: CellState, agreed: boolean, holds?: Ballot): Reply<'prepare'> {
+    const { promised, accepted } = state;
+    const held = holds !== undefined && accepted !== null && message.compareBallots(accepted.ballot, holds) === 0;
+    return held ? { ready: true, agreed, promised, accepted: null, held } : { ready: true, agreed, promised, accepted };
+  }
+
+  /** Who asked to accept knows what it sent, and hears of others' entries when it prepares again. */
+  function acceptReply(state: CellState, agreed: boolean): Reply<'accept'> {
+    return { ready: true, agreed, promised: state.promised, accepted: null };
+  }
+
+  /** Only the very entry that the new one succeeds: what else is held here may never have been chosen (design 5.4). */
+  async function keepReplaced({ accepted }: CellState, next: Entry): Promise<boolean> {
+    if (accepted === null || next.after === undefined || message.compareBallots(accepted.ballot, next.after) !== 0) return true;
+    return keepEarlier(accepted);
+  }
+
+  /** The entry that an ask stands for; none where its difference does not fit what is held here. */
+  function entryOf(ask: Ask<'accept'>, state: CellState): Option.Option<Entry> {
+    if (ask.base === undefined) return Option.some(ask.entry);
+    if (state.accepted === null || message.compareBallots(state.accepted.ballot, ask.base.ballot) !== 0) return Option.none;
+    const joined = difference.join(state.accepted.value, ask.base.difference);
+    return Either.isLeft(joined) ? Option.none : Option.some({ ...ask.entry, value: joined.right });
   }
 
   /** Whoever counts majorities of another set is given no answer; one that is behind is told the newer set (design 4.8). */
@@ -149,9 +176,9 @@
       if (!open) return unanswered;
       const strange = stranger(ask.set);
       if (Option.isSome(strange)) return strange.value;
-      if (message.compareBallots(ask.ballot, cell.state.promised) <= 0) return reply(cell.state, false);
+      if (message.compareBallots(ask.ballot, cell.state.promised) <= 0) return reply(cell.state, false, ask.holds);
       if (!(await keep(ask.key, cell, { promised: ask.ballot, accepted: cell.state.accepted }))) return unanswered;
-      return Option.getOrElse(() => reply(cell.state, true))(stranger(ask.set));
+      return Option.getOrElse(() => reply(cell.state, true, ask.holds))(stranger(ask.set));
     });
   }
 
@@ -162,11 +189,14 @@
       if (!open) return unanswered;
       const strange = stranger(ask.set);
       if (Option.isSome(strange)) return strange.value;
-      if (message.compareBallots(ask.entry.ballot, cell.state.promised) !== 0) return reply(cell.state, false);
-      if (!(await keep(ask.key, cell, { promised: ask.entry.ballot, accepted: ask.entry }))) return unanswered;
-      onAccepted(ask.key, ask.entry);
+      if (message.compareBallots(ask.entry.ballot, cell.state.promised) !== 0) return acceptReply(cell.state, false);
+      const entry = entryOf(ask, cell.state);
+      if (Option.isNone(entry)) return { ...acceptReply(cell.state, false), whole: true };
+      if (!(await keepReplaced(cell.state, entry.value))) return unanswered;
+      if (!(await keep(ask.key, cell, { promised: ask.entry.ballot, accepted: entry.value }))) return unanswered;
+      onAccepted(ask.key, entry.value);
       // Looked at again: whoever reads this disk after it has left a set must find all that it ever agreed to in that set (design 4.8).
-      return Option.getOrElse(() => reply(cell.state, true))(stranger(ask.set));
+      return Option.getOrElse(() => acceptReply(cell.state, true))(stranger(ask.set));
     });
   }
 
@@ -174,8 +204,8 @@
     if (!open) return Promise.resolve(unanswered);
     const strange = stranger(ask.set);
     if (Option.isSome(strange)) return Promise.resolve(strange.value);
-    if (ask.key.startsWith(archivePrefix)) return on(ask.key, unanswered, (cell) => reply(cell.state, true));
-    return Promise.resolve(reply(states.get(ask.key) ?? unborn, true));
+    if (ask.key.startsWith(archivePrefix)) return on(ask.key, unanswered, (cell) => reply(cell.state, true, ask.holds));
+    return Promise.resolve(reply(states.get(ask.key) ?? unborn, true, ask.holds));
   }
 
   function merge(key: string, state: CellState): Promise<boolean> {
@@ -190,9 +220,11 @@
     return kept;
   }
 
+  /** What is read from the disk when asked for is left out: nobody who copies this disk waits for it (design 5.4). */
   async function page(after: string): Promise<Readonly<{ entries: Array<{ key: string; state: unknown }>; next: string }>> {
     const found = await disk.page(prefix, after === '' ? '' : prefix + after, pageBytes);
-    const entries = found.map(([key, state]) => ({ key: key.slice(prefix.length), state }));
+    const entries = found.filter(([key]) => !key.startsWith(coldPrefix)).map(([key, state]) => ({ key: key.slice(prefix.length), state }));
+    if (entries.length === 0 && found.length > 0) return page(afterArchive);
     return { entries, next: entries.at(-1)?.key ?? '' };
   }
 
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -4,3 +4,4 @@
 export * from './keeper.js';
 export * from './notes.js';
 export * from './stepper.js';
+export * from './difference.js';
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -4,12 +4,15 @@
 import { fault, identifiers, kernel as kernels, type Fault, type Kernel } from '@stallstall/kernel';
 import { ballotZero, message, type Ask, type Ballot, type CoreSet, type Entry, type Reply } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
+import { difference } from './difference.js';
 
 type RegisterKind = 'prepare' | 'accept' | 'look';
 
 /** One disk as a proposer sees it: a call over a held link, or the core's own acceptor. */
 export type RegisterTarget = Readonly<{
   core: string;
+  /** The core's own disk: what is handed to it travels nowhere. */
+  local?: boolean;
   ask: <Kind extends RegisterKind>(kind: Kind, body: Ask<Kind>, milliseconds: number) => Promise<Option.Option<Reply<Kind>>>;
 }>;
 
@@ -43,10 +46,16 @@
 const callMilliseconds = 800;
 const defaultHorizonMilliseconds = 4_000;
 const backoffMilliseconds = 20;
+/** The key whose earlier versions are kept (design 5.4). */
+const versionedKey = 'configuration';
 /** So much longer promises are waited for: a disk that is asked to accept as well does not fall behind, and is no matter of doubt later. */
 const lateMilliseconds = 6;
 
-type Replied = Readonly<{ target: RegisterTarget; reply: Reply<'prepare'> }>;
+/** `held`: the target left its entry out, for it is the one that the asker holds. */
+type Replied = Readonly<{ target: RegisterTarget; reply: Reply<'prepare'>; held: boolean }>;
+
+/** What is asked of each target; the same of all, or by what each holds. */
+type Asks<Kind extends RegisterKind> = (target: RegisterTarget) => Ask<Kind>;
 
 /**
  * Asks every target and settles once `enough` holds, after a moment more for those that are about to reply, or when all have answered or
@@ -56,7 +65,7 @@
   kernel: Kernel,
   targets: readonly RegisterTarget[],
   kind: Kind,
-  body: Ask<Kind>,
+  asks: Asks<Kind>,
   milliseconds: number,
   enough: (replies: readonly Replied[]) => boolean,
   learn: CoreSets['learn'],
@@ -68,10 +77,10 @@
     let left = targets.length;
     if (left === 0) resolve(replies);
     async function ask(target: RegisterTarget): Promise<void> {
-      const reply = await target.ask(kind, body, milliseconds);
+      const reply = await target.ask(kind, asks(target), milliseconds);
       left -= 1;
       if (Option.isSome(reply) && reply.value.newer !== undefined) learn(reply.value.newer);
-      if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value as Reply<'prepare'> });
+      if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value as Reply<'prepare'>, held: false });
       if (left === 0 || (more === 0 && enough(replies))) resolve([...replies]);
       else if (!settling && enough(replies)) {
         settling = true;
@@ -82,6 +91,26 @@
   });
 }
 
+/** Puts back what the targets left out. */
+function filled(replies: readonly Replied[], known: Option.Option<Entry>): readonly Replied[] {
+  return replies.map(function fill(one) {
+    if (one.reply.held !== true || Option.isNone(known)) return one;
+    return { ...one, reply: { ...one.reply, accepted: known.value }, held: true };
+  });
+}
+
+/** Sends the whole entry to an acceptor whose held value the difference does not fit. */
+function wholeWhereAsked(target: RegisterTarget, whole: Ask<'accept'>): RegisterTarget {
+  return {
+    ...target,
+    ask: async function ask(kind, body, milliseconds) {
+      const reply = await target.ask(kind, body, milliseconds);
+      const again = Option.isSome(reply) && 'whole' in reply.value && reply.value.whole === true;
+      return again ? target.ask(kind, whole as typeof body, milliseconds) : reply;
+    },
+  };
+}
+
 function agreed(replies: readonly Replied[]): readonly Replied[] {
   return replies.filter(function yes(one) {
     return one.reply.agreed;
@@ -110,6 +139,8 @@
   targets: () => readonly RegisterTarget[],
   total: () => number,
   sets: CoreSets = unchangingSets,
+  /** What is at hand of a key already: its entry need not be sent here again (design 5.7). */
+  held: (key: string) => Option.Option<Entry> = () => Option.none,
 ): NumberedRegister {
   const proposer = `${name}#${kernel.randomness.token()}`;
   let counter = 0;
@@ -152,16 +183,18 @@
   async function shot(key: string, decide: (current: Option.Option<Entry>) => Option.Option<unknown>): Promise<Option.Option<Changed>> {
     const ballot = nextBallot();
     const { asked, set, majorityOf } = begin();
-    const promised = await gather(
+    const known = held(key);
+    const replied = await gather(
       kernel,
       asked,
       'prepare',
-      { key, ballot, ...set },
+      () => ({ key, ballot, ...set, ...holdsOf(known) }),
       callMilliseconds,
       (replies) => majorityOf(agreed(replies)),
       sets.learn,
       lateMilliseconds,
     );
+    const promised = filled(replied, known);
     learn(promised);
     const promises = agreed(promised);
     if (!majorityOf(promises)) return Option.none;
@@ -169,14 +202,17 @@
     const decided = decide(current);
     if (Option.isNone(decided) && sameEverywhere(promises)) return Option.some({ wrote: false, entry: current });
     const entry: Entry = Option.isSome(decided)
-      ? { ballot, version: Option.isSome(current) ? current.value.version + 1 : 1, value: decided.value }
+      ? { ballot, version: Option.isSome(current) ? current.value.version + 1 : 1, value: decided.value, ...afterOf(key, current) }
       : { ...(current as Option.Some<Entry>).value, ballot };
+    const whole: Ask<'accept'> = { key, entry, ...set };
+    const slim = slimmed(whole, known, promises);
+    const holding = new Set(promises.filter((one) => one.held && one.target.local !== true).map((one) => one.target.core));
     // Only those whose promises were counted are asked to accept (design 5.1).
     const accepted = await gather(
       kernel,
-      promises.map((one) => one.target),
+      promises.map((one) => wholeWhereAsked(one.target, whole)),
       'accept',
-      { key, entry, ...set },
+      (target) => (holding.has(target.core) ? slim : whole),
       callMilliseconds,
       (replies) => majorityOf(agreed(replies)),
       sets.learn,
@@ -185,6 +221,22 @@
     return majorityOf(agreed(accepted)) ? Option.some({ wrote: Option.isSome(decided), entry: Option.some(entry) }) : Option.none;
   }
 
+  /** The same ask with what differs from the known entry alone, where any target holds that entry. */
+  function slimmed(whole: Ask<'accept'>, known: Option.Option<Entry>, promises: readonly Replied[]): Ask<'accept'> {
+    if (Option.isNone(known) || !promises.some((one) => one.held && one.target.local !== true)) return whole;
+    const differs = difference.between(known.value.value, whole.entry.value);
+    if (differs === undefined) return whole;
+    return { ...whole, entry: { ...whole.entry, value: null }, base: { ballot: known.value.ballot, difference: differs } };
+  }
+
+  function afterOf(key: string, current: Option.Option<Entry>): Readonly<{ after?: Ballot }> {
+    return key === versionedKey && Option.isSome(current) ? { after: current.value.ballot } : {};
+  }
+
+  function holdsOf(known: Option.Option<Entry>): Readonly<{ holds?: Ballot }> {
+    return Option.isNone(known) ? {} : { holds: known.value.ballot };
+  }
+
   function keep(): Option.Option<unknown> {
     return Option.none;
   }
@@ -209,7 +261,9 @@
     async function read(key: string, milliseconds = defaultHorizonMilliseconds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
       if (!holds()) return Either.left(noMajority(key));
       const { asked, set, majorityOf } = begin();
-      const replies = await gather(kernel, asked, 'look', { key, ...set }, callMilliseconds, majorityOf, sets.learn);
+      const known = held(key);
+      const ask: Ask<'look'> = { key, ...set, ...holdsOf(known) };
+      const replies = filled(await gather(kernel, asked, 'look', () => ask, callMilliseconds, majorityOf, sets.learn), known);
       if (majorityOf(replies) && sameEverywhere(replies)) return Either.right(highestEntry(replies));
       const completed = await change(key, keep, milliseconds);
       return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
--- a/packages/simulator/mutations.mjs
+++ b/packages/simulator/mutations.mjs
@@ -104,7 +104,7 @@
     name: 'versions-share-a-cell',
     expect: 'configuration-missing',
     only: ['operators-race', 'key-withdrawn'],
-    file: 'core/build/versions.js',
+    file: 'core/build/version-store.js',
     from: 'version % versionsKept',
     to: '0',
   },
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -268,18 +268,18 @@
     to: "'own'",
   },
   {
-    name: 'claim-not-waited-for',
+    name: 'number-not-claimed',
     story: 'Of two sheets under one number',
     file: 'core/build/orders.js',
-    from: 'if (Either.isLeft(claimed))\n            return claimed;\n        if (claimed.right ===',
-    to: 'if (Either.isLeft(claimed))\n            return Either.right(undefined);\n        if (claimed.right ===',
+    from: 'const claimed = await ledger.claimNumber(external.version, textDigest, horizon - kernel.clock.now());',
+    to: "const claimed = Either.right('own');",
   },
   {
-    name: 'forgotten-number-claimed-anew',
+    name: 'forgotten-number-acknowledged',
     story: 'ledger has forgotten',
     file: 'core/build/ledger.js',
-    from: 'number <= numbers.forgotten || ',
-    to: '',
+    from: "return 'forgotten';",
+    to: "return 'own';",
   },
   {
     name: 'digest-of-the-letters',
@@ -309,6 +309,62 @@
     from: 'await ledger.settleSend(order.sendId, version);',
     to: '',
   },
+  {
+    name: 'whole-in-each-ballot',
+    story: 'A change moves little',
+    file: 'register/build/proposer.js',
+    from: 'holding.has(target.core) ? slim : whole',
+    to: 'whole',
+  },
+  {
+    name: 'held-entry-sent-again',
+    story: 'A change moves little',
+    file: 'register/build/acceptor.js',
+    from: 'return held ?',
+    to: 'return false ?',
+  },
+  {
+    name: 'contents-between-cores',
+    story: 'A change moves little',
+    file: 'node/build/index.js',
+    from: 'content: Option.isNone(parts.own),',
+    to: '',
+  },
+  {
+    name: 'difference-not-checked',
+    story: 'A difference leads',
+    file: 'register/build/difference.js',
+    from: 'if (digestOf(text) !== difference.digest)',
+    to: 'if (false)',
+  },
+  {
+    name: 'earlier-version-not-kept',
+    story: 'A core that missed changes',
+    file: 'register/build/acceptor.js',
+    from: 'return keepEarlier(accepted);',
+    to: 'return true;',
+  },
+  {
+    name: 'missed-versions-not-asked-for',
+    story: 'A core that missed changes',
+    file: 'core/build/version-store.js',
+    from: 'for (let versions = missing(); versions.length > 0 &&',
+    to: 'for (let versions = missing(); false &&',
+  },
+  {
+    name: 'versions-without-bound',
+    story: 'bounded in bytes, and',
+    file: 'core/build/version-store.js',
+    from: 'table.bytes > versionBytesMost &&',
+    to: 'false &&',
+  },
+  {
+    name: 'forgotten-versions-asked-for',
+    story: 'bounded in bytes, and',
+    file: 'core/build/version-store.js',
+    from: 'table.bytes > versionBytesMost / 2',
+    to: 'false',
+  },
   {
     name: 'turn-taken-at-once',
     expect: 'one-holder',
@@ -321,7 +377,7 @@
 
 const wanted = process.argv.slice(2);
 const copy = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-mutations-'));
-execFileSync('cp', ['-a', path.join(root, 'packages'), path.join(root, 'node_modules'), path.join(root, 'package.json'), copy]);
+execFileSync('cp', ['-a', ...['packages', 'platform', 'node_modules', 'package.json'].map((part) => path.join(root, part)), copy]);
 
 /** The stories of the copy: true when one of them fails. */
 function storyFails(story) {
@@ -362,8 +418,10 @@
     console.log(`${mutation.name}: the guard is not where it was`);
     continue;
   }
-  fs.writeFileSync(file, sound.replaceAll(mutation.from, mutation.to));
   const verdicts = [];
+  // A story that fails with every guard in place shows nothing.
+  if (mutation.story !== undefined && storyFails(mutation.story)) verdicts.push('NOT SHOWN: its story fails with the guard in place');
+  fs.writeFileSync(file, sound.replaceAll(mutation.from, mutation.to));
   if (mutation.story !== undefined) verdicts.push(storyFails(mutation.story) ? 'caught by its story' : 'NOT CAUGHT by its story');
   if (mutation.expect !== undefined) {
     const caught = await seedFails(mutation);
--- a/packages/simulator/src/fuzz.ts
+++ b/packages/simulator/src/fuzz.ts
@@ -64,6 +64,15 @@
   { kind: 'tell', body: { number: 1, floors: { bookings: 7 }, usage: [], through: 0, incarnation: 'x' } },
   { kind: 'copy', body: { after: 9 } },
   { kind: 'usageLook', body: {} },
+  { kind: 'earlier', body: { versions: [-1] } },
+  {
+    kind: 'accept',
+    body: {
+      key: 'configuration',
+      entry: { ballot: { counter: 1, node: 'x' }, version: 1, value: null },
+      base: { ballot: { counter: 1, node: 'x' }, difference: { pieces: [7], digest: '' } },
+    },
+  },
   { kind: 'feed', body: { configuration: 0, open: { bookings: 'all' } } },
   { kind: 'shutdown', body: {} },
   { kind: '__proto__', body: {} },
@@ -125,6 +134,7 @@
   look: registerReply,
   watch: { ready: true, number: 1, configuration: 1, membership: 1, puts: 1, superseded: false },
   note: { ready: true, floors: { bookings: { epoch: 1, position: 4 } } },
+  earlier: { found: [{ version: 1, sentBy: 'a', sentAt: 1, content: 'eJyrrgUAAXUA+Q==' }] },
   usageLook: { ready: true, reports: [], through: {} },
   tell: { kept: true },
   status: { status: {} },
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -96,6 +96,8 @@
   restMilliseconds?: number;
   connectionLimit?: number;
   applyMilliseconds?: number;
+  /** Counts what is sent over links. */
+  weighing?: boolean;
 }>;
 
 /** `losesReplies`: this share of the replies to operators is lost on its way. */
@@ -226,7 +228,7 @@
 }
 
 function create(seed: number, options: PooledOptions = {}): PooledFleet {
-  const world = worlds.create(seed);
+  const world = worlds.create(seed, options.weighing);
   const services = ['bookings', 'maps'].slice(0, options.services ?? 2);
   const cores: readonly PooledCore[] = [1, 2, 3].map((index) => ({
     name: `core-${index}`,
