--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,7 +28,7 @@
 import { node as nodes, beatMilliseconds, type Node, type NodeSettings } from '@stallstall/node';
 import { livenessService, type MemberProbe, type PlatformCalls, type Vote } from '@stallstall/elect';
 import { lessor as lessors, lessorService, type Lessor } from '@stallstall/lease';
-import { roster as rosters, rosterService, type Registration, type Roster } from '@stallstall/roster';
+import { roster as rosters, rosterService, type Roster } from '@stallstall/roster';
 import { sheets, type SheetMember } from '@stallstall/sheet';
 import { Type } from '@sinclair/typebox';
 import { administration as administrations } from './administration.js';
@@ -37,27 +37,17 @@
 import { copying as copyings } from './copying.js';
 import { cores as coreSets, type Cores } from './cores.js';
 import { diskFormat, readFolder, rosterKey } from './data-folder.js';
+import type { Door } from './door.js';
 import { setOf, standingOf, type Fleet } from './fleet-record.js';
-import type { ExternalVersion } from './orders.js';
 import { spreader as spreaders, type Spreader } from './spreader.js';
 import { forPush, subscribers } from './subscribers.js';
 import { usage as usages } from './usage.js';
+import { versionStore } from './version-store.js';
 import { coreVotes } from './votes.js';
 
 export type CoreSettings = NodeSettings & Readonly<{ cores: number; operatorKey?: string | undefined }>;
 
-/** What another platform's pages are served from: decisions stay here, words there (design 9.6). */
-export type Door = Readonly<{
-  ready: () => boolean;
-  /** Takes a whole sheet under its sender's own version; of two the higher stands, and a lower one changes nothing. */
-  configure: (external: ExternalVersion, sheet: unknown) => Promise<Either.Either<Fault, Readonly<{ version: number }>>>;
-  /** The newest configuration as its sender wrote it. */
-  source: () => Promise<Either.Either<Fault, string>>;
-  /** False when no majority of cores would know of it; that a member drains is confirmed by one. */
-  beat: (registration: Registration) => Promise<boolean>;
-  /** The same: right once a majority of cores knows that the member has left. */
-  leave: (member: string) => Promise<boolean>;
-}>;
+export type { Door } from './door.js';
 
 /** How a fleet runs where members register, edges hold leases, and the platform has words of its own (design 9.6). */
 export type CoreParts = Readonly<{
@@ -138,6 +128,7 @@
     },
     (error) => kernel.log('disk.damaged', { reason: error.message }),
     standing,
+    (entry) => versions.keep(entry),
   );
   const notes = keeper.create(kernel, disk, stored);
 
@@ -167,6 +158,7 @@
   const copying = copyings.create(kernel, { call: calls.call, cells, notes, votes, stopped: () => stopped });
   const ownTarget: RegisterTarget = {
     core: settings.node,
+    local: true,
     ask: async function ask(kind, body) {
       const reply = await cells[kind](body as never);
       return Option.some(reply as never);
@@ -200,6 +192,7 @@
   });
 
   const contact = contacts.create(kernel, node.answeredAt);
+  const versions = versionStore.create(kernel, { disk, node, newest: () => versionOf('configuration') });
 
   /** A primary that no beat has named yet is not gone: liveness tells whether it is DOWN (design 7.1). */
   function membersOf(service: string): readonly SheetMember[] {
@@ -579,6 +572,7 @@
     watch,
     join,
     note,
+    earlier: versions.earlier,
     usageLook: (ask) => notes.look(ask.window),
     spread: function spread(ask) {
       if (Option.isSome(roster)) roster.value.take(ask.beats);
@@ -607,6 +601,7 @@
     obeyed: subscriptions.obeyed,
     diskBytes: disk.size,
     diskTrouble: disk.trouble,
+    versions,
     metrics: () => ({
       cells: cells.keys().length,
       puts: disk.puts(),
@@ -762,6 +757,7 @@
   ];
 
   node.start();
+  await versions.start();
   usage.start();
   if (Option.isSome(coreSet)) coreSet.value.start();
   if (stage() === 'formed') void reopen();
@@ -771,6 +767,7 @@
 
   async function stop(): Promise<void> {
     stopped = true;
+    versions.stop();
     if (Option.isSome(coreSet)) coreSet.value.stop();
     if (Option.isSome(lessor)) lessor.value.stop();
     void usage.stop();
@@ -795,7 +792,7 @@
 }
 
 export { claimsKept, ledger, type Ledger } from './ledger.js';
-
+export { versionBytesMost, versionStore, type VersionStore } from './version-store.js';
 export const core = { start } as const;
 
 // For the exploration of design 10.4, which runs these over a network and disks of its own.
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -205,7 +205,14 @@
     number: () => (Option.isSome(followed) ? followed.value.number : 0),
     learn: (set) => (Option.isSome(registered) ? registered.value.learn(set) : undefined),
   };
-  const register = proposer.create(kernel, settings.node, targets, () => cores.length, sets);
+  const register = proposer.create(
+    kernel,
+    settings.node,
+    targets,
+    () => cores.length,
+    sets,
+    (key) => (Option.isSome(parts.own) ? parts.own.value.accepted(key) : Option.none),
+  );
   const noted = notes.create(noteTargets, () => cores.length, sets);
   kernel.services.offer(notesService, noted);
   kernel.services.offer(registerService, register);
--- a/packages/peer/src/repeatable.ts
+++ b/packages/peer/src/repeatable.ts
@@ -16,6 +16,7 @@
   adopt: 'unchanged',
   watch: 'freely',
   note: 'unchanged',
+  earlier: 'freely',
   usageLook: 'freely',
   tell: 'unchanged',
   status: 'freely',
--- a/packages/register/src/index.ts
+++ b/packages/register/src/index.ts
@@ -6,3 +6,4 @@
 export * from './stepper.js';
 export * from './levelling.js';
 export * from './contents.js';
+export * from './difference.js';
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -102,6 +102,8 @@
   restMilliseconds?: number;
   connectionLimit?: number;
   applyMilliseconds?: number;
+  /** Counts what is sent over links. */
+  weighing?: boolean;
 }>;
 
 /** Which share of the replies to operators is lost on the way. */
@@ -244,7 +246,7 @@
 }
 
 function create(seed: number, options: PooledOptions = {}): PooledFleet {
-  const world = worlds.create(seed);
+  const world = worlds.create(seed, options.weighing);
   const services = ['bookings', 'maps'].slice(0, options.services ?? 2);
   let coresEver = 0;
   const cores: PooledCore[] = [1, 2, 3].map((index) => coreSlot(areas[index - 1] as string));
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -180,8 +180,8 @@
 async function run(seed: number, options: PooledStormOptions = {}): Promise<PooledResult> {
   const fleet = pooledFleet.create(seed, { synchronous: seed % 4 === 0 ? 1 : 0 });
   const storm = pooledFaults.create(fleet);
-  fleet.platform().knobs.effectAfterReplyMilliseconds = effectDelay(seed);
   const violations = [...(await begin(fleet))];
+  fleet.platform().knobs.effectAfterReplyMilliseconds = effectDelay(seed);
   const startedAt = fleet.world.now();
   const senders = fleet.startSenders(options.sessions ?? 50, thinkMilliseconds);
   const milliseconds = options.milliseconds ?? (options.long === true ? longMilliseconds : dayMilliseconds);
