--- a/packages/core/src/cores.ts
+++ b/packages/core/src/cores.ts
@@ -167,6 +167,8 @@
   }
 
   async function adopt(ask: Ask<'adopt'>): Promise<Reply<'adopt'>> {
+    // A blank core may know no seed that still runs, while the cores of the fleet go on calling it where it was seated.
+    if (Option.isNone(parts.fleet()) && !stopped && !leaving) void commands.ask(() => meet(ask.fleet, ask.set));
     const adopted = await commands.ask(() => take(ask.fleet, ask.set));
     const known = parts.fleet();
     const formed = Option.isSome(known) && known.value.fleet === ask.fleet && isFormed();
--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -46,6 +46,8 @@
   const token = kernel.randomness.token();
   const beganAt = kernel.clock.now();
   const askedAt = new Map<string, Instant>();
+  /** When edges' processes that have ended since asked last. */
+  const endedAt = new Map<string, Instant>();
   const areas = new Map<string, string>();
   const demands = new Map<string, number>();
   const released = new Map<string, Readonly<Record<string, number>>>();
@@ -97,8 +99,25 @@
     return counts;
   }
 
+  /** An edge that knows nothing of this core has begun anew, if it has asked here before: the process before it tells nothing more. */
+  function beginAnew(node: string): void {
+    const at = askedAt.get(node);
+    if (at === undefined) return;
+    const before = `${node} until ${at}`;
+    endedAt.set(before, at);
+    seen.beganAnew(node, before);
+  }
+
+  /** How far commits reach, as all edges have told that may have acknowledged one: those of ended processes among them (design 8.11). */
+  function commitMarks(): ReturnType<typeof seen.all> {
+    const now = kernel.clock.now();
+    for (const [name, at] of endedAt) if (now - at > rememberMilliseconds) endedAt.delete(name);
+    return seen.all([...within(rememberMilliseconds), ...endedAt.keys()], new Map([...askedAt, ...endedAt]));
+  }
+
   async function lease(ask: Ask<'lease'>): Promise<Reply<'lease'>> {
     const cameAt = kernel.clock.now();
+    if (ask.token === '') beginAnew(ask.node);
     if (!askedAt.has(ask.node)) kernel.log('lease.asked', { node: ask.node, area: ask.area });
     askedAt.set(ask.node, kernel.clock.now());
     areas.set(ask.node, ask.area);
@@ -131,7 +150,7 @@
       edges: byArea(holders, () => 1),
       demand: byArea(holders, (node) => demands.get(node) ?? 0),
       wants: troubled,
-      marks: troubled ? seen.all(within(rememberMilliseconds), askedAt) : {},
+      marks: troubled ? commitMarks() : {},
     };
   }
 
--- a/packages/lease/src/marks.ts
+++ b/packages/lease/src/marks.ts
@@ -6,6 +6,8 @@
 export type MarkTable = Readonly<{
   /** What an edge has seen of leaders, and how far the commits reach that its senders were told of so long ago. */
   told: (node: string, seen: Marks, commits: Readonly<Record<string, LogPosition>>, agoMilliseconds: number) => void;
+  /** Another process runs as this edge: what the one before acknowledged last it may have told nobody. `as`: the name its telling goes on under. */
+  beganAnew: (node: string, as: string) => void;
   /** `edges`: all that held leases lately, and when each asked for them last. */
   all: (edges: readonly string[], askedAt: ReadonlyMap<string, Instant>) => Record<string, { term: number; number: number; ago: number }>;
 }>;
@@ -58,8 +60,15 @@
     return { at: earliest, position: compare(commit, mark.position) > 0 ? commit : mark.position };
   }
 
+  function beganAnew(node: string, as: string): void {
+    const at = toldAt.get(node);
+    toldAt.delete(node);
+    if (at !== undefined) toldAt.set(as, at);
+  }
+
   return {
     told,
+    beganAnew,
     all: function all(edges, askedAt) {
       const now = kernel.clock.now();
       return Object.fromEntries(
