A missing configuration is still asked for when another key's change comes behind it

Cause: a change without content waits until another core tells it, or is asked for after half a second. Any later change from the same core ended that waiting, an epoch's among them, so a core and an edge that came back from a cut held an old configuration for good. One more row of the story of such changes fails without the mend. Stories of the simulator's disks and of one candidacy follow the joined disk and the wait for a member to lead: a disk that works again is found to within 300 ms, reads come from what was synced, and the candidate's STATE says that it leads once it is promoted.

--- a/packages/register/src/contents.ts
+++ b/packages/register/src/contents.ts
@@ -65,8 +65,11 @@
     const identity = identityOf(change.key, change.entry.ballot);
     const content = contentOf(change, identity);
     if (content !== undefined) {
-      if (change.key === contentKey) keep(identity, change.entry.ballot, content);
-      waiting.delete(core);
+      // Another key's change says nothing of a content that is still missing.
+      if (change.key === contentKey) {
+        keep(identity, change.entry.ballot, content);
+        waiting.delete(core);
+      }
       parts.take(core, { ...change, entry: { ...change.entry, value: content } });
       for (const [other, slim] of [...waiting]) if (identityOf(slim.key, slim.entry.ballot) === identity) fill(other, slim, content);
       return;
--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -15,8 +15,8 @@
   readonly peaks: Map<string, number>;
   readonly drains: EdgeDrain[];
   readonly ends: PlannedEnd[];
-  /** Processes that something else than a planned end struck. */
-  readonly struck: Set<Process>;
+  /** When something else than a planned end last struck a process. */
+  readonly struckAt: Map<Process, number>;
   blanking: boolean;
   /** Members that are to go, by name, until they are taken back or out. */
   readonly draining: Set<string>;
@@ -43,7 +43,7 @@
     peaks: new Map(),
     drains: [],
     ends: [],
-    struck: new Set(),
+    struckAt: new Map(),
     blanking: false,
     draining: new Set(),
     crossings: 0,
@@ -115,19 +115,29 @@
   });
 }
 
+/** When the processes of each edge were killed. */
+const edgeKills = new WeakMap<Fleet, Array<Readonly<{ edge: string; at: number }>>>();
+
+function noteKill(fleet: Fleet, edge: string): void {
+  const kills = edgeKills.get(fleet) ?? [];
+  kills.push({ edge, at: fleet.world.now() });
+  edgeKills.set(fleet, kills);
+}
+
+/** A kill drops requests whatever else ends: no planned end of the same edge is judged by those around it. */
+function voidedByKill(fleet: Fleet, name: string, at: number): boolean {
+  return (edgeKills.get(fleet) ?? []).some(
+    (kill) => name.startsWith(`${kill.edge}/`) && kill.at >= at - sameMomentMilliseconds && kill.at <= at + judgedMilliseconds,
+  );
+}
+
 function killEdge(fleet: Fleet, slot: EdgeSlot, part: 'agent' | 'proxy', milliseconds: number): void {
   if (slot[part].process?.alive() !== true) return;
+  noteKill(fleet, slot.name);
   fleet.stopSlot(slot[part]);
   fleet.world.at(milliseconds, () => void (part === 'agent' ? fleet.startAgent(slot) : fleet.startProxy(slot)));
 }
 
-/** A kill of one process of an edge drops requests whatever the other one does: no planned end of either is judged by them. */
-function killOneOf(fleet: Fleet, storm: Storm, part: 'agent' | 'proxy'): void {
-  const slot = pick(fleet, fleet.edges);
-  for (const process of [slot.agent.process, slot.proxy.process]) if (process !== undefined) storm.struck.add(process);
-  killEdge(fleet, slot, part, between(fleet, 100, 4_000));
-}
-
 /** The sheet as the storm now wants it: the second key in or out, members that go, weights, limits and rows drawn anew. */
 function wanted(fleet: Fleet, storm: Storm): Readonly<{ sheet: Sheet; mark: string }> {
   const sheet = fleet.sheet() as {
@@ -210,6 +220,11 @@
   fleet.world.at(milliseconds, () => void fleet.startCore(slot));
 }
 
+/** What a strike drops is heard this much later at the most. */
+const sameMomentMilliseconds = 5;
+/** For so long after a planned end the checker judges what is turned away. */
+const judgedMilliseconds = 6_000;
+
 type Ending = { process: Process | undefined; running: Readonly<{ drain: () => Promise<void> }> | undefined };
 
 /** A planned restart: the process drains, ends, and another takes its place. */
@@ -218,11 +233,13 @@
   if (process?.alive() !== true || slot.running === undefined || fleet.world.frozen(process)) return;
   const end: PlannedEnd = { name, address, at: fleet.world.now(), endedAt: Number.POSITIVE_INFINITY, sound: false };
   storm.ends.push(end);
-  storm.struck.delete(process);
   void slot.running.drain().then(() => {
     if (slot.process !== process || !process.alive()) return;
-    end.sound = !storm.struck.has(process);
+    end.sound = (storm.struckAt.get(process) ?? Number.NEGATIVE_INFINITY) < end.at - sameMomentMilliseconds;
     end.endedAt = fleet.world.now();
+    fleet.world.at(judgedMilliseconds, function look() {
+      if (voidedByKill(fleet, name, end.at)) end.sound = false;
+    });
     fleet.stopSlot(slot);
     fleet.world.at(between(fleet, 50, 700), () => void again());
   });
@@ -403,7 +420,7 @@
 }
 
 function freeze(fleet: Fleet, storm: Storm, process: Process, milliseconds: number): void {
-  storm.struck.add(process);
+  storm.struckAt.set(process, fleet.world.now());
   fleet.world.freeze(process, milliseconds);
 }
 
@@ -534,8 +551,8 @@
       });
     },
   },
-  { name: 'kill-agent', run: (fleet, storm) => killOneOf(fleet, storm, 'agent') },
-  { name: 'kill-proxy', run: (fleet, storm) => killOneOf(fleet, storm, 'proxy') },
+  { name: 'kill-agent', run: (fleet) => killEdge(fleet, pick(fleet, fleet.edges), 'agent', between(fleet, 100, 4_000)) },
+  { name: 'kill-proxy', run: (fleet) => killEdge(fleet, pick(fleet, fleet.edges), 'proxy', between(fleet, 100, 4_000)) },
   {
     name: 'cut-edge',
     run: (fleet) =>
--- a/packages/stories/features/contents.feature
+++ b/packages/stories/features/contents.feature
@@ -29,3 +29,4 @@
       | as differences from what was never here           | after 500 ms, having asked   |
       | as differences that do not fit                    | after 500 ms, having asked   |
       | with no content                                   | after 500 ms, having asked   |
+      | with no content, and an epoch behind it           | after 500 ms, having asked   |
--- a/packages/stories/src/candidacies.ts
+++ b/packages/stories/src/candidacies.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { election, livenessService, type Election, type Liveness } from '@stallstall/elect';
+import { election, livenessService, type Election, type Liveness, type MemberState } from '@stallstall/elect';
 import { fence, fenceService } from '@stallstall/fence';
 import { identifiers } from '@stallstall/kernel';
 import { ballotZero, type Entry, type Seat, type Settled } from '@stallstall/message';
@@ -63,14 +63,17 @@
   return register;
 }
 
-/** The first member is silent; the second replies to STATE as a replica. */
-function stubLiveness(): Liveness {
+/** The first member is silent; the second replies to STATE as a replica until it is promoted. */
+function stubLiveness(story: CandidacyStory): Liveness {
   const unanswered = Either.left(new Error('silent') as never);
-  const state = { member: 'ferries-2', role: 'replica' as const, epoch: 4, received: 10, applied: 10, term: 4 };
+  function state(): MemberState {
+    const leads = story.promotions > 0;
+    return { member: 'ferries-2', role: leads ? 'primary' : 'replica', epoch: 4, received: 10, applied: 10, term: leads ? 5 : 4 };
+  }
   return {
     alive: (member: string) => member === 'ferries-2',
     probe: (member: string) =>
-      Promise.resolve(member === 'ferries-2' ? Either.right({ sentAt: identifiers.instant(0), state }) : unanswered),
+      Promise.resolve(member === 'ferries-2' ? Either.right({ sentAt: identifiers.instant(0), state: state() }) : unanswered),
   } as unknown as Liveness;
 }
 
@@ -96,7 +99,7 @@
     note: () => Promise.resolve(Either.right({})),
     floors: () => Promise.resolve(Either.right({})),
   } as Notes);
-  kernel.services.offer(livenessService, stubLiveness());
+  kernel.services.offer(livenessService, stubLiveness(this));
   kernel.services.offer(fenceService, fence.create());
   this.election = election.create(
     kernel,
--- a/packages/stories/src/contents.ts
+++ b/packages/stories/src/contents.ts
@@ -141,6 +141,10 @@
   'as differences from what was never here': [['core-1', changeOf(2, null, { from: ballot(9), all })]],
   'as differences that do not fit': [['core-1', changeOf(2, null, { from: ballot(1), all: [{ path: ['c', 'd'], set: 1 }] })]],
   'with no content': [['core-1', changeOf(2, null)]],
+  'with no content, and an epoch behind it': [
+    ['core-1', changeOf(2, null)],
+    ['core-1', { number: 3, key: 'epoch/ferries', entry: { ballot: ballot(3), version: 1, value: { epoch: 2 } } }],
+  ],
 };
 
 /** How a change from core-1 is taken, and when. */
--- a/packages/stories/src/simulator.ts
+++ b/packages/stories/src/simulator.ts
@@ -100,7 +100,7 @@
   await this.world.run(seconds * 1_000 + 100);
   assert(this.putAt >= seconds * 1_000);
   assert(Either.isRight(await this.put));
-  assert.deepEqual(await diskOf(this.process).read('key'), Option.some('value'));
+  assert.deepEqual(await diskOf(this.process).read('key'), Either.right(Option.some('value')));
 });
 
 When('its disk is full for {int} s', function when(this: SimulatorStory, seconds: number) {
@@ -111,10 +111,15 @@
   });
 });
 
+/** Within this time a disk that works again is found to. */
+const diskTriedMilliseconds = 300;
+
 Then('a put fails, and one after {int} s succeeds', async function then(this: SimulatorStory, seconds: number) {
   const failed = diskOf(this.process).put('key', 'value');
   await this.world.run(seconds * 1_000);
   assert(Either.isLeft(await failed));
+  // The disk is tried every 250 ms while it is in trouble.
+  await this.world.run(diskTriedMilliseconds);
   const kept = diskOf(this.process).put('key', 'value');
   await this.world.run(100);
   assert(Either.isRight(await kept));
