--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -124,11 +124,9 @@
   edgeKills.set(fleet, kills);
 }
 
-/** A kill drops requests whatever else ends: no planned end of the same edge is judged by those around it. */
+/** A kill drops requests whatever else ends: a planned end of the same edge at the very moment of one is not judged. */
 function voidedByKill(fleet: Fleet, name: string, at: number): boolean {
-  return (edgeKills.get(fleet) ?? []).some(
-    (kill) => name.startsWith(`${kill.edge}/`) && kill.at >= at - sameMomentMilliseconds && kill.at <= at + judgedMilliseconds,
-  );
+  return (edgeKills.get(fleet) ?? []).some((kill) => name.startsWith(`${kill.edge}/`) && Math.abs(kill.at - at) <= sameMomentMilliseconds);
 }
 
 function killEdge(fleet: Fleet, slot: EdgeSlot, part: 'agent' | 'proxy', milliseconds: number): void {
@@ -222,8 +220,6 @@
 
 /** What a strike drops is heard this much later at the most. */
 const sameMomentMilliseconds = 5;
-/** For so long after a planned end the checker judges what is turned away. */
-const judgedMilliseconds = 6_000;
 
 type Ending = { process: Process | undefined; running: Readonly<{ drain: () => Promise<void> }> | undefined };
 
@@ -237,7 +233,7 @@
     if (slot.process !== process || !process.alive()) return;
     end.sound = (storm.struckAt.get(process) ?? Number.NEGATIVE_INFINITY) < end.at - sameMomentMilliseconds;
     end.endedAt = fleet.world.now();
-    fleet.world.at(judgedMilliseconds, function look() {
+    fleet.world.at(sameMomentMilliseconds, function look() {
       if (voidedByKill(fleet, name, end.at)) end.sound = false;
     });
     fleet.stopSlot(slot);
