The closing fault picks its core once no replacement is under way

Ruled out: the product (nothing of it is on the path). The other callers of indexOf use it in the same turn. Conclusion: mended in the test harness; no check is changed.

--- a/packages/simulator/src/pooled-closing.ts
+++ b/packages/simulator/src/pooled-closing.ts
@@ -81,9 +81,10 @@
 /** Strikes in turn from seed to seed; what was wrong before it. */
 async function run(fleet: PooledFleet, storm: PooledStorm, seed: number): Promise<readonly Violation[]> {
   const closing = closings[seed % closings.length] as Closing;
-  const acknowledger = pick(fleet, fleet.cores);
   await fleet.until(storm.losses.idle, idleHorizonMilliseconds);
   await fleet.world.run(settleMilliseconds);
+  // Chosen only now: a core may be replaced for good while the losses of the day are waited for.
+  const acknowledger = pick(fleet, fleet.cores);
   // The order to come overtakes those of the day: they are read back before it.
   const violations = [...(await pooledOrders.readBack(fleet))];
   const from = fleet.world.now();
