Core start-up split by job: formation, membership table, registration, handlers

Behaviour is meant to be the same. Ruled out while splitting: a roster restored before its lessor exists (a story of orders.feature failed on it: ReferenceError; mended by the order of creation). Mutations: six guards are found at their new places; a mutation may now name more than one file (mutation-guards.mjs takes a guard out and puts it back for both tools).

--- a/packages/core/src/door.ts
+++ b/packages/core/src/door.ts
@@ -1,8 +1,13 @@
 // What a core offers to another platform's pages (design 9.6).
-import type * as Either from 'fp-ts/lib/Either.js';
-import type { Fault } from '@stallstall/kernel';
+import * as Either from 'fp-ts/lib/Either.js';
+import * as Option from 'fp-ts/lib/Option.js';
+import { fault, type Fault } from '@stallstall/kernel';
 import type { Registration } from '@stallstall/roster';
+import { sheets } from '@stallstall/sheet';
+import type { Administration } from './administration.js';
+import type { Contact } from './contact.js';
 import type { ExternalVersion } from './orders.js';
+import type { RegisteredMembers } from './registration.js';
 
 /** What another platform's pages are served from: decisions stay here, words there (design 9.6). */
 export type Door = Readonly<{
@@ -16,3 +21,38 @@
   /** The same: right once a majority of cores knows that the member has left. */
   leave: (member: string) => Promise<boolean>;
 }>;
+
+export type DoorParts = Readonly<{
+  /** This core is open: it answers as an occupant of its seat. */
+  isOpen: () => boolean;
+  isEnding: () => boolean;
+  contact: Contact;
+  administration: Pick<Administration, 'configure' | 'source'>;
+  registered: Option.Option<Pick<RegisteredMembers, 'beat' | 'leave'>>;
+}>;
+
+function notOpen(): Fault {
+  return fault.create({
+    kind: 'no-majority',
+    message: 'this core is of no fleet yet',
+    remedy: 'turn to another core',
+    retryAfterSeconds: 1,
+  });
+}
+
+function create({ isOpen, isEnding, contact, administration, registered }: DoorParts): Door {
+  return {
+    ready: () => isOpen() && !isEnding(),
+    configure: async function configure(external, sheet) {
+      if (!isOpen()) return Either.left(notOpen());
+      const checked = sheets.check(sheet);
+      return Either.isLeft(checked) ? checked : contact.during(() => administration.configure(external, checked.right));
+    },
+    source: async () => (isOpen() ? contact.during(administration.source) : Either.left(notOpen())),
+    // One that is of no fleet could tell nobody, nor one that no majority answers: who calls turns to another.
+    beat: async (registration) => Option.isSome(registered) && isOpen() && registered.value.beat(registration),
+    leave: async (member) => Option.isSome(registered) && isOpen() && registered.value.leave(member),
+  };
+}
+
+export const door = { create } as const;
--- /dev/null
+++ b/packages/core/src/registration.ts
@@ -0,0 +1,164 @@
+// Members that register by their beats, and edges that hold leases, as one core serves them (design 4.7, 7.12).
+import * as Option from 'fp-ts/lib/Option.js';
+import { Type } from '@sinclair/typebox';
+import { kernel as kernels, type Disk, type Kernel } from '@stallstall/kernel';
+import { livenessService } from '@stallstall/elect';
+import { lessor as lessors, lessorService, type Lessor, type LessorView } from '@stallstall/lease';
+import { message, RosterEntrySchema } from '@stallstall/message';
+import type { Node } from '@stallstall/node';
+import { roster as rosters, rosterService, type Registration, type Roster, type Spread } from '@stallstall/roster';
+import type { SheetMember } from '@stallstall/sheet';
+import { rosterKey } from './data-folder.js';
+import { spreader as spreaders } from './spreader.js';
+
+export type RegistrationParts = Readonly<{
+  node: Node;
+  disk: Pick<Disk, 'put'>;
+  /** What the disk held of the roster when the process started. */
+  storedRoster: unknown;
+  lessorView: Omit<LessorView, 'stances' | 'roster' | 'troubled' | 'onNotListening'>;
+  inTouch: () => boolean;
+}>;
+
+export type RegisteredMembers = Readonly<{
+  lessor: Lessor;
+  /** The members of a service, its leader among them. */
+  membersOf: (service: string) => readonly SheetMember[];
+  /** Resolves to false when no majority of cores would know of the beat, so that the member turns to another core. */
+  beat: (registration: Registration) => Promise<boolean>;
+  /** Resolves to true once a majority of cores knows that the member has left. */
+  leave: (member: string) => Promise<boolean>;
+  /** Takes beats that another core was sent. */
+  take: (beats: readonly Spread[]) => void;
+  start: () => void;
+  stop: () => void;
+}>;
+
+const spreadMilliseconds = 100;
+/** Changes within this span are spread together. */
+const gatherMilliseconds = 1;
+const keepMilliseconds = 300;
+/** So often this core sees that its own connection to whoever leads stands. */
+const lookMilliseconds = 300;
+const lookTimeoutMilliseconds = 800;
+const RosterSchema = Type.Array(RosterEntrySchema);
+
+/** Looks of this core's own at members and leaders, whose outcome liveness keeps. */
+function leaderWatch(kernel: Kernel, node: Node, roster: Roster) {
+  function services(): readonly string[] {
+    const current = node.configuration();
+    if (Option.isNone(current)) return [];
+    return current.value.value.sheet.services.filter((service) => service.registered).map((service) => service.service);
+  }
+
+  function lookAt(member: string): void {
+    const entry = roster.entryOf(member);
+    if (Option.isSome(entry) && !entry.value.gone)
+      void kernel.services.find(livenessService).hold(entry.value.service, member, entry.value.address, lookTimeoutMilliseconds);
+  }
+
+  function isTroubled(service: string, ownEpoch: number): boolean {
+    const settled = node.settled(service);
+    if (Option.isNone(settled)) return false;
+    const entry = roster.entryOf(settled.value.primary);
+    return ownEpoch > settled.value.epoch || Option.isNone(entry) || entry.value.down || entry.value.gone;
+  }
+
+  return {
+    lookAt,
+    /** Some service has no leader that is up and stands where all agree. */
+    isAnyTroubled: function isAnyTroubled(): boolean {
+      const epochs = node.epochs();
+      return services().some((service) => isTroubled(service, epochs[service] ?? 0));
+    },
+    lookAtLeaders: function lookAtLeaders(): void {
+      for (const service of services()) {
+        const settled = node.settled(service);
+        if (Option.isSome(settled)) lookAt(settled.value.primary);
+      }
+    },
+  };
+}
+
+function create(kernel: Kernel, parts: RegistrationParts): RegisteredMembers {
+  const { node } = parts;
+  let stopped = false;
+  let spreading = false;
+  let keeping = false;
+  const roster = rosters.create(kernel, onRosterChanged);
+  const spreader = spreaders.create(kernel, node, roster);
+  const leaders = leaderWatch(kernel, node, roster);
+  const lessor = lessors.create(kernel, {
+    ...parts.lessorView,
+    stances: node.epochs,
+    roster,
+    troubled: leaders.isAnyTroubled,
+    onNotListening: leaders.lookAt,
+  });
+  kernel.services.offer(rosterService, roster);
+  kernel.services.offer(lessorService, lessor);
+  // Where members were, until their beats tell: after a stop of everything nobody waits for these (design 4.7).
+  if (message.fits(RosterSchema, parts.storedRoster)) roster.restore(parts.storedRoster);
+
+  /** Beats taken here go to the other cores, several at a time; a change at once. */
+  function spread(): void {
+    if (!stopped) spreader.spread();
+  }
+
+  /** The roster as it stands goes to the disk now and then: it saves time after a restart, and nothing leans on it. */
+  function keep(): void {
+    if (keeping || stopped) return;
+    keeping = true;
+    kernel.clock.alarm(keepMilliseconds, async function write() {
+      keeping = false;
+      if (!stopped) await parts.disk.put(rosterKey, roster.since(0));
+    });
+  }
+
+  function onRosterChanged(): void {
+    lessor.changed();
+    keep();
+    if (spreading) return;
+    spreading = true;
+    kernel.clock.alarm(gatherMilliseconds, function now() {
+      spreading = false;
+      spread();
+    });
+  }
+
+  /** A leader that no beat has named yet is not gone: liveness tells whether it is DOWN (design 7.1). */
+  function membersOf(service: string): readonly SheetMember[] {
+    const members = roster.membersOf(service);
+    const settled = node.settled(service);
+    if (Option.isNone(settled) || Option.isSome(roster.entryOf(settled.value.primary))) return members;
+    return [...members, { member: settled.value.primary, area: '-', address: '', state: 'serving' }];
+  }
+
+  return {
+    lessor,
+    membersOf,
+    beat: async function beat(registration) {
+      roster.beat(registration);
+      return parts.inTouch() && (!registration.draining || spreader.confirm(registration.member));
+    },
+    leave: async function leave(member) {
+      roster.leave(member);
+      return parts.inTouch() && spreader.confirm(member);
+    },
+    take: roster.take,
+    start: function start() {
+      function round(): void {
+        roster.step();
+        spread();
+      }
+      void kernels.every(kernel.clock, spreadMilliseconds, round, () => !stopped);
+      void kernels.every(kernel.clock, lookMilliseconds, leaders.lookAtLeaders, () => !stopped);
+    },
+    stop: function stop() {
+      stopped = true;
+      lessor.stop();
+    },
+  };
+}
+
+export const registeredMembers = { create } as const;
--- a/packages/simulator/exploring-mutations.mjs
+++ b/packages/simulator/exploring-mutations.mjs
@@ -5,7 +5,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { checkGuards } from './mutation-guards.mjs';
+import { checkGuards, takeOut } from './mutation-guards.mjs';
 
 const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 const seconds = 30;
@@ -67,7 +67,7 @@
     file: 'core/build/cores.js',
     from: 'if (!mayBeVacant(seat))',
     to: 'if (false)',
-    more: { from: 'confirmed.silent.has(core) && !confirmed.standing.includes(core)', to: 'true' },
+    more: [{ file: 'core/build/cores.js', from: 'confirmed.silent.has(core) && !confirmed.standing.includes(core)', to: 'true' }],
     story: 'A blank machine waits until a seat is vacant',
   },
   {
@@ -93,19 +93,14 @@
 let blind = 0;
 for (const mutation of mutations) {
   if (wanted.length > 0 && !wanted.includes(mutation.name)) continue;
-  const file = path.join(copy, 'packages', mutation.file);
-  const sound = fs.readFileSync(file, 'utf8');
-  const first = sound.replaceAll(mutation.from, mutation.to);
-  const changed = mutation.more === undefined ? first : first.replaceAll(mutation.more.from, mutation.more.to);
-  if (first === sound || (mutation.more !== undefined && changed === first))
-    throw new Error(`${mutation.name}: the guard is not where it was`);
-  fs.writeFileSync(file, changed);
+  const putBack = takeOut(copy, mutation);
+  if (putBack === undefined) throw new Error(`${mutation.name}: the guard is not where it was`);
   const command =
     mutation.story === undefined
       ? [path.join(copy, 'packages/simulator/build/exploring.js'), '1', `--seconds=${seconds}`]
       : [path.join(copy, 'packages/stories/run.mjs'), mutation.story];
   const run = spawnSync(process.execPath, command, { encoding: 'utf8' });
-  fs.writeFileSync(file, sound);
+  putBack();
   const told = /^(seed|schedule|scenario) .{0,150}|AssertionError.{0,110}/m.exec(run.stdout)?.[0];
   if (told === undefined) blind += 1;
   console.log(`${mutation.name}: ${told === undefined ? `NOT CAUGHT ${run.stderr.slice(0, 300)}` : `caught by ${told}`}`);
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -6,7 +6,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { checkGuards } from './mutation-guards.mjs';
+import { checkGuards, takeOut } from './mutation-guards.mjs';
 
 const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
 const placement = 'pooler/build/placement.js';
@@ -183,10 +183,11 @@
   {
     name: 'beats-taken-by-no-fleet',
     story: 'no fleet',
-    file: 'core/build/index.js',
     // Two guards in a row: a core that is not open yet, and one that no majority answers.
-    from: '!cells.ready())\n                return false;\n            roster.value.beat(registration);\n            return contact.inTouch() &&',
-    to: 'false) return false; roster.value.beat(registration); return',
+    file: 'core/build/door.js',
+    from: 'isOpen() && registered.value.beat(registration)',
+    to: 'registered.value.beat(registration)',
+    more: [{ file: 'core/build/registration.js', from: 'parts.inTouch() && (!registration.draining', to: '(!registration.draining' }],
   },
   {
     name: 'repeated-calls-carried-out',
@@ -240,23 +241,23 @@
   {
     name: 'beat-confirmed-without-contact',
     story: 'A core without a majority',
-    file: 'core/build/index.js',
-    from: 'return contact.inTouch() && (!registration.draining',
+    file: 'core/build/registration.js',
+    from: 'return parts.inTouch() && (!registration.draining',
     to: 'return (!registration.draining',
   },
   {
     name: 'draining-confirmed-alone',
     story: 'in the moment of the cut',
-    file: 'core/build/index.js',
-    from: '|| spreader.value.confirm(registration.member)',
+    file: 'core/build/registration.js',
+    from: '|| spreader.confirm(registration.member)',
     to: '|| true',
   },
   {
     name: 'leave-confirmed-alone',
     story: 'in the moment of the cut',
-    file: 'core/build/index.js',
-    from: 'contact.inTouch() && spreader.value.confirm(member)',
-    to: 'contact.inTouch()',
+    file: 'core/build/registration.js',
+    from: 'parts.inTouch() && spreader.confirm(member)',
+    to: 'parts.inTouch()',
   },
   {
     name: 'orders-held-after-contact-is-lost',
@@ -551,7 +552,7 @@
   {
     name: 'lost-core-founds',
     story: 'lost what they held',
-    file: 'core/build/index.js',
+    file: 'core/build/formation.js',
     from: 'disk.lost()',
     to: 'Option.none',
   },
@@ -616,7 +617,7 @@
     expect: 'availability',
     only: ['cores-killed-together'],
     faults: 1,
-    file: 'core/build/index.js',
+    file: 'core/build/formation.js',
     from: 'void reopen();',
     to: '{ }',
   },
@@ -707,24 +708,22 @@
 let blind = 0;
 for (const mutation of mutations) {
   if (wanted.length > 0 && !wanted.includes(mutation.name)) continue;
-  const file = path.join(copy, 'packages', mutation.file);
-  const sound = fs.readFileSync(file, 'utf8');
-  if (!sound.includes(mutation.from)) {
+  const verdicts = [];
+  // A story that fails with every guard in place shows nothing.
+  if (mutation.story !== undefined && storyFails(mutation.story)) verdicts.push('NOT SHOWN: its story fails with the guard in place');
+  const putBack = takeOut(copy, mutation);
+  if (putBack === undefined) {
     blind += 1;
     console.log(`${mutation.name}: the guard is not where it was`);
     continue;
   }
-  const verdicts = [];
-  // A story that fails with every guard in place shows nothing.
-  if (mutation.story !== undefined && storyFails(mutation.story)) verdicts.push('NOT SHOWN: its story fails with the guard in place');
-  fs.writeFileSync(file, sound.replaceAll(mutation.from, mutation.to));
   if (mutation.story !== undefined) verdicts.push(storyFails(mutation.story) ? 'caught by its story' : 'NOT CAUGHT by its story');
   if (mutation.wires !== undefined) verdicts.push(wiresSay(mutation.wires) ? 'caught by the wires' : 'NOT CAUGHT by the wires');
   if (mutation.expect !== undefined) {
     const caught = await seedFails(mutation);
     verdicts.push(caught === undefined ? 'NOT CAUGHT by seeds' : `caught by ${caught.trim().slice(0, 120)}`);
   }
-  fs.writeFileSync(file, sound);
+  putBack();
   if (verdicts.some((verdict) => verdict.startsWith('NOT'))) blind += 1;
   console.log(`${mutation.name}: ${verdicts.join('; ')}`);
 }
