A promotion with synchronous replicas has a story and a mutation

The story passes on the code as it is; with the guard out (promoted-with-too-few-replies) it fails, as run: 'caught by its story', 0 not caught.

--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -612,6 +612,13 @@
     from: 'const sessionGraceMilliseconds = 6_000;',
     to: 'const sessionGraceMilliseconds = 2_500;',
   },
+  {
+    name: 'promoted-with-too-few-replies',
+    story: 'Where commits wait for a replica',
+    file: 'elect/build/election.js',
+    from: 'found.length >= service.members.length - service.synchronousReplicas',
+    to: 'true',
+  },
   {
     name: 'core-never-opens-again',
     expect: 'availability',
--- a/packages/stories/src/candidacies.ts
+++ b/packages/stories/src/candidacies.ts
@@ -19,7 +19,11 @@
   election: Election;
   values: Map<string, Entry>;
   writes: Write[];
-  promotions: number;
+  /** The members that the platform was asked to promote, in order. */
+  promoted: string[];
+  synchronousReplicas: number;
+  /** The position received by each member that replies to STATE; whoever is not there is silent. */
+  received: Map<string, number>;
   onWrite: (key: string) => void;
 };
 
@@ -29,17 +33,18 @@
 const settledAtFirst: Settled = { epoch: 4, primary: 'ferries-1', wonBy: 'core-1', position: 10, settledAt: 0 };
 const seat: Seat = { node: 'core-1', role: 'core', area: 'north', address: '10.1.0.1:7000', outward: '10.1.0.1:7001', draining: false };
 
-function members(): Sheet['services'][number]['members'] {
-  return [1, 2].map((index) => ({
-    member: `ferries-${index}`,
+function members(count: number): Sheet['services'][number]['members'] {
+  return Array.from({ length: count }, (_, index) => ({
+    member: `ferries-${index + 1}`,
     area: 'north',
-    address: `10.3.0.${index}:5000`,
+    address: `10.3.0.${index + 1}:5000`,
     state: 'serving' as const,
   })) as Sheet['services'][number]['members'];
 }
 
-function sheetOfStory(): Sheet {
-  return { services: [{ service, members: members(), synchronousReplicas: 0, registered: true }] } as unknown as Sheet;
+function sheetOfStory({ synchronousReplicas }: CandidacyStory): Sheet {
+  const count = synchronousReplicas === 0 ? 2 : 3;
+  return { services: [{ service, members: members(count), synchronousReplicas, registered: true }] } as unknown as Sheet;
 }
 
 function stubRegister(story: CandidacyStory): NumberedRegister {
@@ -63,23 +68,28 @@
   return register;
 }
 
-/** The first member is silent; the second replies to STATE as a replica until it is promoted. */
+/** Members with a received position reply to STATE, each as a replica until it is promoted; the others are silent. */
 function stubLiveness(story: CandidacyStory): Liveness {
   const unanswered = Either.left(new Error('silent') as never);
-  function state(): MemberState {
-    const leads = story.promotions > 0;
-    return { member: 'ferries-2', role: leads ? 'primary' : 'replica', epoch: 4, received: 10, applied: 10, term: leads ? 5 : 4 };
+  function state(member: string, received: number): MemberState {
+    const leads = story.promoted.at(-1) === member;
+    return { member, role: leads ? 'primary' : 'replica', epoch: 4, received, applied: received, term: leads ? 5 : 4 };
   }
   return {
-    alive: (member: string) => member === 'ferries-2',
-    probe: (member: string) =>
-      Promise.resolve(member === 'ferries-2' ? Either.right({ sentAt: identifiers.instant(0), state: state() }) : unanswered),
+    alive: (member: string) => story.received.has(member),
+    probe: function probe(member: string) {
+      const received = story.received.get(member);
+      return Promise.resolve(
+        received === undefined ? unanswered : Either.right({ sentAt: identifiers.instant(0), state: state(member, received) }),
+      );
+    },
   } as unknown as Liveness;
 }
 
-Given('a candidate for {string} whose pushes are behind', async function given(this: CandidacyStory, _service: string) {
+/** Starts one election over stubs; its primary, the first member, is silent. */
+async function startCandidate(story: CandidacyStory, synchronousReplicas: number, received: ReadonlyMap<string, number>): Promise<void> {
   const world = worlds.create(71);
-  Object.assign(this, { world, values: new Map(), writes: [], promotions: 0, onWrite: () => undefined });
+  Object.assign(story, { world, values: new Map(), writes: [], promoted: [], synchronousReplicas, received, onWrite: () => undefined });
   const { kernel } = world.spawn('core-1', 'core-machine-1');
   const platform = world.spawn('platform', 'platform-machine');
   await platform.kernel.network.serve(identifiers.address(platformAddress), {
@@ -87,25 +97,25 @@
       {
         method: 'POST',
         path: '/promotion',
-        handle: async () => {
-          this.promotions += 1;
+        handle: async function promote(request) {
+          story.promoted.push((request.body as { member: string }).member);
           return { status: 200, body: {} };
         },
       },
     ],
   });
-  kernel.services.offer(registerService, stubRegister(this));
+  kernel.services.offer(registerService, stubRegister(story));
   kernel.services.offer(notesService, {
     note: () => Promise.resolve(Either.right({})),
     floors: () => Promise.resolve(Either.right({})),
   } as Notes);
-  kernel.services.offer(livenessService, stubLiveness(this));
+  kernel.services.offer(livenessService, stubLiveness(story));
   kernel.services.offer(fenceService, fence.create());
-  this.election = election.create(
+  story.election = election.create(
     kernel,
     {
       calls: Option.some({
-        promotion: () => ({ method: 'POST', path: '/promotion', body: {}, repeatable: 'unchanged' }),
+        promotion: ({ member }) => ({ method: 'POST', path: '/promotion', body: { member }, repeatable: 'unchanged' }),
         usage: () => ({ method: 'POST', path: '/usage', body: {}, repeatable: 'unchanged' }),
         restMilliseconds: 0,
       }),
@@ -115,7 +125,7 @@
       self: 'core-1',
       membership: () => ({ seats: [seat], epochs: {} }),
       membershipVersion: () => 1,
-      sheet: () => Option.some(sheetOfStory()),
+      sheet: () => Option.some(sheetOfStory(story)),
       // What this node was pushed is the epoch before, whatever the register holds.
       settled: () => Option.some(settledAtFirst),
       platform: () => platformAddress,
@@ -123,6 +133,21 @@
     },
     { load: () => Promise.resolve(Either.right(Option.none)), record: () => Promise.resolve(true) },
   );
+}
+
+Given('a candidate for {string} whose pushes are behind', async function given(this: CandidacyStory, _service: string) {
+  await startCandidate(this, 0, new Map([['ferries-2', 10]]));
+});
+
+Given(
+  'a candidate for {string}, whose commits wait for one of two replicas, and of these only {word} replies, at position {int}',
+  async function given(this: CandidacyStory, _service: string, member: string, position: number) {
+    await startCandidate(this, 1, new Map([[member, position]]));
+  },
+);
+
+When('{word} replies as well, at position {int}', function when(this: CandidacyStory, member: string, position: number) {
+  this.received.set(member, position);
 });
 
 When(
@@ -143,16 +168,24 @@
   }
 });
 
+Then('nobody was promoted', function then(this: CandidacyStory) {
+  assert.deepEqual(this.promoted, []);
+});
+
+Then('{word} alone was promoted', function then(this: CandidacyStory, member: string) {
+  assert.deepEqual([...new Set(this.promoted)], [member]);
+});
+
 Then('the platform was asked for no promotion', function then(this: CandidacyStory) {
   assert.ok(
     this.writes.some((write) => write.key === `duty/promotion/${service}`),
     'the candidate took the duty',
   );
-  assert.equal(this.promotions, 0);
+  assert.deepEqual(this.promoted, []);
 });
 
 Then('the platform was asked for a promotion', function then(this: CandidacyStory) {
-  assert.ok(this.promotions > 0, JSON.stringify(this.election.describe()));
+  assert.ok(this.promoted.length > 0, JSON.stringify(this.election.describe()));
 });
 
 Then('the promotion duty is released', function then(this: CandidacyStory) {
