A core that has just begun to answer moves no mark of commits

Cause: while a leader is missing, a core moves the mark of how far commits reach once every edge that asked it has told again (design 8.11). A core that was killed, lost its disk or took over a seat has met no edge yet, and took the first one that told for all there are; an edge with a lease from its predecessor, cut off or slower to dial again, may have acknowledged commits that nobody told. A majority of such cores (all processes of the core killed at once, beside a primary split off from some edges) lets bounded reads miss commits acknowledged longer ago than their bound: STALE. Test first: marks.feature, 'A core that has just begun to answer ...' failed on the code before (0 ms where 500 were right); the two stories beside it passed before and after. Mutations run: marks-moved-past-strangers, marks-moved-past-ended-processes (had no mutation so far) and not-blind-after-it-opened each caught by their story. Conclusion: one span, strangersUntil, now guards both the lessees and the marks of a core.

--- a/packages/lease/src/lessor.ts
+++ b/packages/lease/src/lessor.ts
@@ -1,10 +1,10 @@
 // The core's half of the leases: tells edges where it stands, at once when that changes (design 7.12).
 import * as Option from 'fp-ts/lib/Option.js';
-import { kernel as kernels, waiters, type Instant, type Kernel } from '@stallstall/kernel';
+import { identifiers, kernel as kernels, waiters, type Instant, type Kernel } from '@stallstall/kernel';
 import type { Ask, Reply } from '@stallstall/message';
 import { marginMilliseconds, termMilliseconds } from '@stallstall/fence';
 import type { Roster } from '@stallstall/roster';
-import { marks as markTables } from './marks.js';
+import { later, marks as markTables } from './marks.js';
 
 export type LessorView = Readonly<{
   ready: () => boolean;
@@ -112,7 +112,16 @@
   function commitMarks(): ReturnType<typeof seen.all> {
     const now = kernel.clock.now();
     for (const [name, at] of endedAt) if (now - at > rememberMilliseconds) endedAt.delete(name);
-    return seen.all([...within(rememberMilliseconds), ...endedAt.keys()], new Map([...askedAt, ...endedAt]));
+    return seen.all({
+      edges: [...within(rememberMilliseconds), ...endedAt.keys()],
+      askedAt: new Map([...askedAt, ...endedAt]),
+      strangersUntil: strangersUntil(),
+    });
+  }
+
+  /** Leases that an earlier process or occupant of this seat granted have ended by then; whom it granted them to is not known here. */
+  function strangersUntil(): Instant {
+    return identifiers.after(later(beganAt, view.openedAt()), termMilliseconds + marginMilliseconds);
   }
 
   async function lease(ask: Ask<'lease'>): Promise<Reply<'lease'>> {
@@ -161,10 +170,7 @@
       gathering = true;
       kernel.clock.alarm(gatherMilliseconds, wake);
     },
-    lessees: () =>
-      kernel.clock.now() - Math.max(beganAt, view.openedAt()) < termMilliseconds + marginMilliseconds
-        ? Option.none
-        : Option.some(within(termMilliseconds + marginMilliseconds)),
+    lessees: () => (kernel.clock.now() < strangersUntil() ? Option.none : Option.some(within(termMilliseconds + marginMilliseconds))),
     recent: within,
     released: (service, epoch, lessees) => lessees.every((node) => (released.get(node)?.[service] ?? 0) >= epoch),
     stop: function stop() {
--- a/packages/lease/src/marks.ts
+++ b/packages/lease/src/marks.ts
@@ -8,8 +8,17 @@
   told: (node: string, seen: Marks, commits: Readonly<Record<string, LogPosition>>, agoMilliseconds: number) => void;
   /** Another process runs as this edge: what the one before acknowledged last it may have told nobody. `as`: the name its telling goes on under. */
   beganAnew: (node: string, as: string) => void;
-  /** `edges`: all that held leases lately, and when each asked for them last. */
-  all: (edges: readonly string[], askedAt: ReadonlyMap<string, Instant>) => Record<string, { term: number; number: number; ago: number }>;
+  all: (lessees: KnownLessees) => Record<string, { term: number; number: number; ago: number }>;
+}>;
+
+/** Who may have acknowledged commits, as far as this core can tell. */
+export type KnownLessees = Readonly<{
+  /** All that held leases lately. */
+  edges: readonly string[];
+  /** When each of them asked for leases last. */
+  askedAt: ReadonlyMap<string, Instant>;
+  /** Until then others may have held leases that an earlier process or occupant of this core's seat granted. */
+  strangersUntil: Instant;
 }>;
 
 type Mark = Readonly<{ position: LogPosition; at: Instant }>;
@@ -21,7 +30,8 @@
   return left.term === right.term ? left.number - right.number : left.term - right.term;
 }
 
-function later(left: Instant, right: Instant | undefined): Instant {
+/** The later of two moments. */
+export function later(left: Instant, right: Instant | undefined): Instant {
   return right === undefined || left > right ? left : right;
 }
 
@@ -48,7 +58,9 @@
    * While no leader replies, what edges were told still grows: a commit is known to some edge before its sender hears of it. Once every
    * edge that may have acknowledged anything since the last mark has told again, the highest commit covers all up to the earliest telling.
    */
-  function composed(mark: Mark, commit: LogPosition, edges: readonly string[], askedAt: ReadonlyMap<string, Instant>): Mark {
+  function composed(mark: Mark, commit: LogPosition, { edges, askedAt, strangersUntil }: KnownLessees): Mark {
+    // An edge that this core never met may have acknowledged something since the mark, and tells it nothing.
+    if (mark.at < strangersUntil) return mark;
     let earliest = kernel.clock.now();
     for (const edge of edges) {
       // One that asked for no lease since so long before the mark has acknowledged nothing that the mark does not cover.
@@ -69,11 +81,11 @@
   return {
     told,
     beganAnew,
-    all: function all(edges, askedAt) {
+    all: function all(lessees) {
       const now = kernel.clock.now();
       return Object.fromEntries(
         [...marks].map(([service, mark]) => {
-          const { at, position } = composed(mark, commits.get(service) ?? mark.position, edges, askedAt);
+          const { at, position } = composed(mark, commits.get(service) ?? mark.position, lessees);
           return [service, { term: position.term, number: position.number, ago: Math.max(0, now - at) }];
         }),
       );
--- a/packages/simulator/exploring-mutations.mjs
+++ b/packages/simulator/exploring-mutations.mjs
@@ -78,7 +78,7 @@
   {
     name: 'not-blind-after-it-opened',
     file: 'lease/build/lessor.js',
-    from: 'Math.max(beganAt, view.openedAt())',
+    from: 'later(beganAt, view.openedAt())',
     to: 'beganAt',
     story: 'A core that was given its seat anew',
   },
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -619,6 +619,20 @@
     from: 'found.length >= service.members.length - service.synchronousReplicas',
     to: 'true',
   },
+  {
+    name: 'marks-moved-past-strangers',
+    story: 'A core that has just begun to answer',
+    file: 'lease/build/marks.js',
+    from: 'if (mark.at < strangersUntil)',
+    to: 'if (false)',
+  },
+  {
+    name: 'marks-moved-past-ended-processes',
+    story: 'What the process of an edge before this one acknowledged',
+    file: 'lease/build/lessor.js',
+    from: "if (ask.token === '')",
+    to: 'if (false)',
+  },
   {
     name: 'core-never-opens-again',
     expect: 'availability',
--- a/packages/stories/run.mjs
+++ b/packages/stories/run.mjs
@@ -35,6 +35,7 @@
         'build/orders.js',
         'build/simulator.js',
         'build/ballots.js',
+        'build/marks.js',
       ],
       format: ['progress'],
       publish: false,
