An agent whose proxy alone began anew says so to each core

Cores know an edge that began anew by an ask without their token; a proxy that ended alone, by itself or out of memory, left its agent and so the token as it was, and the commits of its last tenth of a second counted as told. Ruled out: an agent that ends alone (its asks have no token), both ending together (the same).

--- a/packages/agent/src/lessee-agent.ts
+++ b/packages/agent/src/lessee-agent.ts
@@ -36,6 +36,7 @@
   let serial = 0;
   const repliedAt = new Map<number, Instant>();
   let notListening: readonly string[] = [];
+  let wasAsked = false;
   let askedAt: Instant = identifiers.instant(Number.NEGATIVE_INFINITY);
   let said = '';
   let rosterAt = -1;
@@ -110,6 +111,9 @@
 
   /** What a proxy lets go of, or is refused by, the cores hear at once. */
   function take(ask: Ask<'placement'>): void {
+    // The process before it may have acknowledged commits that it did not live to tell.
+    if (ask.token === '' && wasAsked) lessee.beginAnew();
+    wasAsked = true;
     askedAt = kernel.clock.now();
     released = ask.released;
     positions = ask.positions;
--- a/packages/lease/src/lessee.ts
+++ b/packages/lease/src/lessee.ts
@@ -63,6 +63,8 @@
   granting: () => number;
   /** Has each core told what the proxy says now, at once. */
   tell: () => void;
+  /** The proxy's process has ended: each core is told that what it acknowledged last may have been told to nobody (design 8.11). */
+  beginAnew: () => void;
 }>;
 
 /** The last told of one core. */
@@ -76,6 +78,8 @@
   at: Instant;
   acknowledged: number;
   wants: boolean;
+  /** The next ask is that of an edge which begins anew. */
+  anew: boolean;
 };
 type Mark = Readonly<{ position: LogPosition; at: Instant }>;
 type Held = Readonly<{ address: string; peer: Peer }>;
@@ -217,6 +221,7 @@
         at: identifiers.instant(Number.NEGATIVE_INFINITY),
         acknowledged: 0,
         wants: false,
+        anew: false,
       };
       told.set(core, known);
     }
@@ -280,6 +285,7 @@
 
   async function ask(core: string, link: Peer, hold: number): Promise<boolean> {
     const known = toldOf(core);
+    const { anew } = known;
     const sentAt = kernel.clock.now();
     const current = configuration();
     const reply = await link.call(
@@ -287,8 +293,8 @@
       {
         node: settings.node,
         area: settings.area,
-        token: known.token,
-        seen: known.seen,
+        token: anew ? '' : known.token,
+        seen: anew ? 0 : known.seen,
         hold,
         acknowledged: known.acknowledged,
         obeyed: Option.isSome(current) ? current.value.version : 0,
@@ -305,6 +311,7 @@
       hold + callMilliseconds,
     );
     if (Option.isNone(reply) || held.get(core)?.peer !== link) return false;
+    if (anew) known.anew = false;
     // What the core says was so when it replied, and that was not before it had held the question for so long.
     take(core, known, reply.value, identifiers.after(sentAt, leastSpan(reply.value.held)));
     return true;
@@ -472,6 +479,9 @@
     tell: function tell() {
       for (const [core, link] of held) if (link.peer.connected()) void ask(core, link.peer, 0);
     },
+    beginAnew: function beginAnew() {
+      for (const known of told.values()) known.anew = true;
+    },
   };
 }
 
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -633,6 +633,13 @@
     from: "if (ask.token === '')",
     to: 'if (false)',
   },
+  {
+    name: 'proxy-that-began-anew-not-told',
+    story: 'An agent whose proxy alone',
+    file: 'agent/build/lessee-agent.js',
+    from: "if (ask.token === '' && wasAsked)",
+    to: 'if (false)',
+  },
   {
     name: 'core-never-opens-again',
     expect: 'availability',
--- a/packages/stories/src/marks.ts
+++ b/packages/stories/src/marks.ts
@@ -1,9 +1,11 @@
 // Steps of marks.feature: one core's half of the leases, and edges that tell it what they have seen (design 8.11).
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { lesseeAgent } from '@stallstall/agent';
+import { identifiers, type Instant, type Kernel } from '@stallstall/kernel';
 import { lessor, type Lessor } from '@stallstall/lease';
-import type { Ask, Reply } from '@stallstall/message';
-import type { Instant, Kernel } from '@stallstall/kernel';
+import type { Ask, Reply, Seat } from '@stallstall/message';
+import { peer, type Peer } from '@stallstall/peer';
 import type { Roster } from '@stallstall/roster';
 import { world as worlds, type World } from '@stallstall/simulator';
 
@@ -15,6 +17,9 @@
   /** The token of the core that each edge knows; none for one that has not asked yet. */
   tokens: Map<string, string>;
   last: Reply<'lease'>;
+  /** The tokens with which the agent asked each of the cores, in order. */
+  asked: string[][];
+  proxy: Peer;
 };
 
 const service = 'ferries';
@@ -122,3 +127,105 @@
   const mark = this.last.marks[service];
   assert.deepEqual(mark && { number: mark.number, ago: Math.round(mark.ago) }, { number: position, ago });
 });
+
+// -- The edge's half.
+
+const feedAddress = '10.2.0.1:7000';
+const agentLeaseMilliseconds = 50;
+
+function seatOf(index: number): Seat {
+  const host = `10.1.0.${index + 1}`;
+  return { node: `core-${index + 1}`, role: 'core', area: 'north', address: `${host}:7000`, outward: `${host}:7001`, draining: false };
+}
+
+/** A core that is asked for leases and grants none; what it is asked with is kept. */
+async function startAskedCore(story: MarkStory, index: number, seats: readonly Seat[]): Promise<void> {
+  const { kernel } = story.world.spawn(`core-${index + 1}`, `core-machine-${index + 1}`);
+  const set = { number: 1, seats: [...seats], epochs: {} };
+  const own = seats[index] as Seat;
+  await peer.listen(kernel, identifiers.address(own.address), {
+    hello: () =>
+      ({
+        node: own.node,
+        role: 'core',
+        incarnation: 1,
+        fleet: 'fleet',
+        founding: '',
+        cores: [...seats],
+        set,
+        knownPuts: 0,
+        superseded: false,
+      }) as never,
+    lease: async function lease({ token }) {
+      (story.asked[index] as string[]).push(token);
+      await kernel.clock.sleep(agentLeaseMilliseconds);
+      const untold = { stances: {}, roster: [], edges: {}, demand: {}, marks: {}, wants: false, held: 0 };
+      return {
+        ...untold,
+        ready: true,
+        token: `life-${index}`,
+        number: 1,
+        configuration: 0,
+        membership: 1,
+        puts: 1,
+        whole: token === '',
+        set: 1,
+      };
+    },
+  });
+}
+
+/** One process of a proxy: it asks its agent once without a token, as one does that knows nothing of it, and then with it. */
+async function askAsProxy(story: MarkStory, name: string): Promise<void> {
+  const { kernel } = story.world.spawn(name, 'edge-machine');
+  story.proxy = peer.dial(kernel, identifiers.address(feedAddress));
+  await story.world.run(100);
+  const untold = {
+    serial: 0,
+    seen: 0,
+    hold: 0,
+    configuration: 0,
+    released: {},
+    positions: {},
+    marks: {},
+    notListening: [],
+    demand: 0,
+    metrics: {},
+  };
+  const first = story.proxy.call('placement', { ...untold, token: '' }, 500);
+  await story.world.run(100);
+  const reply = await first;
+  const token = reply._tag === 'Some' ? reply.value.token : '';
+  const second = story.proxy.call('placement', { ...untold, token }, 500);
+  await story.world.run(100);
+  assert.equal((await second)._tag, 'Some');
+}
+
+Given('an agent that holds leases of {int} cores, and feeds a proxy', async function given(this: MarkStory, count: number) {
+  this.world = worlds.create(47);
+  const seats = Array.from({ length: count }, (_, index) => seatOf(index));
+  this.asked = seats.map(() => []);
+  for (const index of seats.keys()) await startAskedCore(this, index, seats);
+  const { kernel } = this.world.spawn('agent', 'edge-machine');
+  await lesseeAgent.start(kernel, { node: 'edge-1', area: 'north', feed: feedAddress, seeds: () => seats.map((seat) => seat.address) });
+  await this.world.run(1_000);
+  await askAsProxy(this, 'proxy');
+});
+
+When("{int} s pass, and the proxy's process is followed by another", async function when(this: MarkStory, seconds: number) {
+  await this.world.run(seconds * 1_000);
+  this.proxy.close();
+  for (const tokens of this.asked) {
+    assert.ok(tokens.length > 1 && tokens.slice(1).every((token) => token !== ''), tokens.join(' '));
+    tokens.length = 0;
+  }
+  await askAsProxy(this, 'next-proxy');
+  await this.world.run(1_000);
+});
+
+Then('each core was asked as by an edge that begins anew once more, and then as before', function then(this: MarkStory) {
+  for (const tokens of this.asked) {
+    assert.ok(tokens.includes(''), 'no ask says that the edge begins anew');
+    assert.ok(tokens.slice(tokens.lastIndexOf('') + 1).length > 3, 'it begins anew again and again');
+  }
+});
