News that a leader drains is fresh only to an edge whose lease on it still ran

Cause: a pooler lets a draining leader go 4.5 s after it hears the news, so that nothing reaches the member later than 7 s after the acknowledgement. An edge that started, or came back from a cut, seconds after the acknowledgement counted its 4.5 s from then: with nobody to follow (replicas gone, no candidacy) statements reached the leader up to 11 s late, by an edge that is in touch again (DRAIN). Ruled out: replicas (a draining one takes no new read at once), members that left (filtered out), and edges in touch: a lease that runs was granted by a majority within 2 s, so the news is 2 s old at most. Test first: pooled.feature, 'An edge that starts while a primary drains takes that for old news' was served on the code before, and is denied as read-only now.

--- a/packages/pooler/src/view.ts
+++ b/packages/pooler/src/view.ts
@@ -18,7 +18,7 @@
   leaders: ReadonlyMap<string, Leadership>;
   members: ReadonlyMap<string, RosterEntry>;
   byService: ReadonlyMap<string, readonly RosterEntry[]>;
-  /** Since when each member is known to be draining. */
+  /** Since when each member is known to be draining; `never` where that may have been said at any time before. */
   drainingSince: ReadonlyMap<string, Instant>;
   /** How many edges hold leases, by area. */
   edges: Readonly<Record<string, number>>;
@@ -53,6 +53,17 @@
   return groups;
 }
 
+/**
+ * When the news that a member drains was said first, at the latest. Whoever held a lease on it as the news came was in touch with a majority
+ * of cores within a term, so that the news is no older than that; to anybody else it may be of any age, and its time is over.
+ */
+function newsOfDraining(before: View, entry: RosterEntry, now: Instant): Instant {
+  const known = before.drainingSince.get(entry.member);
+  if (known !== undefined) return known;
+  const leader = before.leaders.get(entry.service);
+  return leader?.primary === entry.member && leader.until > now ? now : never;
+}
+
 /** Neither a configuration nor an epoch is taken back, and a lease that was told stays true to its end, whoever feeds (design 3.4). */
 function fed(before: View, reply: Reply<'placement'>, saidAt: Instant, now: Instant): View {
   const sheet =
@@ -78,9 +89,7 @@
   const drainingSince =
     reply.roster === null
       ? before.drainingSince
-      : new Map(
-          entries.filter((entry) => entry.draining).map((entry) => [entry.member, before.drainingSince.get(entry.member) ?? now] as const),
-        );
+      : new Map(entries.filter((entry) => entry.draining).map((entry) => [entry.member, newsOfDraining(before, entry, now)] as const));
   return {
     version: changed && reply.configuration !== null ? reply.configuration.version : before.version,
     sheet,
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -648,6 +648,13 @@
     to: 'const [own, others] = [true, await spreader.confirm(member)];',
     more: [{ file: 'core/build/registration.js', from: '|| write()', to: '|| true' }],
   },
+  {
+    name: 'old-news-of-draining-is-new',
+    story: 'An edge that starts while a primary drains',
+    file: 'pooler/build/view.js',
+    from: 'leader?.primary === entry.member && leader.until > now ? now : never',
+    to: 'now',
+  },
   {
     name: 'core-never-opens-again',
     expect: 'availability',
--- a/packages/stories/features/pooled.feature
+++ b/packages/stories/features/pooled.feature
@@ -150,6 +150,16 @@
     Then nothing began on it later than 7 s after a core acknowledged that
     And the checkers of the pooled mode find nothing
 
+  Scenario: An edge that starts while a primary drains takes that for old news
+    Given a pooled fleet at work
+    When every replica of "bookings" is killed
+    And the primary of "bookings" says that it drains
+    And 3 s of the pooled fleet pass
+    Then a get of "x1" in "bookings-lead" through edge-2 is served
+    When edge-1 is killed and comes back at once
+    And 1 s of the pooled fleet pass
+    Then a get of "x1" in "bookings-lead" through edge-1 is denied as "read-only"
+
   Scenario: A statement that waits while its database moves follows it
     Given a pooled fleet whose edges hold 1 connection to each member
     And a session in "bookings-lead" through edge-1 has put "x1" as "open" within a transaction
--- a/packages/stories/src/pooled.ts
+++ b/packages/stories/src/pooled.ts
@@ -351,6 +351,16 @@
       (slot.running as NonNullable<PooledMember['running']>).knobs.loseReplies = 1;
 });
 
+When('every replica of {string} is killed', function when(this: PooledStory, service: string) {
+  for (const slot of this.pooled.members) if (slot.service === service && slot !== primary(this, service)) this.pooled.stopMember(slot);
+});
+
+When('{word} is killed and comes back at once', async function when(this: PooledStory, name: string) {
+  const slot = edge(this, name);
+  this.pooled.killEdge(slot);
+  await this.pooled.startEdge(slot);
+});
+
 When('every replica of {string} goes deaf', async function when(this: PooledStory, service: string) {
   for (const slot of this.pooled.members)
     if (slot.service === service && slot !== primary(this, service))
