--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -654,6 +654,13 @@
     from: 'leader?.primary === entry.member && leader.until > now ? now : never',
     to: 'now',
   },
+  {
+    name: 'blank-core-that-is-called-stays-blank',
+    story: 'knows no seed that still runs',
+    file: 'core/build/cores.js',
+    from: 'if (Option.isNone(parts.fleet()) && !stopped && !leaving)',
+    to: 'if (false)',
+  },
   {
     name: 'core-never-opens-again',
     expect: 'availability',
--- a/packages/stories/features/cores.feature
+++ b/packages/stories/features/cores.feature
@@ -136,6 +136,18 @@
     And core-2 stands at set 2
     And every core reads back what was acknowledged
 
+  Scenario: A core that lost its disk, and knows no seed that still runs, is found by the fleet that calls it
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When core-1 is replaced as planned by a blank machine
+    And 4 s of cores pass
+    And core-2 is replaced as planned by a blank machine
+    And 4 s of cores pass
+    And core-3 is replaced as planned by a blank machine
+    And 4 s of cores pass
+    And core-4 loses its disk and comes back
+    Then within 6 s the cores are core-4, core-5 and core-6
+    And every core reads back what was acknowledged
+
   Scenario: An old copy on a disk that takes no bytes holds up nothing else, and is healed once the disk takes them
     Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
     When core-2 comes back with a copy of its disk that is 2 s old and takes no bytes for 5 s
