The pooled fleet of the simulator in modules with one job

Its types are in pooled-model.ts, the stand-in for a platform's adapter in pooled-adapter.ts, operators in pooled-operator.ts, where a core that is not in use is a clear error in place of an address of undefined. pooled-fleet.ts has 462 lines. No program's code is touched.

--- a/packages/simulator/src/faults/common.ts
+++ b/packages/simulator/src/faults/common.ts
@@ -2,7 +2,7 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import type { DrainNote, EdgeEnd, EdgeLife, Trouble } from '../pooled-checks.js';
 import type { Back, LossBudget } from '../loss-budget.js';
-import type { PooledCore, PooledEdge, PooledFleet, PooledMember, PooledSheet } from '../pooled-fleet.js';
+import type { PooledCore, PooledEdge, PooledFleet, PooledMember, PooledSheet } from '../pooled-model.js';
 import type { Process } from '../world.js';
 
 /** An order that must change nothing, and how it was answered. */
--- a/packages/simulator/src/faults/cores.ts
+++ b/packages/simulator/src/faults/cores.ts
@@ -1,5 +1,5 @@
 // Losses of core machines: power, kills, freezes, cuts, restarts, and losses right after an acknowledgement.
-import type { PooledCore, PooledFleet } from '../pooled-fleet.js';
+import type { PooledCore, PooledFleet } from '../pooled-model.js';
 import {
   anyCore,
   between,
--- a/packages/simulator/src/faults/edges.ts
+++ b/packages/simulator/src/faults/edges.ts
@@ -1,6 +1,6 @@
 // Losses of edges, alone and many at once: kills, power, freezes, slowness, cuts, planned ends, resets of connections, settings read again.
 import * as Option from 'fp-ts/lib/Option.js';
-import type { PooledEdge, PooledFleet } from '../pooled-fleet.js';
+import type { PooledEdge, PooledFleet } from '../pooled-model.js';
 import {
   between,
   coreMachines,
--- a/packages/simulator/src/faults/operators.ts
+++ b/packages/simulator/src/faults/operators.ts
@@ -1,5 +1,5 @@
 // Orders of operators: acknowledgements that are lost, pairs on one number, storms, large and invalid configurations, changes of each part.
-import { spareKey, type PooledFleet, type PooledSheet } from '../pooled-fleet.js';
+import { spareKey, type PooledFleet, type PooledSheet } from '../pooled-model.js';
 import type { Back } from '../loss-budget.js';
 import {
   anyCore,
--- a/packages/simulator/src/faults/platform.ts
+++ b/packages/simulator/src/faults/platform.ts
@@ -1,6 +1,6 @@
 // Trouble of the platform that takes promotions and usage: slow, down, silent, or with its connections reset.
 import type { SessionPlatformKnobs } from '@stallstall/stand-in';
-import type { PooledFleet } from '../pooled-fleet.js';
+import type { PooledFleet } from '../pooled-model.js';
 import { between, pick, trouble, type PooledEvent, type PooledStorm } from './common.js';
 
 /** How late a promotion takes effect is the platform's own way, and no trouble. */
--- a/packages/simulator/src/faults/replacements.ts
+++ b/packages/simulator/src/faults/replacements.ts
@@ -1,6 +1,6 @@
 // Core machines that are replaced for good by empty ones at other addresses, and losses right after a replacement.
 import type { Back } from '../loss-budget.js';
-import type { PooledCore, PooledFleet } from '../pooled-fleet.js';
+import type { PooledCore, PooledFleet } from '../pooled-model.js';
 import { between, pick, startCoreLater, trouble, type CoreLoss, type LoseCores, type PooledStorm } from './common.js';
 import { cutPower, endAsPlanned } from './cores.js';
 import { loseDisk } from './disks.js';
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -6,6 +6,7 @@
 export * from './fuzz.js';
 export * from './loss-budget.js';
 export * from './pooled-fleet.js';
+export * from './pooled-model.js';
 export * from './pooled-checks.js';
 export * from './pooled-faults.js';
 export * from './pooled-storm.js';
--- /dev/null
+++ b/packages/simulator/src/pooled-adapter.ts
@@ -0,0 +1,81 @@
+// What an adapter of the users' platform is to the pooled mode, in plain words: pages of a core, calls to the platform, STATE of members.
+import * as Either from 'fp-ts/lib/Either.js';
+import type { Door } from '@stallstall/core';
+import type { MemberProbe, PlatformCalls } from '@stallstall/elect';
+import { http, type HttpMapping, type HttpReply, type Kernel } from '@stallstall/kernel';
+import type { Registration } from '@stallstall/roster';
+import { plainDialect } from '@stallstall/stand-in';
+import { prober } from '@stallstall/statement';
+import { ownTenant } from './pooled-model.js';
+
+/** A member must be heard by whoever takes its beats before it counts; a door that cannot be of use turns it away. */
+const away: HttpReply = { status: 503, body: {} };
+
+/** The stand-ins' pages of a core's door. */
+function pages(door: Door): readonly HttpMapping[] {
+  return [
+    {
+      method: 'POST',
+      path: '/members/:member/beat',
+      handle: async function beat(request) {
+        const told = request.body as Omit<Registration, 'member'>;
+        return (await door.beat({ ...told, member: request.query['member'] ?? '' })) ? { status: 200, body: {} } : away;
+      },
+    },
+    {
+      method: 'POST',
+      path: '/members/:member/leave',
+      handle: async (request) => ((await door.leave(request.query['member'] ?? '')) ? { status: 200, body: {} } : away),
+    },
+    {
+      method: 'POST',
+      path: '/configuration',
+      handle: async function configure(request) {
+        const { version, sheet } = request.body as Readonly<{ version: number; sheet: unknown }>;
+        const taken = await door.configure({ version, source: JSON.stringify({ version, sheet }) }, sheet);
+        return Either.isLeft(taken) ? http.denied(taken.left) : { status: 200, body: {} };
+      },
+    },
+    {
+      method: 'GET',
+      path: '/configuration',
+      handle: async function read() {
+        const source = await door.source();
+        return Either.isLeft(source) ? http.denied(source.left) : { status: 200, body: JSON.parse(source.right) as unknown };
+      },
+    },
+  ];
+}
+
+const calls: PlatformCalls = {
+  restMilliseconds: 3_000,
+  promotion: ({ service, member, turn, holder }) => ({
+    repeatable: 'unchanged',
+    method: 'POST',
+    path: '/duties/promotion',
+    headers: { holder, turn: String(turn) },
+    body: { service, member },
+  }),
+  usage: ({ window, counts, turn, holder }) => ({
+    repeatable: 'unchanged',
+    method: 'POST',
+    path: '/duties/usage',
+    headers: { holder, turn: String(turn) },
+    body: { window, counts },
+  }),
+};
+
+function memberProbe(kernel: Kernel): MemberProbe {
+  const probes = prober.create(kernel, plainDialect, ownTenant);
+  return {
+    hold: probes.hold,
+    ask: async function ask(service, member, address, milliseconds) {
+      const standing = await probes.ask(service, member, address, milliseconds);
+      if (Either.isLeft(standing)) return standing;
+      const { role, term, received } = standing.right;
+      return Either.right({ member, role, epoch: received.term, received: received.number, applied: received.number, term });
+    },
+  };
+}
+
+export const pooledAdapter = { pages, calls, memberProbe } as const;
--- a/packages/simulator/src/pooled-availability.ts
+++ b/packages/simulator/src/pooled-availability.ts
@@ -5,7 +5,7 @@
 import { lastSheet, nextVersion, runningEdges, type PooledStorm } from './faults/common.js';
 import { settleMilliseconds } from './loss-budget.js';
 import type { Trouble } from './pooled-checks.js';
-import type { PooledFleet } from './pooled-fleet.js';
+import type { PooledFleet } from './pooled-model.js';
 
 /** How far an order came that was sent once a loss had settled; it counts for nothing when another loss came between. */
 type Probe = {
--- a/packages/simulator/src/pooled-closing.ts
+++ b/packages/simulator/src/pooled-closing.ts
@@ -4,7 +4,7 @@
 import { cutPower } from './faults/cores.js';
 import { settleMilliseconds } from './loss-budget.js';
 import { pooledOrders } from './pooled-orders.js';
-import type { PooledCore, PooledFleet } from './pooled-fleet.js';
+import type { PooledCore, PooledFleet } from './pooled-model.js';
 
 /** What strikes once the order is acknowledged; the machines that it takes away. */
 type Closing = Readonly<{
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -9,7 +9,7 @@
 import { calmPlatform, platformFaults } from './faults/platform.js';
 import { replacementFaults } from './faults/replacements.js';
 import { lossBudget } from './loss-budget.js';
-import type { PooledFleet } from './pooled-fleet.js';
+import type { PooledFleet } from './pooled-model.js';
 
 export type { PooledFault, PooledStorm } from './faults/common.js';
 
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -1,13 +1,11 @@
 // An in-memory fleet of the pooled mode: cores that grant leases, edges that hold them, members that register, senders with sessions (design 10.4).
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { lesseeAgent, type LesseeAgent } from '@stallstall/agent';
-import { core, type Core, type CoreParts, type Door } from '@stallstall/core';
-import { fault, http, identifiers, kernel as kernels, type Fault, type HttpMapping, type HttpReply, type Kernel } from '@stallstall/kernel';
-import type { MemberProbe, PlatformCalls } from '@stallstall/elect';
-import { pooler, type Pooler } from '@stallstall/pooler';
-import type { Registration } from '@stallstall/roster';
-import { prober, type Condition, type StatementReply } from '@stallstall/statement';
+import { lesseeAgent } from '@stallstall/agent';
+import { core, type CoreParts } from '@stallstall/core';
+import { http, identifiers, kernel as kernels } from '@stallstall/kernel';
+import { pooler } from '@stallstall/pooler';
+import type { Condition, StatementReply } from '@stallstall/statement';
 import {
   areas,
   plainDialect,
@@ -15,235 +13,30 @@
   sessionPlatform,
   sessionSender,
   type SessionDatabase,
-  type SessionLedger,
   type SessionLine,
-  type SessionMember,
-  type SessionMemberStore,
   type SessionPlatform,
-  type SessionPlatformStore,
   type SessionRun,
 } from '@stallstall/stand-in';
 import type { OrderCall } from './order-checks.js';
-import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
-
-export type PooledCore = {
-  readonly name: string;
-  readonly machine: string;
-  readonly area: string;
-  readonly host: string;
-  /** What its settings named when it last read them. */
-  seeds: readonly string[];
-  disk: SimulatedDisk;
-  process: Process | undefined;
-  running: Core | undefined;
-};
-export type PooledEdge = {
-  readonly name: string;
-  readonly machine: string;
-  readonly area: string;
-  agentProcess: Process | undefined;
-  agent: LesseeAgent | undefined;
-  proxyProcess: Process | undefined;
-  proxy: Pooler | undefined;
-  /** What its settings named when it last read them. */
-  seeds: readonly string[];
-  /** Grows with every start: one life of its processes. */
-  life: number;
-};
-export type PooledMember = {
-  readonly service: string;
-  readonly member: string;
-  readonly area: string;
-  readonly machine: string;
-  readonly address: string;
-  readonly control: string;
-  store: SessionMemberStore;
-  process: Process | undefined;
-  running: SessionMember | undefined;
-  /** Taken out for good. */
-  gone: boolean;
-};
-
-export type PooledTenant = Readonly<{ tenant: string; keys: readonly string[] }>;
-export type PooledSheet = Readonly<{
-  services: ReadonlyArray<Readonly<{ service: string; connectionLimit: number; registered: boolean; synchronousReplicas: number }>>;
-  databases: ReadonlyArray<
-    Readonly<{
-      database: string;
-      service: string;
-      reads: 'leader' | 'bounded' | 'own';
-      staleMilliseconds: number;
-      horizonMilliseconds: number;
-      aimMilliseconds: number;
-      open?: boolean;
-    }>
-  >;
-  tenants: readonly PooledTenant[];
-  rows: readonly never[];
-  keys: readonly never[];
-  bounds: Readonly<{ restMilliseconds: number }>;
-  outages?: readonly unknown[];
-}>;
-/** A version as sent; `acknowledgedAt` is infinite while nobody has acknowledged it. A refused one must never be in force. */
-export type PooledVersion = {
-  readonly version: number;
-  readonly sheet: PooledSheet;
-  readonly sentAt: number;
-  acknowledgedAt: number;
-  refused: boolean;
-};
-
-export type PooledOptions = Readonly<{
-  edges?: number;
-  services?: number;
-  synchronous?: number;
-  slots?: number;
-  workMilliseconds?: number;
-  restMilliseconds?: number;
-  connectionLimit?: number;
-  applyMilliseconds?: number;
-  /** Counts what is sent over links. */
-  weighing?: boolean;
-}>;
-
-/** Which share of the replies to operators is lost on the way. */
-export type OperatorTrouble = { lostShare: number };
-
-export type PooledFleet = Readonly<{
-  world: World;
-  /** Those in use; a successor joins them, and whoever it replaces leaves. */
-  cores: readonly PooledCore[];
-  edges: readonly PooledEdge[];
-  members: PooledMember[];
-  platform: () => SessionPlatform;
-  platformProcess: () => Process;
-  operatorTrouble: OperatorTrouble;
-  platformStore: SessionPlatformStore;
-  ledger: SessionLedger;
-  runs: SessionRun[];
-  versions: PooledVersion[];
-  /** Every order that an operator sent, with what came of it. */
-  orderCalls: OrderCall[];
-  services: readonly string[];
-  firstSheet: () => PooledSheet;
-  startAll: () => Promise<void>;
-  startCore: (slot: PooledCore) => Promise<void>;
-  stopCore: (slot: PooledCore) => void;
-  /** A machine that nobody has met, at another address, with an empty disk. */
-  addCore: (area: string) => PooledCore;
-  /** Takes a machine out of use for good; members and operators turn to the successor instead. */
-  removeCore: (slot: PooledCore, successor: PooledCore) => void;
-  coreAddress: (slot: PooledCore) => string;
-  /** Writes other seeds to the settings of all machines; a process knows them once it has read them. */
-  nameSeeds: (seeds: readonly string[]) => void;
-  readSettings: (slot: PooledCore | PooledEdge) => void;
-  startEdge: (slot: PooledEdge) => Promise<void>;
-  killEdge: (slot: PooledEdge) => void;
-  /** SIGTERM to both of its processes; right once both have ended. */
-  drainEdge: (slot: PooledEdge) => Promise<void>;
-  freezeEdge: (slot: PooledEdge, milliseconds: number) => void;
-  startMember: (slot: PooledMember) => Promise<void>;
-  stopMember: (slot: PooledMember) => void;
-  addMember: (service: string, area: string) => PooledMember;
-  /** An operator that sends a version until it is acknowledged. */
-  configure: (version: number, sheet: PooledSheet, coreIndex: number) => Promise<boolean>;
-  /** An operator that sends a version that was sent before once more, until it gets a clear reply. */
-  resend: (sent: PooledVersion, coreIndex: number) => Promise<boolean>;
-  /** One call of an operator. */
-  order: (sent: Pick<PooledVersion, 'version' | 'sheet'>, coreIndex: number) => Promise<OrderCall>;
-  readBack: (coreIndex: number) => Promise<Option.Option<Readonly<{ version: number; sheet: unknown }>>>;
-  call: (coreIndex: number, path: string, body: unknown) => Promise<HttpReply>;
-  /** A session of a sender, at a given edge. */
-  session: (slot: PooledEdge, database: string, who: string) => Promise<SessionLine | Condition | 'cut' | 'silent'>;
-  ask: (line: SessionLine, text: string, milliseconds?: number) => Promise<Option.Option<StatementReply>>;
-  /** Bytes on a connection of its own; what came back until the other side closed, or for so long. */
-  rawTo: (address: string, pieces: readonly string[], milliseconds: number) => Promise<string>;
-  raw: (slot: PooledEdge, pieces: readonly string[], milliseconds: number) => Promise<string>;
-  startSenders: (sessions: number, thinkMilliseconds: number) => Readonly<{ stop: () => void }>;
-  primaryOf: (service: string) => PooledMember | undefined;
-  until: (condition: () => boolean, milliseconds: number) => Promise<boolean>;
-  drive: <Result>(work: Promise<Result>, milliseconds?: number) => Promise<Result>;
-  machines: () => readonly string[];
-}>;
-
-export const ownTenant = 'stallstall-itself';
-export const firstKey = 'key-one';
-export const spareKey = 'key-spare';
+import { pooledAdapter } from './pooled-adapter.js';
+import {
+  firstKey,
+  spareKey,
+  type OperatorTrouble,
+  type PooledCore,
+  type PooledEdge,
+  type PooledFleet,
+  type PooledMember,
+  type PooledOptions,
+  type PooledSheet,
+  type PooledVersion,
+} from './pooled-model.js';
+import { pooledOperator } from './pooled-operator.js';
+import { world as worlds, type Process } from './world.js';
+
 const graceMilliseconds = 6_000;
 const readinessMilliseconds = 1_000;
 const readinessHorizonMilliseconds = 500;
-const operatorHorizonMilliseconds = 1_000;
-const operatorPauseMilliseconds = 300;
-const operatorShots = 40;
-/** A member must be heard by whoever takes its beats before it counts; a door that cannot be of use turns it away. */
-const away: HttpReply = { status: 503, body: {} };
-
-/** The stand-ins' pages of a core's door. */
-function pages(door: Door): readonly HttpMapping[] {
-  return [
-    {
-      method: 'POST',
-      path: '/members/:member/beat',
-      handle: async function beat(request) {
-        const told = request.body as Omit<Registration, 'member'>;
-        return (await door.beat({ ...told, member: request.query['member'] ?? '' })) ? { status: 200, body: {} } : away;
-      },
-    },
-    {
-      method: 'POST',
-      path: '/members/:member/leave',
-      handle: async (request) => ((await door.leave(request.query['member'] ?? '')) ? { status: 200, body: {} } : away),
-    },
-    {
-      method: 'POST',
-      path: '/configuration',
-      handle: async function configure(request) {
-        const { version, sheet } = request.body as Readonly<{ version: number; sheet: unknown }>;
-        const taken = await door.configure({ version, source: JSON.stringify({ version, sheet }) }, sheet);
-        return Either.isLeft(taken) ? http.denied(taken.left) : { status: 200, body: {} };
-      },
-    },
-    {
-      method: 'GET',
-      path: '/configuration',
-      handle: async function read() {
-        const source = await door.source();
-        return Either.isLeft(source) ? http.denied(source.left) : { status: 200, body: JSON.parse(source.right) as unknown };
-      },
-    },
-  ];
-}
-
-const calls: PlatformCalls = {
-  restMilliseconds: 3_000,
-  promotion: ({ service, member, turn, holder }) => ({
-    repeatable: 'unchanged',
-    method: 'POST',
-    path: '/duties/promotion',
-    headers: { holder, turn: String(turn) },
-    body: { service, member },
-  }),
-  usage: ({ window, counts, turn, holder }) => ({
-    repeatable: 'unchanged',
-    method: 'POST',
-    path: '/duties/usage',
-    headers: { holder, turn: String(turn) },
-    body: { window, counts },
-  }),
-};
-
-function memberProbe(kernel: Kernel): MemberProbe {
-  const probes = prober.create(kernel, plainDialect, ownTenant);
-  return {
-    hold: probes.hold,
-    ask: async function ask(service, member, address, milliseconds) {
-      const standing = await probes.ask(service, member, address, milliseconds);
-      if (Either.isLeft(standing)) return standing;
-      const { role, term, received } = standing.right;
-      return Either.right({ member, role, epoch: received.term, received: received.number, applied: received.number, term });
-    },
-  };
-}
 
 function create(seed: number, options: PooledOptions = {}): PooledFleet {
   const world = worlds.create(seed, options.weighing);
@@ -276,6 +69,14 @@
   let platformSlot: SessionPlatform | undefined;
   let platformProcess: Process | undefined;
   const operatorTrouble: OperatorTrouble = { lostShare: 0 };
+  const orders = pooledOperator.create({
+    world,
+    kernel: operator,
+    trouble: operatorTrouble,
+    addresses: () => cores.map((slot) => coreAddresses(slot).door),
+    versions,
+    orderCalls,
+  });
 
   function coreSlot(area: string): PooledCore {
     coresEver += 1;
@@ -342,7 +143,14 @@
     slot.process = spawned;
     readSettings(slot);
     const { address, outward, door } = coreAddresses(slot);
-    const parts: CoreParts = { calls, probe: memberProbe(spawned.kernel), pages, door, founds: first, founders };
+    const parts: CoreParts = {
+      calls: pooledAdapter.calls,
+      probe: pooledAdapter.memberProbe(spawned.kernel),
+      pages: pooledAdapter.pages,
+      door,
+      founds: first,
+      founders,
+    };
     const started = await core.start(
       spawned.kernel,
       {
@@ -506,68 +314,6 @@
     };
   }
 
-  function exchanged(reply: Either.Either<Fault, HttpReply>): HttpReply {
-    return Either.isRight(reply) ? reply.right : { status: 0, body: fault.body(reply.left) };
-  }
-
-  async function call(coreIndex: number, path: string, body: unknown): Promise<HttpReply> {
-    const address = identifiers.address(coreAddresses(cores[coreIndex] as PooledCore).door);
-    return exchanged(
-      await http.once(operator, address, { method: body === undefined ? 'GET' : 'POST', path, body }, operatorHorizonMilliseconds),
-    );
-  }
-
-  /** The reply as the operator hears it: one that is lost on the way is silence. */
-  function arrived(reply: HttpReply): HttpReply {
-    const lost = operatorTrouble.lostShare > 0 && world.fraction() < operatorTrouble.lostShare;
-    return lost ? { status: 0, body: {} } : reply;
-  }
-
-  async function order({ version, sheet }: Pick<PooledVersion, 'version' | 'sheet'>, coreIndex: number): Promise<OrderCall> {
-    const sentAt = operator.clock.now();
-    const reply = arrived(await call(coreIndex, '/configuration', { version, sheet }));
-    const clear = reply.status === 200 ? 'acknowledged' : reply.status >= 400 && reply.status < 500 ? 'refused' : 'none';
-    const done: OrderCall = {
-      number: version,
-      text: JSON.stringify(sheet),
-      core: coreIndex,
-      sentAt,
-      endedAt: operator.clock.now(),
-      outcome: clear,
-    };
-    orderCalls.push(done);
-    return done;
-  }
-
-  /** Goes on to other cores until one replies clearly. */
-  async function resend(sent: PooledVersion, coreIndex: number): Promise<boolean> {
-    for (let shot = 0; shot < operatorShots; shot += 1) {
-      const { outcome } = await order(sent, (coreIndex + shot) % cores.length);
-      if (outcome === 'acknowledged') sent.acknowledgedAt = Math.min(sent.acknowledgedAt, operator.clock.now());
-      if (outcome === 'refused') sent.refused = true;
-      if (outcome !== 'none') return outcome === 'acknowledged';
-      await operator.clock.sleep(operatorPauseMilliseconds);
-    }
-    return false;
-  }
-
-  function configure(version: number, sheet: PooledSheet, coreIndex: number): Promise<boolean> {
-    const sent: PooledVersion = {
-      version,
-      sheet,
-      sentAt: operator.clock.now(),
-      acknowledgedAt: Number.POSITIVE_INFINITY,
-      refused: false,
-    };
-    versions.push(sent);
-    return resend(sent, coreIndex);
-  }
-
-  async function readBack(coreIndex: number): Promise<Option.Option<Readonly<{ version: number; sheet: unknown }>>> {
-    const reply = await call(coreIndex, '/configuration', undefined);
-    return reply.status === 200 ? Option.some(reply.body as Readonly<{ version: number; sheet: unknown }>) : Option.none;
-  }
-
   async function drive<Result>(work: Promise<Result>, milliseconds = 30_000): Promise<Result> {
     let done = false;
     void work.then(() => {
@@ -667,6 +413,7 @@
   }
 
   return {
+    ...orders,
     world,
     cores,
     edges,
@@ -697,11 +444,6 @@
     startMember,
     stopMember,
     addMember,
-    configure,
-    resend,
-    order,
-    readBack,
-    call,
     session,
     ask,
     rawTo,
--- a/packages/simulator/src/pooled-orders.ts
+++ b/packages/simulator/src/pooled-orders.ts
@@ -3,7 +3,7 @@
 import type { Violation } from './checks.js';
 import { orderChecks } from './order-checks.js';
 import type { PooledStorm } from './faults/common.js';
-import type { PooledFleet, PooledVersion } from './pooled-fleet.js';
+import type { PooledFleet, PooledVersion } from './pooled-model.js';
 
 function sameNumber(fleet: PooledFleet, sent: PooledVersion): readonly PooledVersion[] {
   return fleet.versions.filter((one) => one.version === sent.version);
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -4,7 +4,8 @@
 import { pooledChecks } from './pooled-checks.js';
 import { closings, pooledClosing } from './pooled-closing.js';
 import { pooledFaults, type PooledFault, type PooledStorm } from './pooled-faults.js';
-import { pooledFleet, type PooledFleet } from './pooled-fleet.js';
+import { pooledFleet } from './pooled-fleet.js';
+import type { PooledFleet } from './pooled-model.js';
 import { pooledOrders } from './pooled-orders.js';
 import type { Violation } from './checks.js';
 
