An edge logs why it does not apply a configuration that cores have pushed

Cause: the output of an edge named only what it applied, so three explanations of the incident (content missing, no majority on one version, another set of cores) looked alike. No logic is changed.

--- a/packages/lease/src/holder-state.ts
+++ b/packages/lease/src/holder-state.ts
@@ -14,6 +14,7 @@
   type ReportReplica,
 } from '@stallstall/register';
 import type { Peer } from '@stallstall/peer';
+import { configurationLag } from './configuration-lag.js';
 import type { HolderContext } from './holder-context.js';
 
 /** @internal */
@@ -79,6 +80,19 @@
     stopped: () => context.isStopped,
   });
 
+  const lag = configurationLag.create(kernel);
+
+  function observeLag(): void {
+    const applied = watch.applied('configuration');
+    lag.observe({
+      appliedVersion: Option.isSome(applied) ? applied.value.version : 0,
+      setNumber: context.setNumber,
+      unapplied: watch.unapplied('configuration'),
+      awaited: contents.awaited(),
+      counts: contents.counts(),
+    });
+  }
+
   function configuration(): Option.Option<Applied<Configuration>> {
     return appliedValues.configuration(watch.applied('configuration'));
   }
@@ -94,7 +108,10 @@
     receive: (core, link, change) => contents.receive(core, Option.some(link), change),
     contentBallot: contents.latestBallot,
     recount: watch.recount,
-    resolve: watch.resolve,
+    resolve: function resolve() {
+      watch.resolve();
+      observeLag();
+    },
   };
 }
 
--- a/packages/register/src/content-fetcher.ts
+++ b/packages/register/src/content-fetcher.ts
@@ -21,8 +21,16 @@
   receive: (core: string, link: Option.Option<ContentLink>, change: Change) => void;
   /** The ballot of the content that arrived last: what differs from it is enough. */
   latestBallot: () => Ballot;
+  /** The version of each core's change whose content is missing. */
+  awaited: () => readonly AwaitedContent[];
+  counts: () => ContentCounts;
 }>;
 
+export type AwaitedContent = Readonly<{ core: string; version: number }>;
+
+/** How contents were asked for so far; `superseded`: changes that a newer one of their core replaced before their content was known. */
+export type ContentCounts = Readonly<{ fetched: number; unanswered: number; superseded: number }>;
+
 type FetcherState = {
   readonly kernel: Kernel;
   readonly parts: ContentFetcherParts;
@@ -32,6 +40,7 @@
   readonly waiting: Map<string, Change>;
   isFetching: boolean;
   latest: Ballot;
+  readonly counts: { fetched: number; unanswered: number; superseded: number };
 };
 
 /** A content that another core was to push is fetched after so long; from one core at a time, since a link may be narrow. */
@@ -80,6 +89,7 @@
   const identity = identityOf(change.key, change.entry.ballot);
   const content = contentOf(fetcher, change, identity);
   if (content === undefined) {
+    if (waiting.has(core)) fetcher.counts.superseded += 1;
     waiting.set(core, change);
     if (Option.isSome(link)) fetchLater(fetcher, core, link.value, change);
     return;
@@ -105,6 +115,8 @@
   const reply = await link.call('look', { key: change.key, set: parts.set() }, fetchMilliseconds);
   fetcher.isFetching = false;
   const entry = Option.isSome(reply) ? reply.value.accepted : null;
+  if (entry === null) fetcher.counts.unanswered += 1;
+  else fetcher.counts.fetched += 1;
   if (waiting.get(core) !== change) return;
   if (entry === null) return fetchLater(fetcher, core, link, change);
   waiting.delete(core);
@@ -112,10 +124,20 @@
 }
 
 function create(kernel: Kernel, parts: ContentFetcherParts): ContentFetcher {
-  const fetcher: FetcherState = { kernel, parts, contents: new Map(), waiting: new Map(), isFetching: false, latest: ballotZero };
+  const fetcher: FetcherState = {
+    kernel,
+    parts,
+    contents: new Map(),
+    waiting: new Map(),
+    isFetching: false,
+    latest: ballotZero,
+    counts: { fetched: 0, unanswered: 0, superseded: 0 },
+  };
   return {
     receive: (core, link, change) => receive(fetcher, core, link, change),
     latestBallot: () => fetcher.latest,
+    awaited: () => [...fetcher.waiting].map(([core, { entry }]) => ({ core, version: entry.version })),
+    counts: () => fetcher.counts,
   };
 }
 
--- a/packages/register/src/watcher.ts
+++ b/packages/register/src/watcher.ts
@@ -9,6 +9,9 @@
 import { quorum } from '@stallstall/quorum';
 import type { Register } from './register.js';
 
+/** A version that a core pushed, and the number of the set of cores under which it did. */
+export type PushedVersion = Readonly<{ core: string; version: number; set: number }>;
+
 export type Watcher = Readonly<{
   /** Takes a change that a core pushed. */
   receive: (core: string, change: Change) => void;
@@ -17,6 +20,8 @@
   /** The entry that this node acts by; none until a majority has pushed one. */
   applied: (key: string) => Option.Option<Entry>;
   keys: () => readonly string[];
+  /** Which cores have pushed a newer version of a key than the one applied. */
+  unapplied: (key: string) => readonly PushedVersion[];
   /** Reads keys that are in doubt from the register, so that an interrupted round is completed; called at each heartbeat. */
   resolve: () => void;
 }>;
@@ -79,9 +84,15 @@
   watcher.onApplied(key, entry);
 }
 
-function isInDoubt({ applied, pushed }: WatchedKey): boolean {
-  const version = Option.isSome(applied) ? applied.value.version : 0;
-  return [...pushed.values()].some(({ entry }) => entry.version > version);
+function unappliedOf({ applied, pushed }: WatchedKey): readonly PushedVersion[] {
+  const appliedVersion = Option.isSome(applied) ? applied.value.version : 0;
+  return [...pushed]
+    .map(([core, { entry, set }]) => ({ core, version: entry.version, set }))
+    .filter(({ version }) => version > appliedVersion);
+}
+
+function isInDoubt(watched: WatchedKey): boolean {
+  return unappliedOf(watched).length > 0;
 }
 
 /** Only what cores pushed while they were at this very set is counted: each pushes it anew at every set (design 4.8). */
@@ -136,6 +147,10 @@
     recount: () => recount(state),
     applied: (key) => state.keys.get(key)?.applied ?? Option.none,
     keys: () => [...state.keys.keys()],
+    unapplied: function unapplied(key) {
+      const watched = state.keys.get(key);
+      return watched === undefined ? [] : unappliedOf(watched);
+    },
     resolve: () => resolve(state),
   };
 }
