Failing story: an edge applies no configuration of a stream while one core is cut off from its peers

Evidence: in virtual time, one change every 150 ms, the core that hands contents to the edge cut off from the two others: no newer configuration is applied for 11,990 ms of 12,000. lease-holder.behind shows 'unapplied' empty, 'awaitingContent' both other cores, fetched 0, superseded growing by some 9 a second, one set of cores. That is hypothesis 1: a change whose content is missing waits 500 ms for it, and every newer change takes its place and begins the wait anew. Hypotheses 2 and 3 do not fit: nothing with content is unapplied, and no other set was seen.

--- a/packages/acceptance/features/cut-core.feature
+++ b/packages/acceptance/features/cut-core.feature
@@ -78,3 +78,17 @@
     When a member beats at core-1, and 1 s later says at core-2 that it leaves
     And all cores are killed as that is acknowledged, and come back after 2 s
     Then a majority of cores knows that it has left
+
+  Scenario Outline: An edge applies a stream of configurations while core-<core> is cut off from its peers, one every <interval> ms
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When the operator sends a configuration every <interval> ms
+    And core-<core> is cut off from its peers alone
+    Then for 12 s configurations are acknowledged, and the edge applies a newer one at least every 2000 ms
+
+    Examples:
+      | core | interval |
+      | 1    | 150      |
+      | 2    | 150      |
+      | 3    | 150      |
+      | 1    | 400      |
+      | 2    | 40       |
--- a/packages/acceptance/src/cut-core.ts
+++ b/packages/acceptance/src/cut-core.ts
@@ -88,6 +88,47 @@
   for (const other of everyoneElse(this.cores, machine)) this.cores.world.cut(other, machine.machine);
 });
 
+When('core-{int} is cut off from its peers alone', function when(this: CutCoreStory, index: number) {
+  const machine = this.cores.machine(`core-${index}`);
+  for (const other of this.cores.machines.filter((one) => one !== machine)) {
+    this.cores.world.cut(machine.machine, other.machine);
+    this.cores.world.cut(other.machine, machine.machine);
+  }
+});
+
+When('the operator sends a configuration every {int} ms', function when(this: CutCoreStory, milliseconds: number) {
+  this.operator.stop();
+  this.operator = this.cores.startOperator(milliseconds);
+});
+
+/** The longest time within so many seconds in which the edge applied no newer configuration. */
+async function longestStandstill(fleet: CoreFleet, seconds: number): Promise<number> {
+  const { clock } = fleet.operatorKernel;
+  const until = clock.now() + seconds * 1_000;
+  let [applied, appliedAt, longest] = [0, clock.now(), 0];
+  while (clock.now() < until) {
+    await fleet.world.run(lookMilliseconds);
+    const current = fleet.edge.configuration();
+    const version = Option.isSome(current) ? current.value.version : 0;
+    longest = Math.max(longest, clock.now() - appliedAt);
+    if (version > applied) [applied, appliedAt] = [version, clock.now()];
+  }
+  return longest;
+}
+
+Then(
+  'for {int} s configurations are acknowledged, and the edge applies a newer one at least every {int} ms',
+  { timeout: 60_000 },
+  async function then(this: CutCoreStory, seconds: number, milliseconds: number) {
+    const before = this.cores.acknowledged();
+    const longest = await longestStandstill(this.cores, seconds);
+    this.operator.stop();
+    const acknowledged = this.cores.acknowledged() - before;
+    assert.ok(acknowledged > seconds, `${acknowledged} configurations were acknowledged`);
+    assert.ok(longest <= milliseconds, `no newer configuration was applied for ${Math.round(longest)} ms`);
+  },
+);
+
 When('core-{int} is cut off both ways', function when(this: CutCoreStory, index: number) {
   this.cores.cutOff(this.cores.machine(`core-${index}`));
 });
