A missing content is fetched however fast newer changes come

Cause: a change pushed without content waited 500 ms for it and was then fetched, unless a newer change of that core had taken its place. Changes every 150 ms put the fetch off for good: work under way that newer work restarts. Change: only a newer content puts the fetch off. One fetch at a time as before, from whoever pushed the newest, and from another core after one that did not reply. Conclusion: the wait is bounded by time since the last newer content, not by pauses between changes.

--- a/packages/acceptance/features/contents.feature
+++ b/packages/acceptance/features/contents.feature
@@ -30,3 +30,16 @@
       | as differences that do not fit                    | after 500 ms, having asked   |
       | with no content                                   | after 500 ms, having asked   |
       | with no content, and an epoch behind it           | after 500 ms, having asked   |
+
+  Scenario Outline: A missing content is fetched though newer changes keep coming, one every <interval> ms
+    Then of changes without content, one every <interval> ms for 10 s, a newer one is taken every <longest> ms, with 20 fetches at the most
+
+    Examples:
+      | interval | longest |
+      | 5        | 600     |
+      | 40       | 600     |
+      | 150      | 700     |
+      | 450      | 950     |
+
+  Scenario: Differences behind a missing content wait for it and need no fetch of their own
+    Then differences that came behind a missing content are applied as soon as it has been fetched
--- a/packages/acceptance/src/contents.ts
+++ b/packages/acceptance/src/contents.ts
@@ -184,3 +184,70 @@
 Then('a change that comes like this is taken like this:', async function then(table: DataTable) {
   for (const [coming = '', expected = ''] of table.rows()) assert.equal(await takenLike(coming), expected, coming);
 });
+
+// -- A stream of changes without contents.
+
+type FetchedStream = { longestMilliseconds: number; asked: number; versions: readonly number[] };
+
+/** What becomes of changes that come so far apart, while their contents can only be fetched. */
+async function fetchedStream(milliseconds: number, interval: number): Promise<FetchedStream> {
+  const simulated = worlds.create(6);
+  const { clock }: Readonly<{ clock: Clock }> = simulated.spawn('watcher', 'machine').kernel;
+  let [newest, asked, deliveredAt, longest] = [1, 0, simulated.now(), 0];
+  const versions: number[] = [];
+  const link: ContentLink = {
+    call: function call() {
+      asked += 1;
+      const entry = { ballot: ballot(newest), version: newest, value: after };
+      return Promise.resolve(Option.some({ ready: true, agreed: true, promised: entry.ballot, accepted: entry }));
+    },
+  };
+  const fetcher = contentFetcher.create({ clock } as Kernel, {
+    set: () => 0,
+    deliver: function deliver(_core, change) {
+      versions.push(change.entry.version);
+      longest = Math.max(longest, simulated.now() - deliveredAt);
+      deliveredAt = simulated.now();
+    },
+    stopped: () => false,
+  });
+  for (; newest * interval < milliseconds; newest += 1) {
+    fetcher.receive('core-1', Option.some(link), changeOf(newest, null));
+    await simulated.run(interval);
+  }
+  return { longestMilliseconds: Math.max(longest, simulated.now() - deliveredAt), asked, versions };
+}
+
+Then(
+  'of changes without content, one every {int} ms for {int} s, a newer one is taken every {int} ms, with {int} fetches at the most',
+  async function then(interval: number, seconds: number, milliseconds: number, fetches: number) {
+    const { longestMilliseconds, asked, versions } = await fetchedStream(seconds * 1_000, interval);
+    assert.ok(longestMilliseconds <= milliseconds, `none was taken for ${Math.round(longestMilliseconds)} ms`);
+    assert.ok(asked <= fetches, `${asked} fetches`);
+    assert.deepEqual(
+      versions,
+      [...versions].sort((left, right) => left - right),
+    );
+  },
+);
+
+Then('differences that came behind a missing content are applied as soon as it has been fetched', async function then() {
+  const simulated = worlds.create(7);
+  const { clock }: Readonly<{ clock: Clock }> = simulated.spawn('watcher', 'machine').kernel;
+  const taken: unknown[] = [];
+  const second = { ballot: ballot(2), version: 2, value: { a: [1, 2, 3], b: 2 } };
+  const link: ContentLink = {
+    call: () => Promise.resolve(Option.some({ ready: true, agreed: true, promised: ballot(2), accepted: second })),
+  };
+  const fetcher = contentFetcher.create({ clock } as Kernel, {
+    set: () => 0,
+    deliver: (_core, change) => void taken.push([change.entry.version, change.entry.value]),
+    stopped: () => false,
+  });
+  for (const counter of [2, 3, 4]) {
+    const differs = { from: ballot(counter === 2 ? 9 : counter - 1), all: [{ path: ['b'], set: counter }] };
+    fetcher.receive('core-1', Option.some(link), changeOf(counter, null, differs));
+  }
+  await simulated.run(waitMilliseconds + 50);
+  assert.deepEqual(taken.at(-1), [4, { a: [1, 2, 3], b: 4 }]);
+});
--- a/packages/register/src/content-fetcher.ts
+++ b/packages/register/src/content-fetcher.ts
@@ -1,7 +1,8 @@
 /** Changes that were pushed without their content wait for it: from a core that pushes it complete, else it is fetched (design 5.6). */
 import * as Option from 'fp-ts/lib/Option.js';
-import type { Kernel } from '@stallstall/kernel';
+import type { Instant, Kernel } from '@stallstall/kernel';
 import { ballotZero, differences, type Ballot, type Change, type Reply, type Request } from '@stallstall/message';
+import { awaitedChanges, type AwaitedChange, type AwaitedChanges } from './awaited-changes.js';
 
 /** A link to a core, as far as contents are fetched over it. */
 export type ContentLink = Readonly<{
@@ -19,7 +20,7 @@
 export type ContentFetcher = Readonly<{
   /** Takes what a core has pushed, at once if its content is known here; `link` is where it is fetched from otherwise. */
   receive: (core: string, link: Option.Option<ContentLink>, change: Change) => void;
-  /** The ballot of the content that arrived last: what differs from it is enough. */
+  /** The ballot of the newest content: what differs from it is enough. */
   latestBallot: () => Ballot;
   /** The version of each core's change whose content is missing. */
   awaited: () => readonly AwaitedContent[];
@@ -28,7 +29,7 @@
 
 export type AwaitedContent = Readonly<{ core: string; version: number }>;
 
-/** How contents were asked for so far; `superseded`: changes that a newer one of their core replaced before their content was known. */
+/** How contents were asked for so far; `superseded`: changes that newer ones of their core replaced before their content was known. */
 export type ContentCounts = Readonly<{ fetched: number; unanswered: number; superseded: number }>;
 
 type FetcherState = {
@@ -36,14 +37,19 @@
   readonly parts: ContentFetcherParts;
   /** The latest contents, by their identity, oldest first. */
   readonly contents: Map<string, unknown>;
-  /** By core: the change whose content is missing. */
-  readonly waiting: Map<string, Change>;
-  isFetching: boolean;
+  readonly awaited: AwaitedChanges;
+  /** Since when a content newer than the latest is missing, or when the last fetch for it ended. */
+  missingSince: Option.Option<Instant>;
+  /** A fetch is scheduled or under way; there is one at a time, since a link may be narrow. */
+  isFetchPending: boolean;
+  /** The core that did not reply to the last fetch. */
+  unresponsive: string;
   latest: Ballot;
-  readonly counts: { fetched: number; unanswered: number; superseded: number };
+  fetched: number;
+  unanswered: number;
 };
 
-/** A content that another core was to push is fetched after so long; from one core at a time, since a link may be narrow. */
+/** A content that another core was to push is fetched after so long. */
 const waitMilliseconds = 500;
 const fetchMilliseconds = 3_000;
 const contentKey = 'configuration';
@@ -59,68 +65,112 @@
   return { ...change, entry: { ...change.entry, value } };
 }
 
-function keep(fetcher: FetcherState, identity: string, ballot: Ballot, content: unknown): void {
+/** Contents newer than the latest that are awaited: an older one would not be applied any more. */
+function missing({ awaited, latest }: FetcherState): readonly AwaitedChange[] {
+  return awaited.newest().filter(({ change }) => awaitedChanges.isAfter(change.entry.ballot, latest));
+}
+
+/** A newer content is progress: whatever is missing by now has been so from this moment. */
+function restartWait(fetcher: FetcherState): void {
+  fetcher.missingSince = missing(fetcher).length > 0 ? Option.some(fetcher.kernel.clock.now()) : Option.none;
+}
+
+function keep(fetcher: FetcherState, ballot: Ballot, content: unknown): void {
   const { contents } = fetcher;
+  const identity = identityOf(contentKey, ballot);
   contents.delete(identity);
   contents.set(identity, content);
-  fetcher.latest = ballot;
   for (const old of [...contents.keys()].slice(0, -contentsKept)) contents.delete(old);
+  if (!awaitedChanges.isAfter(ballot, fetcher.latest)) return;
+  fetcher.latest = ballot;
+  restartWait(fetcher);
 }
 
 /** As it was pushed, as it is known here already, or made of the one it differs from; undefined where none of these can be had. */
-function contentOf({ contents }: FetcherState, change: Change, identity: string): unknown {
-  if (change.entry.value !== null) return change.entry.value;
-  if (contents.has(identity) || change.differs === undefined) return contents.get(identity);
-  const base = contents.get(identityOf(change.key, change.differs.from));
-  return base === undefined ? undefined : differences.applied(base, change.differs.all);
+function contentOf({ contents }: FetcherState, change: Change): unknown {
+  const { entry, differs } = change;
+  if (entry.value !== null) return entry.value;
+  const identity = identityOf(change.key, entry.ballot);
+  if (contents.has(identity) || differs === undefined) return contents.get(identity);
+  const base = contents.get(identityOf(change.key, differs.from));
+  return base === undefined ? undefined : differences.applied(base, differs.all);
 }
 
-/** Delivers the changes of other cores that waited for this content. */
-function deliverWaiting({ waiting, parts }: FetcherState, identity: string, content: unknown): void {
-  for (const [core, change] of [...waiting]) {
-    if (identityOf(change.key, change.entry.ballot) !== identity) continue;
-    waiting.delete(core);
-    parts.deliver(core, withContent(change, content));
+function deliver(fetcher: FetcherState, core: string, change: Change, content: unknown): void {
+  // Another key's change says nothing of a content that is still missing.
+  if (change.key === contentKey) {
+    fetcher.awaited.remove(core, change.entry.ballot);
+    keep(fetcher, change.entry.ballot, content);
   }
+  fetcher.parts.deliver(core, withContent(change, content));
 }
 
-function receive(fetcher: FetcherState, core: string, link: Option.Option<ContentLink>, change: Change): void {
-  const { parts, waiting } = fetcher;
-  const identity = identityOf(change.key, change.entry.ballot);
-  const content = contentOf(fetcher, change, identity);
-  if (content === undefined) {
-    if (waiting.has(core)) fetcher.counts.superseded += 1;
-    waiting.set(core, change);
-    if (Option.isSome(link)) fetchLater(fetcher, core, link.value, change);
+/** Delivers what waited for a content that is known by now; each may be what the next differs from. */
+function deliverAwaited(fetcher: FetcherState): void {
+  for (const { core, change } of fetcher.awaited.all()) {
+    const content = contentOf(fetcher, change);
+    if (content === undefined) continue;
+    deliver(fetcher, core, change, content);
+    deliverAwaited(fetcher);
     return;
   }
-  // Another key's change says nothing of a content that is still missing.
-  if (change.key === contentKey) {
-    keep(fetcher, identity, change.entry.ballot, content);
-    waiting.delete(core);
+}
+
+function receive(fetcher: FetcherState, core: string, link: Option.Option<ContentLink>, change: Change): void {
+  const content = contentOf(fetcher, change);
+  if (content !== undefined) {
+    deliver(fetcher, core, change, content);
+    if (change.key === contentKey) deliverAwaited(fetcher);
+    return;
   }
-  parts.deliver(core, withContent(change, content));
-  deliverWaiting(fetcher, identity, content);
+  fetcher.awaited.add({ core, link, change });
+  if (Option.isNone(fetcher.missingSince)) restartWait(fetcher);
+  scheduleFetch(fetcher);
+}
+
+function scheduleFetch(fetcher: FetcherState): void {
+  const { kernel, missingSince } = fetcher;
+  if (fetcher.isFetchPending || Option.isNone(missingSince)) return;
+  fetcher.isFetchPending = true;
+  const waited = kernel.clock.now() - missingSince.value;
+  kernel.clock.startTimer(Math.max(0, waitMilliseconds - waited), () => void fetchWhenDue(fetcher));
+}
+
+/** Newer changes do not put off the fetch, only newer contents do: a stream of changes would put it off for good. */
+async function fetchWhenDue(fetcher: FetcherState): Promise<void> {
+  const { kernel, parts, missingSince } = fetcher;
+  if (parts.stopped()) return;
+  const isDue = Option.isSome(missingSince) && kernel.clock.now() - missingSince.value >= waitMilliseconds;
+  if (isDue) await fetchNewest(fetcher);
+  fetcher.isFetchPending = false;
+  scheduleFetch(fetcher);
 }
 
-function fetchLater(fetcher: FetcherState, core: string, link: ContentLink, change: Change): void {
-  fetcher.kernel.clock.startTimer(waitMilliseconds, () => void fetchContent(fetcher, core, link, change));
+/** The core that pushed the newest of what is missing, rather not the one that has just failed to reply. */
+function sourceOf(fetcher: FetcherState): AwaitedChange | undefined {
+  const candidates = missing(fetcher).filter(({ link }) => Option.isSome(link));
+  const responsive = candidates.filter(({ core }) => core !== fetcher.unresponsive);
+  const choices = responsive.length > 0 ? responsive : candidates;
+  return choices.reduce<AwaitedChange | undefined>(function newer(best, one) {
+    return best === undefined || awaitedChanges.isAfter(one.change.entry.ballot, best.change.entry.ballot) ? one : best;
+  }, undefined);
 }
 
-async function fetchContent(fetcher: FetcherState, core: string, link: ContentLink, change: Change): Promise<void> {
-  const { parts, waiting } = fetcher;
-  if (waiting.get(core) !== change || parts.stopped()) return;
-  if (fetcher.isFetching) return fetchLater(fetcher, core, link, change);
-  fetcher.isFetching = true;
-  const reply = await link.call('look', { key: change.key, set: parts.set() }, fetchMilliseconds);
-  fetcher.isFetching = false;
+async function fetchNewest(fetcher: FetcherState): Promise<void> {
+  const source = sourceOf(fetcher);
+  if (source === undefined || Option.isNone(source.link)) return restartWait(fetcher);
+  const reply = await source.link.value.call('look', { key: contentKey, set: fetcher.parts.set() }, fetchMilliseconds);
   const entry = Option.isSome(reply) ? reply.value.accepted : null;
-  if (entry === null) fetcher.counts.unanswered += 1;
-  else fetcher.counts.fetched += 1;
-  if (waiting.get(core) !== change) return;
-  if (entry === null) return fetchLater(fetcher, core, link, change);
-  waiting.delete(core);
-  receive(fetcher, core, Option.some(link), { ...change, entry });
+  restartWait(fetcher);
+  if (entry === null) {
+    fetcher.unanswered += 1;
+    fetcher.unresponsive = source.core;
+    return;
+  }
+  fetcher.fetched += 1;
+  fetcher.unresponsive = '';
+  keep(fetcher, entry.ballot, entry.value);
+  deliverAwaited(fetcher);
 }
 
 function create(kernel: Kernel, parts: ContentFetcherParts): ContentFetcher {
@@ -128,16 +178,19 @@
     kernel,
     parts,
     contents: new Map(),
-    waiting: new Map(),
-    isFetching: false,
+    awaited: awaitedChanges.create(),
+    missingSince: Option.none,
+    isFetchPending: false,
+    unresponsive: '',
     latest: ballotZero,
-    counts: { fetched: 0, unanswered: 0, superseded: 0 },
+    fetched: 0,
+    unanswered: 0,
   };
   return {
     receive: (core, link, change) => receive(fetcher, core, link, change),
     latestBallot: () => fetcher.latest,
-    awaited: () => [...fetcher.waiting].map(([core, { entry }]) => ({ core, version: entry.version })),
-    counts: () => fetcher.counts,
+    awaited: () => missing(fetcher).map(({ core, change }) => ({ core, version: change.entry.version })),
+    counts: () => ({ fetched: fetcher.fetched, unanswered: fetcher.unanswered, superseded: fetcher.awaited.superseded() }),
   };
 }
 
