Contents are pushed by a core that keeps up with the others

Cause: an edge asked the core of its own area for contents as long as it was connected, also while that core was cut off from its peers and had nothing to push. Change: a core that has pushed an older configuration than another for 400 ms is not asked for contents while one that keeps up is connected. A core that is asked again takes what the edge says that it holds, for others pushed to it meanwhile. Conclusion: an edge follows a stream without fetches while its usual core is cut off; the fetch is left for the first moments.

--- a/packages/acceptance/features/cut-core.feature
+++ b/packages/acceptance/features/cut-core.feature
@@ -92,3 +92,10 @@
       | 3    | 150      |
       | 1    | 400      |
       | 2    | 40       |
+
+  Scenario: Another core hands contents over while the one that did so is cut off from its peers
+    Given 3 cores that founded a fleet, an edge with its lease, and an operator who sends configurations
+    When the operator sends a configuration every 150 ms
+    And core-1 is cut off from its peers alone
+    And 2500 ms of cores pass
+    Then for 10 s configurations are acknowledged, and the edge applies a newer one at least every 450 ms
--- a/packages/acceptance/src/cut-core.ts
+++ b/packages/acceptance/src/cut-core.ts
@@ -96,6 +96,10 @@
   }
 });
 
+When('{int} ms of cores pass', async function when(this: CutCoreStory, milliseconds: number) {
+  await this.cores.world.run(milliseconds);
+});
+
 When('the operator sends a configuration every {int} ms', function when(this: CutCoreStory, milliseconds: number) {
   this.operator.stop();
   this.operator = this.cores.startOperator(milliseconds);
--- a/packages/core/src/change-subscribers.ts
+++ b/packages/core/src/change-subscribers.ts
@@ -105,7 +105,10 @@
   const subscriber = known ?? (cells.ready() ? add(table, cells, from, caller) : undefined);
   forgetClosed(table);
   if (subscriber === undefined) return undefined;
-  subscriber.wantsContent = from.content ?? true;
+  const wantsContent = from.content ?? true;
+  // Contents were pushed by another core meanwhile: the node holds what it says, not what this core pushed last.
+  if (wantsContent && !subscriber.wantsContent) subscriber.holds = from.holds;
+  subscriber.wantsContent = wantsContent;
   subscriber.acknowledged = from.acknowledged;
   subscriber.appliedVersion = from.obeyed;
   return subscriber;
--- a/packages/lease/src/configuration-lag.ts
+++ b/packages/lease/src/configuration-lag.ts
@@ -1,11 +1,11 @@
 /** Logs why an edge does not apply a configuration that cores have pushed: no content, no majority on one version, or another set of cores. */
-import type { Clock, Instant, Kernel } from '@stallstall/kernel';
+import type { Instant, Kernel } from '@stallstall/kernel';
 import type { AwaitedContent, ContentCounts, PushedVersion } from '@stallstall/register';
 
 /** @internal */
 export type ConfigurationLag = Readonly<{
   /** Called at each look at what is in doubt. */
-  observe: (state: LagState) => void;
+  observe: () => void;
 }>;
 
 /** @internal */
@@ -45,13 +45,14 @@
   };
 }
 
-function create({ clock, log }: Readonly<{ clock: Clock; log: Kernel['log'] }>): ConfigurationLag {
+function create({ clock, log }: Kernel, readState: () => LagState): ConfigurationLag {
   let appliedVersion = 0;
   /** Since when the applied version is the same, and not the newest. */
   let behindSince: Instant | undefined;
   let loggedAt = Number.NEGATIVE_INFINITY;
   return {
-    observe: function observe(state) {
+    observe: function observe() {
+      const state = readState();
       const now = clock.now();
       const isProgressing = state.appliedVersion !== appliedVersion;
       appliedVersion = state.appliedVersion;
--- a/packages/lease/src/holder-state.ts
+++ b/packages/lease/src/holder-state.ts
@@ -7,15 +7,18 @@
   durableReports,
   proposer,
   watcher,
+  type ContentFetcher,
   type ContentLink,
   type CoreSetSource,
   type DurableReports,
   type RegisterReplica,
   type ReportReplica,
+  type Watcher,
 } from '@stallstall/register';
 import type { Peer } from '@stallstall/peer';
-import { configurationLag } from './configuration-lag.js';
-import type { HolderContext } from './holder-context.js';
+import { configurationLag, type LagState } from './configuration-lag.js';
+import { contentSource } from './content-source.js';
+import { coreNames, type HolderContext } from './holder-context.js';
 
 /** @internal */
 export type HolderState = Readonly<{
@@ -27,6 +30,8 @@
   receive: (core: string, link: ContentLink, change: Change) => void;
   /** The ballot of the newest configuration whose content is known here. */
   contentBallot: () => Ballot;
+  /** Whether a core keeps up with the configurations that the others push. */
+  isCurrent: (core: string) => boolean;
   recount: () => void;
   resolve: () => void;
 }>;
@@ -52,6 +57,17 @@
   });
 }
 
+function lagStateOf({ setNumber }: HolderContext, watch: Watcher, contents: ContentFetcher): LagState {
+  const applied = watch.applied('configuration');
+  return {
+    appliedVersion: Option.isSome(applied) ? applied.value.version : 0,
+    setNumber,
+    unapplied: watch.unapplied('configuration'),
+    awaited: contents.awaited(),
+    counts: contents.counts(),
+  };
+}
+
 /** @param observeCoreSet - called with a set of cores that any core reported */
 function create(context: HolderContext, linkOf: LinkOf, observeCoreSet: CoreSetSource['observe']): HolderState {
   const { kernel, settings, parts } = context;
@@ -80,18 +96,8 @@
     stopped: () => context.isStopped,
   });
 
-  const lag = configurationLag.create(kernel);
-
-  function observeLag(): void {
-    const applied = watch.applied('configuration');
-    lag.observe({
-      appliedVersion: Option.isSome(applied) ? applied.value.version : 0,
-      setNumber: context.setNumber,
-      unapplied: watch.unapplied('configuration'),
-      awaited: contents.awaited(),
-      counts: contents.counts(),
-    });
-  }
+  const source = contentSource.create(kernel.clock, () => coreNames(context));
+  const lag = configurationLag.create(kernel, () => lagStateOf(context, watch, contents));
 
   function configuration(): Option.Option<Applied<Configuration>> {
     return appliedValues.configuration(watch.applied('configuration'));
@@ -105,12 +111,16 @@
       const current = configuration();
       return Option.isSome(current) ? current.value.value.sheet.services.map((service) => service.service) : [];
     },
-    receive: (core, link, change) => contents.receive(core, Option.some(link), change),
+    receive: function receive(core, link, change) {
+      if (change.key === 'configuration') source.observe(core, change.entry.ballot);
+      contents.receive(core, Option.some(link), change);
+    },
     contentBallot: contents.latestBallot,
+    isCurrent: source.isCurrent,
     recount: watch.recount,
     resolve: function resolve() {
       watch.resolve();
-      observeLag();
+      lag.observe();
     },
   };
 }
--- a/packages/lease/src/lease-request.ts
+++ b/packages/lease/src/lease-request.ts
@@ -1,6 +1,6 @@
 /** The request by which an edge asks a core for its lease (design 7.12). */
 import * as Option from 'fp-ts/lib/Option.js';
-import type { Request } from '@stallstall/message';
+import type { Request, Seat } from '@stallstall/message';
 import type { CoreReplies, CoreReply } from './core-replies.js';
 import type { HolderContext } from './holder-context.js';
 import type { HolderState } from './holder-state.js';
@@ -34,15 +34,21 @@
   return { positions: { ...parts.positions() }, marks: { ...parts.commitWatermarks() }, positionsAgo: parts.positionsAgo() };
 }
 
+/** All of them where none meets the condition. */
+function preferred(cores: readonly Seat[], meets: (core: Seat) => boolean): readonly Seat[] {
+  const found = cores.filter(meets);
+  return found.length > 0 ? found : cores;
+}
+
 /**
- * The core that sends configurations with their content: one of this edge's own area where there is one, and not the same for all edges
- * (design 5.6). Empty while no core is connected.
+ * The core that sends configurations with their content: one that keeps up with the others, of this edge's own area where there is one, and
+ * not the same for all edges (design 5.6). Empty while no core is connected.
  */
-function contentCore({ context, isConnected }: LeaseRequestParts): string {
+function contentCore({ context, state, isConnected }: LeaseRequestParts): string {
   const { cores, settings } = context;
   const connected = cores.filter((core) => isConnected(core.node));
-  const near = connected.filter((core) => core.area === settings.area);
-  const choices = near.length > 0 ? near : connected;
+  const current = preferred(connected, (core) => state.isCurrent(core.node));
+  const choices = preferred(current, (core) => core.area === settings.area);
   const nameSum = [...settings.node].reduce((total, letter) => total + letter.charCodeAt(0), 0);
   return choices[nameSum % Math.max(1, choices.length)]?.node ?? '';
 }
