A change is applied once a majority has pushed it, at whatever moments

Cause: of each core a node kept the newest change alone. Where two cores of three push a stream out of step, by more than its interval, they never show the same ballot at one moment, and nothing is applied by pushes; what was left is a read of the register each second. Change: of each core the newest 16 changes beyond the applied version are kept, under one set of cores; a majority that has accepted one ballot has chosen it, whenever each did. Progress ends a doubt, so that a stream causes no reads. Evidence: on the code before, the stories of 150 ms and 900 ms between two cores, one change every 100 ms, apply none of 40 versions; with the change each is applied 10 ms after the second core's push. Conclusion: what a node applies no longer depends on pauses in a stream.

--- a/packages/acceptance/run.mjs
+++ b/packages/acceptance/run.mjs
@@ -40,6 +40,7 @@
         'build/duties.js',
         'build/replies.js',
         'build/contents.js',
+        'build/watcher-steps.js',
         'build/outages.js',
         'build/orders.js',
         'build/simulator.js',
--- a/packages/register/src/watcher.ts
+++ b/packages/register/src/watcher.ts
@@ -1,6 +1,6 @@
 /**
  * What a node knows of the watched keys from the changes pushed to it: a value is applied once a majority of cores has pushed the same
- * ballot, and never an older version than one applied before (design 5.2).
+ * ballot, at whatever moments, and never an older version than one applied before (design 5.2).
  */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
@@ -41,9 +41,10 @@
 type PushedEntry = Readonly<{ entry: Entry; set: number }>;
 
 type WatchedKey = {
-  readonly pushed: Map<string, PushedEntry>;
+  /** By core, the newest last: what it pushed under one set of cores beyond the applied version. */
+  readonly pushed: Map<string, readonly PushedEntry[]>;
   applied: Option.Option<Entry>;
-  /** Since when some core has pushed a newer version than the one applied. */
+  /** Since when some core has pushed a newer version than the one applied, and none was applied. */
   doubtSince: Option.Option<Instant>;
   isReading: boolean;
 };
@@ -61,6 +62,8 @@
 /** After a read that did not end the doubt, so much is added before the next one. */
 const rereadMilliseconds = 700;
 const readMilliseconds = 1_000;
+/** Cores push a stream of changes out of step; of each so many are remembered. */
+const changesKept = 16;
 
 const everyCore: CountedCores = { number: () => 0, includes: () => true };
 
@@ -77,30 +80,53 @@
   return created;
 }
 
+function appliedVersionOf({ applied }: WatchedKey): number {
+  return Option.isSome(applied) ? applied.value.version : 0;
+}
+
+/** What is no newer than the applied version will not be applied any more. */
+function forgetApplied(watched: WatchedKey): void {
+  const version = appliedVersionOf(watched);
+  for (const [core, pushes] of watched.pushed) {
+    const left = pushes.filter(({ entry }) => entry.version > version);
+    if (left.length > 0) watched.pushed.set(core, left);
+    else watched.pushed.delete(core);
+  }
+}
+
 function apply(watcher: WatcherState, key: string, entry: Entry): void {
   const watched = watchedKey(watcher, key);
   if (Option.isSome(watched.applied) && watched.applied.value.version >= entry.version) return;
   watched.applied = Option.some(entry);
+  watched.doubtSince = Option.none;
+  forgetApplied(watched);
   watcher.onApplied(key, entry);
 }
 
-function unappliedOf({ applied, pushed }: WatchedKey): readonly PushedVersion[] {
-  const appliedVersion = Option.isSome(applied) ? applied.value.version : 0;
-  return [...pushed]
-    .map(([core, { entry, set }]) => ({ core, version: entry.version, set }))
-    .filter(({ version }) => version > appliedVersion);
+function unappliedOf({ pushed }: WatchedKey): readonly PushedVersion[] {
+  return [...pushed].flatMap(([core, pushes]) => pushes.slice(-1).map(({ entry, set }) => ({ core, version: entry.version, set })));
+}
+
+function isInDoubt({ pushed }: WatchedKey): boolean {
+  return pushed.size > 0;
+}
+
+function isSamePush(left: PushedEntry, right: PushedEntry): boolean {
+  return left.set === right.set && message.compareBallots(left.entry.ballot, right.entry.ballot) === 0;
 }
 
-function isInDoubt(watched: WatchedKey): boolean {
-  return unappliedOf(watched).length > 0;
+/** A core pushes everything anew at every set of cores: what it pushed under another one is forgotten. */
+function remember(watched: WatchedKey, core: string, push: PushedEntry): void {
+  if (push.entry.version <= appliedVersionOf(watched)) return;
+  const others = (watched.pushed.get(core) ?? []).filter((one) => one.set === push.set && !isSamePush(one, push));
+  watched.pushed.set(core, [...others, push].slice(-changesKept));
 }
 
 /** Only what cores pushed while they were at this very set is counted: each pushes it anew at every set (design 4.8). */
 function applyIfMajority(watcher: WatcherState, key: string, { pushed }: WatchedKey, entry: Entry): void {
   const { cores, coreCount } = watcher;
-  const agreeing = [...pushed].filter(
-    ([core, one]) => cores.includes(core) && one.set === cores.number() && message.compareBallots(one.entry.ballot, entry.ballot) === 0,
-  );
+  const wanted: PushedEntry = { entry, set: cores.number() };
+  const agreeing = [...pushed].filter(([core, pushes]) => cores.includes(core) && pushes.some((push) => isSamePush(push, wanted)));
   if (coreCount() > 0 && agreeing.length >= quorum.majority(coreCount())) apply(watcher, key, entry);
 }
 
@@ -111,7 +137,7 @@
 
 function receive(watcher: WatcherState, core: string, change: Change): void {
   const watched = watchedKey(watcher, change.key);
-  watched.pushed.set(core, { entry: change.entry, set: change.set ?? 0 });
+  remember(watched, core, { entry: change.entry, set: change.set ?? 0 });
   applyIfMajority(watcher, change.key, watched, change.entry);
   observeDoubt(watcher, watched);
 }
@@ -119,7 +145,7 @@
 function recount(watcher: WatcherState): void {
   for (const [key, watched] of watcher.keys) {
     for (const core of watched.pushed.keys()) if (!watcher.cores.includes(core)) watched.pushed.delete(core);
-    for (const { entry } of [...watched.pushed.values()]) applyIfMajority(watcher, key, watched, entry);
+    for (const { entry } of [...watched.pushed.values()].flat()) applyIfMajority(watcher, key, watched, entry);
     observeDoubt(watcher, watched);
   }
 }
