--- a/packages/simulator/src/faults/common.ts
+++ b/packages/simulator/src/faults/common.ts
@@ -43,6 +43,15 @@
   storm.troubles.push({ who, from: fleet.world.now(), to: fleet.world.now() + milliseconds });
 }
 
+/**
+ * Trouble at two moments alone, as the rules count a loss of cores that leaves a majority: once it has been calm after the first, the
+ * bounds hold until the second.
+ */
+export function moments(fleet: PooledFleet, storm: PooledStorm, who: string, milliseconds: number): void {
+  const now = fleet.world.now();
+  for (const at of [now, now + milliseconds]) storm.troubles.push({ who, from: at, to: at });
+}
+
 /** Starts again whatever has ended meanwhile; one that another fault has started already stays. */
 export function startEdgeLater(fleet: PooledFleet, storm: PooledStorm, slot: PooledEdge, milliseconds: number): void {
   fleet.world.at(milliseconds, function again() {
--- a/packages/simulator/src/faults/operators.ts
+++ b/packages/simulator/src/faults/operators.ts
@@ -20,7 +20,7 @@
 }
 
 /** The last sheet with a database more, so that each order differs from all before it. */
-function distinct(fleet: PooledFleet, name: string): PooledSheet {
+export function distinct(fleet: PooledFleet, name: string): PooledSheet {
   const before = lastSheet(fleet);
   const [model] = before.databases;
   if (model === undefined) return before;
@@ -196,7 +196,7 @@
     void fleet.configure(next + 1, { ...before, databases }, Math.floor(fleet.world.fraction() * fleet.cores.length));
 }
 
-function withdrawKey(fleet: PooledFleet): void {
+export function withdrawKey(fleet: PooledFleet): void {
   const before = lastSheet(fleet);
   const has = before.tenants.some((tenant) => tenant.keys.includes(spareKey));
   const tenants = before.tenants.map((tenant, index) =>
--- a/packages/simulator/src/pooled-checks.ts
+++ b/packages/simulator/src/pooled-checks.ts
@@ -252,8 +252,14 @@
   return version.sheet.databases.find((one) => one.database === database)?.service;
 }
 
-function allowing(versions: readonly PooledVersion[], database: string, who: string, outcome: string): readonly PooledVersion[] {
+/** Versions sent by then that allow this outcome: one that came later cannot have been obeyed. */
+function allowing(
+  versions: readonly PooledVersion[],
+  { database, who, endedAt }: Readonly<{ database: string; who: string; endedAt: number }>,
+  outcome: string,
+): readonly PooledVersion[] {
   return versions.filter((version) => {
+    if (version.sentAt > endedAt) return false;
     const exists = serviceOf(version, database) !== undefined;
     if (outcome === 'no-database') return !exists;
     if (outcome === 'denied') return exists && tenantOf(version, who) === undefined;
@@ -271,14 +277,15 @@
       endedAt: opening.endedAt,
       edge: opening.edge,
       what: `opening ${opening.database} as ${opening.who}: ${opening.outcome}`,
-      allowedBy: allowing(versions, opening.database, opening.who, opening.outcome),
+      allowedBy: allowing(versions, opening, opening.outcome),
       known: true,
     });
   }
   for (const of of fleet.ledger.tries) {
     for (const run of (byTry.get(of.name) ?? []).filter((one) => one.first)) {
       const allowedBy = versions.filter(
-        (version) => serviceOf(version, of.database) === run.service && tenantOf(version, of.who) === run.tenant,
+        (version) =>
+          version.sentAt <= run.at && serviceOf(version, of.database) === run.service && tenantOf(version, of.who) === run.tenant,
       );
       found.push({
         at: of.startedAt,
@@ -291,12 +298,13 @@
     }
     const outcome = Option.isSome(of.begun) ? of.begun.value : of.asks[0] === undefined ? '' : conditionOf(of.asks[0]);
     if (outcome === 'denied' || outcome === 'no-database') {
+      const endedAt = of.asks[0]?.endedAt ?? of.startedAt;
       found.push({
         at: of.startedAt,
-        endedAt: of.asks[0]?.endedAt ?? of.startedAt,
+        endedAt,
         edge: of.edge,
         what: `${of.name}: ${outcome}`,
-        allowedBy: allowing(versions, of.database, of.who, outcome),
+        allowedBy: allowing(versions, { database: of.database, who: of.who, endedAt }, outcome),
         known: true,
       });
     }
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -8,6 +8,7 @@
 import { operatorFaults } from './faults/operators.js';
 import { calmPlatform, platformFaults } from './faults/platform.js';
 import { replacementFaults } from './faults/replacements.js';
+import { streamFaults } from './faults/streams.js';
 import { lossBudget, type Loss } from './loss-budget.js';
 import type { PooledFleet } from './pooled-model.js';
 import { between, pick } from './draws.js';
@@ -24,6 +25,7 @@
   ...memberFaults,
   ...operatorFaults,
   ...platformFaults,
+  ...streamFaults,
 ];
 
 function create(fleet: PooledFleet): PooledStorm {
