Simulator: the seeds that settings name follow a replaced core

Cause, of the model: settings went on naming the three founders, so the third successor was told of nobody that is there. On machines the list that a settings file is written from lags by a few seconds, and no more. Change: the seeds follow a replaced core after 3 s.

--- a/packages/acceptance/features/simulator.feature
+++ b/packages/acceptance/features/simulator.feature
@@ -25,6 +25,11 @@
     When everything is started again before its successor comes
     Then the lost core runs no more once its successor has come
 
+  Scenario: A core's settings name cores that are there, also once every founder has been replaced
+    Given a pooled fleet at work
+    When each of its cores is replaced in turn by a blank one, 8 s apart
+    Then the last one serves within 8 s
+
   Scenario: A hanging disk keeps whoever reads or writes waiting, and loses nothing
     Given a process with a disk
     When its disk hangs for 3 s, with a put under way
--- a/packages/acceptance/src/simulator.ts
+++ b/packages/acceptance/src/simulator.ts
@@ -36,6 +36,7 @@
   near: Link;
   far: Link;
   fleet: PooledFleet;
+  pooled: PooledFleet;
   storm: PooledStorm;
   coresBefore: readonly PooledCore[];
 };
@@ -221,6 +222,25 @@
   assert(Option.isNone(await this.far.receive()));
 });
 
+When(
+  'each of its cores is replaced in turn by a blank one, {int} s apart',
+  { timeout: 60_000 },
+  async function when(this: SimulatorStory, seconds: number) {
+    for (const slot of [...this.pooled.cores]) {
+      this.pooled.stopCore(slot);
+      const successor = this.pooled.addCore(slot.area);
+      this.pooled.removeCore(slot, successor);
+      await this.pooled.startCore(successor);
+      await this.pooled.world.run(seconds * 1_000);
+    }
+  },
+);
+
+Then('the last one serves within {int} s', async function then(this: SimulatorStory, seconds: number) {
+  const last = this.pooled.cores.at(-1);
+  assert(await this.pooled.until(() => last?.running?.open() === true, seconds * 1_000));
+});
+
 type SeededOutcome = Readonly<{ seeds: readonly number[]; failed: readonly number[] }>;
 
 When('six seeds are played on two threads, of which seed 2 throws where nobody catches it', function when(this: { seeded: SeededOutcome }) {
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -37,6 +37,8 @@
 const graceMilliseconds = 6_000;
 const readinessMilliseconds = 1_000;
 const readinessDeadlineMilliseconds = 500;
+/** The seeds that settings name follow a replaced core so much later. */
+const seedLagMilliseconds = 3_000;
 
 function create(seed: number, options: PooledOptions = {}): PooledFleet {
   const world = worlds.create(seed, options.weighing);
@@ -140,8 +142,11 @@
       slot.running = undefined;
     }
     cores.splice(cores.indexOf(slot), 1);
-    platformApiAddresses[platformApiAddresses.indexOf(coreAddresses(slot).platformApiAddress)] =
-      coreAddresses(successor).platformApiAddress;
+    const [gone, come] = [coreAddresses(slot), coreAddresses(successor)];
+    platformApiAddresses[platformApiAddresses.indexOf(gone.platformApiAddress)] = come.platformApiAddress;
+    world.at(seedLagMilliseconds, function follow() {
+      namedSeeds = namedSeeds.map((seed) => (seed === gone.address ? come.address : seed));
+    });
   }
 
   async function startCore(slot: PooledCore): Promise<void> {
