--- a/packages/simulator/src/faults/cores.ts
+++ b/packages/simulator/src/faults/cores.ts
@@ -6,6 +6,7 @@
   cutOff,
   everyMachine,
   lastSheet,
+  moments,
   nextVersion,
   runningCores,
   runningEdges,
@@ -39,14 +40,14 @@
 
 export function losePower(fleet: PooledFleet, storm: PooledStorm, back: () => void, slot = pick(fleet, fleet.cores)): void {
   const milliseconds = between(fleet, leastDownMilliseconds, mostDownMilliseconds);
-  trouble(fleet, storm, 'core', milliseconds);
+  moments(fleet, storm, 'core', milliseconds);
   cutPower(fleet, slot);
   startCoreLater(fleet, slot, milliseconds, back);
 }
 
 export function kill(fleet: PooledFleet, storm: PooledStorm, back: () => void, slot = pick(fleet, fleet.cores)): void {
   const milliseconds = between(fleet, leastDownMilliseconds, 5_000);
-  trouble(fleet, storm, 'core', milliseconds);
+  moments(fleet, storm, 'core', milliseconds);
   fleet.stopCore(slot);
   startCoreLater(fleet, slot, milliseconds, back);
 }
@@ -54,7 +55,7 @@
 function freeze(fleet: PooledFleet, storm: PooledStorm, back: () => void): void {
   const { process } = pick(fleet, fleet.cores);
   const milliseconds = between(fleet, leastDownMilliseconds, mostDownMilliseconds);
-  trouble(fleet, storm, 'core', milliseconds);
+  moments(fleet, storm, 'core', milliseconds);
   if (process !== undefined) fleet.world.freeze(process, milliseconds);
   fleet.world.at(milliseconds, back);
 }
@@ -75,7 +76,7 @@
 export function cut(ways: 'both' | 'leaving' | 'coming', from: (fleet: PooledFleet) => readonly string[]): LoseCores {
   return function cutCore(fleet, storm, back) {
     const milliseconds = between(fleet, leastDownMilliseconds, mostDownMilliseconds);
-    trouble(fleet, storm, 'core', milliseconds);
+    moments(fleet, storm, 'core', milliseconds);
     cutOff(fleet, pick(fleet, fleet.cores).machine, from(fleet), milliseconds, ways);
     fleet.world.at(milliseconds, back);
   };
@@ -85,7 +86,7 @@
 function cutAndOrdered(fleet: PooledFleet, storm: PooledStorm, back: () => void): void {
   const slot = pick(fleet, fleet.cores);
   const milliseconds = between(fleet, 3_000, mostDownMilliseconds);
-  trouble(fleet, storm, 'core', milliseconds);
+  moments(fleet, storm, 'core', milliseconds);
   cutOff(fleet, slot.machine, coreMachines(fleet), milliseconds);
   function order(): void {
     const index = fleet.cores.indexOf(slot);
