A reload while a program starts neither ends it nor is missed

Cause: the time of a start was not covered. SIGHUP was listened for only once settings were read (a core: once its disk was open), and until then it ends a process; a file that changed after the first reading and before it was followed was not read again. The command line's daemons listen before they load.

--- a/packages/acceptance/features/platform.feature
+++ b/packages/acceptance/features/platform.feature
@@ -93,6 +93,15 @@
       | SeedNodes | SeedNodes = ["10.1.0.999:8089"] |
     And a file that is not there, or is no TOML, is refused with a remedy
 
+  Scenario: A reload while a program starts does not end it
+    When a program of the platform gets SIGHUP three times while it starts
+    Then it goes on to run
+
+  Scenario: Settings that change while a program starts are not missed
+    Given a settings file as the pages show it
+    When the file changes after it was first read and before it is followed
+    Then the process knows the changed seeds at once
+
   Scenario: Changed settings are followed at SIGHUP and without it, and a half-written file keeps what stood
     Given a settings file as the pages show it
     And a program that follows it
--- a/packages/acceptance/src/platform-settings.ts
+++ b/packages/acceptance/src/platform-settings.ts
@@ -1,8 +1,10 @@
 /** Steps over the settings file that the platform hands to a process. */
 import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
 import fs from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber';
 import * as Either from 'fp-ts/lib/Either.js';
 import { fault } from '@stallstall/kernel';
@@ -213,3 +215,34 @@
 Then('the log told of what was denied', function then(this: PlatformStory) {
   assert.ok(this.world.logs.some((line) => line.event === 'settings.denied' && /mend/.test(String(line.fields['reason']))));
 });
+
+type StartingStory = { output: string; signal: NodeJS.Signals | null };
+
+When('a program of the platform gets SIGHUP three times while it starts', async function when(this: StartingStory) {
+  const program = fileURLToPath(new URL('../fixtures/starting-daemon.mjs', import.meta.url));
+  const child = spawn(process.execPath, [program], { stdio: ['ignore', 'pipe', 'inherit'] });
+  this.output = '';
+  child.stdout.on('data', (piece: Buffer) => {
+    this.output += String(piece);
+    if (!this.output.includes('runs')) for (let count = 0; count < 3; count += 1) child.kill('SIGHUP');
+  });
+  this.signal = await new Promise((resolve) => child.on('exit', (_code, signal) => resolve(signal)));
+});
+
+Then('it goes on to run', function then(this: StartingStory) {
+  assert.equal(this.signal, null);
+  assert.match(this.output, /^runs$/m);
+});
+
+When('the file changes after it was first read and before it is followed', function when(this: PlatformStory) {
+  const read = readLines(this, this.lines);
+  assert.ok(Either.isRight(read));
+  this.world = worlds.create(33);
+  const changed = this.lines.map((line) => (line.startsWith('SeedNodes') ? 'SeedNodes = ["10.9.9.9:8089"]' : line));
+  fs.writeFileSync(fileOf(this), `${changed.join('\n')}\n`);
+  this.current = platformSettings.follow(this.world.spawn('agent', 'edge-machine').kernel, fileOf(this), read.right);
+});
+
+Then('the process knows the changed seeds at once', function then(this: PlatformStory) {
+  assert.deepEqual(this.current().seeds, ['10.9.9.9:7200']);
+});
--- a/packages/cli/bin/stallstall.js
+++ b/packages/cli/bin/stallstall.js
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
-import { execute } from '@oclif/core';
+// A reload that comes while a daemon still loads must not end it.
+if (process.argv[2] === 'run') process.on('SIGHUP', () => undefined);
 
+const { execute } = await import('@oclif/core');
 await execute({ dir: import.meta.url });
