Soak of real processes: seeded schedules of overlapping series, clients that stay, strict checkers

Cores, agents and proxies are processes of their own on loopback; members, platform, operator and clients are stand-ins in the soak's process, so that the checkers of the pooled seeds judge what they saw. A seed draws the whole schedule ahead: orders several a second throughout, and of rolling restarts, kills, freezes, reloads, losses and replacements of cores, troubled disks, member changes and lost replies some series that overlap. Beside the checkers: lag of each order at each edge as a histogram, growth of memory, descriptors, timers and sockets, processes that end by themselves. The checkers take a narrower fleet and the offset of the time of day; nothing they look for is changed.

--- /dev/null
+++ b/packages/bench/src/soak/soak-run.ts
@@ -0,0 +1,233 @@
+/** One soak: a fleet of real processes, its schedule, clients that stay, and every checker at the end (design 10.6). */
+import type { Kernel } from '@stallstall/kernel';
+import { pooledChecks, pooledOrders, type JudgedFleet, type PooledFleet, type Violation } from '@stallstall/simulator';
+import { orderLag, type AppliedOrder, type EdgeLag } from './order-lag.js';
+import { resourceGrowth, type Growth, type UseSample } from './resource-growth.js';
+import { soakActions, type SoakRecord } from './soak-actions.js';
+import { soakFleet, type SoakFleet } from './soak-fleet.js';
+import { soakSchedule, type SoakEvent } from './soak-schedule.js';
+
+export type SoakOptions = Readonly<{
+  seed: number;
+  seconds: number;
+  edges: number;
+  services: readonly string[];
+  synchronousReplicas: number;
+  connectionLimit: number;
+  sessions: number;
+  folder: string;
+  basePort: number;
+}>;
+
+export type SoakResult = Readonly<{
+  violations: readonly Violation[];
+  events: readonly SoakEvent[];
+  lags: readonly EdgeLag[];
+  growth: readonly Growth[];
+  processes: number;
+  peakBytes: number;
+  judged: Readonly<Record<string, number>>;
+}>;
+
+const readyMilliseconds = 30_000;
+const settleMilliseconds = 16_000;
+const recoveryMilliseconds = 12_000;
+const leastServedShare = 0.9;
+const usageMilliseconds = 12_000;
+const sampleMilliseconds = 1_000;
+const firstVersion = 3;
+/** A start or an end under way when the schedule is over is waited for. */
+const lastActionsMilliseconds = 20_000;
+
+type Watch = Readonly<{ samples: UseSample[]; stop: () => void; peakBytes: () => number }>;
+
+async function until(kernel: Kernel, condition: () => boolean | Promise<boolean>, milliseconds: number): Promise<boolean> {
+  const deadline = kernel.clock.now() + milliseconds;
+  while (kernel.clock.now() < deadline) {
+    if (await condition()) return true;
+    await kernel.clock.sleep(100);
+  }
+  return condition();
+}
+
+function watchUse(fleet: SoakFleet): Watch {
+  const samples: UseSample[] = [];
+  let isStopped = false;
+  let peak = 0;
+  async function look(): Promise<void> {
+    const uses = await Promise.all(fleet.processes().map(async (process) => ({ process, use: await process.use() })));
+    const at = fleet.kernel.clock.now();
+    for (const { process, use } of uses) if (use !== undefined) samples.push({ process: `${process.name}#${process.lives()}`, at, use });
+    peak = Math.max(
+      peak,
+      uses.reduce((sum, { use }) => sum + (use?.residentBytes ?? 0), process.memoryUsage().rss),
+    );
+  }
+  async function lookAgain(): Promise<void> {
+    while (!isStopped) {
+      await look();
+      await fleet.kernel.clock.sleep(sampleMilliseconds);
+    }
+  }
+  void lookAgain();
+  return {
+    samples,
+    peakBytes: () => peak,
+    stop: function stop() {
+      isStopped = true;
+    },
+  };
+}
+
+/** Carries the schedule out; each action at its moment, whatever others are under way. */
+async function play(fleet: SoakFleet, record: SoakRecord, events: readonly SoakEvent[], log: (line: string) => void): Promise<void> {
+  const startedAt = fleet.kernel.clock.now();
+  const underWay: Array<Promise<void>> = [];
+  for (const event of events) {
+    const pause = startedAt + event.at - fleet.kernel.clock.now();
+    if (pause > 0) await fleet.kernel.clock.sleep(pause);
+    log(soakSchedule.describe(event));
+    underWay.push(soakActions.perform({ fleet, record }, event.action));
+  }
+  await Promise.race([Promise.all(underWay), fleet.kernel.clock.sleep(lastActionsMilliseconds)]);
+}
+
+/** Everything runs again. */
+async function restore(fleet: SoakFleet, record: SoakRecord): Promise<void> {
+  fleet.operatorTrouble.lostShare = 0;
+  for (const process of fleet.processes()) process.signal('SIGCONT');
+  await Promise.all(fleet.cores.map((core) => fleet.startCore(core)));
+  await Promise.all(fleet.edges.map((edge) => fleet.startEdge(edge)));
+  for (const member of fleet.members) await fleet.startMember(member);
+  const at = fleet.kernel.clock.now();
+  record.troubles.push({ who: 'all', from: at, to: at });
+}
+
+type Spans = Readonly<{ startedAt: number; backAt: number; until: number }>;
+
+async function judge(fleet: SoakFleet, record: SoakRecord, { startedAt, backAt, until: end }: Spans) {
+  const wallOffset = fleet.kernel.clock.wall() - fleet.kernel.clock.now();
+  // Of edges and members the checkers read what a fleet of processes has as well: names, and the leader's log.
+  const judged = fleet as unknown as JudgedFleet;
+  const read = pooledChecks.read(judged, record.troubles, wallOffset);
+  const stale = pooledChecks.stale(read);
+  const configuration = pooledChecks.configuration(read, record.lives);
+  const draining = pooledChecks.draining(read, record.drains);
+  const usage = pooledChecks.usage(read, startedAt, end);
+  const ends = pooledChecks.plannedEnds(read, record.ends);
+  const recovered = pooledChecks.served(judged, backAt + recoveryMilliseconds, end - 3_000);
+  const ordered = { ...fleet, drive: <Result>(work: Promise<Result>) => work } as unknown as PooledFleet;
+  const violations: readonly Violation[] = [
+    ...pooledChecks.stamps(read),
+    ...pooledChecks.statements(read),
+    ...pooledChecks.wellAsked(read),
+    ...pooledChecks.writes(read),
+    ...stale.found,
+    ...pooledChecks.lost(read),
+    ...configuration.found,
+    ...draining.found,
+    ...pooledChecks.duties(fleet.platformStore.calls),
+    ...usage.found,
+    ...ends.found,
+    ...pooledOrders.refused(ordered),
+    ...pooledOrders.invalidAcknowledged(record),
+    ...(await pooledOrders.readBack(ordered)),
+    ...(recovered.served < recovered.asked * leastServedShare || recovered.asked === 0
+      ? [{ check: 'recovery', detail: `${recovered.served} of ${recovered.asked} tries were served after everything was back` }]
+      : []),
+  ];
+  const counts = {
+    tries: fleet.ledger.tries.length,
+    runs: fleet.runs.length,
+    reads: stale.judged,
+    configuration: configuration.judged,
+    draining: draining.judged,
+    windows: usage.judged,
+    ends: ends.judged,
+    orders: fleet.versions.length,
+    promotions: fleet.platformStore.calls.filter((call) => call.duty === 'promotion' && call.accepted).length,
+  };
+  return { violations, counts };
+}
+
+async function begin(fleet: SoakFleet): Promise<readonly Violation[]> {
+  await fleet.startAll();
+  if (!(await fleet.configure(firstVersion, fleet.firstSheet(), 0)))
+    return [{ check: 'run-broke', detail: 'the first configuration was not taken' }];
+  async function areReady(): Promise<boolean> {
+    return (await Promise.all(fleet.edges.map(fleet.isReady))).every(Boolean);
+  }
+  const isReady = await until(fleet.kernel, areReady, readyMilliseconds);
+  return isReady ? [] : [{ check: 'run-broke', detail: 'the edges were never ready' }];
+}
+
+function lagsOf(fleet: SoakFleet, record: SoakRecord, applied: readonly AppliedOrder[], end: number): readonly EdgeLag[] {
+  return fleet.edges.map(({ name }) =>
+    orderLag.lagOf(
+      name,
+      applied.filter((one) => one.edge === name),
+      fleet.versions.slice(1),
+      record.troubles,
+      end,
+    ),
+  );
+}
+
+/** @param log - called with each event as it is carried out */
+async function run(kernel: Kernel, options: SoakOptions, log: (line: string) => void): Promise<SoakResult> {
+  const { seed, seconds, edges, services, sessions } = options;
+  const applied: AppliedOrder[] = [];
+  const violations: Violation[] = [];
+  const record: SoakRecord = { troubles: [], lives: [], ends: [], drains: [], invalidOrders: [] };
+  const fleet = soakFleet.create(
+    kernel,
+    { ...options, fraction: kernel.randomness.fraction },
+    {
+      onApplied: (edge, order) => void applied.push({ edge, order, at: kernel.clock.now() }),
+      onUnexpectedEnd: (detail) => void violations.push({ check: 'process-ended', detail }),
+    },
+  );
+  const events = soakSchedule.draw(seed, {
+    milliseconds: seconds * 1_000,
+    edges,
+    cores: fleet.cores.length,
+    members: fleet.members.length,
+    services: services.length,
+  });
+  try {
+    for (const { name } of fleet.edges) record.lives.push({ edge: name, life: 1, from: 0 });
+    violations.push(...(await begin(fleet)));
+    const processes = fleet.processes().length;
+    const watch = watchUse(fleet);
+    const startedAt = kernel.clock.now();
+    const clients = fleet.startClients(sessions);
+    if (violations.length === 0) await play(fleet, record, events, log);
+    await restore(fleet, record);
+    const backAt = kernel.clock.now();
+    await kernel.clock.sleep(settleMilliseconds);
+    clients.stop();
+    watch.stop();
+    const end = kernel.clock.now();
+    await kernel.clock.sleep(usageMilliseconds);
+    const judged = await judge(fleet, record, { startedAt, backAt, until: end });
+    const lags = lagsOf(fleet, record, applied, end);
+    const growth = resourceGrowth.judge(watch.samples);
+    const growing = growth
+      .filter((one) => one.isGrowing)
+      .map((one) => ({ check: 'growth', detail: `${one.process}: ${one.measure} ${one.first.toFixed(0)} to ${one.last.toFixed(0)}` }));
+    const late = lags.flatMap((lag) => lag.late.map((detail) => ({ check: 'order-late', detail })));
+    return {
+      violations: [...violations, ...judged.violations, ...late, ...growing],
+      events,
+      lags,
+      growth,
+      processes,
+      peakBytes: watch.peakBytes(),
+      judged: { ...judged.counts, lags: lags.reduce((sum, lag) => sum + lag.judged, 0) },
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+export const soakRun = { run } as const;
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -13,3 +13,7 @@
 export * from './pooled-storm.js';
 export * from './order-checks.js';
 export * from './known-red.js';
+export * from './pooled-orders.js';
+export * from './pooled-operator.js';
+export * from './pooled-adapter.js';
+export type { InvalidOrder } from './faults/common.js';
--- a/packages/simulator/src/pooled-checks.ts
+++ b/packages/simulator/src/pooled-checks.ts
@@ -22,14 +22,22 @@
 /** What crosses on the wire while the other side closes has not been read. */
 const crossingMilliseconds = 5;
 
+/** What is judged of a fleet, in memory or of real processes. */
+export type JudgedFleet = Pick<
+  PooledFleet,
+  'ledger' | 'runs' | 'versions' | 'platformStore' | 'edges' | 'services' | 'firstSheet' | 'primaryOf'
+>;
+
 type Read = Readonly<{
-  fleet: PooledFleet;
+  fleet: JudgedFleet;
+  /** The time of day at moment 0. */
+  wallOffset: number;
   asks: ReadonlyMap<string, Readonly<{ ask: SessionAsk; of: SessionTry }>>;
   byTry: ReadonlyMap<string, readonly SessionRun[]>;
   troubles: readonly Trouble[];
 }>;
 
-function read(fleet: PooledFleet, troubles: readonly Trouble[]): Read {
+function read(fleet: JudgedFleet, troubles: readonly Trouble[], wallOffset: number = wallStart): Read {
   const asks = new Map<string, { ask: SessionAsk; of: SessionTry }>();
   for (const of of fleet.ledger.tries) for (const ask of of.asks) asks.set(ask.identifier, { ask, of });
   const byTry = new Map<string, SessionRun[]>();
@@ -40,7 +48,7 @@
     if (runs === undefined) byTry.set(known.of.name, [run]);
     else runs.push(run);
   }
-  return { fleet, asks, byTry, troubles };
+  return { fleet, wallOffset, asks, byTry, troubles };
 }
 
 function isCalm(troubles: readonly Trouble[], who: readonly string[], from: number, to: number): boolean {
@@ -115,7 +123,7 @@
 }
 
 /** Commits by the identifiers of what they hold. */
-function keptOf(fleet: PooledFleet): ReadonlyMap<string, readonly SessionCommit[]> {
+function keptOf(fleet: JudgedFleet): ReadonlyMap<string, readonly SessionCommit[]> {
   const kept = new Map<string, SessionCommit[]>();
   for (const run of fleet.runs) {
     if (Option.isNone(run.committed)) continue;
@@ -147,11 +155,11 @@
 type Acknowledged = Readonly<{ at: number; session: string; commit: SessionCommit }>;
 
 /** The log that stands in the end: commits beyond it were cut back by a promotion. */
-function lastLog(fleet: PooledFleet, service: string): readonly SessionCommit[] {
+function lastLog(fleet: JudgedFleet, service: string): readonly SessionCommit[] {
   return fleet.primaryOf(service)?.store.log ?? [];
 }
 
-function acknowledgedOf(fleet: PooledFleet, service: string): readonly Acknowledged[] {
+function acknowledgedOf(fleet: JudgedFleet, service: string): readonly Acknowledged[] {
   const log = lastLog(fleet, service);
   const byStamp = new Map(fleet.runs.filter((run) => run.service === service).map((run) => [run.stamp, run] as const));
   return fleet.ledger.tries
@@ -389,13 +397,17 @@
 }
 
 /** Each window is told once, with what members began in it. */
-function usage({ fleet, byTry, troubles }: Read, from: number, to: number): Readonly<{ found: readonly Violation[]; judged: number }> {
+function usage(
+  { fleet, wallOffset, byTry, troubles }: Read,
+  from: number,
+  to: number,
+): Readonly<{ found: readonly Violation[]; judged: number }> {
   const found: Violation[] = [];
   const begun = new Map<number, Map<string, number>>();
   for (const runs of byTry.values()) {
     const first = runs.find((run) => run.first);
     if (first === undefined) continue;
-    const window = Math.floor((wallStart + first.at) / windowMilliseconds);
+    const window = Math.floor((wallOffset + first.at) / windowMilliseconds);
     const counts = begun.get(window) ?? new Map<string, number>();
     begun.set(window, counts);
     counts.set(first.tenant, (counts.get(first.tenant) ?? 0) + 1);
@@ -412,11 +424,11 @@
   let judged = 0;
   const edges = fleet.edges.map((slot) => slot.name);
   for (
-    let window = Math.ceil((wallStart + from) / windowMilliseconds);
-    (window + 1) * windowMilliseconds < wallStart + to - 11_000;
+    let window = Math.ceil((wallOffset + from) / windowMilliseconds);
+    (window + 1) * windowMilliseconds < wallOffset + to - 11_000;
     window += 1
   ) {
-    const start = window * windowMilliseconds - wallStart;
+    const start = window * windowMilliseconds - wallOffset;
     if (!isCalm(troubles, [...edges, 'core', 'platform', 'member'], start - quietMilliseconds, start + 16_000)) continue;
     judged += 1;
     const counts = reported.get(window);
@@ -455,7 +467,7 @@
   return { found, judged };
 }
 
-function served(fleet: PooledFleet, from: number, to: number): Readonly<{ asked: number; served: number }> {
+function served(fleet: JudgedFleet, from: number, to: number): Readonly<{ asked: number; served: number }> {
   const tries = fleet.ledger.tries.filter((of) => of.startedAt >= from && of.startedAt < to && !of.left);
   return {
     asked: tries.length,
--- a/packages/simulator/src/pooled-orders.ts
+++ b/packages/simulator/src/pooled-orders.ts
@@ -5,25 +5,27 @@
 import type { PooledStorm } from './faults/common.js';
 import type { PooledFleet, PooledVersion } from './pooled-model.js';
 
-function sameNumber(fleet: PooledFleet, sent: PooledVersion): readonly PooledVersion[] {
+type OrderedFleet = Pick<PooledFleet, 'versions' | 'orderCalls' | 'cores' | 'readBack' | 'drive'>;
+
+function sameNumber(fleet: OrderedFleet, sent: PooledVersion): readonly PooledVersion[] {
   return fleet.versions.filter((one) => one.version === sent.version);
 }
 
 /** A valid order is acknowledged or left without a clear answer, never refused, unless another text holds its number. */
-function refused(fleet: PooledFleet): readonly Violation[] {
+function refused(fleet: OrderedFleet): readonly Violation[] {
   return fleet.versions
     .filter((sent) => sent.refused && sameNumber(fleet, sent).length === 1)
     .map((sent) => ({ check: 'order-refused', detail: `version ${sent.version} is valid and was refused` }));
 }
 
 /** What is invalid is never acknowledged. */
-function invalidAcknowledged(storm: PooledStorm): readonly Violation[] {
+function invalidAcknowledged(storm: Pick<PooledStorm, 'invalidOrders'>): readonly Violation[] {
   return storm.invalidOrders
     .filter((order) => order.status === 200)
     .map((order) => ({ check: 'order-invalid', detail: `an order (${order.variant}) was acknowledged at ${Math.round(order.at)}` }));
 }
 
-function readBackOf(fleet: PooledFleet, core: string, read: Readonly<{ version: number; sheet: unknown }>): readonly Violation[] {
+function readBackOf(fleet: OrderedFleet, core: string, read: Readonly<{ version: number; sheet: unknown }>): readonly Violation[] {
   const acknowledged = Math.max(...fleet.versions.filter((sent) => Number.isFinite(sent.acknowledgedAt)).map((sent) => sent.version));
   const texts = fleet.versions.filter((sent) => sent.version === read.version && !sent.refused).map((sent) => JSON.stringify(sent.sheet));
   return [
@@ -38,7 +40,7 @@
 }
 
 /** Each core reads back the newest acknowledged configuration, or a newer one, as it was sent; and all read the same. */
-async function readBack(fleet: PooledFleet): Promise<readonly Violation[]> {
+async function readBack(fleet: OrderedFleet): Promise<readonly Violation[]> {
   const found: Violation[] = [];
   const texts = new Set<string>();
   for (const [index, slot] of fleet.cores.entries()) {
