--- a/packages/bench/src/soak.ts
+++ b/packages/bench/src/soak.ts
@@ -157,5 +157,6 @@
   process.exitCode = failed > 0 ? 1 : 0;
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.on(signal, () => process.exit(1));
 await main(process.argv.slice(2));
 process.exit();
--- a/packages/bench/src/soak/product-process.ts
+++ b/packages/bench/src/soak/product-process.ts
@@ -37,6 +37,12 @@
 const answerMilliseconds = 1_000;
 const pageBytes = 4_096;
 
+/** A frozen process outlives the soak that started it, unless it is killed with it. */
+const launched = new Set<ChildProcess>();
+process.on('exit', function killAll() {
+  for (const child of launched) child.kill('SIGKILL');
+});
+
 function residentBytesOf(processId: number): number {
   try {
     return Number(fs.readFileSync(`/proc/${processId}/statm`, 'utf8').split(' ')[1]) * pageBytes;
@@ -65,29 +71,34 @@
     return child !== undefined && child.exitCode === null && child.signalCode === null;
   }
 
+  /** A process that starts just then reads the former settings or these, never a part. */
   function writeSettings(settings: ProcessSettings): void {
-    fs.writeFileSync(settingsFile, JSON.stringify(settings, null, 2));
+    const written = `${settingsFile}.new`;
+    fs.writeFileSync(written, JSON.stringify(settings, null, 2));
+    fs.renameSync(written, settingsFile);
   }
 
   function launch(): ChildProcess {
     const log = fs.openSync(path.join(folder, `${name}.log`), 'a');
-    const launched = spawn(process.execPath, [program, settingsFile], { stdio: ['ignore', log, log, 'ipc'] });
+    const started = spawn(process.execPath, [program, settingsFile], { stdio: ['ignore', log, log, 'ipc'] });
     fs.closeSync(log);
-    launched.on('exit', function onExit(code, signal) {
-      if (launched === child && !isEndWanted) events.onUnexpectedEnd(`${name} ended by itself: code ${code}, signal ${signal}`);
+    launched.add(started);
+    started.on('exit', function onExit(code, signal) {
+      launched.delete(started);
+      if (started === child && !isEndWanted) events.onUnexpectedEnd(`${name} ended by itself: code ${code}, signal ${signal}`);
     });
-    return launched;
+    return started;
   }
 
-  function ready(launched: ChildProcess): Promise<void> {
+  function ready(started: ChildProcess): Promise<void> {
     return new Promise(function wait(resolve) {
       const timer = setTimeout(resolve, startMilliseconds);
       function done(): void {
         clearTimeout(timer);
         resolve();
       }
-      launched.once('exit', done);
-      launched.on('message', function onMessage(message: ProcessMessage) {
+      started.once('exit', done);
+      started.on('message', function onMessage(message: ProcessMessage) {
         if (message.kind === 'started') done();
         else if (message.kind === 'listening') isListening = true;
         else if (message.kind === 'applied') events.onApplied(message.order);
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -592,6 +592,51 @@
     from: 'now - step.since >= lastingStepMilliseconds',
     to: 'false',
   },
+  {
+    name: 'newer-change-restarts-the-fetch',
+    story: 'A missing content is fetched',
+    expect: 'configuration',
+    only: ['core-cut-under-a-stream-of-orders'],
+    file: 'register/build/content-fetcher.js',
+    from: 'if (Option.isNone(fetcher.missingSince))',
+    to: '',
+    // Either guard alone keeps the other's loss from being seen in a whole fleet.
+    more: [
+      {
+        file: 'lease/build/lease-request.js',
+        from: 'preferred(connected, (core) => state.isCurrent(core.node))',
+        to: 'connected',
+      },
+    ],
+  },
+  {
+    name: 'content-from-a-core-that-is-behind',
+    story: 'Another core hands contents over',
+    file: 'lease/build/lease-request.js',
+    from: 'preferred(connected, (core) => state.isCurrent(core.node))',
+    to: 'connected',
+  },
+  {
+    name: 'newest-push-alone',
+    story: 'A stream of changes is applied',
+    file: 'register/build/watcher.js',
+    from: '.slice(-changesKept)',
+    to: '.slice(-1)',
+  },
+  {
+    name: 'pushes-of-another-set-counted',
+    story: 'A change pushed under an earlier set',
+    file: 'register/build/watcher.js',
+    from: 'left.set === right.set && ',
+    to: '',
+  },
+  {
+    name: 'reload-ends-a-start',
+    story: 'A reload while a program starts',
+    file: '../platform/build/daemon.js',
+    from: "process.on('SIGHUP', () => undefined);",
+    to: '',
+  },
   {
     name: 'contents-between-cores',
     story: 'tells what differs',
