Fleets of real processes start the command line where it is

What callers saw: npm run fleet, the quick start of the README, and npm run rehearse started no daemon. Cause: the package of the command line was renamed from operator to cli, the path to its program was not. Change: the path; a story starts each daemon's help by it. Evidence: the story fails with the former path and passes with this.

--- a/packages/acceptance/features/runtime.feature
+++ b/packages/acceptance/features/runtime.feature
@@ -120,3 +120,6 @@
       | a store whose entries are noise                 | damaged   |
       | nothing but a store that was being made         | blank     |
       | nothing                                         | blank     |
+
+  Scenario: The program that a fleet of real processes starts is there
+    Then the daemons of a fleet of real processes can be started by name
--- a/packages/acceptance/src/runtime.ts
+++ b/packages/acceptance/src/runtime.ts
@@ -1,6 +1,6 @@
 /** Steps of the stories of runtime.feature: real sockets on loopback and a real folder. */
 import assert from 'node:assert/strict';
-import { type ChildProcess } from 'node:child_process';
+import { spawnSync, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import fs from 'node:fs';
 import net from 'node:net';
@@ -19,6 +19,7 @@
   type Stream,
 } from '@stallstall/kernel';
 import { minimalNetwork } from '@stallstall/runtime/minimal-runtime';
+import { realFleet } from '@stallstall/bench';
 import type { FaultyStore } from './data-folders.js';
 
 export type RuntimeStory = {
@@ -516,3 +517,10 @@
   await new Promise(setImmediate);
   assert.ok(Option.isNone(await this.near.read()));
 });
+
+Then('the daemons of a fleet of real processes can be started by name', function then() {
+  for (const daemon of ['core', 'agent', 'proxy']) {
+    const run = spawnSync(process.execPath, [realFleet.program, 'run', daemon, '--help'], { encoding: 'utf8', timeout: 20_000 });
+    assert.equal(run.status, 0, run.stderr);
+  }
+});
--- a/packages/bench/src/real-fleet.ts
+++ b/packages/bench/src/real-fleet.ts
@@ -23,7 +23,8 @@
 }>;
 
 const here = path.dirname(fileURLToPath(import.meta.url));
-const program = path.resolve(here, '../../operator/bin/stallstall.js');
+/** The command line that runs each daemon. */
+const program = path.resolve(here, '../../cli/bin/stallstall.js');
 const standIn = path.resolve(here, 'stand-in-main.js');
 const clientKey = 'sender-key-0001';
 
@@ -137,4 +138,4 @@
   };
 }
 
-export const realFleet = { create } as const;
+export const realFleet = { create, program } as const;
--- a/packages/bench/src/soak/soak-actions.ts
+++ b/packages/bench/src/soak/soak-actions.ts
@@ -11,6 +11,8 @@
   ends: EdgeEnd[];
   drains: DrainNote[];
   invalidOrders: InvalidOrder[];
+  /** Orders that have neither been answered clearly nor given up. */
+  readonly pendingOrders: Set<Promise<boolean>>;
 }>;
 
 type Parts = 'agent' | 'proxy' | 'both';
@@ -193,7 +195,7 @@
 
 /** Its database is named for its version; the last few stay, so that whoever is behind is seen to be. */
 function sendOrder(soak: Soak, { core, changesKey }: Action<'order'>): void {
-  const { fleet } = soak;
+  const { fleet, record } = soak;
   const before = lastSheet(soak);
   const version = nextVersion(soak);
   const [model] = before.databases;
@@ -205,7 +207,9 @@
     const hasKey = tenant.keys.includes(keyToggled);
     return { ...tenant, keys: hasKey ? tenant.keys.filter((key) => key !== keyToggled) : [...tenant.keys, keyToggled] };
   });
-  void fleet.configure(version, { ...before, databases, tenants }, core % fleet.cores.length);
+  const order = fleet.configure(version, { ...before, databases, tenants }, core % fleet.cores.length);
+  record.pendingOrders.add(order);
+  void order.then(() => record.pendingOrders.delete(order));
 }
 
 async function sendInvalid(soak: Soak, core: number): Promise<void> {
--- a/packages/bench/src/soak/soak-run.ts
+++ b/packages/bench/src/soak/soak-run.ts
@@ -178,7 +178,7 @@
   const { seed, seconds, edges, services, sessions } = options;
   const applied: AppliedOrder[] = [];
   const violations: Violation[] = [];
-  const record: SoakRecord = { troubles: [], lives: [], ends: [], drains: [], invalidOrders: [] };
+  const record: SoakRecord = { troubles: [], lives: [], ends: [], drains: [], invalidOrders: [], pendingOrders: new Set() };
   const fleet = soakFleet.create(
     kernel,
     { ...options, fraction: kernel.randomness.fraction },
@@ -206,12 +206,14 @@
     const backAt = kernel.clock.now();
     await kernel.clock.sleep(settleMilliseconds);
     clients.stop();
-    watch.stop();
     const end = kernel.clock.now();
+    await Promise.all(record.pendingOrders);
+    const restAt = kernel.clock.now();
     await kernel.clock.sleep(usageMilliseconds);
+    watch.stop();
     const judged = await judge(fleet, record, { startedAt, backAt, until: end });
     const lags = lagsOf(fleet, record, applied, end);
-    const growth = resourceGrowth.judge(watch.samples);
+    const growth = resourceGrowth.judge(watch.samples, restAt);
     const growing = growth
       .filter((one) => one.isGrowing)
       .map((one) => ({ check: 'growth', detail: `${one.process}: ${one.measure} ${one.first.toFixed(0)} to ${one.last.toFixed(0)}` }));
