What a core pushed under an earlier set and has lost since leaves no doubt

Cause, found on reading the change of the majority over time again: a push that was not newer than the applied version was passed over before what the same core had pushed under an earlier set was forgotten. A core that lost an unchosen change with its disk would leave each node in doubt about it, with a read of the register every second, until a newer change came. Change: pushes of other sets are forgotten at each push.

--- a/packages/acceptance/features/watcher.feature
+++ b/packages/acceptance/features/watcher.feature
@@ -14,3 +14,6 @@
 
   Scenario: The changes that are remembered are bounded
     Then of a key that nobody completes a node keeps 16 changes of each core at the most
+
+  Scenario: What a core pushed under an earlier set and has lost since is forgotten
+    Then a change that a core no longer has under a later set leaves no doubt behind
--- a/packages/acceptance/src/watcher-steps.ts
+++ b/packages/acceptance/src/watcher-steps.ts
@@ -85,3 +85,15 @@
   watch.receive('core-2', changeOf(2 * most + 1));
   assert.deepEqual(applied, [2 * most + 1]);
 });
+
+Then('a change that a core no longer has under a later set leaves no doubt behind', function then() {
+  const { watch, applied, setSetNumber } = watchThreeCores();
+  for (const core of ['core-1', 'core-2']) watch.receive(core, changeOf(1));
+  watch.receive('core-1', changeOf(2));
+  assert.equal(watch.unapplied('configuration').length, 1);
+  setSetNumber(2);
+  watch.recount();
+  for (const core of ['core-1', 'core-2', 'core-3']) watch.receive(core, changeOf(1, 2));
+  assert.deepEqual(applied, [1]);
+  assert.deepEqual(watch.unapplied('configuration'), []);
+});
--- a/packages/register/src/watcher.ts
+++ b/packages/register/src/watcher.ts
@@ -117,9 +117,10 @@
 
 /** A core pushes everything anew at every set of cores: what it pushed under another one is forgotten. */
 function remember(watched: WatchedKey, core: string, push: PushedEntry): void {
-  if (push.entry.version <= appliedVersionOf(watched)) return;
   const others = (watched.pushed.get(core) ?? []).filter((one) => one.set === push.set && !isSamePush(one, push));
-  watched.pushed.set(core, [...others, push].slice(-changesKept));
+  const known = push.entry.version > appliedVersionOf(watched) ? [...others, push] : others;
+  if (known.length > 0) watched.pushed.set(core, known.slice(-changesKept));
+  else watched.pushed.delete(core);
 }
 
 /** Only what cores pushed while they were at this very set is counted: each pushes it anew at every set (design 4.8). */
