--- a/packages/bench/src/soak/soak-actions.ts
+++ b/packages/bench/src/soak/soak-actions.ts
@@ -1,7 +1,9 @@
 /** How each action of a schedule is carried out, and what it excuses: spans in which an edge, the cores, a member or the platform are not in touch. */
 import type { EdgeEnd, EdgeLife, InvalidOrder, PooledSheet, Trouble, DrainNote } from '@stallstall/simulator';
 import * as Option from 'fp-ts/lib/Option.js';
-import type { SoakCore, SoakEdge, SoakFleet, SoakMember } from './soak-fleet.js';
+import type { SoakFleet } from './soak-fleet.js';
+import type { SoakMember } from './soak-members.js';
+import type { SoakCore, SoakEdge } from './soak-nodes.js';
 import type { SoakAction } from './soak-schedule.js';
 
 /** What happened, for the checkers. */
--- a/packages/bench/src/soak/soak-run.ts
+++ b/packages/bench/src/soak/soak-run.ts
@@ -179,14 +179,10 @@
   const applied: AppliedOrder[] = [];
   const violations: Violation[] = [];
   const record: SoakRecord = { troubles: [], lives: [], ends: [], drains: [], invalidOrders: [], pendingOrders: new Set() };
-  const fleet = soakFleet.create(
-    kernel,
-    { ...options, fraction: kernel.randomness.fraction },
-    {
-      onApplied: (edge, order) => void applied.push({ edge, order, at: kernel.clock.now() }),
-      onUnexpectedEnd: (detail) => void violations.push({ check: 'process-ended', detail }),
-    },
-  );
+  const fleet = soakFleet.create(kernel, options, {
+    onApplied: (edge, order) => void applied.push({ edge, order, at: kernel.clock.now() }),
+    onUnexpectedEnd: (detail) => void violations.push({ check: 'process-ended', detail }),
+  });
   const events = soakSchedule.draw(seed, {
     milliseconds: seconds * 1_000,
     edges,
