--- a/packages/bench/soak-mutations.mjs
+++ b/packages/bench/soak-mutations.mjs
@@ -18,7 +18,7 @@
     file: 'register/build/watcher.js',
     from: 'watched.applied.value.version >= entry.version',
     to: 'watched.applied.value.version === entry.version',
-    more: [{ file: 'register/build/watcher.js', from: 'if (push.entry.version <= appliedVersionOf(watched))', to: 'if (false)' }],
+    more: [{ file: 'register/build/watcher.js', from: 'push.entry.version > appliedVersionOf(watched)', to: 'true' }],
   },
   {
     name: 'planned-end-drops-transactions',
