--- a/packages/bench/src/soak/soak-run.ts
+++ b/packages/bench/src/soak/soak-run.ts
@@ -1,4 +1,5 @@
 /** One soak: a fleet of real processes, its schedule, clients that stay, and every checker at the end (design 10.6). */
+import * as Option from 'fp-ts/lib/Option.js';
 import type { Kernel } from '@stallstall/kernel';
 import { pooledChecks, pooledOrders, type JudgedFleet, type PooledFleet, type Violation } from '@stallstall/simulator';
 import { orderLag, type AppliedOrder, type EdgeLag } from './order-lag.js';
@@ -36,6 +37,8 @@
 const leastServedShare = 0.9;
 const usageMilliseconds = 12_000;
 const sampleMilliseconds = 1_000;
+const readBackMilliseconds = 4_000;
+const readBackPauseMilliseconds = 200;
 const firstVersion = 3;
 /** A start or an end under way when the schedule is over is waited for. */
 const lastActionsMilliseconds = 20_000;
@@ -104,6 +107,27 @@
   record.troubles.push({ who: 'all', from: at, to: at });
 }
 
+type ReadBack = Readonly<{ read: SoakFleet['readBack']; unanswered: () => number }>;
+
+/** Asks a core again and again, as operators do at the end of a day: one silence or refusal among them is allowed, and counted. */
+function readBackAgain(fleet: SoakFleet): ReadBack {
+  const { clock } = fleet.kernel;
+  let unanswered = 0;
+  return {
+    read: async function read(coreIndex) {
+      const deadline = clock.now() + readBackMilliseconds;
+      for (;;) {
+        const found = await fleet.readBack(coreIndex);
+        if (Option.isSome(found)) return found;
+        unanswered += 1;
+        if (clock.now() >= deadline) return found;
+        await clock.sleep(readBackPauseMilliseconds);
+      }
+    },
+    unanswered: () => unanswered,
+  };
+}
+
 type Spans = Readonly<{ startedAt: number; backAt: number; until: number }>;
 
 async function judge(fleet: SoakFleet, record: SoakRecord, { startedAt, backAt, until: end }: Spans) {
@@ -117,7 +141,8 @@
   const usage = pooledChecks.usage(read, startedAt, end);
   const ends = pooledChecks.plannedEnds(read, record.ends);
   const recovered = pooledChecks.served(judged, backAt + recoveryMilliseconds, end - 3_000);
-  const ordered = { ...fleet, drive: <Result>(work: Promise<Result>) => work } as unknown as PooledFleet;
+  const readBack = readBackAgain(fleet);
+  const ordered = { ...fleet, readBack: readBack.read, drive: <Result>(work: Promise<Result>) => work } as unknown as PooledFleet;
   const violations: readonly Violation[] = [
     ...pooledChecks.stamps(read),
     ...pooledChecks.statements(read),
@@ -146,6 +171,7 @@
     windows: usage.judged,
     ends: ends.judged,
     orders: fleet.versions.length,
+    unansweredReads: readBack.unanswered(),
     promotions: fleet.platformStore.calls.filter((call) => call.duty === 'promotion' && call.accepted).length,
   };
   return { violations, counts };
