--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -43,13 +43,20 @@
   });
 }
 
+/** On one host, the agents' loopback ports must differ, so each edge has a range of ports of its own. */
+const portsPerEdge = 10;
+
 /** Loopback addresses of this run: hosts that differ by machine, and a range of ports that is free on all of them. */
-async function chooseAddresses(hostCount) {
+async function chooseAddresses(hostCount, edgeCount) {
   for (let attempt = 0; attempt < 50; attempt += 1) {
     const network = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
     const first = 20_000 + Math.floor(Math.random() * 1_000) * 10;
     const hosts = Array.from({ length: hostCount }, (_, index) => `${network}.${index + 1}`);
-    const checks = [isFree('127.0.0.1', first + 2), ...hosts.flatMap((host) => [0, 1, 5, 6].map((offset) => isFree(host, first + offset)))];
+    const feeds = Array.from({ length: edgeCount }, (_, index) => isFree('127.0.0.1', first + index * portsPerEdge + 2));
+    const checks = [
+      ...feeds,
+      ...hosts.flatMap((host) => Array.from({ length: edgeCount * portsPerEdge }, (_, offset) => isFree(host, first + offset))),
+    ];
     if ((await Promise.all(checks)).every(Boolean)) return { hosts, first };
   }
   throw new Error('no free loopback ports');
@@ -89,17 +96,33 @@
   ].join('\n');
 }
 
+/** Passes connections on unchanged: an edge asks its seeds at the first port of its own range, where the cores don't listen. */
+function forward(host, from, to) {
+  const server = net.createServer((socket) => {
+    const onward = net.connect({ host, port: to });
+    for (const side of [socket, onward]) side.on('error', () => side.destroy());
+    socket.on('close', () => onward.destroy());
+    onward.on('close', () => socket.destroy());
+    socket.pipe(onward).pipe(socket);
+  });
+  server.listen(from, host);
+  server.unref();
+  return server;
+}
+
 /**
- * Starts three cores and one edge (agent and proxy). A process that ends is started again after a short delay, as on the platform.
+ * Starts three cores and the edges (an agent and a proxy each). A process that ends is started again after a short delay, as on the platform.
  *
  * @param platformAddress - of the stand-in for the platform
  */
-export async function startDeployment({ record, platformAddress }) {
+export async function startDeployment({ record, platformAddress, edgeCount = 1 }) {
   const zones = ['zone-a', 'zone-b', 'zone-c'];
-  const { hosts, first } = await chooseAddresses(4);
+  const { hosts, first } = await chooseAddresses(3 + edgeCount, edgeCount);
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'stallstall-review-'));
   const seeds = hosts.slice(0, 3).map((host) => `${host}:${first + 5}`);
   const processes = new Map();
+  /** Every end of a process before the case is over. */
+  const ends = [];
   let isStopping = false;
 
   function start(key, role, settings) {
@@ -113,10 +136,11 @@
     });
     fs.closeSync(log);
     record(`process ${key} started`);
-    const entry = { child, role, settings, hasEnded: false };
+    const entry = { child, hasEnded: false, wasSignalled: false };
     processes.set(key, entry);
     child.on('exit', (code, signal) => {
       entry.hasEnded = true;
+      if (!isStopping) ends.push({ key, code, signal, wasSignalled: entry.wasSignalled });
       record(`process ${key} ended: code ${code}, signal ${signal}`);
       if (!isStopping) setTimeout(() => isStopping || start(key, role, settings), 300);
     });
@@ -133,18 +157,28 @@
     const stateFolder = path.join(folder, `${name}.state`);
     start(name, 'core', writeSettings(name, { name, host: hosts[index], zone, stateFolder, isEdge: false }));
   }
-  const edge = writeSettings('edge', { name: 'edge-zone-a-1', host: hosts[3], zone: 'zone-a', isEdge: true });
-  start('agent', 'agent', edge);
-  start('proxy', 'proxy', edge);
+  const edges = Array.from({ length: edgeCount }, (_, index) => {
+    const host = hosts[zones.length + index];
+    const ownFirst = first + index * portsPerEdge;
+    const zone = zones[index % zones.length];
+    const suffix = index === 0 ? '' : `-${index + 1}`;
+    if (index > 0) for (const coreHost of hosts.slice(0, zones.length)) forward(coreHost, ownFirst, first);
+    const settings = writeSettings(`edge${suffix}`, { name: `edge-${zone}-1`, host, first: ownFirst, zone, isEdge: true });
+    start(`agent${suffix}`, 'agent', settings);
+    start(`proxy${suffix}`, 'proxy', settings);
+    return { proxy: `proxy${suffix}`, agent: `agent${suffix}`, frontAddress: { host, port: ownFirst + 5 } };
+  });
 
   return {
     folder,
     zones,
     controlAddresses: seeds,
-    frontAddress: { host: hosts[3], port: first + 5 },
-    readyAddress: { host: hosts[3], port: first + 6 },
+    edges,
+    frontAddress: edges[0].frontAddress,
+    ends,
     signal: (key, signal) => {
       record(`signal ${signal} to ${key}`);
+      processes.get(key).wasSignalled = true;
       processes.get(key).child.kill(signal);
     },
     /** Ends every process that this deployment started, and removes its folder. */
--- a/review/stand-ins/world.mjs
+++ b/review/stand-ins/world.mjs
@@ -23,7 +23,16 @@
   throw new Error('the service did not become available');
 }
 
-export async function createWorld({ record, specifications, routes, synchronousReplicas = 0, connectionLimit, options, onPromoted }) {
+export async function createWorld({
+  record,
+  specifications,
+  routes,
+  synchronousReplicas = 0,
+  connectionLimit,
+  options,
+  onPromoted,
+  edgeCount = 1,
+}) {
   const host = '127.0.0.1';
   const service = 'huvo11a';
   const controlAddresses = [];
@@ -41,7 +50,7 @@
     record,
     onPromotion: (body) => body.Plant === service && members.promote(body.InstanceId, onPromoted),
   });
-  const deployment = await startDeployment({ record, platformAddress: platform.address });
+  const deployment = await startDeployment({ record, platformAddress: platform.address, edgeCount });
   controlAddresses.push(...deployment.controlAddresses);
 
   async function stop() {
@@ -61,7 +70,7 @@
   try {
     await members.start();
     if (!(await configure(7))) throw new Error('the first configuration was not acknowledged');
-    await awaitService(deployment.frontAddress, routes[0].Hostname);
+    for (const { frontAddress } of deployment.edges) await awaitService(frontAddress, routes[0].Hostname);
   } catch (error) {
     await stop();
     throw error;
