--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,67 +1,42 @@
 /**
- * Fault: processes that end by themselves. On each of two machines a few clients send queries without waiting for the answers, at a
- * twentieth of the machine's bandwidth. The rule is broken if the proxies of both end by themselves three times.
+ * CONFIG after a key was taken away. A client has a transaction open while a version without its key is acknowledged. The rule is broken if
+ * statements of the transaction that are sent later than ConfigSettleMs after the acknowledgement run at a member with that key.
  */
-import net from 'node:net';
 import { createRecord } from '../stand-ins/record.mjs';
-import { sleep } from '../stand-ins/deployment.mjs';
-import { createWorld, key, runCase } from '../stand-ins/world.mjs';
+import { bounds, sleep } from '../stand-ins/deployment.mjs';
+import { createWorld, tenant, runCase } from '../stand-ins/world.mjs';
 import { nextId, openSession } from '../stand-ins/client.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const database = 'lepu270';
-const floodClients = 4;
-/** Each client's rate; all of a machine's together send 56 Mbit/s of its 1,000. */
-const bytesPerTick = 88_000;
-const tickMilliseconds = 50;
-const thing = 'a'.repeat(150);
-const usualClients = 6;
-const endsToBreak = 3;
-const floodUntilMilliseconds = 105_000;
+const [revokedKey] = tenant.Credentials;
+const otherKey = 'j8pjbvk9m68k7b2ex5wa';
+/** A transaction has at most 12 texts: BEGIN, these and COMMIT. Each rest is below TxRestMs, which is 3,000. */
+const statementCount = 10;
+const restMilliseconds = 1_500;
+const quietMilliseconds = bounds.QuietMs + 1_000;
 const record = createRecord(new URL('record.txt', import.meta.url).pathname);
-const startedAt = Date.now();
-let sentBytes = 0;
-let unanswered = 0;
 
-/** A client that asks without waiting, and connects again when it is cut. */
-async function flood({ frontAddress }, isOver) {
-  while (!isOver()) {
-    const socket = net.connect(frontAddress);
-    socket.on('error', () => socket.destroy());
-    socket.resume();
-    socket.write(`OPEN ${database} ${key}\r\n`);
-    await sleep(500);
-    while (!isOver() && !socket.destroyed) {
-      let text = '';
-      while (text.length < bytesPerTick) text += `QUERY ${nextId()} READ ${thing}\r\n`;
-      sentBytes += text.length;
-      if (!socket.destroyed) socket.write(text);
-      await sleep(tickMilliseconds);
-    }
-    socket.destroy();
-  }
+async function ask(session, text, since) {
+  const id = nextId();
+  const sentAt = Date.now();
+  const reply = await session.query(id, text);
+  const answer = reply.cut ? 'cut' : reply.completion;
+  record(`${text} (${id})${since === undefined ? '' : `, sent ${sentAt - since} ms after the acknowledgement`}: ${answer}`);
+  return { id, isDone: answer.startsWith('DONE'), isLate: since !== undefined && sentAt - since > bounds.ConfigSettleMs };
 }
 
-/** A client as usual: one query at a time. */
-async function use({ frontAddress, proxy }, isOver) {
-  while (!isOver()) {
-    const session = await openSession(frontAddress, database, key);
-    while (session.isOpen && !isOver() && !session.isClosed()) {
-      const id = nextId();
-      const reply = await session.query(id, `WRITE seat-${id} held`);
-      if (reply.cut) {
-        unanswered += 1;
-        record(`cut without an answer: ${id}, at ${proxy}`);
-      }
-      await sleep(50);
-    }
-    session.close();
-    await sleep(200);
-  }
+/** What a session outside a transaction gets with the key: it shows whether the edge has the new version in force. */
+async function askOutside(world, since) {
+  const session = await openSession(world.deployment.frontAddress, database, revokedKey);
+  record(`a new session with the key, ${Date.now() - since} ms after the acknowledgement: ${session.isOpen ? 'opened' : session.refusal}`);
+  session.close();
 }
 
-function countEnds(world) {
-  return world.deployment.edges.map(({ proxy }) => world.deployment.ends.filter((end) => end.key === proxy && !end.wasSignalled).length);
+/** A second transaction, begun before the version was sent, whose first statement is sent only after ConfigSettleMs: no member knows it yet. */
+async function askLate(session, since) {
+  await sleep(bounds.ConfigSettleMs + 300);
+  return [await ask(session, 'WRITE seat-late held', since), await ask(session, 'COMMIT', since)];
 }
 
 async function main() {
@@ -74,29 +49,38 @@
     ],
     routes: [{ Hostname: database, RouteKind: 'primary', DeadlineMs: 800, SetpointMs: 200 }],
     options: { workMilliseconds: () => 11 },
-    edgeCount: 2,
   });
-  let isBroken = false;
+  let broken = [];
   try {
-    let isOver = false;
-    const { edges } = world.deployment;
-    const clients = edges.flatMap((edge) => [
-      ...Array.from({ length: usualClients }, () => use(edge, () => isOver)),
-      ...Array.from({ length: hasTrouble ? floodClients : 0 }, () => flood(edge, () => isOver)),
-    ]);
-    const until = hasTrouble ? floodUntilMilliseconds : 40_000;
-    while (Date.now() - startedAt < until && !isBroken) {
-      await sleep(1_000);
-      isBroken = countEnds(world).every((count) => count >= endsToBreak);
+    await sleep(quietMilliseconds);
+    const session = await openSession(world.deployment.frontAddress, database, revokedKey);
+    const restingSession = await openSession(world.deployment.frontAddress, database, revokedKey);
+    await ask(session, 'BEGIN');
+    await ask(restingSession, 'BEGIN');
+    const credentials = hasTrouble ? [otherKey] : [revokedKey, otherKey];
+    const isAcknowledged = await world.configure(12, { accounts: [{ ...tenant, Credentials: credentials }] });
+    if (!isAcknowledged) throw new Error('the second configuration was not acknowledged');
+    const acknowledgedAt = Date.now();
+    const asked = [];
+    const askedLate = askLate(restingSession, acknowledgedAt);
+    for (let number = 1; number <= statementCount; number += 1) {
+      asked.push(await ask(session, number % 2 === 0 ? 'READ 1a4' : `WRITE seat-${number} held`, acknowledgedAt));
+      if (number === 4) await askOutside(world, acknowledgedAt);
+      await sleep(restMilliseconds);
     }
-    record(`ends by themselves: ${countEnds(world).join(' and ')}; ${Math.round(sentBytes / 1e6)} MB of queries sent`);
-    record(`${unanswered} writes of the usual clients were cut without an answer`);
-    isOver = true;
-    await Promise.race([Promise.all(clients), sleep(3_000)]);
+    asked.push(await ask(session, 'COMMIT', acknowledgedAt), ...(await askedLate));
+    session.close();
+    restingSession.close();
+    // Without the disruption the key is still held, and nothing of this breaks the rule.
+    broken = hasTrouble ? asked.filter(({ id, isDone, isLate }) => isLate && isDone && world.members.begun.has(id)) : [];
+    if (!hasTrouble && !asked.every(({ isDone }) => isDone)) throw new Error('the transaction failed without the disruption');
   } finally {
     await world.stop();
   }
-  return isBroken;
+  record(
+    `${broken.length} statements, sent over ${bounds.ConfigSettleMs} ms after the acknowledgement, ran with the key that was taken away`,
+  );
+  return broken.length > 0;
 }
 
 await runCase(main, record);
