--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -125,6 +125,14 @@
   const ends = [];
   let isStopping = false;
 
+  /** However this process ends, it leaves no other behind. */
+  function killAll() {
+    isStopping = true;
+    for (const { child, hasEnded } of processes.values()) if (!hasEnded) child.kill('SIGKILL');
+  }
+  process.on('exit', killAll);
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2));
+
   function start(key, role, settings) {
     const [command, ...parameters] = runLine(role);
     const { PATH, HOME, LANG } = process.env;
@@ -183,8 +191,7 @@
     },
     /** Ends every process that this deployment started, and removes its folder. */
     stop: async function stop() {
-      isStopping = true;
-      for (const { child, hasEnded } of processes.values()) if (!hasEnded) child.kill('SIGKILL');
+      killAll();
       while ([...processes.values()].some((entry) => !entry.hasEnded)) await sleep(20);
       if (process.env.KEEP_LOGS === undefined) fs.rmSync(folder, { recursive: true, force: true });
       else record(`logs kept in the temporary folder`);
