--- a/review/stand-ins-2/database.mjs
+++ b/review/stand-ins-2/database.mjs
@@ -339,8 +339,10 @@
     return false;
   }
 
-  function beat(member) {
-    return callControl(member, `/api/members/${member.id}/beat`, () => beatBody(member));
+  async function beat(member) {
+    const isAcknowledged = await callControl(member, `/api/members/${member.id}/beat`, () => beatBody(member));
+    if (isAcknowledged) member.acknowledgedBeats += 1;
+    return isAcknowledged;
   }
 
   async function beatUntilGone(member) {
@@ -367,6 +369,7 @@
       hasLeft: false,
       isCopying: false,
       sequence: 0,
+      acknowledgedBeats: 0,
       control: index,
       lastConnection: 0,
       waiters: new Set(),
