--- a/review/stand-ins-2/database.mjs
+++ b/review/stand-ins-2/database.mjs
@@ -240,7 +240,7 @@
       if (!member.isRunning || connection.isClosed) return undefined;
       if (needsLead && lostLead()) return { code: 'READONLY' };
       const made = stamp(kind, thing, shape);
-      if (!isWrite) return { rows: [valueOf(member, thing, transaction)], stamp: made };
+      if (!isWrite) return { rows: knobs.rowsOf?.(thing) ?? [valueOf(member, thing, transaction)], stamp: made };
       const write = { thing, data, identifier };
       if (transaction !== undefined) transaction.writes.push(write);
       else if (!(await awaitReceived(member, commit(member, [write])))) return undefined;
@@ -253,6 +253,8 @@
     const write = (text) => connection.socket.writable && connection.socket.write(text, 'latin1');
     const state = () => (connection.transaction === undefined ? 'I' : connection.transaction.failed ? 'E' : 'T');
     if (word === 'CLOSE') return connection.socket.end();
+    // A member that is cut off from the cores gets nothing of theirs, and they get nothing of it. They open connections as tenant `-`.
+    if (member.isCutOff && (connection.isOpen ? connection.tenant : rest.split(' ')[1]) === '-') return undefined;
     if (!connection.isOpen) {
       const [service, tenant, id] = rest.split(' ');
       if (word !== 'OPEN' || service !== name || (id !== undefined && id !== member.id)) {
@@ -269,9 +271,13 @@
     // An answer that is lost because the member or the connection has ended.
     if (outcome === undefined || !member.isRunning || connection.isClosed) return undefined;
     if (outcome.code !== undefined && connection.transaction !== undefined) connection.transaction.failed = true;
-    const rows = (outcome.rows ?? []).map((row) => `ROW ${row}${separator}`).join('');
+    for (const row of outcome.rows ?? []) {
+      write(`ROW ${row}${separator}`);
+      if (connection.socket.writableNeedDrain) await new Promise((resolve) => (connection.wake = resolve));
+      if (connection.isClosed) return undefined;
+    }
     const end = outcome.code === undefined ? `DONE ${outcome.stamp}` : `FAULT ${outcome.code} ${member.id}`;
-    return write(`${rows}${end}${separator}IDLE ${state()} ${shown(positionOf(member.log, member.applied))}${separator}`);
+    return write(`${end}${separator}IDLE ${state()} ${shown(positionOf(member.log, member.applied))}${separator}`);
   }
 
   function accept(member, socket) {
@@ -295,9 +301,11 @@
       rest = lines.pop();
       for (const line of lines) work = work.then(() => handle(member, connection, line));
     });
+    socket.on('drain', () => connection.wake?.());
     socket.on('error', () => socket.destroy());
     socket.on('close', () => {
       connection.isClosed = true;
+      connection.wake?.();
       connection.transaction = undefined;
       member.connections.delete(connection);
     });
@@ -347,7 +355,7 @@
 
   async function beatUntilGone(member) {
     while (member.isRunning && !member.hasLeft) {
-      if (member.beats) void beat(member);
+      if (member.beatsByItself && !member.isCutOff) void beat(member);
       await sleep(knobs.beatMilliseconds * (0.95 + Math.random() / 10));
     }
   }
@@ -363,7 +371,8 @@
       log,
       applied: log.length,
       receives: true,
-      beats: true,
+      isCutOff: false,
+      beatsByItself: true,
       isRunning: true,
       isDraining: false,
       hasLeft: false,
@@ -430,6 +439,7 @@
     crash,
     leave,
     beat,
+    beatBody,
     promote,
     stop: function stop() {
       clearInterval(replicationTimer);
@@ -442,6 +452,8 @@
 export async function startPlatform({ host, port, databases, record, onPromotion }) {
   const fences = new Map();
   const usage = new Map();
+  let slowFactor = 1;
+  let notify;
   const server = http.createServer((request, response) => {
     const chunks = [];
     request.on('data', (chunk) => chunks.push(chunk));
@@ -470,7 +482,9 @@
     const member = database?.members.get(body.InstanceId);
     if (member === undefined || !member.isRunning) return reply(409);
     if (member === database.primary()) return reply(200);
-    await sleep(database.knobs.promoteMilliseconds);
+    notify?.({ holder, fence, member: member.id });
+    notify = undefined;
+    await sleep(database.knobs.promoteMilliseconds * slowFactor);
     if (!member.isRunning) return reply(409);
     onPromotion?.(database, member);
     database.promote(body.InstanceId);
@@ -480,6 +494,13 @@
   await new Promise((resolve) => server.listen({ host, port }, resolve));
   return {
     usage,
+    /** Calls that arrive within the given time take so many times as long. */
+    slowDown: function slowDown(factor, milliseconds) {
+      slowFactor = factor;
+      setTimeout(() => (slowFactor = 1), milliseconds);
+    },
+    /** Tells of the next promotion that is called for. */
+    onNextPromotion: (listener) => (notify = listener),
     stop: function stop() {
       server.close();
       server.closeAllConnections();
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -192,6 +192,12 @@
     launch(name, role, { ...settings, Bootstrap: false });
   }
 
+  /** Whether a process has ended by itself or by a signal. */
+  function hasEnded(name) {
+    const { child } = processes.get(name);
+    return child.exitCode !== null || child.signalCode !== null;
+  }
+
   async function stop() {
     isStopping = true;
     const ended = [...processes.values()].map(
@@ -214,6 +220,7 @@
     coreNames: coreHosts.map((_, index) => `core-${zones[index % 3]}-${index + 1}`),
     signal,
     restart,
+    hasEnded,
     stop,
   };
 }
