Count the stored replica set of a service, not its members of the moment

Cause: an election asked N - S of the members registered at that moment, but a commit is on S + 1 of the members of its own time. When the replica left, N fell, and the replies of members that never had the commit were enough. The same for a member that is silent for 60 s and for a lowered number of synchronous replicas; the second check (the longest log) had a copy of the count.

Change: the register keeps a replica set for each service whose commits wait for replicas (design 7.15). It grows at once and shrinks only when a member has ended and the primary and S others of those that stay have all that the primary holds; each change is a compare-and-swap on the version its proof was made for. Both checks are one function. An election that waits names the members (log event, status, elections, metric), and accept-loss ends the wait. A draining member with the only copy is promoted if no primary replies.

--- a/packages/acceptance/run.mjs
+++ b/packages/acceptance/run.mjs
@@ -18,6 +18,7 @@
         'build/administration.js',
         'build/connections.js',
         'build/candidacies.js',
+        'build/replica-set-steps.js',
         'build/platform-settings.js',
         'build/guarantees.js',
         'build/product.js',
--- a/packages/acceptance/src/candidacies.ts
+++ b/packages/acceptance/src/candidacies.ts
@@ -3,12 +3,20 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { election, livenessService, type Election, type Liveness, type MemberState } from '@stallstall/election';
+import {
+  election,
+  livenessService,
+  replicaSetKey,
+  replicaSets,
+  type Election,
+  type Liveness,
+  type MemberState,
+} from '@stallstall/election';
 import { quorumLease, quorumLeaseService } from '@stallstall/quorum-lease';
 import { identifiers } from '@stallstall/kernel';
 import { ballotZero, type Entry, type NodeRecord, type ElectedPrimary } from '@stallstall/message';
 import { durableReportsService, registerService, type DurableReports, type CoreSetRegister } from '@stallstall/register';
-import type { PlacementConfiguration } from '@stallstall/placement';
+import type { PlacementConfiguration, ServicePlacement } from '@stallstall/placement';
 import { world as worlds, type World } from '@stallstall/simulator';
 
 /** A write that the stub register accepted. */
@@ -25,6 +33,10 @@
   synchronousReplicas: number;
   /** The position received by each member that replies to STATE; all other members are silent. */
   received: Map<string, number>;
+  draining: Set<string>;
+  /** Members that are in no list of registered members any more. */
+  forgotten: Set<string>;
+  configuredReplicas: number | undefined;
   onWrite: (key: string) => void;
 };
 
@@ -50,9 +62,15 @@
   })) as PlacementConfiguration['services'][number]['members'];
 }
 
-function placementOfStory({ synchronousReplicas }: CandidacyStory): PlacementConfiguration {
+function placementOfStory({ synchronousReplicas, forgotten, draining, configuredReplicas }: CandidacyStory): PlacementConfiguration {
   const count = synchronousReplicas === 0 ? 2 : 3;
-  return { services: [{ service, members: members(count), synchronousReplicas, registered: true }] } as unknown as PlacementConfiguration;
+  const registered = members(count)
+    .filter(({ member }) => !forgotten.has(member))
+    .map((placed) => (draining.has(placed.member) ? { ...placed, state: 'draining' as const } : placed));
+  const replicas = configuredReplicas ?? synchronousReplicas;
+  return {
+    services: [{ service, members: registered, synchronousReplicas: replicas, registered: true }],
+  } as unknown as PlacementConfiguration;
 }
 
 function stubRegister(story: CandidacyStory): CoreSetRegister {
@@ -98,6 +116,7 @@
 async function startCandidate(story: CandidacyStory, synchronousReplicas: number, received: ReadonlyMap<string, number>): Promise<void> {
   const world = worlds.create(71);
   Object.assign(story, { world, values: new Map(), writes: [], promoted: [], synchronousReplicas, received, onWrite: () => undefined });
+  Object.assign(story, { forgotten: new Set(), draining: new Set(), configuredReplicas: undefined });
   const { runtime } = world.spawn('core-1', 'core-machine-1');
   const platform = world.spawn('platform', 'platform-machine');
   await platform.runtime.network.serve(identifiers.address(platformAddress), {
@@ -129,6 +148,7 @@
       }),
       leaseHolders: () => Option.some([]),
       hasReleased: () => true,
+      hasAnnouncedDeparture: () => false,
       onEpochRaised: () => undefined,
       self: 'core-1',
       membership: () => ({ seats: [seat], epochs: {} }),
@@ -154,6 +174,53 @@
   },
 );
 
+Given(
+  'a candidate for {string}, whose commits wait for one of two replicas, of which {word} and {word} reply, both at position {int}',
+  async function given(this: CandidacyStory, _service: string, one: string, other: string, position: number) {
+    await startCandidate(this, 1, new Map([one, other].map((member) => [member, position])));
+  },
+);
+
+When('{word} and {word} are silent and not registered any more', function when(this: CandidacyStory, one: string, other: string) {
+  for (const member of [one, other]) {
+    this.received.delete(member);
+    this.forgotten.add(member);
+  }
+});
+
+When('{word} is draining, at position {int}', function when(this: CandidacyStory, member: string, position: number) {
+  this.draining.add(member);
+  this.received.set(member, position);
+});
+
+When('an operator gives up what the members hold that are not registered any more', function when(this: CandidacyStory) {
+  const key = replicaSetKey(service);
+  const entry = this.values.get(key) as Entry;
+  const placed = placementOfStory(this).services[0] as ServicePlacement;
+  const set = Option.toNullable(replicaSets.parse(Option.some(entry)));
+  assert.ok(set !== null, 'no replica set is stored');
+  this.values.set(key, { ...entry, version: entry.version + 1, value: replicaSets.withoutFormer(set, placed) });
+});
+
+When('{word} leaves and ends', function when(this: CandidacyStory, member: string) {
+  this.received.delete(member);
+  this.forgotten.add(member);
+});
+
+When('the configuration asks for {int} synchronous replicas', function when(this: CandidacyStory, replicas: number) {
+  this.configuredReplicas = replicas;
+});
+
+Then('the election waits for no member', function then(this: CandidacyStory) {
+  assert.equal(this.election.describe()[0]?.['awaited'], '');
+});
+
+Then('the election waits for {string}', function then(this: CandidacyStory, awaited: string) {
+  assert.equal(this.election.describe()[0]?.['awaited'], awaited);
+  const waiting = this.world.logs.filter((line) => line.event === 'election.waiting');
+  assert.equal(waiting.at(-1)?.fields['members'], awaited);
+});
+
 When('{word} replies as well, at position {int}', function when(this: CandidacyStory, member: string, position: number) {
   this.received.set(member, position);
 });
@@ -169,12 +236,15 @@
   },
 );
 
-When("the service's primary is silent for {int} s", async function when(this: CandidacyStory, seconds: number) {
+async function passTime(this: CandidacyStory, seconds: number): Promise<void> {
   for (let elapsed = 0; elapsed < seconds * 1_000; elapsed += stepMilliseconds) {
     this.election.tick();
     await this.world.run(stepMilliseconds);
   }
-});
+}
+
+When("the service's primary is silent for {int} s", passTime);
+When('the candidate waits for {int} s', passTime);
 
 Then('no member was promoted', function then(this: CandidacyStory) {
   assert.deepEqual(this.promoted, []);
--- a/packages/acceptance/src/duties.ts
+++ b/packages/acceptance/src/duties.ts
@@ -209,6 +209,7 @@
         }),
         leaseHolders: () => Option.some([]),
         hasReleased: () => true,
+        hasAnnouncedDeparture: () => false,
         onEpochRaised: () => undefined,
         membership: () => membership,
         membershipVersion: () => 1,
--- a/packages/cli/src/listing-commands.ts
+++ b/packages/cli/src/listing-commands.ts
@@ -12,6 +12,8 @@
   spare: number;
   membership: number;
   configuration: number;
+  /** Services without a primary, with the members that may hold the only copy of a commit; absent from earlier versions' replies. */
+  waiting?: ReadonlyArray<Readonly<{ service: string; awaited: string }>>;
   nodes: readonly Row[];
 }>;
 
@@ -30,6 +32,8 @@
     this.log(
       tables.table(status.nodes, ['node', 'role', 'area', 'heardMilliseconds', 'obeys', 'protocol', 'draining', 'address', 'outward']),
     );
+    for (const { service, awaited } of status.waiting ?? [])
+      this.log(`service ${service} waits for one of these members, which may hold the only copy of an acknowledged commit: ${awaited}`);
     return status;
   }
 }
@@ -64,7 +68,7 @@
 
   async run(): Promise<unknown> {
     const { flags } = await this.parse(Elections);
-    return tables.showPage(this, flags, '/v1/elections', ['service', 'epoch', 'primary', 'voted', 'floor', 'outcome']);
+    return tables.showPage(this, flags, '/v1/elections', ['service', 'epoch', 'primary', 'voted', 'floor', 'outcome', 'awaited']);
   }
 }
 
--- a/packages/core/src/administration/election-routes.ts
+++ b/packages/core/src/administration/election-routes.ts
@@ -1,9 +1,9 @@
 /** Routes for elections: their state, and an operator's consent to losing commits (design 7.5, 7.11). */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { acceptedLossKey } from '@stallstall/election';
+import { acceptedLossKey, replicaSetKey, replicaSets } from '@stallstall/election';
 import { fault, http, type Fault, type HttpReply, type HttpRequest, type HttpRoute } from '@stallstall/kernel';
-import type { DurableWatermark } from '@stallstall/message';
+import type { DurableWatermark, ReplicaSet } from '@stallstall/message';
 import { placements } from '@stallstall/placement';
 import { operators, type Caller } from '../operators.js';
 import type { AdministrationContext } from './administration-context.js';
@@ -52,6 +52,16 @@
   );
 }
 
+/** Takes the members that are not registered any more out of the replica set, so that elections no longer wait for them (design 7.15). */
+async function removeFormerMembers({ register, node }: AdministrationContext, service: string): Promise<Either.Either<Fault, unknown>> {
+  const placement = node.placement();
+  const placed = Option.isSome(placement) ? placements.findService(placement.value, service) : undefined;
+  if (placed === undefined) return Either.right(null);
+  return register.change(replicaSetKey(service), function withoutFormer(current) {
+    return Option.map((set: ReplicaSet) => replicaSets.withoutFormer(set, placed))(replicaSets.parse(current));
+  });
+}
+
 /** Records that the operator accepts losing the commits up to the current durable watermark if their primary never returns. */
 async function acceptLoss(context: AdministrationContext, request: HttpRequest, caller: Caller): Promise<HttpReply> {
   const service = request.query['service'] ?? '';
@@ -62,6 +72,8 @@
   const watermark = watermarks.right[service] ?? zeroWatermark;
   const written = await context.register.change(acceptedLossKey(service), () => Option.some(watermark));
   if (Either.isLeft(written)) return http.faultReply(written.left);
+  const removed = await removeFormerMembers(context, service);
+  if (Either.isLeft(removed)) return http.faultReply(removed.left);
   await context.operators.recordAction(caller.operator, 'accept-loss', `${service} up to ${formatWatermark(watermark)}`);
   return { status: 200, body: { service, floor: watermark } };
 }
--- a/packages/core/src/administration/fleet-view.ts
+++ b/packages/core/src/administration/fleet-view.ts
@@ -48,6 +48,14 @@
   };
 }
 
+/** Services that this core cannot elect a primary for until one of the members returns that may hold the only copy of a commit. */
+function waitingElections({ elections }: AdministrationContext): readonly Row[] {
+  return elections
+    .describe()
+    .filter((row) => row['awaited'] !== '')
+    .map((row) => ({ service: row['service'], awaited: row['awaited'] }));
+}
+
 /** The field names are those of the administration API. */
 function fleetStatus(context: AdministrationContext): Row {
   const { node, parts } = context;
@@ -65,6 +73,7 @@
     quorum: quorum.majority(seats.length),
     heard: reachable,
     spare: reachable - quorum.majority(seats.length),
+    waiting: waitingElections(context),
     nodes: seats.map((record) => nodeRow(context, record, appliedVersions)),
   };
 }
@@ -97,4 +106,4 @@
 }
 
 /** @internal */
-export const fleetView = { reachableNodes, appliedVersion, fleetStatus, memberRows } as const;
+export const fleetView = { reachableNodes, appliedVersion, waitingElections, fleetStatus, memberRows } as const;
--- a/packages/core/src/administration/health-routes.ts
+++ b/packages/core/src/administration/health-routes.ts
@@ -3,6 +3,7 @@
 import { http, type HttpReply, type HttpRequest, type HttpRoute } from '@stallstall/kernel';
 import type { AdministrationContext } from './administration-context.js';
 import { authorized } from './authorization.js';
+import { fleetView } from './fleet-view.js';
 import { healthChecks } from './health-checks.js';
 import { pageOf } from './pagination.js';
 
@@ -18,7 +19,8 @@
   return { status: isHealthy ? 200 : 503, body: { core: context.node.settings.node, checks } };
 }
 
-async function metrics({ parts, node }: AdministrationContext): Promise<HttpReply> {
+async function metrics(context: AdministrationContext): Promise<HttpReply> {
+  const { parts, node } = context;
   return {
     status: 200,
     body: {
@@ -26,6 +28,7 @@
       nodes: node.reportedEpochs().length,
       configuration: parts.versionOf('configuration'),
       membership: node.membership().version,
+      electionsWaiting: fleetView.waitingElections(context).length,
     },
   };
 }
--- a/packages/core/src/core-node.ts
+++ b/packages/core/src/core-node.ts
@@ -34,6 +34,7 @@
     leaseHolders: () => (Option.isSome(context.registration) ? context.registration.value.grantor.leaseHolders() : Option.none),
     hasReleased: (service, epoch, holders) =>
       Option.isSome(context.registration) && context.registration.value.grantor.hasReleased(service, epoch, holders),
+    hasAnnouncedDeparture: (member) => Option.isSome(context.registration) && context.registration.value.hasAnnouncedDeparture(member),
     onEpochRaised: events.notifyLeaseHolders,
     observeCoreSet: (set) => (Option.isSome(context.coreSet) ? context.coreSet.value.observe(set) : undefined),
   };
--- a/packages/core/src/member-registration.ts
+++ b/packages/core/src/member-registration.ts
@@ -37,6 +37,8 @@
    * Merges heartbeats that another core received; resolves to true once any that report a draining or departed member are synced to disk.
    */
   mergeHeartbeats: (heartbeats: readonly ReceivedHeartbeat[]) => Promise<boolean>;
+  /** See `MemberRegistry.hasAnnouncedDeparture`. */
+  hasAnnouncedDeparture: (member: string) => boolean;
   start: () => void;
   stop: () => void;
 }>;
@@ -161,6 +163,7 @@
     heartbeat: (registration) => heartbeat(state, registration),
     leave: (member) => leave(state, member),
     mergeHeartbeats: (heartbeats) => mergeHeartbeats(state, heartbeats),
+    hasAnnouncedDeparture: state.registry.hasAnnouncedDeparture,
     start: () => start(state),
     stop: () => stop(state),
   };
--- a/packages/election/src/candidacy.ts
+++ b/packages/election/src/candidacy.ts
@@ -9,6 +9,7 @@
 import type { ServicePlacement } from '@stallstall/placement';
 import { leaseMarginMilliseconds, leaseTermMilliseconds } from '@stallstall/quorum-lease';
 import { candidates, type Candidate } from './candidates.js';
+import { commitCoverage } from './commit-coverage.js';
 import { durableWatermark } from './durable-watermark.js';
 import type { ElectionServices } from './election-services.js';
 import { promotions } from './promotion.js';
@@ -78,20 +79,30 @@
   return Option.none;
 }
 
+/** Records for operators, and logs once, which members an election waits for. */
+function recordAwaitedMembers({ runtime, epochs }: ElectionServices, service: string, awaited: readonly string[]): void {
+  const state = epochs.stateOf(service);
+  const isChanged = awaited.join(' ') !== state.awaitedMembers.join(' ');
+  state.awaitedMembers = awaited;
+  if (isChanged && awaited.length > 0) runtime.log('election.waiting', { service, members: awaited.join(' ') });
+}
+
 /** The member to propose, or the reason why there is none. */
 async function chooseCandidate(
   services: ElectionServices,
   service: ServicePlacement,
 ): Promise<Either.Either<string, Readonly<{ candidate: Candidate; highestEpoch: number }>>> {
+  const electorate = await commitCoverage.readElectorate(services, service);
+  if (Option.isNone(electorate)) return Either.left('the replica set cannot be read: no majority of cores replies');
   const [members, watermark] = await Promise.all([
-    candidates.readStates(services, service),
+    candidates.readStates(services, service.service, electorate.value),
     durableWatermark.read(services, service.service),
   ]);
   if (Option.isNone(watermark)) return Either.left('the watermark of acknowledged commits cannot be read: no majority of cores replies');
-  if (!candidates.coverAllCommits(services, service, members)) {
-    return Either.left('too few members replied to STATE: an acknowledged commit may be only on members that did not reply');
-  }
-  const chosen = candidates.choose(services, service, members, watermark.value);
+  const awaited = commitCoverage.awaitedMembers(electorate.value, members);
+  recordAwaitedMembers(services, service.service, awaited);
+  if (awaited.length > 0) return Either.left(`an acknowledged commit may be only on members that did not reply: ${awaited.join(', ')}`);
+  const chosen = candidates.choose(services, service, { electorate: electorate.value, replies: members, watermark: watermark.value });
   if (Option.isNone(chosen)) return Either.left('no eligible replica: each is unreachable, not serving or lacks acknowledged writes');
   const highestEpoch = Math.max(services.epochs.currentEpoch(service.service), ...members.map(({ state }) => state.epoch));
   return Either.right({ candidate: chosen.value, highestEpoch });
--- a/packages/election/src/candidates.ts
+++ b/packages/election/src/candidates.ts
@@ -4,8 +4,10 @@
 import type { DurableWatermark } from '@stallstall/message';
 import type { MemberPlacement, ServicePlacement } from '@stallstall/placement';
 import { durableWatermark } from './durable-watermark.js';
+import { commitCoverage } from './commit-coverage.js';
 import { livePrimaryOf, type ElectionServices } from './election-services.js';
 import type { MemberState } from './member-state.js';
+import { replicaSets, type Electorate } from './replica-set.js';
 
 /** A member that replied to STATE. @internal */
 export type Candidate = Readonly<{ placement: MemberPlacement; state: MemberState }>;
@@ -17,55 +19,67 @@
  * lowest id.
  */
 function byMostReceived(left: Candidate, right: Candidate): number {
-  if (left.state.epoch !== right.state.epoch) return right.state.epoch - left.state.epoch;
-  if (left.state.received !== right.state.received) return right.state.received - left.state.received;
+  const order = replicaSets.compareLogs(right.state, left.state);
+  if (order !== 0) return order;
   if (left.state.role !== right.state.role) return left.state.role === 'primary' ? -1 : 1;
   return left.placement.member < right.placement.member ? -1 : 1;
 }
 
-/** The members of a service that reply to STATE within the time limit of a probe. */
-async function readStates({ liveness }: ElectionServices, service: ServicePlacement): Promise<readonly Candidate[]> {
+/** Those of the members that reply to STATE within the time limit of a probe. */
+async function readStates(
+  { liveness }: ElectionServices,
+  service: string,
+  { members }: Pick<Electorate, 'members'>,
+): Promise<readonly Candidate[]> {
   const replies = await Promise.all(
-    service.members.map(async function readState(member): Promise<readonly Candidate[]> {
-      const probed = await liveness.probe(member.member, member.address, probeTimeoutMilliseconds, service.service);
+    members.map(async function readState(member): Promise<readonly Candidate[]> {
+      const probed = await liveness.probe(member.member, member.address, probeTimeoutMilliseconds, service);
       return Either.isRight(probed) ? [{ placement: member, state: probed.right.state }] : [];
     }),
   );
   return replies.flat();
 }
 
-/** The eligible member with the longest log; none if no member is eligible. While the primary is alive, only it is eligible. */
-function choose(
+/** What a candidate is chosen from: the members to ask, their replies, and the watermark of acknowledged commits. @internal */
+export type CandidateChoice = Readonly<{ electorate: Electorate; replies: readonly Candidate[]; watermark: DurableWatermark }>;
+
+/** Whether a member may be primary, apart from whether it is draining. While the primary is alive, only the primary may. */
+function isEligible(
   services: ElectionServices,
   service: ServicePlacement,
-  candidates: readonly Candidate[],
+  { placement, state }: Candidate,
   watermark: DurableWatermark,
-): Option.Option<Candidate> {
+): boolean {
   const { context, epochs } = services;
   const primary = livePrimaryOf(services, service);
-  const electedEpoch = epochs.electedEpoch(service.service);
-  const eligible = candidates.filter(
-    ({ placement, state }) =>
-      placement.state === 'serving' &&
-      (primary === undefined || placement.member === primary.member) &&
-      (Option.isSome(context.platformCalls) || state.epoch >= electedEpoch) &&
-      durableWatermark.isReachedBy(state, watermark),
+  return (
+    service.members.some(({ member }) => member === placement.member) &&
+    (primary === undefined || placement.member === primary.member) &&
+    (Option.isSome(context.platformCalls) || state.epoch >= epochs.electedEpoch(service.service)) &&
+    durableWatermark.isReachedBy(state, watermark)
   );
-  return Option.fromNullable(mostReceived(eligible));
-}
-
-function mostReceived(candidates: readonly Candidate[]): Candidate | undefined {
-  return [...candidates].sort(byMostReceived)[0];
 }
 
 /**
- * Whether every acknowledged commit is on at least one of these members. An acknowledged commit is on the primary and on S synchronous
- * replicas, S being set in the configuration. Of N members, any N - S therefore include one that has it (design 7.5).
+ * The eligible member with the longest log; none if no member is eligible. A draining member is chosen only if no primary replies and no
+ * other member has its commits: it hands them over as primary before it ends.
  */
-function coverAllCommits({ context }: ElectionServices, service: ServicePlacement, candidates: readonly Candidate[]): boolean {
-  if (Option.isNone(context.platformCalls) || service.synchronousReplicas === 0) return true;
-  return candidates.length >= service.members.length - service.synchronousReplicas;
+function choose(
+  services: ElectionServices,
+  service: ServicePlacement,
+  { electorate, replies, watermark }: CandidateChoice,
+): Option.Option<Candidate> {
+  const eligible = replies.filter((reply) => isEligible(services, service, reply, watermark));
+  const serving = mostReceived(eligible.filter(({ placement }) => placement.state === 'serving'));
+  const hasPrimary = replies.some(({ state }) => state.role === 'primary');
+  if (hasPrimary || commitCoverage.hasLongestLog(electorate, replies, serving)) return Option.fromNullable(serving);
+  const furthest = mostReceived(eligible);
+  return Option.fromNullable(commitCoverage.hasLongestLog(electorate, replies, furthest) ? furthest : serving);
+}
+
+function mostReceived(candidates: readonly Candidate[]): Candidate | undefined {
+  return [...candidates].sort(byMostReceived)[0];
 }
 
 /** @internal */
-export const candidates = { probeTimeoutMilliseconds, readStates, choose, mostReceived, coverAllCommits } as const;
+export const candidates = { probeTimeoutMilliseconds, readStates, choose } as const;
--- a/packages/election/src/election-context.ts
+++ b/packages/election/src/election-context.ts
@@ -16,6 +16,8 @@
   leaseHolders: () => Option.Option<readonly string[]>;
   /** Whether all these edges have reported that they have nothing in flight below an epoch (design 7.12). */
   hasReleased: (service: string, epoch: number, leaseHolders: readonly string[]) => boolean;
+  /** Whether a member has announced its departure, which is final, to this core. */
+  hasAnnouncedDeparture: (member: string) => boolean;
   /** Called each time this node votes, which raises its epoch. */
   onEpochRaised: () => void;
   membership: () => Membership;
--- a/packages/election/src/election.ts
+++ b/packages/election/src/election.ts
@@ -11,6 +11,7 @@
 import { primaryOf, type ElectionServices } from './election-services.js';
 import { downAfterMilliseconds, livenessService } from './liveness.js';
 import { proposals } from './proposals.js';
+import { replicaSetKeeper, type ReplicaSetKeeper } from './replica-set-keeper.js';
 import { serviceEpochs, type ServiceState } from './service-epochs.js';
 import { electionTimeoutMilliseconds } from './vote-collection.js';
 import type { VoteStore } from './vote.js';
@@ -26,7 +27,12 @@
   describe: () => ReadonlyArray<Readonly<Record<string, string | number>>>;
 }>;
 
-type ElectionSchedule = Readonly<{ services: ElectionServices; lease: QuorumLease; runner: CandidacyRunner }>;
+type ElectionSchedule = Readonly<{
+  services: ElectionServices;
+  lease: QuorumLease;
+  runner: CandidacyRunner;
+  keeper: ReplicaSetKeeper;
+}>;
 
 /** How long after a vote no new candidacy starts while no primary has been elected for its epoch. Unit: milliseconds. */
 const pendingTimeoutMilliseconds = leaseTermMilliseconds + leaseMarginMilliseconds + electionTimeoutMilliseconds;
@@ -94,6 +100,7 @@
   if (state.isCandidate) return;
   if (!isCandidacyDue(services, service, state)) {
     state.candidacyStartsAt = Option.none;
+    state.awaitedMembers = [];
     return;
   }
   const now = services.runtime.clock.now();
@@ -114,6 +121,7 @@
       primary: Option.isSome(elected) ? elected.value.primary : '',
       voted: epochs.votedEpoch(service),
       outcome: state.lastOutcome,
+      awaited: state.awaitedMembers.join(' '),
     };
   });
 }
@@ -131,6 +139,7 @@
     services,
     lease: runtime.services.find(quorumLeaseService),
     runner: candidacyRunner.create(services),
+    keeper: replicaSetKeeper.create(services),
   };
   return {
     handleProposal: (request) => proposals.handle(services, request),
@@ -140,7 +149,10 @@
     tick: function tick() {
       const placement = context.placement();
       if (Option.isNone(placement)) return;
-      for (const service of placement.value.services) tickService(schedule, service);
+      for (const service of placement.value.services) {
+        schedule.keeper.tick(service);
+        tickService(schedule, service);
+      }
     },
     describe: () => describe(services),
   };
--- a/packages/election/src/index.ts
+++ b/packages/election/src/index.ts
@@ -6,4 +6,6 @@
 export * from './platform-calls.js';
 export * from './election-context.js';
 export * from './election.js';
+export { replicaSetKey, replicaSets, type Electorate, type ReplicaSetObservation } from './replica-set.js';
+export { commitCoverage } from './commit-coverage.js';
 export { acceptedLossKey } from './durable-watermark.js';
--- a/packages/election/src/member-state.ts
+++ b/packages/election/src/member-state.ts
@@ -21,7 +21,8 @@
 /** Reads the state of members that do not implement this product's own HTTP API. */
 export type MemberProbe = Readonly<{
   /**
-   * Requests a member's STATE. Errors: `not-listening` when the member's machine refuses the connection, and the errors of the connection.
+   * Requests a member's STATE. Errors: `not-listening` when the member's machine refuses the connection, `departed` when another member
+   * answers at the address, and the errors of the connection.
    */
   readState: (service: string, member: string, address: string, timeoutMilliseconds: number) => Promise<Either.Either<Fault, MemberState>>;
   /** Opens the connection if it is not open, and sends no request: a request costs the member work, an idle connection does not. */
--- a/packages/election/src/proposals.ts
+++ b/packages/election/src/proposals.ts
@@ -1,8 +1,14 @@
 /** The voting side of an election: whether this node accepts a proposed primary (design 7.2). */
 import * as Option from 'fp-ts/lib/Option.js';
 import type { Reply, Request } from '@stallstall/message';
+import type { MemberPlacement, ServicePlacement } from '@stallstall/placement';
 import { livePrimaryOf, placementOf, type ElectionServices } from './election-services.js';
 
+/** A draining member may be primary only where commits wait for replicas: it may then have the only copy of one (design 7.15). */
+function mayBePrimary({ context }: ElectionServices, service: ServicePlacement, candidate: MemberPlacement): boolean {
+  return candidate.state === 'serving' || (Option.isSome(context.platformCalls) && service.synchronousReplicas > 0);
+}
+
 /** Why this node rejects a proposal; none if it accepts it. */
 function rejectionReason(services: ElectionServices, request: Request<'propose'>): Option.Option<string> {
   const { context, epochs } = services;
@@ -14,7 +20,7 @@
   if (request.epoch <= epochs.electedEpoch(request.service)) return Option.some('a primary was already elected at this or a later epoch');
   if (request.epoch <= epochs.votedEpoch(request.service)) return Option.some('this node already voted for this or a later epoch');
   const candidate = service.members.find((member) => member.member === request.candidate);
-  if (candidate === undefined || candidate.state !== 'serving') return Option.some('the candidate is not serving');
+  if (candidate === undefined || !mayBePrimary(services, service, candidate)) return Option.some('the candidate is not serving');
   const primary = livePrimaryOf(services, service);
   if (primary !== undefined && primary.member !== request.candidate) return Option.some('the primary is alive');
   return Option.none;
--- a/packages/election/src/service-epochs.ts
+++ b/packages/election/src/service-epochs.ts
@@ -17,6 +17,8 @@
   /** When this node's next candidacy starts; none while no candidacy is due. */
   candidacyStartsAt: Option.Option<Instant>;
   isCandidate: boolean;
+  /** Members that may hold the only copy of an acknowledged commit and did not reply to this node's last candidacy. */
+  awaitedMembers: readonly string[];
   /** The outcome of this node's last candidacy, for operators. */
   lastOutcome: string;
 };
@@ -48,6 +50,7 @@
     trackedSince: now,
     candidacyStartsAt: Option.none,
     isCandidate: false,
+    awaitedMembers: [],
     lastOutcome: 'none yet',
   };
 }
--- a/packages/election/src/succession-wait.ts
+++ b/packages/election/src/succession-wait.ts
@@ -4,6 +4,7 @@
 import type { ServicePlacement } from '@stallstall/placement';
 import { leaseMarginMilliseconds, leaseTermMilliseconds } from '@stallstall/quorum-lease';
 import { candidates, type Candidate } from './candidates.js';
+import { commitCoverage } from './commit-coverage.js';
 import { durableWatermark } from './durable-watermark.js';
 import { primaryOf, type ElectionServices } from './election-services.js';
 import type { Majority } from './vote-collection.js';
@@ -31,27 +32,6 @@
   }
 }
 
-/**
- * Whether the candidate's log is as long as any that a member has reported. Where replicas are synchronous and enough members have replied,
- * the longest log contains every acknowledged commit.
- */
-function hasLongestLog(
-  services: ElectionServices,
-  service: ServicePlacement,
-  members: readonly Candidate[],
-  candidate: Candidate | undefined,
-): boolean {
-  if (Option.isNone(services.context.platformCalls) || service.synchronousReplicas === 0) return true;
-  const furthest = candidates.mostReceived(members);
-  if (furthest === undefined) return true;
-  return (
-    candidates.coverAllCommits(services, service, members) &&
-    candidate !== undefined &&
-    candidate.state.epoch === furthest.state.epoch &&
-    candidate.state.received >= furthest.state.received
-  );
-}
-
 /** Whether the candidate has every commit that may have been acknowledged under the older epoch. */
 async function isCaughtUp(
   services: ElectionServices,
@@ -59,13 +39,15 @@
   chosen: Candidate,
   formerPrimaryId?: string,
 ): Promise<boolean> {
+  const electorate = await commitCoverage.readElectorate(services, service);
+  if (Option.isNone(electorate)) return false;
   const [members, watermark] = await Promise.all([
-    candidates.readStates(services, service),
+    candidates.readStates(services, service.service, electorate.value),
     durableWatermark.read(services, service.service),
   ]);
   const candidate = members.find((member) => member.placement.member === chosen.placement.member);
   if (candidate === undefined || Option.isNone(watermark)) return false;
-  if (!hasLongestLog(services, service, members, candidate)) return false;
+  if (!commitCoverage.hasLongestLog(electorate.value, members, candidate)) return false;
   const formerPrimary = members.find((member) => member.placement.member === formerPrimaryId && member.state.epoch === chosen.state.epoch);
   const requiredPosition = formerPrimary === undefined || formerPrimary === candidate ? 0 : formerPrimary.state.received;
   return durableWatermark.isReachedBy(candidate.state, watermark.value) && candidate.state.received >= requiredPosition;
--- a/packages/member-registry/src/member-registry.ts
+++ b/packages/member-registry/src/member-registry.ts
@@ -25,6 +25,8 @@
   version: () => number;
   changedSince: (version: number) => readonly MemberRecord[];
   recordOf: (member: string) => Option.Option<MemberRecord>;
+  /** Whether the member has announced its departure to this core since the process started. */
+  hasAnnouncedDeparture: (member: string) => boolean;
   membersOf: (service: string) => readonly MemberPlacement[];
   /** Updates which members are down, marks long silent members as gone and removes old records of gone members. Called periodically. */
   sweep: () => void;
@@ -44,6 +46,8 @@
   readonly members: Map<string, RegisteredMember>;
   /** Members whose records are to be sent to the other cores, and when this core received their heartbeat or departure. */
   readonly unsent: Map<string, Instant>;
+  /** Members that announced their departure to this core itself. */
+  readonly announcedDepartures: Set<string>;
   version: number;
 };
 
@@ -91,8 +95,9 @@
 }
 
 function recordDeparture(registry: RegistryState, member: string): void {
-  const { runtime, members, unsent } = registry;
+  const { runtime, members, unsent, announcedDepartures } = registry;
   const previous = members.get(member);
+  announcedDepartures.add(member);
   if (previous?.hasLeft === true) return;
   setRecord(registry, { ...(previous?.record ?? unknownMember(member)), gone: true }, runtime.clock.now(), true);
   unsent.set(member, runtime.clock.now());
@@ -129,6 +134,7 @@
   const silentMilliseconds = now - registered.receivedAt;
   if (registered.record.gone && silentMilliseconds > goneRetentionMilliseconds) {
     members.delete(member);
+    registry.announcedDepartures.delete(member);
     return;
   }
   if (!registered.record.gone && silentMilliseconds > silentUntilGoneMilliseconds) {
@@ -171,6 +177,7 @@
     onChange,
     members: new Map(),
     unsent: new Map(),
+    announcedDepartures: new Set(),
     version: 0,
   };
   return {
@@ -188,6 +195,7 @@
     },
     recordOf: (member) =>
       Option.map((registered: RegisteredMember) => registered.record)(Option.fromNullable(registry.members.get(member))),
+    hasAnnouncedDeparture: (member) => registry.announcedDepartures.has(member),
     membersOf: (service) => membersOf(registry, service),
     sweep: () => sweep(registry),
   };
--- a/packages/message/src/index.ts
+++ b/packages/message/src/index.ts
@@ -23,6 +23,7 @@
 } from './membership.js';
 export { messages, type MessageKind, type Reply, type Request } from './messages.js';
 export type { ValueDifference } from './register-messages.js';
+export { ReplicaSetSchema, type ReplicaSet, type ReplicaSetMember } from './replica-sets.js';
 export type { UsageReport } from './usage-reports.js';
 export {
   DurableWatermarkSchema,
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -14,6 +14,8 @@
   leaseHolders: () => Option.Option<readonly string[]>;
   /** See `ElectionContext.hasReleased`. */
   hasReleased: (service: string, epoch: number, leaseHolders: readonly string[]) => boolean;
+  /** See `ElectionContext.hasAnnouncedDeparture`. */
+  hasAnnouncedDeparture: (member: string) => boolean;
   /** Called after this node has voted for a later epoch. */
   onEpochRaised: () => void;
   /** Called when another node reports a newer core set (design 4.8). */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,6 +4,7 @@
 import { fault, identifiers, runtimeUtilities, type Fault, type HttpRoute, type Instant, type Runtime } from '@stallstall/kernel';
 import type { Change, CoreSet, ElectedPrimary, Membership, Reply, NodeRecord } from '@stallstall/message';
 import type { Handlers, Peer } from '@stallstall/peer';
+import type { PlacementConfiguration } from '@stallstall/placement';
 import { quorum } from '@stallstall/quorum';
 import { quorumLease, quorumLeaseService, type QuorumLease } from '@stallstall/quorum-lease';
 import type { DurableReports } from '@stallstall/register';
@@ -32,6 +33,8 @@
   handlers: Handlers;
   routes: readonly HttpRoute[];
   configuration: () => Option.Option<AppliedValue<Configuration>>;
+  /** The placement of the applied configuration, with the registered members. */
+  placement: () => Option.Option<PlacementConfiguration>;
   membership: () => AppliedValue<Membership>;
   electedPrimary: (service: string) => Option.Option<ElectedPrimary>;
   /** One lease term after a majority of cores last confirmed that nothing newer than the applied versions is acknowledged. */
@@ -215,6 +218,7 @@
       platformCalls: Option.isSome(registration) ? Option.some(registration.value.calls) : Option.none,
       leaseHolders: () => (Option.isSome(registration) ? registration.value.leaseHolders() : Option.none),
       hasReleased: (service, epoch, holders) => Option.isSome(registration) && registration.value.hasReleased(service, epoch, holders),
+      hasAnnouncedDeparture: (member) => Option.isSome(registration) && registration.value.hasAnnouncedDeparture(member),
       onEpochRaised: () => (Option.isSome(registration) ? registration.value.onEpochRaised() : undefined),
       membership: () => applied.membership().value,
       membershipVersion: () => applied.membership().version,
@@ -337,6 +341,7 @@
     handlers: handlersOf(assembly),
     routes: memberRoutes.create(settings.node, assembly.members, applied.placement),
     configuration: applied.configuration,
+    placement: applied.placement,
     membership: applied.membership,
     electedPrimary: applied.electedPrimary,
     configurationLeaseUntil: watch.configurationLeaseUntil,
--- a/packages/session-protocol/src/member-prober.ts
+++ b/packages/session-protocol/src/member-prober.ts
@@ -11,7 +11,7 @@
    * Errors: those of `memberConnection.open`.
    */
   ensureConnection: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, null>>;
-  /** Errors: `reply-lost`, `overloaded` when the member does not return a valid STATE, and those of `memberConnection.open`. */
+  /** Errors: `reply-lost`, `departed` when another member answers at the address, `overloaded` when the member does not return a valid STATE, and those of `memberConnection.open`. */
   readStatus: (service: string, member: string, address: string, milliseconds: number) => Promise<Either.Either<Fault, MemberStatus>>;
 }>;
 
@@ -30,6 +30,20 @@
   return Either.left(fault.create({ kind: 'unreachable', message: reason, remedy }));
 }
 
+function isOtherMember(failure: Fault): boolean {
+  const condition = memberConnection.conditionOf(failure);
+  return Option.isSome(condition) && condition.value === 'wrong-member';
+}
+
+/** Another member answers at the address: addresses are reused after a member has ended (design 8.10). */
+function replaced({ member, address }: MemberAddress): Fault {
+  return fault.create({
+    kind: 'departed',
+    message: `another member answers at ${address}, the address of ${member}`,
+    remedy: 'no action is needed if the member was replaced',
+  });
+}
+
 function stateReplyLost(member: string): Fault {
   return fault.create({
     kind: 'reply-lost',
@@ -56,7 +70,7 @@
   const opened = await memberConnection.open(runtime, dialect, place, tenant, milliseconds);
   const isStillNeeded = opening.get(member)?.address === address;
   if (isStillNeeded) opening.delete(member);
-  if (Either.isLeft(opened)) return opened;
+  if (Either.isLeft(opened)) return isOtherMember(opened.left) ? Either.left(replaced(place)) : opened;
   if (!isStillNeeded) {
     opened.right.close();
     return unreachable(`the address of ${member} changed while connecting`, 'retry');
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -674,10 +674,26 @@
   {
     name: 'promoted-with-too-few-replies',
     story: 'Where commits wait for a replica',
-    file: 'election/build/candidates.js',
-    from: 'candidates.length >= service.members.length - service.synchronousReplicas',
+    file: 'election/build/replica-set.js',
+    from: 'missing(voters, replied).length <= voters.synchronousReplicas',
     to: 'true',
   },
+  {
+    name: 'only-registered-members-counted',
+    story: 'A replica that leaves while the primary is down',
+    expect: 'lost',
+    only: ['replica-left-primary-crashed'],
+    file: 'election/build/replica-set.js',
+    from: 'if (Option.isNone(stored))',
+    to: 'if (true)',
+  },
+  {
+    name: 'ended-members-removed-without-a-proof',
+    story: 'No promotion loses an acknowledged commit where one replica confirms each',
+    file: 'election/build/replica-set.js',
+    from: 'return isHeldByEnough ?',
+    to: 'return true ?',
+  },
   {
     name: 'marks-moved-past-strangers',
     story: 'A core that just became an active voter',
--- a/packages/simulator/src/faults/members.ts
+++ b/packages/simulator/src/faults/members.ts
@@ -16,6 +16,11 @@
 import { between, pick } from '../draws.js';
 
 const freshMemberMilliseconds = 1_000;
+/** A draining stand-in leaves so long after it began to drain. */
+const leaveMilliseconds = 8_000;
+/** The primary crashes so long before the replica leaves, and the other replicas receive nothing for a while before that. */
+const crashLeadMilliseconds = 400;
+const deafMilliseconds = 600;
 
 /** From all cores, or from all members as well. */
 function cutPrimary(fleet: PooledFleet, storm: PooledStorm): void {
@@ -153,6 +158,35 @@
   else slot.running.knobs.loseCommits += 4;
 }
 
+/**
+ * A replica that confirms the last commits leaves as planned while the primary is down, and the others received none of them: only the primary
+ * has them until it returns.
+ */
+async function leaveWhilePrimaryIsDown(fleet: PooledFleet, storm: PooledStorm): Promise<false | void> {
+  const leaving = runningReplica(fleet);
+  const primary = leaving === undefined ? undefined : fleet.primaryOf(leaving.service);
+  if (leaving?.running === undefined || primary?.process?.alive() !== true || Option.isSome(leaving.running.drainingSince())) return false;
+  await drainMember(fleet, storm, leaving);
+  fleet.world.schedule(leaveMilliseconds - deafMilliseconds - crashLeadMilliseconds, function makeDeaf() {
+    for (const slot of fleet.members) {
+      if (slot.service !== leaving.service || slot === leaving || slot.running === undefined || slot.store.role !== 'replica') continue;
+      const { knobs } = slot.running;
+      knobs.deaf = true;
+      fleet.world.schedule(deafMilliseconds + crashLeadMilliseconds, function hear() {
+        knobs.deaf = false;
+      });
+    }
+  });
+  fleet.world.schedule(leaveMilliseconds - crashLeadMilliseconds, function crash() {
+    if (primary.process?.alive() !== true) return;
+    const milliseconds = between(fleet, 7_000, 10_000);
+    trouble(fleet, storm, 'member', milliseconds);
+    fleet.stopMember(primary);
+    startMemberLater(fleet, storm, primary, milliseconds);
+  });
+  return undefined;
+}
+
 /** A replica that lacks the last commits, and then the primary is gone. */
 function crashBehindDeaf(fleet: PooledFleet, storm: PooledStorm): void {
   deafReplica(fleet, storm);
@@ -236,6 +270,7 @@
   { name: 'replicas-lagging', run: lagReplicas },
   { name: 'primary-crashed-replica-deaf', run: crashBehindDeaf },
   { name: 'service-crashed', run: crashService },
+  { name: 'replica-left-primary-crashed', run: leaveWhilePrimaryIsDown },
   { name: 'replica-lost-for-good', run: loseForGood },
   { name: 'replies-lost', run: loseReplies },
 ];
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -1,3 +1,4 @@
+export * from './replica-set-model.js';
 export * from './world.js';
 export * from './fleet.js';
 export * from './core-fleet.js';
