Answer every statement that was read during a graceful shutdown

Cause: a session was closed only after 150 ms of rest, so one in steady use never was; and at the end the connections to members and those of clients were closed in the same turn, before the outcomes that follow from the former were written, and what waited was not looked at. The HTTP proxy stopped in the same way with requests in flight.

Change: sessions are closed in turn over 1.5 s, those in steady use together with a reply after which nothing is open. 0.8 s before the end nothing is sent any more and what waits gets a promise; 0.5 s before it the connections in use are reset, which answers what was at members with the known outcome; then the process waits until its buffers are empty. The HTTP proxy answers what is in flight 0.4 s before its end. A session that is receiving a message does not count as idle.

--- a/packages/acceptance/features/leaving.feature
+++ b/packages/acceptance/features/leaving.feature
@@ -45,3 +45,9 @@
     And 8 s pass
     Then every statement was served
     And the recorded history is consistent
+
+  # LOST at a planned stop, over HTTP: what a member held when the grace period ended was cut without a reply.
+  Scenario: What a silent member holds is answered before a proxy that shuts down stops
+    Given a fleet of Brightpath with its placement configuration applied and its primaries elected
+    When the primary of "acceptances" goes dark under a write through edge-3 with a limit of 20 s, and the proxy of edge-3 is shut down gracefully
+    Then the write is answered as "outcome-unknown" before the proxy stops
--- a/packages/acceptance/features/pooled.feature
+++ b/packages/acceptance/features/pooled.feature
@@ -173,3 +173,26 @@
     And 3 s pass in the pooled fleet
     Then a get in that session fails with "denied"
     And the transaction that was open before was committed
+
+  # LOST at a planned stop: sessions in steady use were all cut half a second before the end of the grace period.
+  Scenario: Sessions in steady use are closed one after the other during a graceful shutdown, and each statement is answered
+    Given a pooled fleet whose members take 55 ms for each statement and admit 14 connections
+    When edge-1 is shut down gracefully while 20 sessions send their next statement 25 to 50 ms after the last reply
+    Then each of their statements was answered
+    And their sessions were closed over at least 1000 ms, at most 5 of them within 100 ms
+
+  # LOST at a planned stop: statements that waited or were at a member when the grace period ended got no reply.
+  Scenario: What is asked until the end of the grace period gets the outcome that is known
+    Given a pooled fleet whose members take 9000 ms for each statement, with time limits of 12 s
+    When edge-1 is shut down gracefully, and these statements are sent meanwhile
+      | sent after | before | statement |
+      | 1000       |        | put x1 a  |
+      | 1000       |        | get x1    |
+      | 3000       | begin  | put x1 b  |
+    Then they are answered with "outcome-unknown, saturated, aborted" within 6000 ms of the start
+
+  # LOST at a planned stop: statements that a client sent without waiting for the reply before.
+  Scenario: Pipelined statements are all answered during a graceful shutdown
+    Given a pooled fleet whose members take 1800 ms for each statement, with time limits of 12 s
+    When edge-1 is shut down gracefully after a client sent 5 statements at once
+    Then all 5 statements are answered
--- a/packages/acceptance/src/planned-change-steps.ts
+++ b/packages/acceptance/src/planned-change-steps.ts
@@ -1,12 +1,15 @@
 /** Steps for planned changes under load: removing an edge, restarting a proxy. */
 import assert from 'node:assert/strict';
 import { Given, When, Then } from '@cucumber/cucumber';
-import { fault } from '@stallstall/kernel';
+import { fault, type HttpReply } from '@stallstall/kernel';
 import { checks } from '@stallstall/simulator';
 import * as Option from 'fp-ts/lib/Option.js';
 import { write } from './fleet-steps.js';
 import { type Story, primary, edgeOf, within } from './story.js';
 
+/** `reply`: to the write that was under way. */
+type ShutdownStory = Story & { reply: HttpReply };
+
 Given('its clients are sending statements', async function given(this: Story) {
   this.clients = this.fleet.startClients();
   await this.fleet.world.run(3_000);
@@ -33,6 +36,29 @@
   });
 });
 
+When(
+  'the primary of {string} goes dark under a write through {word} with a limit of {int} s, and the proxy of {word} is shut down gracefully',
+  async function when(this: ShutdownStory, service: string, name: string, seconds: number, _same: string) {
+    const slot = edgeOf(this, name);
+    const leader = primary(this, service);
+    const body = { kind: 'write', statements: [{ text: 'put tried 1' }], horizonMilliseconds: seconds * 1_000 };
+    const reply = this.fleet.sendRequest(slot, 'POST', `/v1/services/${service}/statements`, body);
+    this.fleet.world.makeUnresponsive(leader.machine);
+    let hasStopped = false;
+    void slot.proxy.running?.drain().then(() => {
+      hasStopped = true;
+    });
+    this.reply = await reply;
+    assert.equal(hasStopped, false, 'the proxy stopped before it answered');
+    await this.fleet.world.run(1_000);
+    assert.ok(hasStopped, 'the proxy did not stop');
+  },
+);
+
+Then('the write is answered as {string} before the proxy stops', function then(this: ShutdownStory, kind: string) {
+  within(this.reply, [kind]);
+});
+
 Then(
   'a write to {string} through {word} is rejected as {string} within {int} ms, with a Retry-After header',
   async function then(this: Story, service: string, edge: string, kind: string, milliseconds: number) {
--- a/packages/bench/soak-mutations.mjs
+++ b/packages/bench/soak-mutations.mjs
@@ -27,7 +27,7 @@
     name: 'planned-end-drops-transactions',
     expect: /planned-end/,
     file: 'pooler/build/draining.js',
-    from: 'while (clock.now() < deadline)',
+    from: 'while (!condition() && clock.now() - beganAt < graceMilliseconds - reservedMilliseconds)',
     to: 'while (false)',
   },
   {
--- a/packages/bench/src/soak/soak-clients.ts
+++ b/packages/bench/src/soak/soak-clients.ts
@@ -18,6 +18,8 @@
 /** An edge that misses so many readings in a row gets no new sessions until it answers again. */
 const missedMost = 2;
 const thinkMilliseconds = 500;
+/** Sessions that are never idle for long, and their pause between two operations. */
+const steady = { sessions: 6, thinkMilliseconds: 30 } as const;
 
 function start({ runtime, ledger, edges, known }: SoakClientParts, sessions: number): Readonly<{ stop: () => void }> {
   const missed = new Map<ClientEdge, number>();
@@ -39,6 +41,7 @@
     {
       sessions,
       thinkMilliseconds,
+      steady,
       longRestMilliseconds: restMilliseconds + 1_200,
       edges: function chosen() {
         const ready = edges.filter((edge) => (missed.get(edge) ?? 0) < missedMost);
--- a/packages/fakes/src/session-client.ts
+++ b/packages/fakes/src/session-client.ts
@@ -12,6 +12,8 @@
   sessions: number;
   /** Between two operations of a session. */
   thinkMilliseconds: number;
+  /** Sessions beside these that are in steady use: they rest much shorter between operations. */
+  steady?: Readonly<{ sessions: number; thinkMilliseconds: number }>;
   edges: () => ReadonlyArray<Readonly<{ edge: string; address: string }>>;
   /** Asked at every opening. */
   databases: () => readonly SessionDatabase[];
@@ -97,7 +99,11 @@
     },
     longRestMilliseconds: settings.longRestMilliseconds,
   };
-  for (let index = 0; index < settings.sessions; index += 1) void runSessions({ parts, settings, stopped: () => stopped });
+  function run(count: number, ofThese: SessionClientSettings): void {
+    for (let index = 0; index < count; index += 1) void runSessions({ parts, settings: ofThese, stopped: () => stopped });
+  }
+  run(settings.sessions, settings);
+  if (settings.steady !== undefined) run(settings.steady.sessions, { ...settings, ...settings.steady });
   return {
     stop: function stop() {
       stopped = true;
--- a/packages/kernel/src/runtime.ts
+++ b/packages/kernel/src/runtime.ts
@@ -40,6 +40,8 @@
   /** Resets the connection at once and drops unsent data; the other side sees a connection error. */
   reset: () => void;
   closed: () => boolean;
+  /** Whether everything written so far has been handed to the host's network; a process that ends before loses the rest. */
+  isFlushed: () => boolean;
 }>;
 
 export type HttpRequest = Readonly<{
--- a/packages/pooler/src/client-connection.ts
+++ b/packages/pooler/src/client-connection.ts
@@ -68,18 +68,62 @@
   return true;
 }
 
+/** The input of a stream, read one chunk ahead, so that it is known whether more has arrived. */
+type Input = Readonly<{ read: () => Promise<Option.Option<string>>; hasArrived: () => boolean }>;
+
+function inputOf(stream: Stream): Input {
+  let hasArrived = false;
+  let ahead = readAhead();
+
+  function readAhead(): Promise<Option.Option<string>> {
+    hasArrived = false;
+    const chunk = stream.read();
+    void chunk.then(function onChunk() {
+      hasArrived = true;
+    });
+    return chunk;
+  }
+
+  return {
+    read: async function read() {
+      const chunk = await ahead;
+      if (Option.isSome(chunk)) ahead = readAhead();
+      return chunk;
+    },
+    hasArrived: () => hasArrived,
+  };
+}
+
+/** Whether a message may be the last of an operation: session values and prepared statements come before what uses them. */
+function mayEndOperation(incoming: ClientMessage): boolean {
+  if (incoming.kind !== 'query' || Option.isNone(incoming.command)) return false;
+  const { kind } = incoming.command.value;
+  return kind !== 'set' && kind !== 'prepare' && kind !== 'forget';
+}
+
+/** Whether a shutdown may close the session with the reply to this message: nothing else is asked, and no transaction is open. */
+function mayClose({ clients }: ClientParts, { client }: Connection, input: Input, last: ClientMessage): boolean {
+  if (client === undefined || !clients.isClosedWithReply(client)) return false;
+  return Option.isNone(client.session.transaction) && !input.hasArrived() && mayEndOperation(last);
+}
+
 /** Reads messages until either side closes the connection. */
 async function read(parts: ClientParts, connection: Connection, nextId: () => string): Promise<void> {
-  const { dialect, view } = parts.commands;
+  const { clock, dialect, view } = parts.commands;
   const { stream } = connection;
   const { configuration } = view();
   const framer = dialect.framer(Option.isSome(configuration) ? configuration.value.bounds.messageBytes : defaultMessageBytes);
+  const input = inputOf(stream);
   for (;;) {
-    const chunk = await stream.read();
+    const chunk = await input.read();
     if (Option.isNone(chunk)) return;
+    // A session that is receiving a message is not idle.
+    if (connection.client !== undefined) connection.client.idleSince = clock.now();
     const { messages, oversize } = framer.push(chunk.value);
+    let last: ClientMessage | undefined;
     for (const message of messages) {
       const incoming = dialect.parseRequest(message);
+      last = incoming;
       const { client } = connection;
       const shouldContinue = client === undefined ? open(parts, connection, incoming, nextId) : reply(parts, client, incoming);
       if (!(await shouldContinue)) return;
@@ -88,6 +132,7 @@
       stream.write(dialect.fault('oversize', 'the message exceeds the size limit'));
       return;
     }
+    if (last !== undefined && mayClose(parts, connection, input, last)) return;
   }
 }
 
--- a/packages/pooler/src/connections.ts
+++ b/packages/pooler/src/connections.ts
@@ -27,6 +27,8 @@
   /** Closes connections to removed or moved members and those that have been idle too long. */
   closeStale: (members: ReadonlyMap<string, Readonly<{ address: string }>>) => void;
   describe: () => Readonly<{ idle: number; busy: number; opening: number; opened: number; failed: number }>;
+  /** Resets the connections in use: each statement on them gets the outcome that is known, and the members roll back. */
+  resetBusy: () => void;
   closeAll: () => void;
 }>;
 
@@ -188,6 +190,9 @@
         .map(([member]) => member),
     busyCount: (member) => table.members.get(member)?.inUse.size ?? 0,
     describe: () => describe(table),
+    resetBusy: function resetBusy() {
+      for (const group of table.members.values()) for (const pooled of group.inUse.keys()) pooled.connection.reset();
+    },
     closeAll: function closeAll() {
       for (const group of table.members.values()) memberConnections.closeAll(group);
       table.members.clear();
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -118,7 +118,13 @@
   });
   const commands = { clock: runtime.clock, dialect, view, connections, requests, cachedReplies };
   const serving = clientConnections.create({ commands, clients, stopped: () => lifecycle.stopped });
-  const shutdown = draining.create(runtime.clock, settings.graceMilliseconds, clients);
+  const shutdown = draining.create({
+    clock: runtime.clock,
+    graceMilliseconds: settings.graceMilliseconds,
+    clients,
+    requests,
+    connections,
+  });
 
   function view(): View {
     return feed.view();
--- a/packages/pooler/src/requests.ts
+++ b/packages/pooler/src/requests.ts
@@ -20,6 +20,9 @@
   /** Number of statements in flight to the leader of a service under an epoch below the given one. */
   countSentBelow: (service: string, epoch: number) => number;
   totals: () => Readonly<Record<string, number>>;
+  /** From now on no statement is sent: each waiting or new one is rejected with a promise that nothing of it is kept. */
+  end: () => void;
+  hasEnded: () => boolean;
 }>;
 
 /** Interval at which waiting statements are routed again when nothing else triggers it. */
@@ -100,11 +103,19 @@
   return { run: (record) => exclusively(() => processOne(record)), processWaiting };
 }
 
+function dispatch(execution: ExecutionParts, record: RequestRecord): void {
+  if (Option.isNone(record.connection)) return;
+  const sent: RequestRecord = { ...record, stage: 'sent', attempts: record.attempts + 1 };
+  execution.table.update(sent);
+  void statementExecutions.run(execution, sent, record.connection.value);
+}
+
 function create(parts: RequestParts): Requests {
   const { runtime } = parts;
   const table = requestTables.create();
   const rejection = rejections.create(parts, table);
-  const steps = routingSteps.create({ parts, table, rejection, selection: memberSelections.create(parts) });
+  let isEnded = false;
+  const steps = routingSteps.create({ parts, table, rejection, selection: memberSelections.create(parts), hasEnded: () => isEnded });
   const scheduler = createScheduler(runtime, table, process);
   const execution: ExecutionParts = {
     parts,
@@ -121,18 +132,11 @@
       current = step(current);
       if (current.stage !== 'routing') break;
     }
-    if (current.stage === 'routing') dispatch(current);
+    if (current.stage === 'routing') dispatch(execution, current);
     // A waiting record keeps no target: it is selected again at the next attempt.
     else if (current.stage === 'waiting') table.update({ ...current, target: Option.none, connection: Option.none });
   }
 
-  function dispatch(record: RequestRecord): void {
-    if (Option.isNone(record.connection)) return;
-    const sent: RequestRecord = { ...record, stage: 'sent', attempts: record.attempts + 1 };
-    table.update(sent);
-    void statementExecutions.run(execution, sent, record.connection.value);
-  }
-
   function retry(record: RequestRecord, excluded: readonly string[]): void {
     table.update({
       ...record,
@@ -145,6 +149,11 @@
     scheduler.processWaiting();
   }
 
+  function end(): void {
+    isEnded = true;
+    scheduler.processWaiting();
+  }
+
   function submit(request: StatementRequest): Promise<StatementReply> {
     return new Promise(function wait(resolve) {
       const record = recordOf(runtime, table.nextId(), request);
@@ -159,6 +168,8 @@
     inFlight: table.inFlight,
     countSentBelow: table.countSentBelow,
     totals: table.totals,
+    end,
+    hasEnded: () => isEnded,
   };
 }
 
--- a/packages/pooler/src/routing-steps.ts
+++ b/packages/pooler/src/routing-steps.ts
@@ -10,14 +10,29 @@
 import type { RequestTable } from './request-table.js';
 import type { RequestRecord, Target } from './statement-request.js';
 
-export type RoutingParts = Readonly<{ parts: RequestParts; table: RequestTable; rejection: Rejection; selection: MemberSelection }>;
+export type RoutingParts = Readonly<{
+  parts: RequestParts;
+  table: RequestTable;
+  rejection: Rejection;
+  selection: MemberSelection;
+  /** Whether this process is about to stop and sends no more statements. */
+  hasEnded: () => boolean;
+}>;
 
 export type RoutingStep = (record: RequestRecord) => RequestRecord;
 
 const noLeaderRetryMilliseconds = 300;
 const saturatedRetryMilliseconds = 200;
+const shutdownRetryMilliseconds = 100;
 const maximumExcludedMembers = 8;
 
+/** A statement that is read late in a shutdown still gets a reply (design 7.10). */
+function rejectAtEnd({ rejection, hasEnded }: RoutingParts, record: RequestRecord): RequestRecord {
+  if (!hasEnded()) return record;
+  const condition = Option.isSome(record.request.transaction) ? 'aborted' : 'saturated';
+  return rejection.reject(record, condition, replies.retryAfter(shutdownRetryMilliseconds));
+}
+
 function expire({ parts, rejection }: RoutingParts, record: RequestRecord): RequestRecord {
   if (parts.runtime.clock.now() < record.deadline) return record;
   return rejection.reject(record, 'aborted', 'the statement did not run within its time limit; retry the transaction');
@@ -94,6 +109,7 @@
 /** The steps in the order in which they run. */
 function create(routing: RoutingParts): readonly RoutingStep[] {
   return [
+    (record) => rejectAtEnd(routing, record),
     (record) => expire(routing, record),
     (record) => admit(routing, record),
     (record) => chooseMember(routing, record),
--- a/packages/pooler/src/session-commands.ts
+++ b/packages/pooler/src/session-commands.ts
@@ -43,6 +43,7 @@
   if (Option.isSome(session.transaction)) return replies.fault('malformed', 'a transaction is already open');
   const admission = admissions.admit(parts.view(), session.database, session.key);
   if (!admission.admitted) return replies.fault(admission.condition, noAccess);
+  if (parts.requests.hasEnded()) return replies.fault('saturated', 'this process is stopping; retry the transaction');
   const now = parts.clock.now();
   session.transaction = Option.some({
     readOnly,
--- a/packages/proxy/src/confirmations.ts
+++ b/packages/proxy/src/confirmations.ts
@@ -41,7 +41,8 @@
     : requestFaults.givenUp('a majority of cores did not store the position of the read in time', 'retry shortly');
 }
 
-function create(context: RequestContext): Confirmations {
+/** @param hasEnded - whether this process is about to stop, so that no reply is awaited any more */
+function create(context: RequestContext, hasEnded: () => boolean): Confirmations {
   const { runtime, placement, reports, table } = context;
   const pending = new Map<number, Pending>();
   const usage = usageWindows.create();
@@ -61,7 +62,7 @@
     const { record, target, session, report, addedAt, outcome } = reply;
     const now = runtime.clock.now();
     const fenced = fenceChecks.fault(placement(), now, record.request.service, target.epoch, target.choice.isLeader);
-    if (Option.isNone(fenced) && now < record.deadline && !reports.isDurable(report)) return;
+    if (Option.isNone(fenced) && now < record.deadline && !hasEnded() && !reports.isDurable(report)) return;
     pending.delete(record.id);
     if (Option.isNone(fenced) && reports.isDurable(report)) {
       usage.count(record.request.service, reports.durableWindow());
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,6 +1,6 @@
 /** The HTTP proxy of an edge: routes clients' statements to members by the placement that its agent reports (design 8). */
 import * as Option from 'fp-ts/lib/Option.js';
-import { identifiers, runtimeUtilities, type HttpRoute, type Runtime, type Listener } from '@stallstall/kernel';
+import { identifiers, runtimeUtilities, type HttpRoute, type Instant, type Runtime, type Listener } from '@stallstall/kernel';
 import { peer, type Peer } from '@stallstall/peer';
 import { pools, type Pool } from '@stallstall/pool';
 import { clientApi } from './client-api.js';
@@ -37,6 +37,8 @@
 const feedIntervalMilliseconds = 100;
 const feedTimeoutMilliseconds = 800;
 const tickIntervalMilliseconds = 25;
+/** Reserved at the end of the grace period for answering what is still in flight. */
+const endingMilliseconds = 400;
 
 function assemble(runtime: Runtime, settings: ProxySettings): Assembly {
   const incarnation = runtime.randomness.token();
@@ -150,10 +152,20 @@
   feed.stop();
   const deadline = identifiers.after(runtime.clock.now(), graceMilliseconds);
   await runtime.clock.sleep(lameDuckMilliseconds);
-  while (runtime.clock.now() < deadline && isBusy(assembly)) await runtime.clock.sleep(tickIntervalMilliseconds);
+  const endingAt = identifiers.after(deadline, -endingMilliseconds);
+  while (runtime.clock.now() < endingAt && isBusy(assembly)) await runtime.clock.sleep(tickIntervalMilliseconds);
+  await answerPending(assembly, deadline);
   await reports.flush();
 }
 
+/** Answers the requests that are still in flight with the outcome that is known, so that none of them is cut. */
+async function answerPending({ runtime, requests, pool }: Assembly, deadline: Instant): Promise<void> {
+  if (requests.inFlight() === 0) return;
+  requests.end();
+  pool.closeAll();
+  while (runtime.clock.now() < deadline && requests.inFlight() > 0) await runtime.clock.sleep(tickIntervalMilliseconds);
+}
+
 /** Starts listening and refreshing the placement; resolves once clients can connect. */
 async function start(runtime: Runtime, settings: ProxySettings): Promise<Proxy> {
   const assembly = assemble(runtime, settings);
--- a/packages/proxy/src/request-pipeline.ts
+++ b/packages/proxy/src/request-pipeline.ts
@@ -91,9 +91,21 @@
   return { ...record, connection: context.pool.acquire(record.target.value.choice.member) };
 }
 
-/** The steps in the order in which they run. */
-function create(context: RequestContext): readonly PipelineStep[] {
+/** Rejects what this process can no longer send before it stops. */
+function rejectAtEnd(context: RequestContext, record: RequestRecord): RequestRecord {
+  if (!requestContext.isPinned(record)) return context.table.reject(record, requestFaults.draining());
+  requestContext.endTransaction(context, requestContext.sessionOf(context, record));
+  return context.table.reject(record, requestFaults.transactionEnded('this edge is shutting down; the transaction was rolled back'));
+}
+
+/**
+ * The steps in the order in which they run.
+ *
+ * @param hasEnded - whether this process is about to stop and sends nothing any more
+ */
+function create(context: RequestContext, hasEnded: () => boolean): readonly PipelineStep[] {
   return [
+    (record) => (hasEnded() ? rejectAtEnd(context, record) : record),
     (record) => expire(context, record),
     (record) => admit(context, record),
     (record) => chooseMember(context, record),
--- a/packages/proxy/src/request-queue.ts
+++ b/packages/proxy/src/request-queue.ts
@@ -19,6 +19,8 @@
   /** Requests served, by window; replies that are not durable yet are counted in the given window. */
   counts: (window: number) => readonly UsageWindow[];
   totals: () => Readonly<Record<string, number>>;
+  /** From now on nothing is sent and no reply is awaited: each request that waits gets the outcome that is known. */
+  end: () => void;
 }>;
 
 function recordOf(runtime: Runtime, id: number, request: StatementRequest): RequestRecord {
@@ -88,7 +90,8 @@
 function create(outerContext: Omit<RequestContext, 'table'>): RequestQueue {
   const table = requestTables.create();
   const context: RequestContext = { ...outerContext, table };
-  const pendingReplies = confirmations.create(context);
+  let isEnded = false;
+  const pendingReplies = confirmations.create(context, () => isEnded);
   const serializer = createSerializer(processAll);
   const execution: ExecutionContext = {
     context,
@@ -96,7 +99,7 @@
     retry: (record) => serializer.run(() => process(record)),
     processWaiting,
   };
-  const pipeline = [...requestPipeline.create(context), (record: RequestRecord) => dispatch(execution, record)];
+  const pipeline = [...requestPipeline.create(context, () => isEnded), (record: RequestRecord) => dispatch(execution, record)];
 
   function process(record: RequestRecord): void {
     let current = record;
@@ -125,7 +128,12 @@
     });
   }
 
-  return { submit, processWaiting, inFlight: table.inFlight, counts: pendingReplies.counts, totals: table.totals };
+  function end(): void {
+    isEnded = true;
+    processWaiting();
+  }
+
+  return { submit, processWaiting, inFlight: table.inFlight, counts: pendingReplies.counts, totals: table.totals, end };
 }
 
 export const requestQueues = { create } as const;
--- a/packages/runtime/src/streams.ts
+++ b/packages/runtime/src/streams.ts
@@ -84,6 +84,7 @@
       deliver(stream, Option.none);
     },
     closed: () => stream.isEnded,
+    isFlushed: () => socket.destroyed || socket.writableLength === 0,
   };
 }
 
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -678,6 +678,20 @@
     from: 'missing(voters, replied).length <= voters.synchronousReplicas',
     to: 'true',
   },
+  {
+    name: 'steady-sessions-kept-until-the-end',
+    story: 'Sessions in steady use are closed one after the other',
+    file: 'pooler/build/client-connection.js',
+    from: 'if (last !== undefined && mayClose(parts, connection, input, last))',
+    to: 'if (false)',
+  },
+  {
+    name: 'last-statements-left-unanswered',
+    story: 'What is asked until the end of the grace period',
+    file: 'pooler/build/draining.js',
+    from: 'connections.resetBusy();',
+    to: '',
+  },
   {
     name: 'only-registered-members-counted',
     story: 'A replica that leaves while the primary is down',
--- a/packages/simulator/src/frames.ts
+++ b/packages/simulator/src/frames.ts
@@ -32,5 +32,7 @@
       link.reset();
     },
     closed: () => closed,
+    // A simulated network accepts everything at once, and delivers it after the process has ended.
+    isFlushed: () => true,
   };
 }
