End open transactions whose key or database a configuration takes away

Cause: within a transaction nothing looked at the key: neither a statement's admission nor the routing steps, and nothing looked at open transactions when a configuration was applied. A rest before the first statement was not counted either.

Change: with each configuration the pooler looks at its open transactions. A statement at a member gets its true reply, a commit is not broken off, and what waits is rejected. Routing inside a transaction is as before.

--- a/packages/acceptance/features/pooled.feature
+++ b/packages/acceptance/features/pooled.feature
@@ -196,3 +196,52 @@
     Given a pooled fleet whose members take 1800 ms for each statement, with time limits of 12 s
     When edge-1 is shut down gracefully after a client sent 5 statements at once
     Then all 5 statements are answered
+
+  # CONFIG after a revoke: open transactions went on for as long as they liked with a key that had been taken away.
+  Scenario Outline: An open transaction ends when a configuration takes away what allowed it
+    Given a running pooled fleet
+    And a session in "bookings-lead" through edge-1 opened with the spare key, whose open transaction <state>
+    When <change>, and 1 s passes
+    Then the transaction is answered with "<replies>"
+    And nothing of it is committed, and the primary of "bookings" has no open transaction
+    And a get in that session then fails with "<afterwards>"
+
+    Examples:
+      | state                     | change                                    | replies          | afterwards  |
+      | has put "x1"              | the spare key is taken away               | aborted, aborted | denied      |
+      | has sent no statement     | the spare key is taken away               | aborted, aborted | denied      |
+      | has failed                | the spare key is taken away               | aborted          | denied      |
+      | has put "x1"              | the spare key is given to another tenant  | aborted, aborted | served      |
+      | has sent no statement     | the spare key is given to another tenant  | aborted, aborted | served      |
+      | has put "x1"              | the tenant of the spare key is taken away | aborted, aborted | denied      |
+      | has put "x1"              | the database is taken away                | aborted, aborted | no-database |
+      | has put "x1" without keys | the database becomes keyed                | aborted, aborted | denied      |
+
+  # CONFIG after a revoke: the statement that was under way got its reply, and the transaction went on after it.
+  Scenario Outline: A statement that is at a member when its key is taken away gets its true reply
+    Given a pooled fleet whose members take 400 ms for each statement
+    And a session in "bookings-lead" through edge-1 opened with the spare key, whose open transaction has put "x1"
+    When the spare key is taken away while "<statement>" is at the member
+    Then that statement is answered with "served"
+    And <count> of its writes are committed
+    And a get in that session then fails with "<afterwards>"
+
+    Examples:
+      | statement | count | afterwards |
+      | put x2 of | 0     | aborted    |
+      | commit    | 1     | denied     |
+
+  # CONFIG after a revoke: a statement that waited for a member began its transaction there with the key that had been taken away.
+  Scenario: A statement that waits for a member when its key is taken away does not begin its transaction there
+    Given a running pooled fleet
+    And a session in "bookings-lead" through edge-1 opened with the spare key, whose open transaction has sent no statement
+    When the spare key is taken away while a put of the transaction waits for a leader
+    Then that statement is answered with "aborted"
+    And nothing of it is committed, and the primary of "bookings" has no open transaction
+
+  # A transaction that rests before its first statement was never ended.
+  Scenario: A transaction that rests before its first statement is ended like any other
+    Given a running pooled fleet
+    And a session in "bookings-lead" through edge-1 opened with the spare key, whose open transaction has sent no statement
+    When 3 s pass in the pooled fleet
+    Then the transaction is answered with "aborted, aborted"
--- a/packages/acceptance/run.mjs
+++ b/packages/acceptance/run.mjs
@@ -33,6 +33,7 @@
         'build/pooled-session-steps.js',
         'build/pooled-heartbeat-steps.js',
         'build/pooled-draining-steps.js',
+        'build/pooled-revocation-steps.js',
         'build/cores.js',
         'build/disks.js',
         'build/clocks.js',
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -14,6 +14,7 @@
 import { freshness as freshnessTables } from './freshness.js';
 import { placementFeeds, type PlacementFeed } from './placement-feed.js';
 import { requests as requestTables, type Requests } from './requests.js';
+import { revocations, type Revocation } from './revocation.js';
 import { transactions } from './transactions.js';
 import { usage as usageTables, type Usage } from './usage.js';
 import type { View } from './view.js';
@@ -97,6 +98,7 @@
     countSentBelow: requests.countSentBelow,
     onReleased: () => void feed.refresh(0),
   });
+  const revocation: Revocation = revocations.create({ clock: runtime.clock, view, clients, connections });
   const feed: PlacementFeed = placementFeeds.create({
     runtime,
     agent,
@@ -110,6 +112,7 @@
     onUpdate: function onUpdate(leadersChanged) {
       cachedReplies.applyConfiguration();
       release.applyPlacement();
+      revocation.applyConfiguration();
       if (leadersChanged) warmUpSessions(clients, connections, feed.view());
       connections.closeStale(feed.view().members);
     },
@@ -152,7 +155,7 @@
   for (const session of clients.sessions()) {
     if (Option.isNone(session.transaction)) continue;
     const transaction = session.transaction.value;
-    const isIdleTooLong = Option.isSome(transaction.pinned) && now - transaction.idleSince >= maximumIdle;
+    const isIdleTooLong = now - transaction.idleSince >= maximumIdle;
     if (isIdleTooLong || endsTransactions) transactions.abandonIdle(connections, transaction);
   }
 }
--- a/packages/pooler/src/routing-steps.ts
+++ b/packages/pooler/src/routing-steps.ts
@@ -39,12 +39,15 @@
 }
 
 /**
- * Checks access again, because keys and databases may be removed while a statement waits; an open transaction keeps the access it began
- * with (design 6.4).
+ * Checks access again, because keys and databases may be removed while a statement waits. An open transaction was aborted if it lost its access
+ * meanwhile (design 6.4).
  */
 function admit({ parts, rejection }: RoutingParts, record: RequestRecord): RequestRecord {
   const { request } = record;
-  if (Option.isSome(request.transaction)) return record;
+  if (Option.isSome(request.transaction)) {
+    const isAborted = request.transaction.value.failed;
+    return isAborted ? rejection.reject(record, 'aborted', 'the transaction was rolled back; retry it') : record;
+  }
   const view = parts.view();
   const database = view.databases.get(request.session.database);
   if (database === undefined) return rejection.reject(record, 'no-database', 'the database does not exist');
--- a/packages/pooler/src/transactions.ts
+++ b/packages/pooler/src/transactions.ts
@@ -20,6 +20,15 @@
   if (!transaction.busy) abandon(connections, transaction);
 }
 
+/**
+ * Aborts a transaction that is no longer allowed. A statement that is in flight gets its true reply, and the transaction is aborted after it,
+ * unless that statement was its commit.
+ */
+function revoke(connections: Connections, transaction: Transaction): void {
+  transaction.failed = true;
+  abandonIdle(connections, transaction);
+}
+
 /**
  * Rolls the transaction back on its member, so that its connection can be reused. If a statement is in flight, it is only marked as
  * failed.
@@ -36,4 +45,4 @@
   connections.release(pooled, ran.isComplete && ran.replies[0]?.transactionStatus === 'idle');
 }
 
-export const transactions = { abandon, abandonIdle, rollback } as const;
+export const transactions = { abandon, abandonIdle, revoke, rollback } as const;
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -678,6 +678,15 @@
     from: 'missing(voters, replied).length <= voters.synchronousReplicas',
     to: 'true',
   },
+  {
+    name: 'open-transactions-keep-their-key',
+    story: 'An open transaction ends when a configuration takes away',
+    expect: 'configuration',
+    only: ['key-withdrawn'],
+    file: 'pooler/build/revocation.js',
+    from: 'if (isAnyRevoked)',
+    to: 'if (false)',
+  },
   {
     name: 'steady-sessions-kept-until-the-end',
     story: 'Sessions in steady use are closed one after the other',
--- a/packages/simulator/src/pooled-checks.ts
+++ b/packages/simulator/src/pooled-checks.ts
@@ -248,7 +248,7 @@
   });
 }
 
-// -- Configuration: which versions allow what came of a first statement or an opening.
+// -- Configuration: which versions allow what came of a statement or an opening.
 
 type Effect = Readonly<{ at: number; endedAt: number; edge: string; what: string; allowedBy: readonly PooledVersion[]; known: boolean }>;
 
@@ -275,7 +275,7 @@
   });
 }
 
-function effects({ fleet, byTry }: Read): readonly Effect[] {
+function effects({ fleet, byTry, asks }: Read): readonly Effect[] {
   const versions = fleet.versions.filter((sent) => !sent.refused).sort((left, right) => left.version - right.version);
   const found: Effect[] = [];
   for (const opening of fleet.ledger.openings) {
@@ -304,6 +304,22 @@
         known: true,
       });
     }
+    // A route binds from the next transaction on, a key at once: later statements of a transaction are judged by their key alone.
+    for (const run of (byTry.get(of.name) ?? []).filter((one) => !one.first)) {
+      const ask = asks.get(run.identifier)?.ask;
+      if (ask === undefined || run.kind === 'rollback') continue;
+      found.push({
+        at: ask.sentAt,
+        endedAt: run.at,
+        edge: of.edge,
+        what: `${run.identifier} within a transaction (${of.database} as ${of.who}) on ${run.member}`,
+        allowedBy: versions.filter(
+          (version) =>
+            version.sentAt <= run.at && serviceOf(version, of.database) !== undefined && tenantOf(version, of.who) === run.tenant,
+        ),
+        known: true,
+      });
+    }
     const outcome = Option.isSome(of.begun) ? of.begun.value : of.asks[0] === undefined ? '' : conditionOf(of.asks[0]);
     if (outcome === 'denied' || outcome === 'no-database') {
       const endedAt = of.asks[0]?.endedAt ?? of.startedAt;
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -36,6 +36,7 @@
 
 const graceMilliseconds = 6_000;
 const readinessMilliseconds = 1_000;
+const steadyThinkMilliseconds = 30;
 const readinessDeadlineMilliseconds = 500;
 /** The seeds that settings name follow a replaced core so much later. */
 const seedLagMilliseconds = 3_000;
@@ -380,7 +381,7 @@
     missed.set(slot, Either.isRight(reply) && reply.right.status === 200 ? 0 : (missed.get(slot) ?? 2) + 1);
   }
 
-  function startClients(sessions: number, thinkMilliseconds: number): Readonly<{ stop: () => void }> {
+  function startClients(sessions: number, thinkMilliseconds: number, steadySessions = 0): Readonly<{ stop: () => void }> {
     for (const slot of edges)
       void runtimeUtilities.every(
         chooser.clock,
@@ -393,6 +394,7 @@
       {
         sessions,
         thinkMilliseconds,
+        steady: { sessions: steadySessions, thinkMilliseconds: steadyThinkMilliseconds },
         longRestMilliseconds: (options.restMilliseconds ?? 1_500) + 1_200,
         edges: function chosen() {
           const ready = edges.filter((slot) => (missed.get(slot) ?? 2) < 2);
--- a/packages/simulator/src/pooled-model.ts
+++ b/packages/simulator/src/pooled-model.ts
@@ -155,7 +155,8 @@
   /** Bytes on a connection of its own; what came back until the other side closed, or for so long. */
   rawTo: (address: string, pieces: readonly string[], milliseconds: number) => Promise<string>;
   raw: (slot: PooledEdge, pieces: readonly string[], milliseconds: number) => Promise<string>;
-  startClients: (sessions: number, thinkMilliseconds: number) => Readonly<{ stop: () => void }>;
+  /** @param steadySessions - beside the others, sessions that are never idle for long */
+  startClients: (sessions: number, thinkMilliseconds: number, steadySessions?: number) => Readonly<{ stop: () => void }>;
   primaryOf: (service: string) => PooledMember | undefined;
   until: (condition: () => boolean, milliseconds: number) => Promise<boolean>;
   drive: <Result>(work: Promise<Result>, milliseconds?: number) => Promise<Result>;
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -38,6 +38,7 @@
 const lookMilliseconds = 50;
 const thinkMilliseconds = 500;
 const dayMilliseconds = 30_000;
+const steadySessions = 3;
 const longMilliseconds = 120_000;
 const longFaultsLeast = 8;
 const longFaultsSpread = 20;
@@ -185,7 +186,7 @@
   const violations = [...(await begin(fleet))];
   fleet.platform().knobs.effectAfterReplyMilliseconds = effectDelay(seed);
   const startedAt = fleet.world.now();
-  const clients = fleet.startClients(options.sessions ?? 50, thinkMilliseconds);
+  const clients = fleet.startClients(options.sessions ?? 50, thinkMilliseconds, steadySessions);
   const milliseconds = options.milliseconds ?? (options.long === true ? longMilliseconds : dayMilliseconds);
   schedule(fleet, storm, drawFaults(fleet, seed, options), milliseconds, options.only === undefined);
   const stopLooking = lookForDrains(fleet, storm);
