Carry names as UTF-8, converted once at the border of the process

Cause: streams write one byte for each character, so that clients' texts pass unchanged, and names from configurations were put into lines as they are: of a letter above U+00FF the upper byte was lost. What clients sent as UTF-8 was compared byte by byte with text. Header values have the same two forms, and a body that is no UTF-8 was decoded with replacement characters.

Change: kernel/byte-text converts names in both directions where they cross the border: openings, what clients open with, headers of both HTTP implementations, statements of announced outages. Names with half of a surrogate pair, statements with a line break, and bodies that are no UTF-8 are refused, with their place. The simulated stream loses upper bytes as a socket does.

--- a/packages/acceptance/run.mjs
+++ b/packages/acceptance/run.mjs
@@ -34,6 +34,7 @@
         'build/pooled-heartbeat-steps.js',
         'build/pooled-draining-steps.js',
         'build/pooled-revocation-steps.js',
+        'build/name-steps.js',
         'build/cores.js',
         'build/disks.js',
         'build/clocks.js',
--- a/packages/acceptance/src/runtime.ts
+++ b/packages/acceptance/src/runtime.ts
@@ -46,7 +46,7 @@
 export const timeoutMilliseconds = 2_000;
 
 /** An address that nothing listens on: a port that was free a moment ago. */
-async function freeAddress(): Promise<Address> {
+export async function freeAddress(): Promise<Address> {
   const server = net.createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as net.AddressInfo;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,5 @@
 export * from './identifiers.js';
+export * from './byte-text.js';
 export * from './fault.js';
 export * from './owner.js';
 export * from './runtime.js';
--- a/packages/placement/src/schema.ts
+++ b/packages/placement/src/schema.ts
@@ -1,7 +1,17 @@
 /** The schema of the placement configuration, and the types derived from it (design 6.1). */
+import { byteText } from '@stallstall/kernel';
 import { z } from 'zod';
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/i, 'use at most 63 letters, digits, dots, dashes and underscores');
+/** A name that is carried as one word of a line: no part of it may end a word, and it must have an encoding. */
+function word(maximumLength: number): z.ZodString {
+  return z
+    .string()
+    .regex(new RegExp(`^[^\\s]{1,${maximumLength}}$`), `use 1 to ${maximumLength} characters without whitespace`)
+    .refine(byteText.isEncodable, notEncodable);
+}
+
+const notEncodable = 'use no half of a surrogate pair, which cannot be sent as UTF-8';
 const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'use an IPv4 address and a port, for example 127.0.0.1:7101');
 
 /** The kinds of statements of the HTTP protocol. A row defines for each kind which members serve it. */
@@ -45,7 +55,7 @@
 
 /** A client key of the HTTP protocol, with the services and kinds of statements that it permits. */
 const keySchema = z.strictObject({
-  key: z.string().min(8, 'use at least 8 characters').max(200),
+  key: z.string().min(8, 'use at least 8 characters').max(200).refine(byteText.isEncodable, notEncodable),
   services: z.array(name).min(1),
   kinds: z
     .array(z.enum(statementKinds))
@@ -63,7 +73,7 @@
 
 /** A database that clients of the session protocol open by name, and how its reads and writes are routed (design 8.10). */
 const databaseSchema = z.strictObject({
-  database: z.string().regex(/^[^\s]{1,253}$/, 'use 1 to 253 characters without whitespace'),
+  database: word(253),
   service: name,
   reads: z.enum(['leader', 'bounded', 'own']),
   staleMilliseconds: z.number().int().min(0).max(600_000).default(0),
@@ -79,8 +89,8 @@
 
 /** A tenant, with its keys of the session protocol. */
 const tenantSchema = z.strictObject({
-  tenant: z.string().regex(/^[^\s]{1,200}$/, 'use 1 to 200 characters without whitespace'),
-  keys: z.array(z.string().regex(/^[^\s]{1,200}$/, 'use 1 to 200 characters without whitespace')).max(1_000),
+  tenant: word(200),
+  keys: z.array(word(200)).max(1_000),
   rank: z.number().int().min(0).max(1_000).default(0),
 });
 
@@ -94,6 +104,12 @@
   to: z.number().int().min(1).max(2_880),
 });
 
+/** A statement that is sent to members on one line. */
+const statementText = z
+  .string()
+  .regex(/^[^\r\n]{1,65536}$/, 'use 1 to 65536 characters on one line')
+  .refine(byteText.isEncodable, notEncodable);
+
 /** Announced windows in which a site has no uplink, and the data that its edges copy to serve reads meanwhile (design 8.13). */
 const outageSchema = z.strictObject({
   site: name,
@@ -108,7 +124,7 @@
   mostBytes: z.number().int().min(1_024).max(67_108_864).default(16_777_216),
   /** Reads to be copied even if no client has sent them. */
   things: z
-    .array(z.strictObject({ database: z.string(), tenant: z.string(), text: z.string().min(1).max(65_536) }))
+    .array(z.strictObject({ database: z.string(), tenant: z.string(), text: statementText }))
     .max(5_000)
     .default([]),
 });
--- a/packages/pooler/src/cached-replies.ts
+++ b/packages/pooler/src/cached-replies.ts
@@ -1,6 +1,6 @@
 /** Caches replies to reads so that an edge can serve them during an announced outage of its site's uplink (design 8.13). */
 import * as Option from 'fp-ts/lib/Option.js';
-import { identifiers, type Runtime } from '@stallstall/kernel';
+import { byteText, identifiers, type Runtime } from '@stallstall/kernel';
 import { placements, type AnnouncedOutage } from '@stallstall/placement';
 import type { StatementReply } from '@stallstall/session-protocol';
 import { outageCaches, outageGraceMilliseconds, type OutageCache, type RecordedRead } from './outage-cache.js';
@@ -64,7 +64,10 @@
       );
     else {
       const session = sessions.create('copy', databaseName, key);
-      outageCaches.recordRead(cache, outageCaches.cacheFillRequest(session, { text, prepared: Option.none, database, tenant }));
+      outageCaches.recordRead(
+        cache,
+        outageCaches.cacheFillRequest(session, { text: byteText.encode(text), prepared: Option.none, database, tenant }),
+      );
     }
   }
 }
--- a/packages/pooler/src/client-connection.ts
+++ b/packages/pooler/src/client-connection.ts
@@ -1,6 +1,6 @@
 /** Serves one client connection in one task: opens its session, then answers its queries in order. */
 import * as Option from 'fp-ts/lib/Option.js';
-import { identifiers, type Stream } from '@stallstall/kernel';
+import { byteText, identifiers, type Stream } from '@stallstall/kernel';
 import type { ClientMessage } from '@stallstall/session-protocol';
 import { admissions } from './admission.js';
 import type { Client, Clients } from './client-table.js';
@@ -41,12 +41,14 @@
     stream.write(dialect.fault('saturated', 'the placement is not available yet; retry in 500 ms'));
     return false;
   }
-  const admission = admissions.admit(view(), incoming.database, incoming.key);
+  const database = byteText.decode(incoming.database);
+  const key = byteText.decode(incoming.key);
+  const admission = admissions.admit(view(), database, key);
   if (!admission.admitted) {
     stream.write(dialect.fault(admission.condition, 'access denied'));
     return false;
   }
-  connection.client = parts.clients.addSession(stream, sessions.create(nextId(), incoming.database, incoming.key));
+  connection.client = parts.clients.addSession(stream, sessions.create(nextId(), database, key));
   warmUps.warmUp(connections, view(), admission.database, admission.tenant);
   stream.write(dialect.ready('idle', Option.none));
   return true;
--- a/packages/runtime/src/fastify-server.ts
+++ b/packages/runtime/src/fastify-server.ts
@@ -1,7 +1,9 @@
 /** An HTTP server based on fastify (design 2.2). */
+import { isUtf8 } from 'node:buffer';
 import fastify, { type FastifyInstance } from 'fastify';
 import { fault, http, type Address, type Fault, type HttpReply, type HttpRoute, type HttpServer, type Listener } from '@stallstall/kernel';
 import { connectionNames } from './connection-names.js';
+import { httpHeaders } from './http-headers.js';
 import { badBody, bodyTooLarge, maxBodyBytes } from './minimal-http-body.js';
 import { sockets } from './sockets.js';
 
@@ -28,6 +30,15 @@
   });
 }
 
+/** Parses JSON like fastify itself, but accepts no other bytes than UTF-8: decoded anyway, names that differ could become the same. */
+function parseJsonBodies(app: FastifyInstance): void {
+  const parse = app.getDefaultJsonParser('error', 'error');
+  app.addContentTypeParser('application/json', { parseAs: 'buffer' }, function parseBody(request, body: Buffer, done) {
+    if (isUtf8(body)) void parse(request, body.toString('utf8'), done);
+    else done(Object.assign(new Error('the body is not valid UTF-8'), { statusCode: 400 }));
+  });
+}
+
 function addRoute(app: FastifyInstance, route: HttpRoute, nameOf: ReturnType<typeof connectionNames>): void {
   app.route({
     method: route.method,
@@ -39,12 +50,11 @@
         body: request.body ?? null,
         connection: nameOf(request.raw.socket),
         query: { ...(request.query as Record<string, string>), ...(request.params as Record<string, string>) },
-        headers: request.headers as Record<string, string>,
+        headers: httpHeaders.received(request.headers),
       });
-      await response
-        .status(reply.status)
-        .headers(reply.headers ?? {})
-        .send(reply.body);
+      // As bytes: Node.js writes the headers in the encoding of a body that is a string.
+      const body = reply.body === undefined ? undefined : Buffer.from(JSON.stringify(reply.body));
+      await response.status(reply.status).type('application/json; charset=utf-8').headers(httpHeaders.toSend(reply.headers)).send(body);
     },
   });
 }
@@ -59,6 +69,7 @@
   });
   const nameOf = connectionNames(address, server.connectionClosed);
   handleErrors(app);
+  parseJsonBodies(app);
   for (const route of server.routes) addRoute(app, route, nameOf);
   await app.listen(sockets.hostAndPort(address));
   return {
--- a/packages/runtime/src/minimal-http-body.ts
+++ b/packages/runtime/src/minimal-http-body.ts
@@ -1,4 +1,5 @@
 /** Reads JSON bodies of messages of Node.js's HTTP module. */
+import { isUtf8 } from 'node:buffer';
 import type http from 'node:http';
 import * as Either from 'fp-ts/lib/Either.js';
 import { fault, type Fault } from '@stallstall/kernel';
@@ -20,7 +21,10 @@
   return fault.create({ kind: 'bad-request', message: error.message, remedy });
 }
 
-function parse(text: string): Either.Either<Fault, unknown> {
+function parse(bytes: Buffer): Either.Either<Fault, unknown> {
+  // Decoded anyway, names that differ could become the same.
+  if (!isUtf8(bytes)) return Either.left(badBody(new Error('the body is not valid UTF-8'), 'send JSON in UTF-8'));
+  const text = bytes.toString('utf8');
   try {
     return Either.right(text === '' ? null : JSON.parse(text));
   } catch (error) {
@@ -38,6 +42,6 @@
       if (length <= maxBodyBytes) chunks.push(chunk);
     });
     message.on('error', (error) => resolve(Either.left(badBody(error, 'send the request again'))));
-    message.on('end', () => resolve(length > maxBodyBytes ? Either.left(bodyTooLarge()) : parse(Buffer.concat(chunks).toString('utf8'))));
+    message.on('end', () => resolve(length > maxBodyBytes ? Either.left(bodyTooLarge()) : parse(Buffer.concat(chunks))));
   });
 }
--- a/packages/runtime/src/minimal-http-connection.ts
+++ b/packages/runtime/src/minimal-http-connection.ts
@@ -3,6 +3,7 @@
 import type net from 'node:net';
 import * as Either from 'fp-ts/lib/Either.js';
 import { type Address, type Fault, type HttpConnection, type HttpReply, type OutgoingHttpRequest } from '@stallstall/kernel';
+import { httpHeaders } from './http-headers.js';
 import { readBody } from './minimal-http-body.js';
 import { nodeHttp } from './minimal-http-server.js';
 import { connectMilliseconds, sockets } from './sockets.js';
@@ -40,14 +41,14 @@
   });
 }
 
-function optionsOf(state: ConnectionState, outgoing: OutgoingHttpRequest, text: string | undefined): http.RequestOptions {
-  const contentHeaders = text === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) };
+function optionsOf(state: ConnectionState, outgoing: OutgoingHttpRequest, body: Buffer | undefined): http.RequestOptions {
+  const contentHeaders = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': body.length };
   return {
     ...sockets.hostAndPort(state.address),
     agent: state.agent,
     method: outgoing.method,
     path: outgoing.path,
-    headers: { ...contentHeaders, ...outgoing.headers },
+    headers: { ...contentHeaders, ...httpHeaders.toSend(outgoing.headers) },
   };
 }
 
@@ -55,7 +56,8 @@
 function runExchange(state: ConnectionState, outgoing: OutgoingHttpRequest, milliseconds: number): Promise<Outcome> {
   const { address } = state;
   return new Promise(function exchange(resolve) {
-    const text = outgoing.body === undefined ? undefined : JSON.stringify(outgoing.body);
+    // As bytes: Node.js writes the headers in the encoding of a body that is a string.
+    const body = outgoing.body === undefined ? undefined : Buffer.from(JSON.stringify(outgoing.body));
     let isSent = false;
     const timer = setTimeout(() => close(state), milliseconds);
     const connectTimer = setTimeout(() => (state.isConnected ? undefined : close(state)), Math.min(2 * connectMilliseconds, milliseconds));
@@ -75,7 +77,7 @@
     async function onResponse(response: http.IncomingMessage): Promise<void> {
       const body = await readBody(response);
       if (Either.isLeft(body)) return fail(body.left);
-      finish(Either.right({ status: response.statusCode ?? 0, headers: response.headers as Record<string, string>, body: body.right }));
+      finish(Either.right({ status: response.statusCode ?? 0, headers: httpHeaders.received(response.headers), body: body.right }));
     }
 
     function send(request: http.ClientRequest): void {
@@ -84,12 +86,12 @@
         return fail(new Error('the latest time to send the request has passed'));
       }
       isSent = true;
-      request.end(text);
+      request.end(body);
     }
 
     function start(): http.ClientRequest | undefined {
       try {
-        return nodeHttp().request(optionsOf(state, outgoing, text), (response) => void onResponse(response));
+        return nodeHttp().request(optionsOf(state, outgoing, body), (response) => void onResponse(response));
       } catch (error) {
         // Node.js throws on an invalid port or header, before anything is sent.
         fail(error as Error);
--- a/packages/runtime/src/minimal-http-server.ts
+++ b/packages/runtime/src/minimal-http-server.ts
@@ -4,6 +4,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import { http as routing, type Address, type HttpReply, type HttpServer, type Listener } from '@stallstall/kernel';
 import { connectionNames } from './connection-names.js';
+import { httpHeaders } from './http-headers.js';
 import { readBody } from './minimal-http-body.js';
 import { sockets } from './sockets.js';
 
@@ -24,7 +25,7 @@
     method: request.method ?? '',
     path: path ?? '',
     query: Object.fromEntries(new URLSearchParams(query ?? '')),
-    headers: request.headers as Record<string, string>,
+    headers: httpHeaders.received(request.headers),
     body: body.right,
     connection,
   });
@@ -35,9 +36,10 @@
   response.writeHead(reply.status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(text),
-    ...reply.headers,
+    ...httpHeaders.toSend(reply.headers),
   });
-  response.end(text);
+  // As bytes: Node.js writes the headers in the encoding of a body that is a string.
+  response.end(Buffer.from(text));
 }
 
 /** Resolves once the server is listening; rejects if it cannot listen on the address. @internal */
--- a/packages/runtime/src/undici-connection.ts
+++ b/packages/runtime/src/undici-connection.ts
@@ -3,6 +3,7 @@
 import * as Either from 'fp-ts/lib/Either.js';
 import { type Address, type Fault, type HttpConnection, type HttpReply, type OutgoingHttpRequest } from '@stallstall/kernel';
 import { buildConnector, Client } from 'undici';
+import { httpHeaders } from './http-headers.js';
 import { sockets } from './sockets.js';
 
 type ConnectionState = {
@@ -35,12 +36,11 @@
     method: outgoing.method,
     path: outgoing.path,
     signal: null,
-    headers: { ...(outgoing.body === undefined ? {} : { 'content-type': 'application/json' }), ...outgoing.headers },
-    ...(outgoing.body === undefined ? {} : { body: JSON.stringify(outgoing.body) }),
+    headers: { ...(outgoing.body === undefined ? {} : { 'content-type': 'application/json' }), ...httpHeaders.toSend(outgoing.headers) },
+    ...(outgoing.body === undefined ? {} : { body: Buffer.from(JSON.stringify(outgoing.body)) }),
   });
   const text = await response.body.text();
-  const headers = Object.fromEntries(Object.entries(response.headers).map(([name, value]) => [name, String(value)]));
-  return { status: response.statusCode, headers, body: text === '' ? null : JSON.parse(text) };
+  return { status: response.statusCode, headers: httpHeaders.received(response.headers), body: text === '' ? null : JSON.parse(text) };
 }
 
 async function exchange(
--- a/packages/session-protocol/src/member-connection.ts
+++ b/packages/session-protocol/src/member-connection.ts
@@ -1,7 +1,7 @@
 /** A connection to a member with one reading task; queries are answered in order (design 8.10). */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { fault, identifiers, type Fault, type Runtime, type Stream } from '@stallstall/kernel';
+import { byteText, fault, identifiers, type Fault, type Runtime, type Stream } from '@stallstall/kernel';
 import type { Condition, Dialect, StatementReply } from './dialect.js';
 import { replyAssembly, type ReplyAssembly } from './reply-assembly.js';
 
@@ -152,7 +152,7 @@
     isBroken: false,
   };
   void readUntilBroken(connection);
-  const opening = dialect.opening(place.service, tenant, place.member);
+  const opening = dialect.opening(byteText.encode(place.service), byteText.encode(tenant), byteText.encode(place.member));
   const outcome = await send(connection, 'opening', [opening], deadline - runtime.clock.now());
   const completion = outcome.replies[0]?.completion;
   if (!outcome.isComplete || completion?.kind !== 'done') {
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -678,6 +678,13 @@
     from: 'missing(voters, replied).length <= voters.synchronousReplicas',
     to: 'true',
   },
+  {
+    name: 'names-sent-as-they-are',
+    story: 'A tenant is not taken for another one',
+    file: 'session-protocol/build/member-connection.js',
+    from: 'byteText.encode(tenant)',
+    to: 'tenant',
+  },
   {
     name: 'open-transactions-keep-their-key',
     story: 'An open transaction ends when a configuration takes away',
--- a/packages/simulator/src/frames.ts
+++ b/packages/simulator/src/frames.ts
@@ -12,11 +12,18 @@
   return result;
 }
 
+const beyondOneByte = /[^\0-\xff]/;
+
+/** What a socket makes of byte text: of a character beyond one byte, the upper byte is lost. */
+function asBytes(text: string): string {
+  return beyondOneByte.test(text) ? Buffer.from(text, 'latin1').toString('latin1') : text;
+}
+
 /** Wraps a link as a text stream, so that ordering, network cuts and unresponsive machines apply to it as well. */
 export function streamFromLink(link: Link): Stream {
   let closed = false;
   return {
-    write: link.send,
+    write: (text) => link.send(asBytes(text)),
     read: async function read() {
       if (closed) return Option.none;
       const piece = await link.receive();
