Exploration: propose the accepted entry that a promise brought

Cause, in the exploration itself: leaveUnfinishedRound proposed its own value after a majority of promises, although one of them had brought an accepted entry, [x21], which no proposer of the product does. It now proposes the accepted entry of the highest ballot, and its own value only where there is none, so an unfinished round is left as before.

--- a/packages/simulator/src/explore.ts
+++ b/packages/simulator/src/explore.ts
@@ -5,7 +5,7 @@
  */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import type { CoreSet, Entry, MessageKind } from '@stallstall/message';
+import { message, type CoreSet, type Entry, type MessageKind } from '@stallstall/message';
 import { quorum } from '@stallstall/quorum';
 import { randomGenerator } from './event-queue.js';
 import { exploredMachines, type Machine, type Machines } from './explored-machines.js';
@@ -243,9 +243,13 @@
     shuffledSeats.slice(0, quorum.majority(coreCount)).map((seat) => machines.sendOnce(seat, 'prepare', { key, ballot, set: 1 })),
   );
   if (!promises.every((reply) => Option.isSome(reply) && reply.value.agreed)) return;
+  // A proposer proposes the accepted entry of the highest ballot that a promise brought, if there is one.
+  const accepted = promises.flatMap((reply) => (Option.isSome(reply) && reply.value.accepted !== null ? [reply.value.accepted] : []));
+  const [latest] = accepted.sort((left, right) => message.compareBallots(right.ballot, left.ballot));
+  const { version, value } = latest ?? { version: 1, value: ['broken'] };
   await machines.sendOnce(shuffledSeats[0] as (typeof shuffledSeats)[number], 'accept', {
     key,
-    entry: { ballot, version: 1, value: ['broken'] },
+    entry: { ballot, version, value },
     set: 1,
   });
 }
