Soak: start an agent again whose proxy was killed during the edge's shutdown

Cause, in the soak itself: a proxy that is killed while its edge shuts down gracefully is started again as a new life of the edge, while the agent still ends. terminateEdge took the new life for the end of its own work and never started the agent again. Now such an end is not judged as planned, as before, and whatever of the edge does not run is started.

--- a/packages/bench/src/soak/soak-actions.ts
+++ b/packages/bench/src/soak/soak-actions.ts
@@ -60,10 +60,12 @@
   const from = now(soak);
   const { life } = edge;
   await Promise.all([edge.agent.terminate(edgeGraceMilliseconds), edge.proxy.terminate(edgeGraceMilliseconds)]);
-  if (edge.life !== life) return;
-  soak.record.ends.push({ edge: edge.name, from, to: now(soak) });
-  soak.record.troubles.push({ who: `${edge.name} ends`, from, to: now(soak) });
-  await startEdge(soak, edge);
+  // A process that was killed meanwhile has begun another life of the edge, so that this was no planned end.
+  if (edge.life === life) {
+    soak.record.ends.push({ edge: edge.name, from, to: now(soak) });
+    soak.record.troubles.push({ who: `${edge.name} ends`, from, to: now(soak) });
+  }
+  if (!edge.agent.isRunning() || !edge.proxy.isRunning()) await startEdge(soak, edge);
 }
 
 async function killEdge(soak: Soak, edge: SoakEdge, parts: Parts): Promise<void> {
