--- a/packages/election/src/replica-set-keeper.ts
+++ b/packages/election/src/replica-set-keeper.ts
@@ -22,6 +22,8 @@
 type KeptService = {
   isRunning: boolean;
   nextRunAt: Instant;
+  /** The last run found no stored set, and none was needed. */
+  hasNoSet: boolean;
   /** What the last run was for. */
   lastRunFor: string;
   /** The registered members and the number of synchronous replicas for which nothing was left to do; empty while something is. */
@@ -41,8 +43,9 @@
   return fault.kind(failure) === 'not-listening' || fault.kind(failure) === 'departed';
 }
 
-/** What a run depends on. A service whose commits wait for no replica has no set, so its members do not matter. */
-function describe(service: ServicePlacement): string {
+/** What a run depends on: the members do not matter while commits wait for no replica and no set is stored. */
+function describe(service: ServicePlacement, { hasNoSet }: Pick<KeptService, 'hasNoSet'>): string {
+  if (hasNoSet && service.synchronousReplicas === 0) return 'no set';
   const members = service.members.map(({ member, address }) => `${member}@${address}`).sort();
   return `${service.synchronousReplicas} ${members.join(' ')}`;
 }
@@ -159,6 +162,7 @@
   const read = await register.read(replicaSetKey(service.service));
   if (Either.isLeft(read)) return false;
   const isNeeded = service.synchronousReplicas > 0 || Option.isSome(read.right);
+  kept.hasNoSet = !isNeeded;
   if (!isNeeded) return true;
   const version = Option.isSome(read.right) ? read.right.value.version : 0;
   const set = setOf(read.right, service);
@@ -180,6 +184,7 @@
     const created: KeptService = {
       isRunning: false,
       nextRunAt: runtime.clock.now(),
+      hasNoSet: false,
       lastRunFor: '',
       settledFor: '',
       silentSince: new Map(),
@@ -190,9 +195,9 @@
 
   async function runOnce(kept: KeptService, service: ServicePlacement): Promise<void> {
     kept.isRunning = true;
-    kept.lastRunFor = describe(service);
+    kept.lastRunFor = describe(service, kept);
     const isSettled = await run(services, kept, service);
-    kept.settledFor = isSettled ? kept.lastRunFor : '';
+    kept.settledFor = isSettled ? describe(service, kept) : '';
     kept.nextRunAt = identifiers.after(runtime.clock.now(), retryMilliseconds);
     kept.isRunning = false;
   }
@@ -201,7 +206,7 @@
     tick: function tick(service) {
       if (Option.isNone(context.platformCalls)) return;
       const kept = keptOf(service.service);
-      const current = describe(service);
+      const current = describe(service, kept);
       if (kept.isRunning || kept.settledFor === current) return;
       if (kept.lastRunFor !== current || runtime.clock.now() >= kept.nextRunAt) void runOnce(kept, service);
     },
--- a/packages/election/src/succession-wait.ts
+++ b/packages/election/src/succession-wait.ts
@@ -7,6 +7,7 @@
 import { commitCoverage } from './commit-coverage.js';
 import { durableWatermark } from './durable-watermark.js';
 import { primaryOf, type ElectionServices } from './election-services.js';
+import type { Electorate } from './replica-set.js';
 import type { Majority } from './vote-collection.js';
 
 const catchUpTimeoutMilliseconds = 5_000;
@@ -36,18 +37,15 @@
 async function isCaughtUp(
   services: ElectionServices,
   service: ServicePlacement,
-  chosen: Candidate,
-  formerPrimaryId?: string,
+  { chosen, electorate, formerPrimaryId }: Readonly<{ chosen: Candidate; electorate: Electorate; formerPrimaryId: string | undefined }>,
 ): Promise<boolean> {
-  const electorate = await commitCoverage.readElectorate(services, service);
-  if (Option.isNone(electorate)) return false;
   const [members, watermark] = await Promise.all([
-    candidates.readStates(services, service.service, electorate.value),
+    candidates.readStates(services, service.service, electorate),
     durableWatermark.read(services, service.service),
   ]);
   const candidate = members.find((member) => member.placement.member === chosen.placement.member);
   if (candidate === undefined || Option.isNone(watermark)) return false;
-  if (!commitCoverage.hasLongestLog(electorate.value, members, candidate)) return false;
+  if (!commitCoverage.hasLongestLog(electorate, members, candidate)) return false;
   const formerPrimary = members.find((member) => member.placement.member === formerPrimaryId && member.state.epoch === chosen.state.epoch);
   const requiredPosition = formerPrimary === undefined || formerPrimary === candidate ? 0 : formerPrimary.state.received;
   return durableWatermark.isReachedBy(candidate.state, watermark.value) && candidate.state.received >= requiredPosition;
@@ -69,9 +67,13 @@
   const deadline = identifiers.after(runtime.clock.now(), catchUpTimeoutMilliseconds);
   const formerPrimaryId = primaryOf(context, service)?.member;
   const pollMilliseconds = Option.isSome(context.platformCalls) ? catchUpPollMilliseconds : httpCatchUpPollMilliseconds;
+  // Read only now: nothing is acknowledged under the older epoch any more once the leases are over.
+  let electorate: Option.Option<Electorate> = Option.none;
   while (runtime.clock.now() < deadline && !epochs.isSuperseded(service.service, epoch)) {
-    // Read only now: everything that an edge acknowledged under the older epoch is on a majority of core disks once the leases are over.
-    if (await isCaughtUp(services, service, chosen, formerPrimaryId)) return true;
+    if (Option.isNone(electorate)) electorate = await commitCoverage.readElectorate(services, service);
+    // Each time anew: everything that an edge acknowledged under the older epoch is on a majority of core disks by now.
+    if (Option.isSome(electorate) && (await isCaughtUp(services, service, { chosen, electorate: electorate.value, formerPrimaryId })))
+      return true;
     await runtime.clock.sleep(pollMilliseconds);
   }
   return false;
