Let a transaction without a statement rest twice as long before it is ended

A transaction that rests for TxRestMs may be ended; one that has sent no statement holds nothing at a member, so it gets twice the limit. The story of that rest waits 4 s instead of 3 s for the limit of 1.5 s; the guard of the mutation rest-not-ended follows the renamed limit.

The thirteen stories of rests and revocation passed.

--- a/packages/acceptance/features/pooled.feature
+++ b/packages/acceptance/features/pooled.feature
@@ -240,8 +240,8 @@
     And nothing of it is committed, and the primary of "bookings" has no open transaction
 
   # A transaction that rests before its first statement was never ended.
-  Scenario: A transaction that rests before its first statement is ended like any other
+  Scenario: A transaction that rests before its first statement is ended after twice the idle limit
     Given a running pooled fleet
     And a session in "bookings-lead" through edge-1 opened with the spare key, whose open transaction has sent no statement
-    When 3 s pass in the pooled fleet
+    When 4 s pass in the pooled fleet
     Then the transaction is answered with "aborted, aborted"
--- a/packages/pooler/src/pooler.ts
+++ b/packages/pooler/src/pooler.ts
@@ -79,6 +79,8 @@
 const countsMilliseconds = 10_000;
 /** Idle limit of transactions before a configuration sets one. */
 const defaultIdleMilliseconds = 1_800;
+/** A transaction that has sent no statement holds nothing at a member, and may be idle longer. */
+const unpinnedIdleFactor = 2;
 
 function assemble(runtime: Runtime, settings: PoolerSettings, dialect: Dialect): Assembly {
   const lifecycle: Lifecycle = { stopped: false };
@@ -155,7 +157,8 @@
   for (const session of clients.sessions()) {
     if (Option.isNone(session.transaction)) continue;
     const transaction = session.transaction.value;
-    const isIdleTooLong = now - transaction.idleSince >= maximumIdle;
+    const idleLimit = Option.isSome(transaction.pinned) ? maximumIdle : maximumIdle * unpinnedIdleFactor;
+    const isIdleTooLong = now - transaction.idleSince >= idleLimit;
     if (isIdleTooLong || endsTransactions) transactions.abandonIdle(connections, transaction);
   }
 }
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -95,7 +95,7 @@
     name: 'rest-not-ended',
     story: 'is idle too long',
     file: 'pooler/build/pooler.js',
-    from: 'now - transaction.idleSince >= maximumIdle',
+    from: 'now - transaction.idleSince >= idleLimit',
     to: 'false',
   },
   {
