Log what a core waits for, each read, and how each core answered a failed round

No logic changes.

core.waits, once a second; configuration.read, for each read; the fault of a round without a majority lists the replicas' responses.

--- a/packages/acceptance/features/cores.feature
+++ b/packages/acceptance/features/cores.feature
@@ -206,3 +206,14 @@
     When core-3 loses power
     Then within 2 s another configuration is acknowledged
     And every core in the set reads the latest acknowledged configuration
+
+  Scenario: A core that does not serve says what it waits for
+    Given a fleet of 3 cores, an edge that holds a lease, and an operator that sends configurations
+    When all cores are killed and only core-2 is restarted
+    Then core-2 logs once a second that it waits as "formed" and has met no other core
+
+  Scenario: A failed round says how each core answered, and a read is logged
+    Given a fleet of 3 cores, an edge that holds a lease, and an operator that sends configurations
+    Then a read of the configuration at core-1 is logged with its outcome
+    When the disks of core-2 and core-3 become full
+    Then a configuration sent to core-1 fails and tells that "core-1 agreed, core-2 not-ready, core-3 not-ready"
--- a/packages/acceptance/run.mjs
+++ b/packages/acceptance/run.mjs
@@ -36,6 +36,7 @@
         'build/pooled-revocation-steps.js',
         'build/name-steps.js',
         'build/cores.js',
+        'build/opening-steps.js',
         'build/disks.js',
         'build/clocks.js',
         'build/cut-core.js',
--- a/packages/core/src/core-set-manager.ts
+++ b/packages/core/src/core-set-manager.ts
@@ -7,6 +7,7 @@
 import { coreSetChanges, coreSetKey, isSameNodeAndDisk, type ConfirmedCores, type CoreSetChanges } from '@stallstall/register';
 import type { CoreSetManagerParts, CoreSetState } from './core-set-state.js';
 import { coreSetMembership, type CoreSetMembership } from './core-set-membership.js';
+import type { LearnerStep } from './learner.js';
 
 export type { CoreSetManagerParts } from './core-set-state.js';
 
@@ -23,6 +24,8 @@
   abandonDisk: () => Promise<boolean>;
   /** Lets a waiting learner replace this core; resolves once it has, when no learner waits, or at the deadline. */
   handOverMembership: (deadline: Instant) => Promise<void>;
+  /** What this core is doing while no core set lists it. */
+  learnerStep: () => LearnerStep;
   start: () => void;
   stop: () => void;
 }>;
@@ -179,6 +182,7 @@
     join: (request) => join(manager, request),
     observe: membership.observe,
     handOverMembership: (deadline) => handOverMembership(manager, deadline),
+    learnerStep: membership.learnerStep,
     abandonDisk: () => state.commands.run(membership.abandonDisk),
     onFleetFound: function fleetFound(fleet, set) {
       if (!state.isStopped && !state.isLeaving) void state.commands.run(() => membership.becomeLearner(fleet, set));
--- a/packages/core/src/core-set-membership.ts
+++ b/packages/core/src/core-set-membership.ts
@@ -4,7 +4,7 @@
 import { isSameNodeAndDisk } from '@stallstall/register';
 import type { CoreSetState } from './core-set-state.js';
 import { coreSetOf, type FleetRecord } from './fleet-record.js';
-import { learner } from './learner.js';
+import { learner, type LearnerStep } from './learner.js';
 
 /** The caller runs functions that change the record one at a time. @internal */
 export type CoreSetMembership = Readonly<{
@@ -20,6 +20,7 @@
   becomeLearner: (fleet: string, set: CoreSet) => Promise<void>;
   /** Becomes a learner with a new disk identity, as after a lost disk; resolves to true once that is synced. */
   abandonDisk: () => Promise<boolean>;
+  learnerStep: () => LearnerStep;
 }>;
 
 const noSet: CoreSet = { number: 0, seats: [], epochs: {} };
@@ -143,7 +144,7 @@
     return Option.isSome(record) && (await parts.saveRecord(learnerRecord(state, record.value.fleet, set())));
   }
 
-  return { set, ownSeat, adopt, observe, becomeLearner, abandonDisk };
+  return { set, ownSeat, adopt, observe, becomeLearner, abandonDisk, learnerStep: coreLearner.step };
 }
 
 /** @internal */
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -18,6 +18,7 @@
 import { fleetBootstrap, type FleetBootstrap } from './fleet-bootstrap.js';
 import { memberRegistration, type MemberRegistration } from './member-registration.js';
 import { membershipTable, type MembershipTable } from './membership-table.js';
+import { openingWait } from './opening-wait.js';
 import { currentSet, peerHandlers } from './peer-handlers.js';
 import { platformApi, type PlatformApi } from './platform-api.js';
 import { quorumContact, type QuorumContact } from './quorum-contact.js';
@@ -186,6 +187,7 @@
   const table = membershipTable.create({ node, register: runtime.services.find(registerService), ready: storage.cells.ready });
   const administration = createAdministration(services, { usage, table, versions, subscribers });
   const api = platformApi.create({
+    runtime,
     isOpen: storage.cells.ready,
     isDraining: () => context.isDraining,
     contact,
@@ -211,6 +213,7 @@
   usage.start();
   if (Option.isSome(context.coreSet)) context.coreSet.value.start();
   bootstrap.start();
+  openingWait.watch(services, bootstrap);
 }
 
 async function stop({ services, versions, usage }: Assembly, listening: readonly Listener[]): Promise<void> {
--- a/packages/core/src/discovered-cores.ts
+++ b/packages/core/src/discovered-cores.ts
@@ -12,6 +12,8 @@
   observe: (seat: NodeRecord, fleet: string) => void;
   /** Cores whose last hello is recent enough for founding a fleet. */
   recent: () => readonly DiscoveredCore[];
+  /** Every core that has sent or answered a hello since this process started. */
+  all: () => readonly DiscoveredCore[];
   /** Whether this core and the discovered cores of its fleet are a majority of the fleet's cores. */
   includesMajority: (record: FleetRecord) => boolean;
 }>;
@@ -31,6 +33,7 @@
   return {
     observe: (seat, fleet) => void coresByName.set(seat.node, { seat, fleet, seenAt: runtime.clock.now() }),
     recent: () => [...coresByName.values()].filter((core) => runtime.clock.now() - core.seenAt < recentMilliseconds),
+    all: () => [...coresByName.values()],
     includesMajority,
   };
 }
--- a/packages/core/src/fleet-bootstrap.ts
+++ b/packages/core/src/fleet-bootstrap.ts
@@ -51,6 +51,8 @@
   handleFormRequest: (request: Request<'form'>) => Promise<Reply<'form'>>;
   /** Founds a fleet, returns to one, or waits for one, depending on what the disk holds. */
   start: () => void;
+  /** Other cores that have exchanged hello messages with this one, as `name fleet`. */
+  discovered: () => readonly string[];
 }>;
 
 type Bootstrap = Readonly<{
@@ -147,6 +149,7 @@
     onHelloReceived: (request) => onHelloReceived(bootstrap, request),
     handleFormRequest: bootstrap.founding.handleForm,
     start: () => start(bootstrap),
+    discovered: () => cores.all().map(({ seat, fleet }) => `${seat.node} ${fleet === '' ? 'no fleet' : fleet}`),
   };
 }
 
--- a/packages/core/src/learner.ts
+++ b/packages/core/src/learner.ts
@@ -26,13 +26,18 @@
 export type Learner = Readonly<{
   /** Called with every set that another core reports. */
   observe: (set: CoreSet) => void;
+  /** What this core is doing to be listed and to catch up. */
+  step: () => LearnerStep;
 }>;
 
+export type LearnerStep = 'waiting-for-a-set' | 'copying' | 'asking-to-join' | 'copying-as-listed' | 'completing-cells' | 'opening';
+
 type LearnerState = {
   readonly runtime: Runtime;
   readonly parts: LearnerParts;
   newestSet: Option.Option<CoreSet>;
   isRunning: boolean;
+  step: LearnerStep;
   lastReason: string;
 };
 
@@ -88,10 +93,13 @@
 async function catchUpAndOpen(learner: LearnerState, set: CoreSet): Promise<void> {
   const { parts } = learner;
   const epochs: Record<string, number> = { ...set.epochs };
+  learner.step = 'copying-as-listed';
   if (!(await copyFromPeers(learner, set, epochs, set.number))) return;
   await parts.transfer.abstain(epochs);
+  learner.step = 'completing-cells';
   const register = createRemoteRegister(learner, set).forCoreSet(set.number);
   if (!(await catchUp.completeUnresolved(parts.cells, register))) return;
+  learner.step = 'opening';
   if (isNewest(learner, set) && parts.shouldRun()) await parts.open(set);
 }
 
@@ -119,8 +127,11 @@
   while (parts.shouldRun() && Option.isSome(learner.newestSet)) {
     const set = learner.newestSet.value;
     if (isListed(learner, set)) await catchUpAndOpen(learner, set);
-    else if (!isCopied) isCopied = await copyFromPeers(learner, set, {}, 0);
-    else {
+    else if (!isCopied) {
+      learner.step = 'copying';
+      isCopied = await copyFromPeers(learner, set, {}, 0);
+    } else {
+      learner.step = 'asking-to-join';
       attempts += 1;
       await requestJoin(learner, set, attempts);
     }
@@ -137,8 +148,8 @@
 }
 
 function create(runtime: Runtime, parts: LearnerParts): Learner {
-  const learner: LearnerState = { runtime, parts, newestSet: Option.none, isRunning: false, lastReason: '' };
-  return { observe: (set) => observe(learner, set) };
+  const learner: LearnerState = { runtime, parts, newestSet: Option.none, isRunning: false, step: 'waiting-for-a-set', lastReason: '' };
+  return { observe: (set) => observe(learner, set), step: () => learner.step };
 }
 
 export const learner = { create } as const;
--- a/packages/core/src/platform-api.ts
+++ b/packages/core/src/platform-api.ts
@@ -1,7 +1,7 @@
 /** The operations that a core offers to the routes of an external platform, which only translate formats (design 9.6). */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { fault, type Fault } from '@stallstall/kernel';
+import { fault, type Fault, type Runtime } from '@stallstall/kernel';
 import type { Registration } from '@stallstall/member-registry';
 import { placements } from '@stallstall/placement';
 import type { Administration } from './administration/administration.js';
@@ -28,6 +28,7 @@
 }>;
 
 export type PlatformApiParts = Readonly<{
+  runtime: Pick<Runtime, 'clock' | 'log'>;
   /** Whether this core belongs to a fleet and answers ballots. */
   isOpen: () => boolean;
   isDraining: () => boolean;
@@ -45,7 +46,19 @@
   });
 }
 
-function create({ isOpen, isDraining, contact, administration, registration }: PlatformApiParts): PlatformApi {
+/** Reads the configuration; logs each read, so that a rejection can be told from a slow or lost reply. */
+async function readSource({ runtime, isOpen, contact, administration }: PlatformApiParts): Promise<Either.Either<Fault, string>> {
+  const startedAt = runtime.clock.now();
+  const read = isOpen() ? await contact.runInContact(administration.readSource) : Either.left(notInFleet());
+  runtime.log('configuration.read', {
+    milliseconds: Math.round(runtime.clock.now() - startedAt),
+    outcome: Either.isLeft(read) ? read.left.message : `${read.right.length} characters`,
+  });
+  return read;
+}
+
+function create(parts: PlatformApiParts): PlatformApi {
+  const { isOpen, isDraining, contact, administration, registration } = parts;
   return {
     ready: () => isOpen() && !isDraining(),
     configure: async function configure(external, placement) {
@@ -54,7 +67,7 @@
       if (Either.isLeft(checked)) return checked;
       return contact.runInContact(() => administration.replaceExternal(external, checked.right));
     },
-    readSource: async () => (isOpen() ? contact.runInContact(administration.readSource) : Either.left(notInFleet())),
+    readSource: () => readSource(parts),
     // A core without a fleet or without contact to a majority could not pass this on: the caller has to try another core.
     heartbeat: async (report) => Option.isSome(registration) && isOpen() && registration.value.heartbeat(report),
     leave: async (member) => Option.isSome(registration) && isOpen() && registration.value.leave(member),
--- a/packages/register/src/ballot-round.ts
+++ b/packages/register/src/ballot-round.ts
@@ -5,7 +5,7 @@
 import { quorum } from '@stallstall/quorum';
 import { compressedDifference } from './compressed-difference.js';
 import type { ChangeOutcome, CoreSetSource, Decision, RegisterReplica } from './register.js';
-import { replicaCalls, type ReplicaReply } from './replica-calls.js';
+import { replicaCalls, type ReplicaReply, type ReplicaResponse } from './replica-calls.js';
 
 /** @internal */
 export type RoundContext = Readonly<{
@@ -18,6 +18,8 @@
   /** The entry of a key that this process already has, which replicas need not send again (design 5.7). */
   localEntry: (key: string) => Option.Option<Entry>;
   counter: BallotCounter;
+  /** Called with the response of each replica to the latest call of the operation. */
+  recordResponse: (core: string, response: ReplicaResponse) => void;
 }>;
 
 /** @internal */
@@ -107,6 +109,7 @@
     bodyFor: () => ({ key, ballot, ...setField, ...holdsField(localEntry) }),
     isEnough: (received) => isMajority(replicaCalls.agreeing(received)),
     observe: context.coreSets.observe,
+    recordResponse: context.recordResponse,
     lingerMilliseconds: promiseLingerMilliseconds,
   });
   context.counter.observe(replies);
@@ -129,6 +132,7 @@
     bodyFor: (target) => (coresWithLocalEntry.has(target.core) ? withDifference : complete),
     isEnough: (received) => isMajority(replicaCalls.agreeing(received)),
     observe: context.coreSets.observe,
+    recordResponse: context.recordResponse,
   });
   context.counter.observe(replies);
   return isMajority(replicaCalls.agreeing(replies));
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -13,7 +13,7 @@
   type Register,
   type RegisterReplica,
 } from './register.js';
-import { replicaCalls } from './replica-calls.js';
+import { replicaCalls, type ReplicaResponse } from './replica-calls.js';
 
 export type ProposerOptions = Readonly<{
   /** This node's id. */
@@ -36,10 +36,20 @@
 /** The backoff grows linearly with each attempt, up to this multiple of the first one. */
 const maxBackoffSteps = 10;
 
-function noMajority({ replicaCount }: RoundContext, key: string): Fault {
+/** One read or change, with each replica's response to its latest call. */
+type Operation = Readonly<{ context: RoundContext; key: string; responses: ReadonlyMap<string, ReplicaResponse> }>;
+
+function startOperation(shared: Omit<RoundContext, 'recordResponse'>, key: string): Operation {
+  const responses = new Map<string, ReplicaResponse>();
+  return { context: { ...shared, recordResponse: (core, response) => void responses.set(core, response) }, key, responses };
+}
+
+function noMajority({ context, key, responses }: Operation): Fault {
+  const replicaCount = context.replicaCount();
+  const responded = [...responses].map(([core, response]) => `${core} ${response}`).join(', ');
   return fault.create({
     kind: 'no-majority',
-    message: `the register could not complete the operation on ${key}: no majority of its ${replicaCount()} replicas replied in time`,
+    message: `the register could not complete the operation on ${key}: no majority of its ${replicaCount} replicas replied in time (${responded})`,
     remedy: 'restore an unavailable core, then try again',
     retryAfterSeconds: 1,
   });
@@ -52,22 +62,22 @@
 
 /** @param isCurrent - whether further attempts are allowed: false once the core set differs from the caller's */
 async function change(
-  context: RoundContext,
+  operation: Operation,
   isCurrent: () => boolean,
-  key: string,
   decide: Decision,
   milliseconds = defaultTimeoutMilliseconds,
 ): Promise<Either.Either<Fault, ChangeOutcome>> {
+  const { context, key } = operation;
   const { clock } = context.runtime;
   const deadline = identifiers.after(clock.now(), milliseconds);
   for (let attempts = 1; isCurrent(); attempts += 1) {
     const outcome = await ballotRound.run(context, key, decide);
     if (Option.isSome(outcome)) return Either.right(outcome.value);
     const pause = backoff(context, attempts);
-    if (clock.now() + pause >= deadline) return Either.left(noMajority(context, key));
+    if (clock.now() + pause >= deadline) return Either.left(noMajority(operation));
     await clock.sleep(pause);
   }
-  return Either.left(noMajority(context, key));
+  return Either.left(noMajority(operation));
 }
 
 function keepCurrent(): Option.Option<unknown> {
@@ -75,12 +85,12 @@
 }
 
 async function read(
-  context: RoundContext,
+  operation: Operation,
   isCurrent: () => boolean,
-  key: string,
   milliseconds = defaultTimeoutMilliseconds,
 ): Promise<Either.Either<Fault, Option.Option<Entry>>> {
-  if (!isCurrent()) return Either.left(noMajority(context, key));
+  const { context, key } = operation;
+  if (!isCurrent()) return Either.left(noMajority(operation));
   const { replicas, setField, isMajority } = ballotRound.currentSet(context);
   const localEntry = context.localEntry(key);
   const request: Request<'look'> = { key, ...setField, ...ballotRound.holdsField(localEntry) };
@@ -90,18 +100,19 @@
     bodyFor: () => request,
     isEnough: isMajority,
     observe: context.coreSets.observe,
+    recordResponse: context.recordResponse,
   });
   const filled = replicaCalls.withLocalEntry(replies, localEntry);
   if (isMajority(filled) && replicaCalls.isUnanimous(filled)) return Either.right(replicaCalls.highestEntry(filled));
   // The replicas differ, so a round may have been interrupted. It is completed before a value is returned.
-  const completed = await change(context, isCurrent, key, keepCurrent, milliseconds);
+  const completed = await change(operation, isCurrent, keepCurrent, milliseconds);
   return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
 }
 
 function create(runtime: Runtime, options: ProposerOptions): CoreSetRegister {
   const proposerName = `${options.name}#${runtime.randomness.token()}`;
   const coreSets = options.coreSets ?? fixedCoreSet;
-  const context: RoundContext = {
+  const shared: Omit<RoundContext, 'recordResponse'> = {
     runtime,
     proposer: proposerName,
     replicas: options.replicas,
@@ -113,8 +124,8 @@
 
   function registerWhile(isCurrent: () => boolean): Register {
     return {
-      read: (key, milliseconds) => read(context, isCurrent, key, milliseconds),
-      change: (key, decide, milliseconds) => change(context, isCurrent, key, decide, milliseconds),
+      read: (key, milliseconds) => read(startOperation(shared, key), isCurrent, milliseconds),
+      change: (key, decide, milliseconds) => change(startOperation(shared, key), isCurrent, decide, milliseconds),
     };
   }
 
--- a/packages/register/src/replica-calls.ts
+++ b/packages/register/src/replica-calls.ts
@@ -4,6 +4,9 @@
 import { ballotZero, message, type Entry, type Reply, type Request } from '@stallstall/message';
 import type { CoreSetSource, RegisterCall, RegisterReplica } from './register.js';
 
+/** How a replica responded to a call; `no-reply` also stands for a reply that has not arrived yet. @internal */
+export type ReplicaResponse = 'agreed' | 'higher-ballot' | 'not-ready' | 'newer-core-set' | 'no-reply';
+
 /** `isEntryOmitted`: the replica omitted its entry, because it is the one the proposer already has. @internal */
 export type ReplicaReply = Readonly<{ target: RegisterReplica; reply: Reply<'prepare'>; isEntryOmitted: boolean }>;
 
@@ -17,6 +20,8 @@
   isEnough: (replies: readonly ReplicaReply[]) => boolean;
   /** Called with a newer core set that a replica reports. */
   observe: CoreSetSource['observe'];
+  /** Called with each replica before it is called, and again with its response. */
+  recordResponse: (core: string, response: ReplicaResponse) => void;
   /** How long to wait for further replies once there are enough. @default 0 */
   lingerMilliseconds?: number;
 }>;
@@ -24,12 +29,19 @@
 /** Timeout of one call to a replica. */
 const callTimeoutMilliseconds = 800;
 
+function responseOf(reply: Option.Option<Reply<RegisterCall>>): ReplicaResponse {
+  if (Option.isNone(reply)) return 'no-reply';
+  if (reply.value.newer !== undefined) return 'newer-core-set';
+  if (!reply.value.ready) return 'not-ready';
+  return reply.value.agreed ? 'agreed' : 'higher-ballot';
+}
+
 /**
  * Sends a call to every replica. Resolves to the replies of the replicas that take part, as soon as these suffice and the linger time has
  * passed, or when every replica has replied or timed out.
  */
 function sendToAll<Call extends RegisterCall>(runtime: Runtime, plan: CallPlan<Call>): Promise<readonly ReplicaReply[]> {
-  const { targets, call, bodyFor, isEnough, observe, lingerMilliseconds = 0 } = plan;
+  const { targets, call, bodyFor, isEnough, observe, recordResponse, lingerMilliseconds = 0 } = plan;
   return new Promise(function collect(resolve) {
     const replies: ReplicaReply[] = [];
     let outstanding = targets.length;
@@ -38,8 +50,10 @@
       resolve([...replies]);
     }
     async function send(target: RegisterReplica): Promise<void> {
+      recordResponse(target.core, 'no-reply');
       const reply = await target.send(call, bodyFor(target), callTimeoutMilliseconds);
       outstanding -= 1;
+      recordResponse(target.core, responseOf(reply));
       if (Option.isSome(reply) && reply.value.newer !== undefined) observe(reply.value.newer);
       if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value, isEntryOmitted: false });
       if (outstanding === 0) return finish();
