--- a/packages/acceptance/features/cores.feature
+++ b/packages/acceptance/features/cores.feature
@@ -217,3 +217,24 @@
     Then a read of the configuration at core-1 is logged with its outcome
     When the disks of core-2 and core-3 become full
     Then a configuration sent to core-1 fails and tells that "core-1 agreed, core-2 not-ready, core-3 not-ready"
+
+  Scenario: The configuration is read back although many rounds compete after a loss of power
+    Given a fleet of 3 cores, an edge that holds a lease, and an operator that sends configurations
+    When writes of the configuration take 80 ms, one after the other
+    And core-3 misses the last configurations, and then all cores lose power and core-1 its disk
+    And 8 configurations are sent at once, each to the next core after a second without an answer
+    Then an operator that asks one core after the other reads the acknowledged configuration within 4 s
+
+  Scenario: A lost disk is replaced in time although many rounds compete after a loss of power
+    Given a fleet of 3 cores, an edge that holds a lease, and an operator that sends configurations
+    When writes of the configuration take 80 ms, one after the other
+    And core-3 misses the last configurations, and then all cores lose power and core-1 its disk
+    And 8 configurations are sent at once, each to the next core after a second without an answer
+    Then core-1 serves again within 4 s
+
+  Scenario: Configurations that are sent at once after a loss of power are all confirmed
+    Given a fleet of 3 cores, an edge that holds a lease, and an operator that sends configurations
+    When writes of the configuration take 80 ms, one after the other
+    And core-3 misses the last configurations, and then all cores lose power and core-1 its disk
+    And 8 configurations are sent at once, each to the next core after a second without an answer
+    Then all 8 configurations are confirmed within 9 s
--- a/packages/simulator/src/core-fleet.ts
+++ b/packages/simulator/src/core-fleet.ts
@@ -7,6 +7,7 @@
 import { leaseHolder as leaseHolders, type LeaseHolder } from '@stallstall/lease';
 import { registerService } from '@stallstall/register';
 import { areas, deployments, redComun } from '@stallstall/fakes';
+import type { NetworkOptions } from './simulated-network.js';
 import { world as worlds, type Process, type SimulatedDisk, type World } from './world.js';
 
 export type CoreMachine = {
@@ -49,8 +50,16 @@
   /** Starts a core with an empty disk on a machine unknown to the others, with the given seed addresses. */
   startBlankCore: (seeds: readonly string[]) => Promise<CoreMachine>;
   kill: (machine: CoreMachine) => void;
+  /** Ends a core without closing its connections: the others receive nothing more from its machine until it is started again. */
+  losePower: (machine: CoreMachine) => void;
+  /** The seed addresses that a machine is given at its next start. */
+  nameSeeds: (machine: CoreMachine, seeds: readonly string[]) => void;
+  /** An empty disk, as slow as the others. */
+  newDisk: () => SimulatedDisk;
   /** Makes each disk write take so much longer, also on machines that are added later. */
   slowDisks: (milliseconds: number) => void;
+  /** Makes writes of the configuration's cell take so much longer, one after the other, also on disks that are added later. */
+  slowConfigurationWrites: (milliseconds: number) => void;
   /** Cuts a machine off from all others, also from those added later, until `healAll`. */
   isolate: (machine: CoreMachine) => void;
   healAll: () => void;
@@ -67,8 +76,8 @@
   return { retrySafety: 'deduplicated', method: 'POST', path: '/none', body: {} };
 }
 
-async function create(seed: number, founderCount: number): Promise<CoreFleet> {
-  const world = worlds.create(seed);
+async function create(seed: number, founderCount: number, networkOptions: NetworkOptions = {}): Promise<CoreFleet> {
+  const world = worlds.create(seed, networkOptions);
   const machines: CoreMachine[] = [];
   const seedsOf = new Map<CoreMachine, readonly string[]>();
   const violations: string[] = [];
@@ -79,10 +88,12 @@
   let lastSentVersion = 0;
   let leaseGapCount = 0;
   let extraWriteMilliseconds = 0;
+  let configurationMilliseconds = 0;
 
   function newDisk(): SimulatedDisk {
     const disk = world.disk();
     disk.faults.slowMilliseconds = extraWriteMilliseconds;
+    disk.faults.configurationMilliseconds = configurationMilliseconds;
     return disk;
   }
 
@@ -103,6 +114,7 @@
   }
 
   async function start(machine: CoreMachine, mayFound: boolean): Promise<void> {
+    world.restoreMachine(machine.machine);
     const spawned = world.spawn(machine.name, machine.machine, machine.disk);
     machine.process = spawned;
     const seeds = seedsOf.get(machine) ?? [];
@@ -165,6 +177,13 @@
     machine.platformApi = undefined;
   }
 
+  function losePower(machine: CoreMachine): void {
+    world.makeUnresponsive(machine.machine);
+    machine.process = undefined;
+    machine.running = undefined;
+    machine.platformApi = undefined;
+  }
+
   function isolate(machine: CoreMachine): void {
     isolatedMachines.add(machine);
     for (const other of [...machines.map((other) => other.machine), 'edge-machine']) {
@@ -308,10 +327,17 @@
     start,
     startBlankCore,
     kill,
+    losePower,
+    nameSeeds: (machine, addresses) => void seedsOf.set(machine, addresses),
     slowDisks: function slowDisks(milliseconds) {
       extraWriteMilliseconds = milliseconds;
       for (const machine of machines) machine.disk.faults.slowMilliseconds = milliseconds;
     },
+    slowConfigurationWrites: function slowConfigurationWrites(milliseconds) {
+      configurationMilliseconds = milliseconds;
+      for (const machine of machines) machine.disk.faults.configurationMilliseconds = milliseconds;
+    },
+    newDisk,
     isolate,
     runUntil,
     healAll: function healAll() {
--- a/packages/simulator/src/fleet.ts
+++ b/packages/simulator/src/fleet.ts
@@ -112,7 +112,7 @@
 const readinessMilliseconds = 400;
 
 function create(seed: number, deployment: Deployment, options: FleetOptions = {}): Fleet {
-  const world = worlds.create(seed, options.weighing);
+  const world = worlds.create(seed, { countsTraffic: options.weighing ?? false });
   const edgeCount = options.edges ?? 6;
   const cores: CoreSlot[] = [0, 1, 2].map((index) => ({
     name: `core-${index + 1}`,
--- a/packages/simulator/src/known-red.ts
+++ b/packages/simulator/src/known-red.ts
@@ -4,7 +4,7 @@
  */
 import fs from 'node:fs';
 
-const kinds = ['story', 'seed', 'pooled-seed', 'wire-seed', 'exploration', 'soak'] as const;
+const kinds = ['story', 'seed', 'pooled-seed', 'core-seed', 'wire-seed', 'exploration', 'soak'] as const;
 export type KnownRedKind = (typeof kinds)[number];
 
 export type KnownRedEntry = Readonly<{ kind: KnownRedKind; test: string; command: string; seen: string; issue: string }>;
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -42,7 +42,7 @@
 const seedLagMilliseconds = 3_000;
 
 function create(seed: number, options: PooledOptions = {}): PooledFleet {
-  const world = worlds.create(seed, options.weighing);
+  const world = worlds.create(seed, { countsTraffic: options.weighing ?? false });
   const services = ['bookings', 'maps'].slice(0, options.services ?? 2);
   let coresEver = 0;
   const cores: PooledCore[] = [1, 2, 3].map((index) => coreSlot(areas[index - 1] as string));
--- a/packages/simulator/src/simulated-disk.ts
+++ b/packages/simulator/src/simulated-disk.ts
@@ -3,9 +3,21 @@
 import * as Option from 'fp-ts/lib/Option.js';
 import { diskHealth, fault, type Clock, type Disk, type Fault } from '@stallstall/kernel';
 
-/** `failing`: every write fails. `full`: every write fails for lack of space. `hanging`: writes complete only once it no longer hangs. */
-export type DiskFaults = { failing: boolean; full: boolean; hanging: boolean; slowMilliseconds: number };
-export type SimulatedDisk = { readonly entries: Map<string, string>; readonly faults: DiskFaults };
+/**
+ * `failing`: every write fails. `full`: every write fails for lack of space. `hanging`: writes complete only once it no longer hangs.
+ * `slowMilliseconds`: every write takes so much longer. `configurationMilliseconds`: writes of the configuration's cell, which may be large,
+ * are done one after the other, and each takes so much longer.
+ */
+export type DiskFaults = {
+  failing: boolean;
+  full: boolean;
+  hanging: boolean;
+  slowMilliseconds: number;
+  configurationMilliseconds: number;
+};
+
+/** `configurationFreeAt`: when the writes of the configuration's cell that were started so far are done. */
+export type SimulatedDisk = { readonly entries: Map<string, string>; readonly faults: DiskFaults; configurationFreeAt: number };
 
 /** Schedules a write: it completes, fails or is delayed as the faults of the disk require. */
 export type ScheduleWrite = (key: string, write: () => void) => Promise<Either.Either<Fault, null>>;
--- a/packages/simulator/src/simulated-http.ts
+++ b/packages/simulator/src/simulated-http.ts
@@ -10,7 +10,6 @@
   type OutgoingHttpRequest,
 } from '@stallstall/kernel';
 import { jsonCopy } from './frames.js';
-import { connectMilliseconds } from './simulated-links.js';
 import type { SimulatedNetwork } from './simulated-network.js';
 import type { SimulatedProcess } from './simulated-process.js';
 
@@ -82,7 +81,7 @@
         return;
       }
       network.time.schedule(
-        connectMilliseconds,
+        network.connectMilliseconds,
         () => network.runInProcess(process, () => resolve(false)),
         () => peerProcess === undefined && !closed,
       );
--- a/packages/simulator/src/simulated-links.ts
+++ b/packages/simulator/src/simulated-links.ts
@@ -5,9 +5,6 @@
 import type { SimulatedNetwork } from './simulated-network.js';
 import type { SimulatedProcess } from './simulated-process.js';
 
-/** Timeout of a connection attempt. */
-export const connectMilliseconds = 3_000;
-
 /** Creates one direction of a link: actions run at the receiver in the order they were submitted, whatever their latencies. */
 function createOrderedLane(network: SimulatedNetwork, from: SimulatedProcess, to: SimulatedProcess): (action: () => void) => void {
   let lastArrival = 0;
@@ -40,7 +37,7 @@
       );
     }
     network.time.schedule(
-      connectMilliseconds,
+      network.connectMilliseconds,
       () => network.runInProcess(process, unreachable),
       () => !completed,
     );
--- a/packages/simulator/src/simulated-network.ts
+++ b/packages/simulator/src/simulated-network.ts
@@ -14,6 +14,8 @@
 /** The network shared by all processes of a simulation. @internal */
 export type SimulatedNetwork = Readonly<{
   time: VirtualTime;
+  /** Timeout of a connection attempt. */
+  connectMilliseconds: number;
   listeners: Map<string, SimulatedListener>;
   servers: Map<string, SimulatedServer>;
   /** The machine that opened each HTTP connection, by connection identifier. */
@@ -34,15 +36,26 @@
   healAll: () => void;
 }>;
 
+/** How much a simulated network counts, and how long a connection attempt may take. */
+export type NetworkOptions = Readonly<{
+  /** Whether frames and bytes sent over links are counted. @default false */
+  countsTraffic?: boolean;
+  /** @default 3000 */
+  connectMilliseconds?: number;
+}>;
+
+const defaultConnectMilliseconds = 3_000;
 const minLatencyMilliseconds = 0.2;
 const latencySpreadMilliseconds = 0.8;
 
 /**
  * Creates the network of one simulation.
  * @param time - virtual clock and event queue
- * @param countTraffic - whether frames and bytes sent over links are counted
  */
-function create(time: VirtualTime, countTraffic: boolean): SimulatedNetwork {
+function create(
+  time: VirtualTime,
+  { countsTraffic = false, connectMilliseconds = defaultConnectMilliseconds }: NetworkOptions,
+): SimulatedNetwork {
   const heldByCut = new Map<string, Array<() => void>>();
   const sent = new Map<string, Traffic>();
   let lastToken = 0;
@@ -86,7 +99,7 @@
 
   /** Prepares a message for a link: counts it, and copies it so that sender and receiver share no object. */
   function encodeFrame(from: SimulatedProcess, message: unknown): unknown {
-    if (countTraffic) {
+    if (countsTraffic) {
       const before = sent.get(from.name) ?? { frames: 0, bytes: 0 };
       sent.set(from.name, { frames: before.frames + 1, bytes: before.bytes + JSON.stringify(message).length });
     }
@@ -100,6 +113,7 @@
 
   return {
     time,
+    connectMilliseconds,
     listeners: new Map(),
     servers: new Map(),
     connectionMachines: new Map(),
--- a/packages/simulator/src/simulated-runtime.ts
+++ b/packages/simulator/src/simulated-runtime.ts
@@ -39,6 +39,17 @@
   else action();
 }
 
+/** The key of the configuration's cell in the data folder. */
+const configurationKey = 'register/configuration';
+
+/** How much longer a write that starts now takes because of the faults of the disk. */
+function delayOfWrite({ time }: SimulatedNetwork, disk: SimulatedDisk, key: string): number {
+  const { slowMilliseconds, configurationMilliseconds } = disk.faults;
+  if (key !== configurationKey) return slowMilliseconds;
+  disk.configurationFreeAt = Math.max(time.now(), disk.configurationFreeAt) + configurationMilliseconds;
+  return slowMilliseconds + disk.configurationFreeAt - time.now();
+}
+
 function scheduleWrite(
   network: SimulatedNetwork,
   process: SimulatedProcess,
@@ -59,7 +70,7 @@
       write();
       network.runInProcess(process, () => resolve(Either.right(null)));
     }
-    network.time.schedule(0.5 + network.time.random() * 2 + disk.faults.slowMilliseconds, () =>
+    network.time.schedule(0.5 + network.time.random() * 2 + delayOfWrite(network, disk, key), () =>
       runOnceDiskResponds(network, process, disk, complete),
     );
   });
--- a/packages/simulator/src/world.ts
+++ b/packages/simulator/src/world.ts
@@ -3,7 +3,7 @@
 import { supportedProtocols, type Fault, type Protocols } from '@stallstall/kernel';
 import type { SimulatedDisk } from './simulated-disk.js';
 import { simulatedRuntime, type LogLine } from './simulated-runtime.js';
-import { simulatedNetwork, type Traffic } from './simulated-network.js';
+import { simulatedNetwork, type NetworkOptions, type Traffic } from './simulated-network.js';
 import type { Process, SimulatedProcess } from './simulated-process.js';
 import { virtualTime } from './virtual-time.js';
 
@@ -50,11 +50,10 @@
 /**
  * Creates a simulation.
  * @param seed - determines all random draws
- * @param countsTraffic - whether frames and bytes sent over links are counted
  */
-function create(seed: number, countsTraffic = false): World {
+function create(seed: number, options: NetworkOptions = {}): World {
   const time = virtualTime.create(seed);
-  const network = simulatedNetwork.create(time, countsTraffic);
+  const network = simulatedNetwork.create(time, options);
   const logs: LogLine[] = [];
   const ended: EndedProcess[] = [];
   const processes = new Map<Process, SimulatedProcess>();
@@ -162,7 +161,11 @@
     heal: network.heal,
     isConnected: network.isConnected,
     healAll: network.healAll,
-    disk: () => ({ entries: new Map(), faults: { failing: false, full: false, hanging: false, slowMilliseconds: 0 } }),
+    disk: () => ({
+      entries: new Map(),
+      faults: { failing: false, full: false, hanging: false, slowMilliseconds: 0, configurationMilliseconds: 0 },
+      configurationFreeAt: 0,
+    }),
     run: time.run,
     schedule: time.schedule,
     logs,
