End a round of the register as soon as a majority can no longer agree to it

Callers saw: a read or a change took 0.8 s longer than needed, most of the second that an operator waits, when two of three cores had promised a higher ballot and the third was silent; after a restart that is so for the first round of each core.

Cause: a call to all replicas ended when enough had agreed or all had replied, so it waited for the silent one although the others had decided the outcome. Now it also ends when those that are left could no longer make a majority.

Story 'A round that a majority has rejected does not wait for a silent replica': not chosen within 200 ms before, chosen after.

--- a/packages/acceptance/run.mjs
+++ b/packages/acceptance/run.mjs
@@ -37,6 +37,7 @@
         'build/name-steps.js',
         'build/cores.js',
         'build/opening-steps.js',
+        'build/register-operation-steps.js',
         'build/disks.js',
         'build/clocks.js',
         'build/cut-core.js',
--- a/packages/register/src/ballot-round.ts
+++ b/packages/register/src/ballot-round.ts
@@ -34,7 +34,8 @@
   replicas: readonly RegisterReplica[];
   /** The field with the number of the core set, to be sent with each call. */
   setField: Readonly<{ set?: number }>;
-  isMajority: (replies: readonly ReplicaReply[]) => boolean;
+  /** The number of replicas that make a majority; unreachable in an empty set. */
+  majority: number;
 }>;
 
 /**
@@ -65,7 +66,7 @@
   return {
     replicas: replicas(),
     setField: number === 0 ? {} : { set: number },
-    isMajority: (replies) => size > 0 && replies.length >= quorum.majority(size),
+    majority: size > 0 ? quorum.majority(size) : Number.POSITIVE_INFINITY,
   };
 }
 
@@ -101,13 +102,14 @@
   key: string,
   ballot: Ballot,
   localEntry: Option.Option<Entry>,
-  { replicas, setField, isMajority }: RoundSet,
+  { replicas, setField, majority }: RoundSet,
 ): Promise<readonly ReplicaReply[]> {
   const replies = await replicaCalls.sendToAll(context.runtime, {
     targets: replicas,
     call: 'prepare',
     bodyFor: () => ({ key, ballot, ...setField, ...holdsField(localEntry) }),
-    isEnough: (received) => isMajority(replicaCalls.agreeing(received)),
+    majority,
+    isCounted: replicaCalls.isAgreeing,
     observe: context.coreSets.observe,
     recordResponse: context.recordResponse,
     lingerMilliseconds: promiseLingerMilliseconds,
@@ -122,7 +124,7 @@
   complete: Request<'accept'>,
   localEntry: Option.Option<Entry>,
   promises: readonly ReplicaReply[],
-  { isMajority }: RoundSet,
+  { majority }: RoundSet,
 ): Promise<boolean> {
   const withDifference = differenceRequest(complete, localEntry, promises);
   const coresWithLocalEntry = new Set(promises.filter(isRemoteWithLocalEntry).map((promise) => promise.target.core));
@@ -130,22 +132,23 @@
     targets: promises.map((promise) => replicaCalls.withCompleteEntryOnRequest(promise.target, complete)),
     call: 'accept',
     bodyFor: (target) => (coresWithLocalEntry.has(target.core) ? withDifference : complete),
-    isEnough: (received) => isMajority(replicaCalls.agreeing(received)),
+    majority,
+    isCounted: replicaCalls.isAgreeing,
     observe: context.coreSets.observe,
     recordResponse: context.recordResponse,
   });
   context.counter.observe(replies);
-  return isMajority(replicaCalls.agreeing(replies));
+  return replicaCalls.agreeing(replies).length >= majority;
 }
 
 /** Runs one round. Resolves to none when the outcome is unknown: the entry may still be chosen. */
 async function run(context: RoundContext, key: string, decide: Decision): Promise<Option.Option<ChangeOutcome>> {
   const ballot = context.counter.next();
   const roundSet = currentSet(context);
-  const { setField, isMajority } = roundSet;
+  const { setField, majority } = roundSet;
   const localEntry = context.localEntry(key);
   const promises = await collectPromises(context, key, ballot, localEntry, roundSet);
-  if (!isMajority(promises)) return Option.none;
+  if (promises.length < majority) return Option.none;
   const current = replicaCalls.highestEntry(promises);
   const decided = decide(current);
   if (Option.isNone(decided) && replicaCalls.isUnanimous(promises)) return Option.some({ wrote: false, entry: current });
--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -91,19 +91,20 @@
 ): Promise<Either.Either<Fault, Option.Option<Entry>>> {
   const { context, key } = operation;
   if (!isCurrent()) return Either.left(noMajority(operation));
-  const { replicas, setField, isMajority } = ballotRound.currentSet(context);
+  const { replicas, setField, majority } = ballotRound.currentSet(context);
   const localEntry = context.localEntry(key);
   const request: Request<'look'> = { key, ...setField, ...ballotRound.holdsField(localEntry) };
   const replies = await replicaCalls.sendToAll(context.runtime, {
     targets: replicas,
     call: 'look',
     bodyFor: () => request,
-    isEnough: isMajority,
+    majority,
+    isCounted: () => true,
     observe: context.coreSets.observe,
     recordResponse: context.recordResponse,
   });
   const filled = replicaCalls.withLocalEntry(replies, localEntry);
-  if (isMajority(filled) && replicaCalls.isUnanimous(filled)) return Either.right(replicaCalls.highestEntry(filled));
+  if (filled.length >= majority && replicaCalls.isUnanimous(filled)) return Either.right(replicaCalls.highestEntry(filled));
   // The replicas differ, so a round may have been interrupted. It is completed before a value is returned.
   const completed = await change(operation, isCurrent, keepCurrent, milliseconds);
   return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
--- a/packages/register/src/replica-calls.ts
+++ b/packages/register/src/replica-calls.ts
@@ -16,8 +16,10 @@
   call: Call;
   /** The request for one replica. */
   bodyFor: (target: RegisterReplica) => Request<Call>;
-  /** Whether these replies suffice. */
-  isEnough: (replies: readonly ReplicaReply[]) => boolean;
+  /** How many counted replies suffice. */
+  majority: number;
+  /** Whether a reply counts towards the majority. */
+  isCounted: (reply: ReplicaReply) => boolean;
   /** Called with a newer core set that a replica reports. */
   observe: CoreSetSource['observe'];
   /** Called with each replica before it is called, and again with its response. */
@@ -38,13 +40,14 @@
 
 /**
  * Sends a call to every replica. Resolves to the replies of the replicas that take part, as soon as these suffice and the linger time has
- * passed, or when every replica has replied or timed out.
+ * passed, or as soon as they can no longer suffice.
  */
 function sendToAll<Call extends RegisterCall>(runtime: Runtime, plan: CallPlan<Call>): Promise<readonly ReplicaReply[]> {
-  const { targets, call, bodyFor, isEnough, observe, recordResponse, lingerMilliseconds = 0 } = plan;
+  const { targets, call, bodyFor, majority, isCounted, observe, recordResponse, lingerMilliseconds = 0 } = plan;
   return new Promise(function collect(resolve) {
     const replies: ReplicaReply[] = [];
     let outstanding = targets.length;
+    let counted = 0;
     let isLingering = false;
     function finish(): void {
       resolve([...replies]);
@@ -55,9 +58,13 @@
       outstanding -= 1;
       recordResponse(target.core, responseOf(reply));
       if (Option.isSome(reply) && reply.value.newer !== undefined) observe(reply.value.newer);
-      if (Option.isSome(reply) && reply.value.ready) replies.push({ target, reply: reply.value, isEntryOmitted: false });
-      if (outstanding === 0) return finish();
-      if (isLingering || !isEnough(replies)) return;
+      if (Option.isSome(reply) && reply.value.ready) {
+        const received = { target, reply: reply.value, isEntryOmitted: false };
+        replies.push(received);
+        if (isCounted(received)) counted += 1;
+      }
+      if (outstanding === 0 || counted + outstanding < majority) return finish();
+      if (isLingering || counted < majority) return;
       if (lingerMilliseconds === 0) return finish();
       isLingering = true;
       runtime.clock.startTimer(lingerMilliseconds, finish);
@@ -87,9 +94,13 @@
   };
 }
 
-/** The replies that promise the ballot, or that accepted the entry. */
+/** Whether a reply promises the ballot, or says that the entry was accepted. */
+function isAgreeing({ reply }: ReplicaReply): boolean {
+  return reply.agreed;
+}
+
 function agreeing(replies: readonly ReplicaReply[]): readonly ReplicaReply[] {
-  return replies.filter((received) => received.reply.agreed);
+  return replies.filter(isAgreeing);
 }
 
 /** The accepted entry with the highest ballot. */
@@ -110,4 +121,12 @@
 }
 
 /** @internal */
-export const replicaCalls = { sendToAll, withLocalEntry, withCompleteEntryOnRequest, agreeing, highestEntry, isUnanimous } as const;
+export const replicaCalls = {
+  sendToAll,
+  withLocalEntry,
+  withCompleteEntryOnRequest,
+  isAgreeing,
+  agreeing,
+  highestEntry,
+  isUnanimous,
+} as const;
