Let rounds of the register give way to each other instead of preempting each other

Callers saw (CONFIG): after a closing fault no core answers GET /api/config/read within the time that an operator asks, or only after several seconds; orders are not confirmed; and a core that lost its disk has no seat 4 s after its return, so that the next loss leaves no majority.

Cause: every read of replicas that differ, every order and every core's own reads began a round at once, several at a time in one process. Each prepare preempts the rounds under way, and the backoff (20 to 200 ms) was shorter than a round of a large configuration (100 to 400 ms on a core that has just started), so that with some ten operations under way none was accepted. Whoever gave up after a second left its operation behind and began another one at the next core.

Now a process runs one operation on a key at a time; reads that wait are answered by the first operation that begins after them; a proposer that was preempted gives way for as long as its own round took, up to twice; a read looks again before each round. At most as many rounds compete as there are proposers, and the randomized pauses are as long as what they wait for.

--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -1,9 +1,10 @@
 /** The proposer role of the register: majority reads and majority writes, with compare-and-swap on top of them (design 5.1). */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { fault, identifiers, type Fault, type Runtime } from '@stallstall/kernel';
+import { fault, identifiers, type Fault, type Instant, type Runtime } from '@stallstall/kernel';
 import type { Entry, Request } from '@stallstall/message';
 import { ballotRound, type RoundContext } from './ballot-round.js';
+import { keyOperations, type OperationResult } from './key-operations.js';
 import {
   fixedCoreSet,
   type ChangeOutcome,
@@ -35,6 +36,10 @@
 const backoffMilliseconds = 20;
 /** The backoff grows linearly with each attempt, up to this multiple of the first one. */
 const maxBackoffSteps = 10;
+/** The longest backoff that a round of another proposer is given to end. */
+const maxPreemptedBackoffMilliseconds = 400;
+/** A look that is older than this is repeated before a round is run. */
+const freshLookMilliseconds = 10;
 
 /** One read or change, with each replica's response to its latest call. */
 type Operation = Readonly<{ context: RoundContext; key: string; responses: ReadonlyMap<string, ReplicaResponse> }>;
@@ -55,59 +60,83 @@
   });
 }
 
-function backoff({ runtime }: RoundContext, attempts: number): number {
-  const jitter = 0.5 + runtime.randomness.fraction();
-  return backoffMilliseconds * Math.min(attempts, maxBackoffSteps) * jitter;
+/**
+ * The pause before the next attempt. After a rejection for a higher ballot another proposer's round is under way, which takes about as long
+ * as this one did: an earlier attempt would only preempt it.
+ */
+function backoff({ context, responses }: Operation, attempts: number, roundMilliseconds: number): number {
+  const random = context.runtime.randomness.fraction();
+  const pause = backoffMilliseconds * Math.min(attempts, maxBackoffSteps) * (0.5 + random);
+  const isPreempted = [...responses.values()].includes('higher-ballot');
+  return isPreempted ? Math.max(pause, Math.min(roundMilliseconds, maxPreemptedBackoffMilliseconds) * (1 + random)) : pause;
+}
+
+/** The entry that a majority of replicas agrees on without a round; left when they differ or too few reply. */
+async function look(operation: Operation): Promise<Either.Either<'undecided', Option.Option<Entry>>> {
+  const { context, key } = operation;
+  const { replicas, setField, majority } = ballotRound.currentSet(context);
+  const localEntry = context.localEntry(key);
+  const request: Request<'look'> = { key, ...setField, ...ballotRound.holdsField(localEntry) };
+  const replies = await replicaCalls.sendToAll(context.runtime, {
+    targets: replicas,
+    call: 'look',
+    bodyFor: () => request,
+    majority,
+    isCounted: () => true,
+    observe: context.coreSets.observe,
+    recordResponse: context.recordResponse,
+  });
+  context.counter.observe(replies);
+  const filled = replicaCalls.withLocalEntry(replies, localEntry);
+  const isDecided = filled.length >= majority && replicaCalls.isUnanimous(filled);
+  return isDecided ? Either.right(replicaCalls.highestEntry(filled)) : Either.left('undecided');
 }
 
 /** @param isCurrent - whether further attempts are allowed: false once the core set differs from the caller's */
-async function change(
+type OperationBounds = Readonly<{ deadline: Instant; isCurrent: () => boolean }>;
+
+/** Runs rounds until one succeeds. `beforeRound` may end the operation without a round. */
+async function runRounds(
   operation: Operation,
-  isCurrent: () => boolean,
+  { deadline, isCurrent }: OperationBounds,
   decide: Decision,
-  milliseconds = defaultTimeoutMilliseconds,
-): Promise<Either.Either<Fault, ChangeOutcome>> {
+  beforeRound: (attempts: number) => Promise<Option.Option<ChangeOutcome>>,
+): Promise<OperationResult> {
   const { context, key } = operation;
   const { clock } = context.runtime;
-  const deadline = identifiers.after(clock.now(), milliseconds);
   for (let attempts = 1; isCurrent(); attempts += 1) {
+    const found = await beforeRound(attempts);
+    if (Option.isSome(found)) return Either.right(found.value);
+    const startedAt = clock.now();
     const outcome = await ballotRound.run(context, key, decide);
     if (Option.isSome(outcome)) return Either.right(outcome.value);
-    const pause = backoff(context, attempts);
+    const pause = backoff(operation, attempts, clock.now() - startedAt);
     if (clock.now() + pause >= deadline) return Either.left(noMajority(operation));
     await clock.sleep(pause);
   }
   return Either.left(noMajority(operation));
 }
 
+function roundAtOnce(): Promise<Option.Option<ChangeOutcome>> {
+  return Promise.resolve(Option.none);
+}
+
 function keepCurrent(): Option.Option<unknown> {
   return Option.none;
 }
 
-async function read(
-  operation: Operation,
-  isCurrent: () => boolean,
-  milliseconds = defaultTimeoutMilliseconds,
-): Promise<Either.Either<Fault, Option.Option<Entry>>> {
-  const { context, key } = operation;
-  if (!isCurrent()) return Either.left(noMajority(operation));
-  const { replicas, setField, majority } = ballotRound.currentSet(context);
-  const localEntry = context.localEntry(key);
-  const request: Request<'look'> = { key, ...setField, ...ballotRound.holdsField(localEntry) };
-  const replies = await replicaCalls.sendToAll(context.runtime, {
-    targets: replicas,
-    call: 'look',
-    bodyFor: () => request,
-    majority,
-    isCounted: () => true,
-    observe: context.coreSets.observe,
-    recordResponse: context.recordResponse,
+/**
+ * Completes an interrupted round, unless another process has completed it in the meantime.
+ *
+ * @param lookedAt - when the replicas were last seen to differ
+ */
+function completeRound(operation: Operation, bounds: OperationBounds, lookedAt: Instant): Promise<OperationResult> {
+  const { clock } = operation.context.runtime;
+  return runRounds(operation, bounds, keepCurrent, async function lookAgain(attempts) {
+    if (attempts === 1 && clock.now() - lookedAt < freshLookMilliseconds) return Option.none;
+    const looked = await look(operation);
+    return Either.isLeft(looked) ? Option.none : Option.some({ wrote: false, entry: looked.right });
   });
-  const filled = replicaCalls.withLocalEntry(replies, localEntry);
-  if (filled.length >= majority && replicaCalls.isUnanimous(filled)) return Either.right(replicaCalls.highestEntry(filled));
-  // The replicas differ, so a round may have been interrupted. It is completed before a value is returned.
-  const completed = await change(operation, isCurrent, keepCurrent, milliseconds);
-  return Either.isLeft(completed) ? completed : Either.right(completed.right.entry);
 }
 
 function create(runtime: Runtime, options: ProposerOptions): CoreSetRegister {
@@ -123,15 +152,41 @@
     counter: ballotRound.createCounter(proposerName),
   };
 
-  function registerWhile(isCurrent: () => boolean): Register {
+  const operations = keyOperations.create(runtime.clock);
+
+  function boundsOf(isCurrent: () => boolean, milliseconds = defaultTimeoutMilliseconds): OperationBounds {
+    return { deadline: identifiers.after(runtime.clock.now(), milliseconds), isCurrent };
+  }
+
+  async function read(queueKey: string, key: string, bounds: OperationBounds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
+    const operation = startOperation(shared, key);
+    if (!bounds.isCurrent()) return Either.left(noMajority(operation));
+    const looked = await look(operation);
+    if (Either.isRight(looked)) return looked;
+    // The replicas differ, so a round may have been interrupted. It is completed before a value is returned.
+    const lookedAt = runtime.clock.now();
+    const completed = await operations.read(queueKey, bounds.deadline, () => completeRound(operation, bounds, lookedAt));
+    return Either.map((outcome: ChangeOutcome) => outcome.entry)(completed);
+  }
+
+  function change(queueKey: string, key: string, bounds: OperationBounds, decide: Decision): Promise<OperationResult> {
+    const operation = startOperation(shared, key);
+    return operations.change(queueKey, bounds.deadline, () => runRounds(operation, bounds, decide, roundAtOnce));
+  }
+
+  /** @param scope - operations of different scopes do not wait for each other */
+  function registerWhile(isCurrent: () => boolean, scope: string): Register {
     return {
-      read: (key, milliseconds) => read(startOperation(shared, key), isCurrent, milliseconds),
-      change: (key, decide, milliseconds) => change(startOperation(shared, key), isCurrent, decide, milliseconds),
+      read: (key, milliseconds) => read(`${scope} ${key}`, key, boundsOf(isCurrent, milliseconds)),
+      change: (key, decide, milliseconds) => change(`${scope} ${key}`, key, boundsOf(isCurrent, milliseconds), decide),
     };
   }
 
   // The core set is checked in the same event-loop turn in which a round takes its snapshot, so it cannot change between the two.
-  return { ...registerWhile(() => true), forCoreSet: (set) => registerWhile(() => coreSets.number() === set) };
+  return {
+    ...registerWhile(() => true, 'any set'),
+    forCoreSet: (set) => registerWhile(() => coreSets.number() === set, `set ${set}`),
+  };
 }
 
 export const proposer = { create } as const;
--- a/packages/simulator/mutations.mjs
+++ b/packages/simulator/mutations.mjs
@@ -96,8 +96,8 @@
     expect: 'configuration-missing',
     only: ['operators-race', 'blank-core', 'kill-core', 'cut-core'],
     file: 'register/build/ballot-round.js',
-    from: 'replies.length >= quorum.majority(size)',
-    to: 'replies.length >= 1',
+    from: 'size > 0 ? quorum.majority(size) : Number.POSITIVE_INFINITY',
+    to: '1',
   },
   {
     name: 'versions-share-a-cell',
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -629,6 +629,27 @@
     from: '.slice(-maxChangesPerCore)',
     to: '.slice(-1)',
   },
+  {
+    name: 'rounds-of-one-process-compete',
+    story: 'Changes that one process makes at once',
+    file: 'register/build/key-operations.js',
+    from: 'if (running !== undefined)',
+    to: 'if (false)',
+  },
+  {
+    name: 'waiting-reads-run-their-own-rounds',
+    story: 'Reads that wait are answered',
+    file: 'register/build/key-operations.js',
+    from: 'if (waiting.delete(read))',
+    to: 'if (false)',
+  },
+  {
+    name: 'rejected-rounds-wait-for-the-silent',
+    story: 'A round that a majority has rejected',
+    file: 'register/build/replica-calls.js',
+    from: 'counted + outstanding < majority',
+    to: 'false',
+  },
   {
     name: 'pushes-of-another-set-counted',
     story: 'A change pushed under an earlier core set',
@@ -798,8 +819,8 @@
     only: ['core-cut-ordered-then-disk-lost'],
     faults: 1,
     file: 'register/build/ballot-round.js',
-    from: 'replies.length >= quorum.majority(size)',
-    to: 'replies.length >= 1',
+    from: 'size > 0 ? quorum.majority(size) : Number.POSITIVE_INFINITY',
+    to: '1',
   },
   {
     name: 'full-disk-ends-process',
--- a/packages/simulator/src/core-outage-faults.ts
+++ b/packages/simulator/src/core-outage-faults.ts
@@ -76,7 +76,7 @@
   return (outage) =>
     function lose(machine) {
       end(outage)(machine);
-      machine.disk = outage.fleet.world.disk();
+      machine.disk = outage.fleet.newDisk();
     };
 }
 
--- a/packages/simulator/src/core-outages.ts
+++ b/packages/simulator/src/core-outages.ts
@@ -40,7 +40,7 @@
 /** Reads go on for this long in order to tell a late read from none. */
 const longestReadMilliseconds = 12_000;
 const sendIntervals = [60, 150, 400];
-/** What each disk write takes longer, as large configurations do. */
+/** What each write of the configuration takes, as large ones do on a busy core. */
 const writeMilliseconds = [0, 0, 20, 50];
 
 function coresInUse({ fleet, retired }: OutageFleet): readonly CoreMachine[] {
@@ -69,7 +69,7 @@
 type Closing = Readonly<{ name: string; strike: (outage: OutageFleet, acknowledger: CoreMachine) => void }>;
 
 function wipe({ fleet }: OutageFleet, machine: CoreMachine): void {
-  machine.disk = fleet.world.disk();
+  machine.disk = fleet.newDisk();
 }
 
 const closings: readonly Closing[] = [
@@ -198,7 +198,7 @@
 
 async function run(seed: number, options: CoreOutageOptions = {}): Promise<CoreOutageResult> {
   const fleet = await coreFleet.create(seed, coreCount, { connectMilliseconds });
-  fleet.slowDisks(pick(fleet, writeMilliseconds));
+  fleet.slowConfigurationWrites(pick(fleet, writeMilliseconds));
   const operator = fleet.startOperator(pick(fleet, sendIntervals));
   const faults: string[] = [];
   const outage: OutageFleet = {
