End a read of the configuration before its operator goes on to another core

Callers saw: a read that had to complete a round was held for up to 4 s, without an answer, while its operator went on after one second and began another read at the next core; the first one went on competing with it. An order whose core had to claim the number of a configuration of an earlier release first could overrun its 0.85 s in the same way.

Cause: the read had the register's default limit, and the claim's read ignored the limit that it was given. Both now end within the 0.85 s that orders have, with 503.

Story 'A read that cannot be completed is rejected before an operator goes on to another core': still under way after 950 ms before, rejected after.

--- a/packages/acceptance/features/cores.feature
+++ b/packages/acceptance/features/cores.feature
@@ -238,3 +238,9 @@
     And core-3 misses the last configurations, and then all cores lose power and core-1 its disk
     And 8 configurations are sent at once, each to the next core after a second without an answer
     Then all 8 configurations are confirmed within 9 s
+
+  Scenario: A read that cannot be completed is rejected before an operator goes on to another core
+    Given a fleet of 3 cores, an edge that holds a lease, and an operator that sends configurations
+    When core-3 misses a configuration, and then the disk of core-1 is lost and that of core-2 becomes full
+    Then a read at core-2 is rejected within 950 ms
+    And a read at core-3 is rejected within 950 ms
--- a/packages/acceptance/src/opening-steps.ts
+++ b/packages/acceptance/src/opening-steps.ts
@@ -100,6 +100,34 @@
   },
 );
 
+Then('a read at core-{int} is rejected within {int} ms', async function then(this: OpeningStory, index: number, milliseconds: number) {
+  let isRejected = false;
+  void this.cores
+    .machine(`core-${index}`)
+    .platformApi?.readSource()
+    .then(function onEnd(read) {
+      isRejected = Either.isLeft(read);
+    });
+  await this.cores.world.run(milliseconds);
+  assert.ok(isRejected, 'the read was answered, or is still under way');
+});
+
+When(
+  'core-{int} misses a configuration, and then the disk of core-{int} is lost and that of core-{int} becomes full',
+  async function when(this: OpeningStory, behind: number, wiped: number, full: number) {
+    const fleet = this.cores;
+    fleet.isolate(fleet.machine(`core-${behind}`));
+    const before = fleet.highestAcknowledgedVersion();
+    assert.ok(await fleet.runUntil(() => fleet.highestAcknowledgedVersion() > before, 10_000), 'nothing was acknowledged');
+    this.operator.stop();
+    await fleet.world.run(1_000);
+    fleet.kill(fleet.machine(`core-${wiped}`));
+    fleet.machine(`core-${full}`).disk.faults.full = true;
+    fleet.healAll();
+    await fleet.world.run(1_000);
+  },
+);
+
 Then('core-{int} serves again within {int} s', async function then(this: OpeningStory, index: number, seconds: number) {
   const machine = this.cores.machine(`core-${index}`);
   assert.ok(await this.cores.runUntil(() => machine.running?.isOpen() === true, seconds * 1_000), `core-${index} does not serve`);
--- a/packages/core/src/administration/placement-routes.ts
+++ b/packages/core/src/administration/placement-routes.ts
@@ -5,6 +5,7 @@
 import { fault, http, type Fault, type HttpReply, type HttpRequest, type HttpRoute } from '@stallstall/kernel';
 import { message } from '@stallstall/message';
 import { placements } from '@stallstall/placement';
+import { platformCallMilliseconds } from '../external-updates.js';
 import type { Caller } from '../operators.js';
 import type { AdministrationContext } from './administration-context.js';
 import { authorized } from './authorization.js';
@@ -104,7 +105,7 @@
 
 /** The text of the current configuration, exactly as its client submitted it. Errors: `not-found`, and those of the register. */
 async function readSource({ versions }: AdministrationContext): Promise<Either.Either<Fault, string>> {
-  const read = await versions.current();
+  const read = await versions.current(platformCallMilliseconds);
   if (Either.isLeft(read)) return read;
   const external = Option.isSome(read.right) ? read.right.value.value.external : undefined;
   if (external !== undefined) return Either.right(external.source);
--- a/packages/core/src/configuration-versions.ts
+++ b/packages/core/src/configuration-versions.ts
@@ -15,8 +15,11 @@
 export type ListedVersion = Pick<VersionSummary, 'version'> & Partial<VersionSummary>;
 
 export type ConfigurationVersions = Readonly<{
-  /** The newest chosen version; none if no configuration has been stored yet. */
-  current: () => Promise<Either.Either<Fault, Option.Option<CurrentVersion>>>;
+  /**
+   * The newest chosen version; none if no configuration has been stored yet.
+   * @default milliseconds that of the register
+   */
+  current: (milliseconds?: number) => Promise<Either.Either<Fault, Option.Option<CurrentVersion>>>;
   /** Finds a version by its number: the current one, or an earlier one on any core that has it. */
   find: (version: number, current: CurrentVersion) => Promise<Either.Either<Fault, Option.Option<ArchivedConfiguration>>>;
   summary: (version: number, current: CurrentVersion) => Promise<ListedVersion>;
@@ -26,8 +29,8 @@
   availableVersions: (latest: number) => readonly number[];
 }>;
 
-async function readCurrent(register: Register): Promise<Either.Either<Fault, Option.Option<CurrentVersion>>> {
-  const read = await register.read('configuration');
+async function readCurrent(register: Register, milliseconds?: number): Promise<Either.Either<Fault, Option.Option<CurrentVersion>>> {
+  const read = await register.read('configuration', milliseconds);
   if (Either.isLeft(read)) return read;
   return Either.right(Option.map((entry: Entry) => ({ version: entry.version, value: entry.value as Configuration }))(read.right));
 }
@@ -71,7 +74,7 @@
   }
 
   return {
-    current: () => readCurrent(register),
+    current: (milliseconds) => readCurrent(register, milliseconds),
     find: (wanted, current) => readVersion(register, store, wanted, current),
     summary,
     oldest: store.oldestVersion,
--- a/packages/core/src/external-updates.ts
+++ b/packages/core/src/external-updates.ts
@@ -26,8 +26,8 @@
   accepted: () => Option.Option<Entry>;
 }>;
 
-/** Below 1 s, after which a client without a reply tries another core. */
-const updateTimeoutMilliseconds = 850;
+/** Below 1 s, after which a client of the platform without a reply tries another core. @internal */
+export const platformCallMilliseconds = 850;
 
 /**
  * Claims the version of the current configuration if an earlier release stored it without a claim. This comes before any new claim, so that
@@ -36,7 +36,7 @@
 async function claimCurrent(parts: ExternalUpdateParts, timeoutMilliseconds: number): Promise<Either.Either<Fault, unknown>> {
   const local = configurationOf(parts.accepted())?.external;
   if (local?.digest !== undefined) return Either.right(undefined);
-  const read = await parts.versions.current();
+  const read = await parts.versions.current(timeoutMilliseconds);
   if (Either.isLeft(read) || Option.isNone(read.right)) return read;
   const { external } = read.right.value.value;
   if (external === undefined || external.digest !== undefined) return Either.right(undefined);
@@ -84,7 +84,7 @@
   placement: PlacementConfiguration,
 ): Promise<Either.Either<Fault, UpdateResult>> {
   const { runtime, register } = parts;
-  const deadline = runtime.clock.now() + updateTimeoutMilliseconds;
+  const deadline = runtime.clock.now() + platformCallMilliseconds;
   const textDigest = documentDigest.ofText(external.source);
   const claimed = await claimExternalVersion(parts, external.version, textDigest, deadline);
   if (Either.isLeft(claimed)) {
