Exploration: let a machine without a fleet greet others, and bound each repair

The product greets its seeds every 200 ms until it has found a fleet. And where a repair took longer than its 2,500 events, the next loss was struck all the same.

Machines without a fleet now greet a random other one every 200 ms of virtual time, and a repair that takes more than 2,500 events is a violation of its own.

--- a/packages/simulator/src/explore-losses.ts
+++ b/packages/simulator/src/explore-losses.ts
@@ -184,6 +184,8 @@
   while ((moment === undefined || scenario.isLossAfterRecovery) && !isRecovered(exploration, plan) && exploration.now() < maxRepairEvents)
     await runEvent(exploration, plan);
   const momentAtRecovery = exploration.moments();
+  if ((moment === undefined || scenario.isLossAfterRecovery) && !isRecovered(exploration, plan))
+    return { violation: `the repair took more than ${maxRepairEvents} events`, events: exploration.now(), results: 0, moments: 0 };
   if (moment !== undefined) {
     const lossMoment = (scenario.isLossAfterRecovery ? momentAtRecovery : momentAtStart) + moment;
     // After recovery there may be no more counted events; the loss is then injected all the same.
--- a/packages/simulator/src/explore.ts
+++ b/packages/simulator/src/explore.ts
@@ -21,6 +21,8 @@
 const maxEvents = 6_000;
 /** Once no more faults occur the register must serve within so many events. */
 const recoveryEvents = 8_000;
+/** How often a machine that has found no fleet greets another one: every 200 ms of virtual time. */
+const helloEvents = 20;
 /** Four seconds of virtual time: the shortest time within which machines are specified to stabilize after a loss. */
 const stabilizationEvents = 400;
 const deadlineMilliseconds = 3_000;
@@ -107,6 +109,16 @@
       receiver.observeCoreSet(senderSet.value);
   }
 
+  /** A machine that has found no fleet greets a random other one, and learns its core set from the reply. */
+  function greet(machine: Machine): void {
+    const others = machines.all().filter((other) => other !== machine);
+    const other = others[Math.floor(random() * others.length)] as Machine;
+    const otherSet = other.activeCoreSet();
+    const isCut = isolatedMachines.has(machine.name) || isolatedMachines.has(other.name);
+    const isLost = !recovering && random() < rates.lost;
+    if (!isCut && !isLost && Option.isSome(otherSet)) machine.observeCoreSet(otherSet.value);
+  }
+
   /** Resolves after so many events. */
   function waitForEvents(eventCount: number): Promise<void> {
     return new Promise((resolve) => waiters.push({ until: now + eventCount, resolve }));
@@ -119,6 +131,11 @@
       waiter.resolve();
     }
     if (random() < (recovering ? 0.05 : 0.01)) gossip();
+    if (now % helloEvents === 0)
+      machines
+        .all()
+        .filter((machine) => machine.isSeeking())
+        .forEach(greet);
     recentUnavailability.push(machines.unavailableSeatCount() + (machines.isSetChangePending() ? 1 : 0));
     if (recentUnavailability.length > stabilizationEvents) recentUnavailability.shift();
     if (pending.length > 0) {
--- a/packages/simulator/src/explored-machines.ts
+++ b/packages/simulator/src/explored-machines.ts
@@ -43,6 +43,8 @@
   isUp: () => boolean;
   /** The core set in which it is active; none while it answers no ballots. */
   activeCoreSet: () => Option.Option<CoreSet>;
+  /** Whether it runs and has found no fleet yet, so that it keeps greeting others until it has. */
+  isSeeking: () => boolean;
   /** Whether it has accepted a proposal for the core set that follows this one. */
   hasAcceptedStep: (after: number) => boolean;
   /** Whether it is handling a join request, and so may be proposing a change of the core set. */
@@ -303,6 +305,7 @@
       name: state.name,
       isUp: () => state.running !== undefined,
       activeCoreSet,
+      isSeeking: () => state.running !== undefined && Option.isNone(state.running.fleet),
       isHandlingJoin: () => state.running !== undefined && state.running.pendingJoins > 0,
       hasAcceptedStep: (after) => state.running !== undefined && Option.isSome(state.running.acceptor.accepted(coreSetKey(after))),
       observeCoreSet: function observeCoreSet(set) {
