Let a process that was preempted pause with all its operations on the key

Cause: the pause after a preempted round belonged to the operation. With 0.85 s for each, an operation ended after one or two rounds and the next one in the queue began at once, so that each process ran rounds back to back and the three of them preempted each other for good.

The pause now belongs to the key, and its random part doubles with each preempted round in a row.

--- a/packages/register/src/proposer.ts
+++ b/packages/register/src/proposer.ts
@@ -36,8 +36,10 @@
 const backoffMilliseconds = 20;
 /** The backoff grows linearly with each attempt, up to this multiple of the first one. */
 const maxBackoffSteps = 10;
-/** The longest backoff that a round of another proposer is given to end. */
+/** The longest that a round of another proposer is assumed to take. */
 const maxPreemptedBackoffMilliseconds = 400;
+/** The random part of the pause doubles with each preempted round, this many times at the most. */
+const maxSpreadDoublings = 2;
 /** A look that is older than this is repeated before a round is run. */
 const freshLookMilliseconds = 10;
 
@@ -61,14 +63,16 @@
 }
 
 /**
- * The pause before the next attempt. After a rejection for a higher ballot another proposer's round is under way, which takes about as long
- * as this one did: an earlier attempt would only preempt it.
+ * The pause before the next round on the key. After a rejection for a higher ballot another proposer's round is under way, which takes about
+ * as long as this one did: an earlier round would only preempt it.
  */
-function backoff({ context, responses }: Operation, attempts: number, roundMilliseconds: number): number {
+function backoff({ context, responses }: Operation, failedRounds: number, roundMilliseconds: number): number {
   const random = context.runtime.randomness.fraction();
-  const pause = backoffMilliseconds * Math.min(attempts, maxBackoffSteps) * (0.5 + random);
+  const pause = backoffMilliseconds * Math.min(failedRounds, maxBackoffSteps) * (0.5 + random);
   const isPreempted = [...responses.values()].includes('higher-ballot');
-  return isPreempted ? Math.max(pause, Math.min(roundMilliseconds, maxPreemptedBackoffMilliseconds) * (1 + random)) : pause;
+  if (!isPreempted) return pause;
+  const spread = 2 ** Math.min(failedRounds - 1, maxSpreadDoublings);
+  return Math.max(pause, Math.min(roundMilliseconds, maxPreemptedBackoffMilliseconds) * (1 + random * spread));
 }
 
 /** The entry that a majority of replicas agrees on without a round; left when they differ or too few reply. */
@@ -92,27 +96,48 @@
   return isDecided ? Either.right(replicaCalls.highestEntry(filled)) : Either.left('undecided');
 }
 
-/** @param isCurrent - whether further attempts are allowed: false once the core set differs from the caller's */
-type OperationBounds = Readonly<{ deadline: Instant; isCurrent: () => boolean }>;
+/** The rounds on a key that have failed in a row, and when the next one may begin. */
+type KeyPause = Readonly<{ failedRounds: number; endsAt: Instant }>;
+
+/**
+ * `isCurrent`: whether further rounds are allowed; false once the core set differs from the caller's. `pauses`: by queue, shared by all its
+ * operations, since an operation that began at once where another one has just been preempted would preempt in its place.
+ */
+type OperationBounds = Readonly<{ deadline: Instant; isCurrent: () => boolean; queueKey: string; pauses: Map<string, KeyPause> }>;
+
+/** Waits until the next round on the key may begin; resolves to false at once if that is not before the deadline. */
+async function waitForPause({ runtime }: RoundContext, { deadline, queueKey, pauses }: OperationBounds): Promise<boolean> {
+  const endsAt = pauses.get(queueKey)?.endsAt;
+  const now = runtime.clock.now();
+  if (endsAt === undefined || endsAt <= now) return true;
+  if (endsAt >= deadline) return false;
+  await runtime.clock.sleep(endsAt - now);
+  return true;
+}
 
 /** Runs rounds until one succeeds. `beforeRound` may end the operation without a round. */
 async function runRounds(
   operation: Operation,
-  { deadline, isCurrent }: OperationBounds,
+  bounds: OperationBounds,
   decide: Decision,
-  beforeRound: (attempts: number) => Promise<Option.Option<ChangeOutcome>>,
+  beforeRound: (rounds: number) => Promise<Option.Option<ChangeOutcome>>,
 ): Promise<OperationResult> {
   const { context, key } = operation;
+  const { isCurrent, queueKey, pauses } = bounds;
   const { clock } = context.runtime;
-  for (let attempts = 1; isCurrent(); attempts += 1) {
-    const found = await beforeRound(attempts);
+  for (let rounds = 0; isCurrent(); rounds += 1) {
+    if (!(await waitForPause(context, bounds))) return Either.left(noMajority(operation));
+    const found = await beforeRound(rounds);
     if (Option.isSome(found)) return Either.right(found.value);
     const startedAt = clock.now();
     const outcome = await ballotRound.run(context, key, decide);
-    if (Option.isSome(outcome)) return Either.right(outcome.value);
-    const pause = backoff(operation, attempts, clock.now() - startedAt);
-    if (clock.now() + pause >= deadline) return Either.left(noMajority(operation));
-    await clock.sleep(pause);
+    if (Option.isSome(outcome)) {
+      pauses.delete(queueKey);
+      return Either.right(outcome.value);
+    }
+    const failedRounds = (pauses.get(queueKey)?.failedRounds ?? 0) + 1;
+    const endsAt = identifiers.after(clock.now(), backoff(operation, failedRounds, clock.now() - startedAt));
+    pauses.set(queueKey, { failedRounds, endsAt });
   }
   return Either.left(noMajority(operation));
 }
@@ -132,8 +157,8 @@
  */
 function completeRound(operation: Operation, bounds: OperationBounds, lookedAt: Instant): Promise<OperationResult> {
   const { clock } = operation.context.runtime;
-  return runRounds(operation, bounds, keepCurrent, async function lookAgain(attempts) {
-    if (attempts === 1 && clock.now() - lookedAt < freshLookMilliseconds) return Option.none;
+  return runRounds(operation, bounds, keepCurrent, async function lookAgain(rounds) {
+    if (rounds === 0 && clock.now() - lookedAt < freshLookMilliseconds) return Option.none;
     const looked = await look(operation);
     return Either.isLeft(looked) ? Option.none : Option.some({ wrote: false, entry: looked.right });
   });
@@ -154,31 +179,33 @@
 
   const operations = keyOperations.create(runtime.clock);
 
-  function boundsOf(isCurrent: () => boolean, milliseconds = defaultTimeoutMilliseconds): OperationBounds {
-    return { deadline: identifiers.after(runtime.clock.now(), milliseconds), isCurrent };
+  const pauses = new Map<string, KeyPause>();
+
+  function boundsOf(queueKey: string, isCurrent: () => boolean, milliseconds = defaultTimeoutMilliseconds): OperationBounds {
+    return { deadline: identifiers.after(runtime.clock.now(), milliseconds), isCurrent, queueKey, pauses };
   }
 
-  async function read(queueKey: string, key: string, bounds: OperationBounds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
+  async function read(key: string, bounds: OperationBounds): Promise<Either.Either<Fault, Option.Option<Entry>>> {
     const operation = startOperation(shared, key);
     if (!bounds.isCurrent()) return Either.left(noMajority(operation));
     const looked = await look(operation);
     if (Either.isRight(looked)) return looked;
     // The replicas differ, so a round may have been interrupted. It is completed before a value is returned.
     const lookedAt = runtime.clock.now();
-    const completed = await operations.read(queueKey, bounds.deadline, () => completeRound(operation, bounds, lookedAt));
+    const completed = await operations.read(bounds.queueKey, bounds.deadline, () => completeRound(operation, bounds, lookedAt));
     return Either.map((outcome: ChangeOutcome) => outcome.entry)(completed);
   }
 
-  function change(queueKey: string, key: string, bounds: OperationBounds, decide: Decision): Promise<OperationResult> {
+  function change(key: string, bounds: OperationBounds, decide: Decision): Promise<OperationResult> {
     const operation = startOperation(shared, key);
-    return operations.change(queueKey, bounds.deadline, () => runRounds(operation, bounds, decide, roundAtOnce));
+    return operations.change(bounds.queueKey, bounds.deadline, () => runRounds(operation, bounds, decide, roundAtOnce));
   }
 
   /** @param scope - operations of different scopes do not wait for each other */
   function registerWhile(isCurrent: () => boolean, scope: string): Register {
     return {
-      read: (key, milliseconds) => read(`${scope} ${key}`, key, boundsOf(isCurrent, milliseconds)),
-      change: (key, decide, milliseconds) => change(`${scope} ${key}`, key, boundsOf(isCurrent, milliseconds), decide),
+      read: (key, milliseconds) => read(key, boundsOf(`${scope} ${key}`, isCurrent, milliseconds)),
+      change: (key, decide, milliseconds) => change(key, boundsOf(`${scope} ${key}`, isCurrent, milliseconds), decide),
     };
   }
 
