Log when a member turns to draining or back, and heartbeats with lower numbers

Cores log member.draining and member.in-service with the number of the heartbeat, the number heard before and the silence before it, and heartbeat.lower-number for each that comes after a higher one; proxies log the first two for their view.

No decision changes.

--- a/packages/member-registry/src/member-registry.ts
+++ b/packages/member-registry/src/member-registry.ts
@@ -58,8 +58,20 @@
 /** A member that is silent for this long is taken for crashed, without having announced its departure, and is marked as gone. */
 const silentUntilGoneMilliseconds = 60_000;
 
+/** Logs that the member's registration turned to draining or back, and which heartbeat it was that said so. */
+function logPhase({ runtime }: RegistryState, previous: RegisteredMember | undefined, record: MemberRecord, receivedAt: Instant): void {
+  if (record.gone || (previous?.record.draining ?? false) === record.draining) return;
+  runtime.log(record.draining ? 'member.draining' : 'member.in-service', {
+    member: record.member,
+    sequence: record.sequence,
+    previousSequence: previous?.record.sequence ?? 0,
+    silentMilliseconds: previous === undefined ? 0 : Math.round(receivedAt - previous.receivedAt),
+  });
+}
+
 function setRecord(registry: RegistryState, record: MemberRecord, receivedAt: Instant, hasLeft: boolean): void {
   const previous = registry.members.get(record.member);
+  logPhase(registry, previous, record, receivedAt);
   const isChanged = previous === undefined || !isSameRecord(previous.record, record);
   if (isChanged) registry.version += 1;
   registry.members.set(record.member, { record, changedAt: isChanged ? registry.version : previous.changedAt, receivedAt, hasLeft });
@@ -88,8 +100,20 @@
   return true;
 }
 
+/** Logs a heartbeat that this core received after one with a higher number: a late one, or one of another process of the member. */
+function logLowerSequence(
+  { runtime }: RegistryState,
+  { member, sequence, draining }: Registration,
+  previous: MemberRecord | undefined,
+  isApplied: boolean,
+): void {
+  runtime.log('heartbeat.lower-number', { member, sequence, previousSequence: previous?.sequence ?? 0, draining, isApplied });
+}
+
 function recordHeartbeat(registry: RegistryState, registration: Registration): boolean {
+  const previous = registry.members.get(registration.member);
   const isApplied = applyRecord(registry, { ...registration, gone: false, down: false }, 0);
+  if (registration.sequence < (previous?.record.sequence ?? 0)) logLowerSequence(registry, registration, previous?.record, isApplied);
   if (isApplied) registry.unsent.set(registration.member, registry.runtime.clock.now());
   return isApplied;
 }
--- a/packages/pooler/src/placement-feed.ts
+++ b/packages/pooler/src/placement-feed.ts
@@ -87,12 +87,22 @@
   );
 }
 
+/** Logs each member that has turned to draining, or back, in this edge's view. */
+function logPhases(runtime: Runtime, before: View, after: View): void {
+  for (const { member, sequence, draining } of after.members.values()) {
+    const wasDraining = before.members.get(member)?.draining ?? false;
+    if (draining !== wasDraining) runtime.log(draining ? 'member.draining' : 'member.in-service', { member, sequence });
+  }
+}
+
 /** Applies the reply to a request sent at `sentAt`; returns whether the placement has changed. */
 function accept(parts: FeedParts, state: FeedState, reply: Reply<'placement'>, sentAt: Instant): boolean {
   const { runtime, freshness } = parts;
   const isUpdate = reply.token !== state.token || reply.number > state.lastNumber;
   const validFrom = identifiers.after(sentAt, subtractClockDrift(reply.held));
-  state.view = views.update(state.view, reply, validFrom, runtime.clock.now());
+  const before = state.view;
+  state.view = views.update(before, reply, validFrom, runtime.clock.now());
+  if (state.view.members !== before.members) logPhases(runtime, before, state.view);
   for (const [service, mark] of Object.entries(reply.marks))
     freshness.recordLeaderPosition(service, identifiers.after(validFrom, -mark.ago), { term: mark.term, number: mark.number });
   state.token = reply.token;
