Keep a member draining until it is in service by evidence, not by a lower number

Cause, by a trace with the lines of: number 18, draining, reached all cores; the member was then cut off from them. Number 16, in service, sent before, reached one core 3.41 s later, which took a lower number after 3 s of silence for a process that had started anew, and told the others, which did the same; both proxies followed 5 ms later. A number orders the heartbeats of one process; it cannot tell a late one from one of the next process, and the silence of cores that a member cannot reach says nothing of the process. The same cause on related paths: a process that had started anew and reported draining within 3 s of its predecessor's last heartbeat was acknowledged and not recorded.

Change (design 4.7): every report of draining counts, whatever its number. A heartbeat that reports the member as in service questions it; a core then requests the member's STATE each second and concludes that it is in service once it has replied for 12 s without a heartbeat that reports draining. Each core concludes for itself; cores send each other when reports were received. So the member is used again within 20 s of its new start or of its last report of draining. This works since contact is evidence where silence is not: a draining process that a core reaches reports itself in every period. Stand-in members number their heartbeats from the beginning with each process, and can deliver them late.

An in-service member with a lower number counts as before.

--- a/packages/acceptance/run.mjs
+++ b/packages/acceptance/run.mjs
@@ -33,6 +33,8 @@
         'build/pooled-session-steps.js',
         'build/pooled-heartbeat-steps.js',
         'build/pooled-draining-steps.js',
+        'build/draining-registry-steps.js',
+        'build/draining-fleet-steps.js',
         'build/pooled-revocation-steps.js',
         'build/name-steps.js',
         'build/cores.js',
--- /dev/null
+++ b/packages/acceptance/src/draining-fleet-steps.ts
@@ -0,0 +1,104 @@
+/** Steps of draining.feature for pooled fleets: a replica drains, and late heartbeats or a new process of it follow. */
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import type { SessionMember } from '@stallstall/fakes';
+import type { PooledMember } from '@stallstall/simulator';
+import * as Option from 'fp-ts/lib/Option.js';
+import { cutOff, edge, type PooledStory } from './pooled-story.js';
+
+type DrainingFleetStory = PooledStory & { replica: PooledMember; acknowledgedAt: number };
+
+function coreMachines({ pooled }: PooledStory): readonly string[] {
+  return pooled.cores.map((slot) => slot.machine);
+}
+
+function runningReplica({ pooled }: PooledStory, service: string): PooledMember {
+  const primary = pooled.primaryOf(service);
+  return pooled.members.find((slot) => slot.service === service && slot !== primary && slot.running !== undefined) as PooledMember;
+}
+
+When('a replica of {string} reports that it is draining', async function when(this: DrainingFleetStory, service: string) {
+  this.replica = runningReplica(this, service);
+  const running = this.replica.running as SessionMember;
+  void running.drain();
+  assert.ok(await this.pooled.until(() => Option.isSome(running.drainingSince()), 5_000), 'no core acknowledged the draining');
+  this.acknowledgedAt = this.pooled.world.now();
+});
+
+When('it is cut off from the cores for {int} s', function when(this: DrainingFleetStory, seconds: number) {
+  const { world } = this.pooled;
+  const { machine } = this.replica;
+  cutOff(this, machine, coreMachines(this));
+  world.schedule(seconds * 1_000, () => {
+    for (const other of coreMachines(this)) {
+      world.heal(machine, other);
+      world.heal(other, machine);
+    }
+  });
+});
+
+When('nothing else happens', () => undefined);
+
+When('one core is killed', function when(this: DrainingFleetStory) {
+  this.pooled.stopCore(this.pooled.cores[0] as PooledStory['pooled']['cores'][number]);
+});
+
+When('every core is killed and started again', async function when(this: DrainingFleetStory) {
+  for (const slot of this.pooled.cores) this.pooled.stopCore(slot);
+  await this.pooled.world.run(300);
+  for (const slot of this.pooled.cores) await this.pooled.startCore(slot);
+});
+
+When('edge-1 is killed and started again', async function when(this: DrainingFleetStory) {
+  this.pooled.killEdge(edge(this, 'edge-1'));
+  await this.pooled.world.run(300);
+  await this.pooled.startEdge(edge(this, 'edge-1'));
+});
+
+When(
+  'a heartbeat that it sent before arrives {float} s after the acknowledgement',
+  async function when(this: DrainingFleetStory, seconds: number) {
+    const { service, member, address, area } = this.replica;
+    const heartbeat = { service, address, area, draining: false, role: 'replica', slots: 10, sequence: 1 };
+    await this.pooled.world.run(this.acknowledgedAt + seconds * 1_000 - this.pooled.world.now());
+    const reply = await this.pooled.drive(this.pooled.call(1, `/members/${member}/beat`, heartbeat));
+    assert.equal(reply.status, 200);
+  },
+);
+
+Then('it was not read later than {int} s after the acknowledgement', function then(this: DrainingFleetStory, seconds: number) {
+  const reads = this.pooled.runs.filter((run) => run.member === this.replica.member && run.kind === 'get' && run.first);
+  assert.ok(
+    reads.some((run) => run.at < this.acknowledgedAt),
+    'it was never read',
+  );
+  const late = reads.filter((run) => run.at > this.acknowledgedAt + seconds * 1_000);
+  assert.deepEqual(
+    late.map((run) => `${run.identifier} at ${Math.round(run.at - this.acknowledgedAt)} ms`),
+    [],
+  );
+});
+
+When(
+  'it crashes {int} s later and starts anew {int} s after that, in service',
+  async function when(this: DrainingFleetStory, crashSeconds: number, startSeconds: number) {
+    await this.pooled.world.run(crashSeconds * 1_000);
+    this.pooled.stopMember(this.replica);
+    await this.pooled.world.run(startSeconds * 1_000);
+    await this.pooled.startMember(this.replica);
+  },
+);
+
+Then('within {int} s every edge lists it as in service, and it is read', async function then(this: DrainingFleetStory, seconds: number) {
+  const { pooled, replica } = this;
+  function isListed(): boolean {
+    return pooled.edges.every((slot) => slot.proxy?.view().members.get(replica.member)?.draining === false);
+  }
+  assert.ok(await pooled.until(isListed, seconds * 1_000), 'an edge lists it as draining');
+  const listedAt = pooled.world.now();
+  await pooled.world.run(3_000);
+  assert.ok(
+    pooled.runs.some((run) => run.member === replica.member && run.kind === 'get' && run.at > listedAt),
+    'it is not read',
+  );
+});
--- a/packages/acceptance/src/lease-holder-steps.ts
+++ b/packages/acceptance/src/lease-holder-steps.ts
@@ -123,7 +123,8 @@
   story.leaseHolder.start();
 }
 
-async function startEdge(story: UnitStory, stubs: ReadonlyArray<Partial<StubCore>>): Promise<void> {
+/** Starts an edge's lease holder, and one stub core for each of the descriptions. */
+export async function startEdge(story: UnitStory, stubs: ReadonlyArray<Partial<StubCore>>): Promise<void> {
   story.world = worlds.create(43);
   story.cores = stubs.map((stub) => ({
     epoch: 5,
--- a/packages/core/src/member-registration.ts
+++ b/packages/core/src/member-registration.ts
@@ -11,6 +11,7 @@
 } from '@stallstall/member-registry';
 import type { Node } from '@stallstall/node';
 import type { MemberPlacement } from '@stallstall/placement';
+import { drainingChecks, type DrainingChecks } from './draining-checks.js';
 import { leaderWatch, type LeaderWatch } from './leader-watch.js';
 import { registryBroadcaster, type RegistryBroadcaster } from './registry-broadcaster.js';
 import { registryFile, type RegistryFile } from './registry-file.js';
@@ -50,6 +51,7 @@
   readonly registry: MemberRegistry;
   readonly grantor: LeaseGrantor;
   readonly leaders: LeaderWatch;
+  readonly drainingChecks: DrainingChecks;
   readonly broadcaster: RegistryBroadcaster;
   readonly file: RegistryFile;
   isBroadcastScheduled: boolean;
@@ -61,6 +63,7 @@
 const broadcastDelayMilliseconds = 1;
 /** How often this core ensures that its own connection to each leader is open. */
 const leaderCheckIntervalMilliseconds = 300;
+const drainingCheckIntervalMilliseconds = 1_000;
 
 function broadcast({ broadcaster, isStopped }: RegistrationState): void {
   if (!isStopped) broadcaster.broadcast();
@@ -109,6 +112,7 @@
 
 function start(state: RegistrationState): void {
   const { runtime, registry, leaders } = state;
+  const { queryQuestionedMembers } = state.drainingChecks;
   function isRunning(): boolean {
     return !state.isStopped;
   }
@@ -118,6 +122,7 @@
   }
   void runtimeUtilities.every(runtime.clock, broadcastIntervalMilliseconds, sweepAndBroadcast, isRunning);
   void runtimeUtilities.every(runtime.clock, leaderCheckIntervalMilliseconds, leaders.checkLeaderConnections, isRunning);
+  void runtimeUtilities.every(runtime.clock, drainingCheckIntervalMilliseconds, queryQuestionedMembers, isRunning);
 }
 
 function stop(state: RegistrationState): void {
@@ -144,6 +149,7 @@
     registry,
     grantor,
     leaders,
+    drainingChecks: drainingChecks.create(runtime, registry),
     broadcaster: registryBroadcaster.create(runtime, node, registry),
     file: registryFile.create(runtime, parts.disk, registry),
     isBroadcastScheduled: false,
--- a/packages/fakes/src/member-heartbeat.ts
+++ b/packages/fakes/src/member-heartbeat.ts
@@ -15,47 +15,82 @@
 }>;
 
 const callMilliseconds = 400;
+/** A heartbeat that is delayed arrives so much later, at the most. */
+const maximumDelayMilliseconds = 10_000;
+
+type HeartbeatState = {
+  readonly runtime: Runtime;
+  readonly settings: SessionMemberSettings;
+  readonly knobs: SessionMemberKnobs;
+  readonly store: SessionMemberStore;
+  /** Rises with each call and begins anew with each process. */
+  sequence: number;
+  isDraining: boolean;
+  /** The core that the next call goes to. */
+  core: number;
+};
+
+type Call = Readonly<{ path: string; body: Readonly<Record<string, unknown>> }>;
+
+function nextHeartbeat(state: HeartbeatState): Call {
+  const { settings, store } = state;
+  const { service, address, area, slots } = settings;
+  state.sequence += 1;
+  return {
+    path: 'beat',
+    body: { service, address, area, draining: state.isDraining, role: store.role, slots, sequence: state.sequence },
+  };
+}
+
+/** Sends a call to one core; true once the core has acknowledged it. */
+async function exchange(runtime: Runtime, { settings }: HeartbeatState, core: number, { path, body }: Call): Promise<boolean> {
+  const address = identifiers.address(settings.doors[core] as string);
+  const request = { method: 'POST', path: `/members/${settings.member}/${path}`, body };
+  const reply = await http.exchangeOnce(runtime, address, request, callMilliseconds);
+  return Either.isRight(reply) && reply.right.status === 200;
+}
+
+/** Whether this call is delayed: it arrives later, also after the end of this process, and nobody waits for its answer. */
+function isDelayed(state: HeartbeatState, call: Call): boolean {
+  const { runtime, settings, knobs, core } = state;
+  if (knobs.delayedHeartbeatShare === 0 || runtime.randomness.fraction() >= knobs.delayedHeartbeatShare) return false;
+  const carrier = settings.carrier ?? runtime;
+  const delayMilliseconds = runtime.randomness.fraction() * maximumDelayMilliseconds;
+  carrier.clock.startTimer(delayMilliseconds, () => void exchange(carrier, state, core, call));
+  return true;
+}
+
+/** Calls one core after the other until one acknowledges; each call of a heartbeat has a number of its own. */
+async function callAnyCore(state: HeartbeatState, nextCall: () => Call): Promise<boolean> {
+  const { runtime, settings } = state;
+  for (let attempt = 0; attempt < settings.doors.length; attempt += 1) {
+    const call = nextCall();
+    if (isDelayed(state, call)) await runtime.clock.sleep(callMilliseconds);
+    else if (await exchange(runtime, state, state.core, call)) return true;
+    state.core = (state.core + 1) % settings.doors.length;
+  }
+  return false;
+}
 
 function create(runtime: Runtime, settings: SessionMemberSettings, store: SessionMemberStore, knobs: SessionMemberKnobs): MemberHeartbeat {
-  const { doors: cores } = settings;
-  let sequence = Math.floor(runtime.clock.now());
-  let draining = false;
+  const firstCore = Math.floor(runtime.randomness.fraction() * settings.doors.length);
+  const state: HeartbeatState = { runtime, settings, knobs, store, sequence: 0, isDraining: false, core: firstCore };
   let drainingSince: Option.Option<Instant> = Option.none;
-  let core = Math.floor(runtime.randomness.fraction() * cores.length);
-
-  async function call(path: string, body: unknown): Promise<boolean> {
-    for (let attempt = 0; attempt < cores.length; attempt += 1) {
-      const address = identifiers.address(cores[core] as string);
-      const request = { method: 'POST', path: `/members/${settings.member}/${path}`, body };
-      const reply = await http.exchangeOnce(runtime, address, request, callMilliseconds);
-      if (Either.isRight(reply) && reply.right.status === 200) return true;
-      core = (core + 1) % cores.length;
-    }
-    return false;
-  }
 
   async function send(): Promise<void> {
     if (knobs.silent) return;
-    sequence += 1;
-    const accepted = await call('beat', {
-      service: settings.service,
-      address: settings.address,
-      area: settings.area,
-      draining,
-      role: store.role,
-      slots: settings.slots,
-      sequence,
-    });
-    if (accepted && draining && Option.isNone(drainingSince)) drainingSince = Option.some(runtime.clock.now());
+    const saysDraining = state.isDraining;
+    const isAcknowledged = await callAnyCore(state, () => nextHeartbeat(state));
+    if (isAcknowledged && saysDraining && Option.isNone(drainingSince)) drainingSince = Option.some(runtime.clock.now());
   }
 
   return {
     send,
     drain: function drain() {
-      draining = true;
+      state.isDraining = true;
     },
     drainingSince: () => drainingSince,
-    leave: () => call('leave', {}),
+    leave: () => callAnyCore(state, () => ({ path: 'leave', body: {} })),
   };
 }
 
--- a/packages/fakes/src/session-member-types.ts
+++ b/packages/fakes/src/session-member-types.ts
@@ -1,5 +1,6 @@
 /** The types of the stand-in for a database member that speaks the session wire (design 10.1). */
 import type * as Option from 'fp-ts/lib/Option.js';
+import type { Runtime } from '@stallstall/kernel';
 import type { Position } from '@stallstall/session-protocol';
 
 /** A write of one statement: what its checker looks for is `identifier`. */
@@ -40,6 +41,8 @@
   control: string;
   /** Outward addresses of the cores, which take heartbeats. */
   doors: readonly string[];
+  /** A process that delivers the member's delayed heartbeats also after the member's own has ended; its own by default. */
+  carrier?: Runtime;
   connectionLimit: number;
   slots: number;
   workMilliseconds: number;
@@ -64,6 +67,8 @@
   loseCommits: number;
   /** Sends no heartbeats. */
   silent: boolean;
+  /** The share of its heartbeats and leaves that arrive up to 10 s late. */
+  delayedHeartbeatShare: number;
 };
 
 export type SessionMember = Readonly<{
--- a/packages/fakes/src/session-member.ts
+++ b/packages/fakes/src/session-member.ts
@@ -17,6 +17,15 @@
 /** A draining member stays for so much longer than it has to. */
 const drainSpareMilliseconds = 1_000;
 
+const calmKnobs: SessionMemberKnobs = {
+  deaf: false,
+  behindMilliseconds: 0,
+  loseReplies: 0,
+  loseCommits: 0,
+  silent: false,
+  delayedHeartbeatShare: 0,
+};
+
 function emptyStore(): SessionMemberStore {
   return { term: 0, role: 'replica', primary: '', log: [] };
 }
@@ -37,7 +46,7 @@
   onRun: (run: SessionRun) => void,
   stopped: () => boolean,
 ) {
-  const knobs: SessionMemberKnobs = { deaf: false, behindMilliseconds: 0, loseReplies: 0, loseCommits: 0, silent: false };
+  const knobs: SessionMemberKnobs = { ...calmKnobs };
   const log = memberLogs.create(runtime, store);
   const slots = memberSlots.create(runtime.clock, settings.slots);
   const replication = memberReplication.create({ runtime, settings, store, knobs, log, slots, stopped });
@@ -130,4 +139,4 @@
   };
 }
 
-export const sessionMember = { start, emptyStore, follow } as const;
+export const sessionMember = { start, emptyStore, follow, calmKnobs } as const;
--- a/packages/member-registry/src/member-records.ts
+++ b/packages/member-registry/src/member-records.ts
@@ -2,10 +2,14 @@
 import type { MemberRecord } from '@stallstall/message';
 
 /** The part of a record that a member reports with each heartbeat. */
-export type Registration = Omit<MemberRecord, 'gone' | 'down'>;
+export type Registration = Omit<MemberRecord, 'gone' | 'down' | 'returned'>;
 
-/** A member's record, and how many milliseconds ago a core received it from the member. */
-export type ReceivedHeartbeat = Readonly<{ entry: MemberRecord; ago: number }>;
+/**
+ * A member's record, and how many milliseconds ago a core received the member's latest heartbeat. Where the record counts as draining:
+ * `drainingAgo`, the same for the latest heartbeat that reports this (`ago` if left out), and `inServiceAgo`, for the latest one that reports the
+ * member as in service (left out if there was none).
+ */
+export type ReceivedHeartbeat = Readonly<{ entry: MemberRecord; ago: number; drainingAgo?: number; inServiceAgo?: number }>;
 
 /** Whether two records of a member are equal apart from the heartbeat's sequence number. @internal */
 export function isSameRecord(left: MemberRecord, right: MemberRecord): boolean {
@@ -13,6 +17,7 @@
     left.address === right.address &&
     left.area === right.area &&
     left.draining === right.draining &&
+    left.returned === right.returned &&
     left.role === right.role &&
     left.slots === right.slots &&
     left.gone === right.gone &&
@@ -29,6 +34,7 @@
     address: '-',
     area: '-',
     draining: true,
+    returned: false,
     role: 'replica',
     slots: 0,
     sequence: 0,
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -9,6 +9,7 @@
 import { calmPlatform, platformFaults } from './faults/platform.js';
 import { replacementFaults } from './faults/replacements.js';
 import { streamFaults } from './faults/streams.js';
+import { sessionMember } from '@stallstall/fakes';
 import { lossBudget, type Loss } from './loss-budget.js';
 import type { PooledFleet } from './pooled-model.js';
 import { between, pick } from './draws.js';
@@ -83,8 +84,7 @@
     await fleet.startEdge(slot);
   }
   for (const slot of fleet.members) {
-    if (slot.running !== undefined)
-      Object.assign(slot.running.knobs, { deaf: false, behindMilliseconds: 0, loseReplies: 0, loseCommits: 0, silent: false });
+    if (slot.running !== undefined) Object.assign(slot.running.knobs, sessionMember.calmKnobs);
     if (slot.gone || slot.process?.alive() === true) continue;
     fleet.world.restoreMachine(slot.machine);
     await fleet.startMember(slot);
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -67,6 +67,7 @@
   const orderCalls: OrderCall[] = [];
   const operator = world.spawn('operator', 'operator-machine').runtime;
   const clients = world.spawn('senders', 'sender-machine').runtime;
+  const carrier = world.spawn('carrier', 'carrier-machine').runtime;
   const chooser = world.spawn('chooser', 'chooser-machine').runtime;
   const platformAddress = '10.4.0.1:9000';
   let platformSlot: SessionPlatform | undefined;
@@ -230,6 +231,7 @@
         address: slot.address,
         control: slot.control,
         doors: platformApiAddresses,
+        carrier,
         connectionLimit: options.connectionLimit ?? 60,
         slots: options.slots ?? 10,
         workMilliseconds: options.workMilliseconds ?? 8,
