Let an edge follow a report of draining until a majority of cores reports a return

What callers would see: reads at a member whose new process had reported draining, because one core still had the former process's record.

Cause: edges merged the cores' records by the highest number alone. Numbers of two processes cannot be compared: a core that was cut off and had heard number 900 of the former process hid "draining, number 4" of the new one, which the two other cores had on their disks and had acknowledged.

An acknowledged draining is on a majority of disks, so one core of any such majority has recorded it and seen the evidence; a core that never heard of it has no say (design 4.7).

Evidence: outline "An edge follows a report of draining ...", 4 of its 9 rows failed on the code before (in service 900 with draining 4 at two cores and at one; returned at a majority with a core that does not know), all pass.

--- a/packages/acceptance/features/draining.feature
+++ b/packages/acceptance/features/draining.feature
@@ -103,6 +103,27 @@
     When core 3 is cut off from the others
     And core 3 is no longer cut off
     Then cores 1 and 2 list "member-1" as in service, and core 3 as draining
+    And an edge that hears cores 1, 2 and 3 sees "member-1" as in service
+    And an edge that hears cores 1 and 3 sees "member-1" as draining
+
+  # -- Edges.
+
+  # The report with the highest number counted, so that a core that had heard the former process hid what the new one had reported.
+  Scenario Outline: An edge follows a report of draining until a majority of cores reports that the member has returned
+    Given an edge, and cores that report "member-1" as <reports>
+    Then it lists "member-1" as <seen>
+
+    Examples:
+      | reports                                           | seen       |
+      | in service 9, in service 9, in service 9          | in service |
+      | draining 9, draining 9, draining 9                | draining   |
+      | in service 900, draining 4, draining 4            | draining   |
+      | in service 900, in service 900, draining 4        | draining   |
+      | returned 5, draining 9, draining 9                | draining   |
+      | returned 5, in service 9, draining 9              | draining   |
+      | returned 5, returned 5, draining 9                | in service |
+      | returned 5, returned 5, draining 9, draining 9    | draining   |
+      | returned 5, returned 5, returned 5, draining 9    | in service |
 
   # -- Fleets.
 
--- a/packages/lease/src/lease-holder.ts
+++ b/packages/lease/src/lease-holder.ts
@@ -172,7 +172,7 @@
     services: state.services,
     leaseUntil: leases.validUntil,
     releaseEpoch: leases.releaseEpoch,
-    members: () => mergedView.members(replies.all()),
+    members: () => mergedView.members(replies.all(), context.cores.length),
     membersVersion: () => context.membersVersion,
     edgeCountByArea: () => mergedView.mostComplete(replies.all()).edgeCountByArea,
     statementRateByArea: () => mergedView.mostComplete(replies.all()).statementRateByArea,
--- a/packages/lease/src/merged-view.ts
+++ b/packages/lease/src/merged-view.ts
@@ -10,17 +10,40 @@
   return left.sequence > right.sequence ? left : right;
 }
 
-/** For each member the newest record of all cores; the member is down only if every core that knows it reports it as down. */
-function members(reports: readonly ReportedState[]): readonly MemberRecord[] {
-  const merged = new Map<string, MemberRecord>();
+/**
+ * Whether a member counts as draining. A majority of cores has recorded a draining that was acknowledged, so it ends only when a majority has
+ * found that the member is in service again; a core that has never recorded it says nothing about that (design 4.7).
+ */
+function isDraining(records: readonly MemberRecord[], coreCount: number): boolean {
+  const returns = records.filter((record) => !record.draining && record.returned === true).length;
+  return records.some((record) => record.draining) && returns < quorum.majority(coreCount);
+}
+
+function recordsByMember(reports: readonly ReportedState[]): ReadonlyMap<string, readonly MemberRecord[]> {
+  const records = new Map<string, MemberRecord[]>();
   for (const report of reports) {
     for (const record of report.members.values()) {
-      const existing = merged.get(record.member);
-      const next = existing === undefined ? record : { ...newerRecord(record, existing), down: record.down && existing.down };
-      merged.set(record.member, next);
+      const others = records.get(record.member);
+      if (others === undefined) records.set(record.member, [record]);
+      else others.push(record);
     }
   }
-  return [...merged.values()].filter((record) => !record.gone);
+  return records;
+}
+
+/**
+ * For each member that has not left the newest record of all cores. It is down only if every core that knows it reports it as down.
+ *
+ * @param reports - the reports of the cores of the current core set
+ */
+function members(reports: readonly ReportedState[], coreCount: number): readonly MemberRecord[] {
+  return [...recordsByMember(reports).values()]
+    .map((records) => ({
+      ...records.reduce(newerRecord),
+      draining: isDraining(records, coreCount),
+      down: records.every((record) => record.down),
+    }))
+    .filter((record) => !record.gone);
 }
 
 function sumOf(counts: Readonly<Record<string, number>>): number {
