Conclude that a member is in service only in contact with a majority of cores

Stand-in members may serve on for longer than they have to.

Story "Late heartbeats that go on arriving ..." (20 s of them during a cut of 22 s) passes; it fails when a query without a reply counts as one (mutation draining-ended-without-contact).

--- a/packages/acceptance/features/draining.feature
+++ b/packages/acceptance/features/draining.feature
@@ -146,6 +146,24 @@
       | 3.4  | every core is killed and started again   |
       | 3.4  | edge-1 is killed and started again       |
 
+  Scenario: Late heartbeats that go on arriving while a draining replica is cut off from the cores for long end nothing
+    Given a running pooled fleet
+    And clients with sessions are running
+    When a replica of "bookings" that will serve on for 25 s reports that it is draining
+    And it is cut off from the cores for 22 s
+    And a heartbeat that it sent before arrives every 2 s for 20 s
+    And 10 s pass in the pooled fleet
+    Then it was not read later than 7 s after the acknowledgement
+
+  Scenario: A core that is cut off from the others concludes nothing from late heartbeats, though it reaches the member
+    Given a running pooled fleet
+    And clients with sessions are running
+    When a replica of "bookings" that will serve on for 25 s reports that it is draining
+    And core-3 is cut off from the other cores
+    And a heartbeat that it sent before arrives at core-3 every 2 s for 20 s
+    Then core-3 has not taken it as in service
+    And it was not read later than 7 s after the acknowledgement
+
   Scenario: A replica that crashes while it drains is read again soon after its process has started anew
     Given a running pooled fleet
     And clients with sessions are running
--- a/packages/acceptance/src/draining-fleet-steps.ts
+++ b/packages/acceptance/src/draining-fleet-steps.ts
@@ -17,14 +17,27 @@
   return pooled.members.find((slot) => slot.service === service && slot !== primary && slot.running !== undefined) as PooledMember;
 }
 
-When('a replica of {string} reports that it is draining', async function when(this: DrainingFleetStory, service: string) {
-  this.replica = runningReplica(this, service);
-  const running = this.replica.running as SessionMember;
+async function reportDraining(story: DrainingFleetStory, service: string): Promise<void> {
+  story.replica = runningReplica(story, service);
+  const running = story.replica.running as SessionMember;
   void running.drain();
-  assert.ok(await this.pooled.until(() => Option.isSome(running.drainingSince()), 5_000), 'no core acknowledged the draining');
-  this.acknowledgedAt = this.pooled.world.now();
+  assert.ok(await story.pooled.until(() => Option.isSome(running.drainingSince()), 5_000), 'no core acknowledged the draining');
+  story.acknowledgedAt = story.pooled.world.now();
+}
+
+When('a replica of {string} reports that it is draining', async function when(this: DrainingFleetStory, service: string) {
+  await reportDraining(this, service);
 });
 
+When(
+  'a replica of {string} that will serve on for {int} s reports that it is draining',
+  async function when(this: DrainingFleetStory, service: string, seconds: number) {
+    const { knobs } = runningReplica(this, service).running as SessionMember;
+    knobs.drainSpareMilliseconds = seconds * 1_000;
+    await reportDraining(this, service);
+  },
+);
+
 When('it is cut off from the cores for {int} s', function when(this: DrainingFleetStory, seconds: number) {
   const { world } = this.pooled;
   const { machine } = this.replica;
@@ -55,17 +68,47 @@
   await this.pooled.startEdge(edge(this, 'edge-1'));
 });
 
+/** A heartbeat of the replica, in service, that a core receives only now; resolves to the status of the core's reply. */
+async function receiveLate({ pooled, replica }: DrainingFleetStory, coreIndex: number, sequence: number): Promise<number> {
+  const { service, member, address, area } = replica;
+  const heartbeat = { service, address, area, draining: false, role: 'replica', slots: 10, sequence };
+  return (await pooled.drive(pooled.call(coreIndex, `/members/${member}/beat`, heartbeat))).status;
+}
+
 When(
   'a heartbeat that it sent before arrives {float} s after the acknowledgement',
   async function when(this: DrainingFleetStory, seconds: number) {
-    const { service, member, address, area } = this.replica;
-    const heartbeat = { service, address, area, draining: false, role: 'replica', slots: 10, sequence: 1 };
     await this.pooled.world.run(this.acknowledgedAt + seconds * 1_000 - this.pooled.world.now());
-    const reply = await this.pooled.drive(this.pooled.call(1, `/members/${member}/beat`, heartbeat));
-    assert.equal(reply.status, 200);
+    assert.equal(await receiveLate(this, 1, 1), 200);
   },
 );
 
+When(
+  /^a heartbeat that it sent before arrives (at core-3 )?every (\d+) s for (\d+) s$/,
+  async function when(this: DrainingFleetStory, core: string | null, interval: string, seconds: string) {
+    for (let sequence = 1; sequence * Number(interval) <= Number(seconds); sequence += 1) {
+      await this.pooled.world.run(Number(interval) * 1_000);
+      await receiveLate(this, core === null ? 1 : 2, sequence);
+    }
+  },
+);
+
+When('core-3 is cut off from the other cores', function when(this: DrainingFleetStory) {
+  const [first, second, third] = coreMachines(this) as [string, string, string];
+  cutOff(this, third, [first, second]);
+  this.startedAt = this.pooled.world.now();
+});
+
+Then('core-3 has not taken it as in service', function then(this: DrainingFleetStory) {
+  const turns = this.pooled.world.logs.filter(
+    (line) => line.process === 'core-3' && line.event === 'member.in-service' && line.fields['member'] === this.replica.member,
+  );
+  assert.deepEqual(
+    turns.filter((line) => line.at > this.startedAt).map((line) => Math.round(line.at - this.startedAt)),
+    [],
+  );
+});
+
 Then('it was not read later than {int} s after the acknowledgement', function then(this: DrainingFleetStory, seconds: number) {
   const reads = this.pooled.runs.filter((run) => run.member === this.replica.member && run.kind === 'get' && run.first);
   assert.ok(
--- a/packages/core/src/draining-checks.ts
+++ b/packages/core/src/draining-checks.ts
@@ -10,13 +10,16 @@
 
 /** @internal */
 export type DrainingChecks = Readonly<{
-  /** Requests the STATE of each such member and records who replied. */
+  /**
+   * Requests the STATE of each such member and records who replied. Does nothing while this core has no contact with a majority of cores, which
+   * may receive heartbeats that report draining.
+   */
   queryQuestionedMembers: () => void;
 }>;
 
 const queryTimeoutMilliseconds = 800;
 
-function create(runtime: Runtime, registry: MemberRegistry): DrainingChecks {
+function create(runtime: Runtime, registry: MemberRegistry, isInContact: () => boolean): DrainingChecks {
   async function query({ member, address, service }: MemberRecord): Promise<void> {
     const probed = await runtime.services.find(livenessService).probe(member, address, queryTimeoutMilliseconds, service);
     // A member that is too busy to return its STATE has replied as well.
@@ -26,6 +29,7 @@
 
   return {
     queryQuestionedMembers: function queryQuestionedMembers() {
+      if (!isInContact()) return;
       for (const member of registry.questionedMembers()) void query(member);
     },
   };
--- a/packages/core/src/member-registration.ts
+++ b/packages/core/src/member-registration.ts
@@ -149,7 +149,7 @@
     registry,
     grantor,
     leaders,
-    drainingChecks: drainingChecks.create(runtime, registry),
+    drainingChecks: drainingChecks.create(runtime, registry, isInContact),
     broadcaster: registryBroadcaster.create(runtime, node, registry),
     file: registryFile.create(runtime, parts.disk, registry),
     isBroadcastScheduled: false,
--- a/packages/fakes/src/session-member-types.ts
+++ b/packages/fakes/src/session-member-types.ts
@@ -69,6 +69,8 @@
   silent: boolean;
   /** The share of its heartbeats and leaves that arrive up to 10 s late. */
   delayedHeartbeatShare: number;
+  /** How much longer it serves on than it has to once its draining is acknowledged. */
+  drainSpareMilliseconds: number;
 };
 
 export type SessionMember = Readonly<{
--- a/packages/fakes/src/session-member.ts
+++ b/packages/fakes/src/session-member.ts
@@ -14,8 +14,6 @@
 const heartbeatMilliseconds = 500;
 const pullMilliseconds = 0.5;
 const drainLookMilliseconds = 20;
-/** A draining member stays for so much longer than it has to. */
-const drainSpareMilliseconds = 1_000;
 
 const calmKnobs: SessionMemberKnobs = {
   deaf: false,
@@ -24,6 +22,7 @@
   loseCommits: 0,
   silent: false,
   delayedHeartbeatShare: 0,
+  drainSpareMilliseconds: 1_000,
 };
 
 function emptyStore(): SessionMemberStore {
@@ -116,7 +115,7 @@
     void heartbeat.send();
     while (!stopped && Option.isNone(heartbeat.drainingSince()) && runtime.clock.now() < deadline)
       await runtime.clock.sleep(drainLookMilliseconds);
-    await runtime.clock.sleep(settings.drainMilliseconds + drainSpareMilliseconds);
+    await runtime.clock.sleep(settings.drainMilliseconds + knobs.drainSpareMilliseconds);
     if (stopped) return;
     await heartbeat.leave();
     await stop();
