--- a/packages/bench/src/soak/soak-actions.ts
+++ b/packages/bench/src/soak/soak-actions.ts
@@ -157,7 +157,7 @@
 function noteDrain({ record }: Soak, member: SoakMember): void {
   const since = member.running?.drainingSince() ?? Option.none;
   if (Option.isNone(since) || record.drains.some((note) => note.member === member.member)) return;
-  record.drains.push({ member: member.member, acknowledgedAt: since.value });
+  record.drains.push({ member: member.member, acknowledgedAt: since.value, endedAt: Number.POSITIVE_INFINITY });
   member.gone = true;
 }
 
--- a/packages/simulator/src/faults/members.ts
+++ b/packages/simulator/src/faults/members.ts
@@ -112,7 +112,7 @@
 }
 
 /** A member is to be replaced: another comes first, and takes its time to catch up. */
-async function drainMember(fleet: PooledFleet, storm: PooledStorm, slot: PooledMember | undefined): Promise<void> {
+export async function drainMember(fleet: PooledFleet, storm: PooledStorm, slot: PooledMember | undefined): Promise<void> {
   const running = slot?.running;
   if (
     slot === undefined ||
@@ -193,7 +193,7 @@
   fleet.world.schedule(between(fleet, 200, 2_000), () => crashPrimary(fleet, storm));
 }
 
-function runningReplica(fleet: PooledFleet): PooledMember | undefined {
+export function runningReplica(fleet: PooledFleet): PooledMember | undefined {
   return pick(
     fleet,
     fleet.members.filter((one) => one.running !== undefined && one.store.role === 'replica'),
--- a/packages/simulator/src/pooled-availability.ts
+++ b/packages/simulator/src/pooled-availability.ts
@@ -184,4 +184,16 @@
   return { found, judged };
 }
 
-export const pooledAvailability = { watch, served } as const;
+/** Members that run and do not drain, and that an edge does not list as in service although everything has been calm for longer than the bound. */
+function unusedMembers(fleet: PooledFleet): readonly Violation[] {
+  const inService = fleet.members.filter(({ running, process }) => {
+    return running !== undefined && process?.alive() === true && Option.isNone(running.drainingSince());
+  });
+  return fleet.edges.flatMap(({ name, proxy }) =>
+    inService
+      .filter(({ member }) => proxy?.view().members.get(member)?.draining !== false)
+      .map(({ member }) => ({ check: 'member-unused', detail: `${name} does not list ${member} as in service` })),
+  );
+}
+
+export const pooledAvailability = { watch, served, unusedMembers } as const;
--- a/packages/simulator/src/pooled-faults.ts
+++ b/packages/simulator/src/pooled-faults.ts
@@ -3,6 +3,7 @@
 import { noteDrains, type PooledFault, type PooledStorm } from './faults/common.js';
 import { coreFaults } from './faults/cores.js';
 import { diskFaults } from './faults/disks.js';
+import { drainingFaults } from './faults/draining.js';
 import { edgeFaults, fleetFaults } from './faults/edges.js';
 import { memberFaults } from './faults/members.js';
 import { operatorFaults } from './faults/operators.js';
@@ -24,6 +25,7 @@
   ...diskFaults,
   ...clockFaults,
   ...memberFaults,
+  ...drainingFaults,
   ...operatorFaults,
   ...platformFaults,
   ...streamFaults,
--- a/packages/simulator/src/pooled-storm.ts
+++ b/packages/simulator/src/pooled-storm.ts
@@ -147,6 +147,7 @@
     ...ends.found,
     ...available.found(),
     ...served.found,
+    ...pooledAvailability.unusedMembers(fleet),
     ...pooledOrders.refused(fleet),
     ...pooledOrders.invalidAcknowledged(storm),
     ...(await pooledOrders.readBack(fleet)),
