Model of random histories: no order of events takes an acknowledged draining back

One member, the registries of three or five cores, and the view of each set of cores that an edge may hear, with the product's own code: late heartbeats (up to 10 s, or as long as a cut and 20 s), members cut off from all cores or some, cores cut off, killed one by one and all at once, or replaced by empty ones, processes of the member that drain, crash and start anew with numbers from the beginning.

--- a/packages/acceptance/features/draining.feature
+++ b/packages/acceptance/features/draining.feature
@@ -106,6 +106,15 @@
     And an edge that hears cores 1, 2 and 3 sees "member-1" as in service
     And an edge that hears cores 1 and 3 sees "member-1" as draining
 
+  # Late heartbeats, cuts, crashes, killed and replaced cores in random order (`draining-model.ts`).
+  Scenario Outline: No history takes an acknowledged draining back, and the member returns in time
+    Then in <count> random histories with <cores> cores no edge sees a draining member as in service, and the member returns within its bound
+
+    Examples:
+      | count | cores |
+      | 300   | 3     |
+      | 100   | 5     |
+
   # -- Edges.
 
   # The report with the highest number counted, so that a core that had heard the former process hid what the new one had reported.
--- a/packages/acceptance/src/draining-registry-steps.ts
+++ b/packages/acceptance/src/draining-registry-steps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { MemberRegistry } from '@stallstall/member-registry';
 import type { MemberRecord } from '@stallstall/message';
-import { world as worlds, type World } from '@stallstall/simulator';
+import { drainingModel, world as worlds, type World } from '@stallstall/simulator';
 import * as Option from 'fp-ts/lib/Option.js';
 import { startEdge } from './lease-holder-steps.js';
 import { registration, startRegistry } from './member-registry-steps.js';
@@ -180,3 +180,16 @@
 Then(/^it lists "member-1" as (in service|draining)$/, function then(this: EdgeStory, phase: string) {
   assert.equal(this.seen, phase);
 });
+
+Then(
+  'in {int} random histories with {int} cores no edge sees a draining member as in service, and the member returns within its bound',
+  async function then(count: number, coreCount: number) {
+    let acknowledged = 0;
+    for (let seed = 1; seed <= count; seed += 1) {
+      const history = await drainingModel.explore(seed, { coreCount });
+      acknowledged += history.acknowledged;
+      assert.deepEqual(history.violations, [], `seed ${seed}: ${history.events.join('; ')}`);
+    }
+    assert.ok(acknowledged > count, `only ${acknowledged} drainings were acknowledged`);
+  },
+);
--- a/packages/lease/src/merged-view.ts
+++ b/packages/lease/src/merged-view.ts
@@ -19,7 +19,7 @@
   return records.some((record) => record.draining) && returns < quorum.majority(coreCount);
 }
 
-function recordsByMember(reports: readonly ReportedState[]): ReadonlyMap<string, readonly MemberRecord[]> {
+function recordsByMember(reports: ReadonlyArray<Pick<ReportedState, 'members'>>): ReadonlyMap<string, readonly MemberRecord[]> {
   const records = new Map<string, MemberRecord[]>();
   for (const report of reports) {
     for (const record of report.members.values()) {
@@ -36,7 +36,7 @@
  *
  * @param reports - the reports of the cores of the current core set
  */
-function members(reports: readonly ReportedState[], coreCount: number): readonly MemberRecord[] {
+function members(reports: ReadonlyArray<Pick<ReportedState, 'members'>>, coreCount: number): readonly MemberRecord[] {
   return [...recordsByMember(reports).values()]
     .map((records) => ({
       ...records.reduce(newerRecord),
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -311,7 +311,7 @@
   },
   {
     name: 'draining-ended-by-a-late-heartbeat',
-    story: 'however late it arrives|is not read again when an earlier',
+    story: 'however late it arrives|is not read again when an earlier|No history takes',
     expect: 'draining',
     only: ['draining-replica-cut', 'draining-replica-restarted', 'heartbeats-delayed'],
     file: 'member-registry/build/member-registry.js',
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -1,4 +1,5 @@
 export * from './replica-set-model.js';
+export * from './draining-model.js';
 export * from './world.js';
 export * from './fleet.js';
 export * from './core-fleet.js';
