Take a report of draining for fresh only at an edge that listed the member as in service

What callers would see: a primary that no replica can replace is written to for longer than DrainLimitMs after its draining was acknowledged, through an edge whose agent was started anew.

Cause, by a trace of the view in the simulation: an agent that has not reached a core lists no members, and its proxy then dropped when the draining was first reported. The next list, 0.8 s later, came while the lease of the former agent still ran, so that the draining counted from its arrival: 4.8 s after the acknowledgement, and the primary was used until 9.3 s.

Change: the report is fresh only if the edge listed the member as in service until it arrived (and holds its lease, as before); else the member counts as fully drained (design 7.9).

Evidence: story "An edge whose agent is started anew ..." failed on the code before (a read was served more than 8 s after the report), passes. A second story holds the lease's part, which the story of old-news-of-draining-is-new no longer covers alone; its mutation is split. All three mutations are caught.

--- a/packages/acceptance/features/draining.feature
+++ b/packages/acceptance/features/draining.feature
@@ -173,6 +173,25 @@
     Then core-3 has not taken it as in service
     And it was not read later than 7 s after the acknowledgement
 
+  # The new agent's first report has no members, and the next one was taken for fresh news, so the primary was used for 9.3 s in all.
+  Scenario: An edge whose agent is started anew does not use a draining primary for longer
+    Given a running pooled fleet
+    When every replica of "bookings" is killed
+    And the primary of "bookings" that will serve on for 25 s reports that it is draining
+    And 4 s pass in the pooled fleet
+    Then a get of "x1" in "bookings-lead" through edge-1 is served
+    When the agent of edge-1 is killed, and another one is started and reaches the cores 0.8 s later
+    And 4 s pass in the pooled fleet
+    Then a get of "x1" in "bookings-lead" through edge-1 fails with "read-only"
+
+  Scenario: An edge that hears late of a draining primary treats it as fully drained
+    Given a running pooled fleet
+    When every replica of "bookings" is killed
+    And edge-1 is cut off from the cores for 6 s
+    And the primary of "bookings" that will serve on for 25 s reports that it is draining
+    And 7 s pass in the pooled fleet
+    Then a get of "x1" in "bookings-lead" through edge-1 fails with "read-only"
+
   Scenario: A replica that crashes while it drains is read again soon after its process has started anew
     Given a running pooled fleet
     And clients with sessions are running
--- a/packages/acceptance/src/draining-fleet-steps.ts
+++ b/packages/acceptance/src/draining-fleet-steps.ts
@@ -4,7 +4,7 @@
 import type { SessionMember } from '@stallstall/fakes';
 import type { PooledMember } from '@stallstall/simulator';
 import * as Option from 'fp-ts/lib/Option.js';
-import { cutOff, edge, type PooledStory } from './pooled-story.js';
+import { cutOff, edge, primary, type PooledStory } from './pooled-story.js';
 
 type DrainingFleetStory = PooledStory & { replica: PooledMember; acknowledgedAt: number };
 
@@ -38,16 +38,42 @@
   },
 );
 
-When('it is cut off from the cores for {int} s', function when(this: DrainingFleetStory, seconds: number) {
-  const { world } = this.pooled;
-  const { machine } = this.replica;
-  cutOff(this, machine, coreMachines(this));
-  world.schedule(seconds * 1_000, () => {
-    for (const other of coreMachines(this)) {
+When(
+  'the primary of {string} that will serve on for {int} s reports that it is draining',
+  function when(this: DrainingFleetStory, service: string, seconds: number) {
+    const { drain, knobs } = primary(this, service).running as SessionMember;
+    knobs.drainSpareMilliseconds = seconds * 1_000;
+    void drain();
+  },
+);
+
+When(
+  'the agent of edge-1 is killed, and another one is started and reaches the cores {float} s later',
+  async function when(this: DrainingFleetStory, seconds: number) {
+    const slot = edge(this, 'edge-1');
+    cutOffFromCores(this, slot.machine, seconds);
+    await this.pooled.restartAgent(slot);
+  },
+);
+
+function cutOffFromCores(story: DrainingFleetStory, machine: string, seconds: number): void {
+  const { world } = story.pooled;
+  const machines = coreMachines(story);
+  cutOff(story, machine, machines);
+  world.schedule(seconds * 1_000, function heal() {
+    for (const other of machines) {
       world.heal(machine, other);
       world.heal(other, machine);
     }
   });
+}
+
+When('it is cut off from the cores for {int} s', function when(this: DrainingFleetStory, seconds: number) {
+  cutOffFromCores(this, this.replica.machine, seconds);
+});
+
+When('edge-1 is cut off from the cores for {int} s', function when(this: DrainingFleetStory, seconds: number) {
+  cutOffFromCores(this, edge(this, 'edge-1').machine, seconds);
 });
 
 When('nothing else happens', () => undefined);
--- a/packages/pooler/src/view.ts
+++ b/packages/pooler/src/view.ts
@@ -58,15 +58,17 @@
 }
 
 /**
- * The latest time at which the member can first have been reported as draining. If this edge held a lease on the member when the report
- * arrived, it was in contact with a majority of cores within the last lease term, so the report is no older than that term. Otherwise the
- * report may be of any age, and the member must be treated as fully drained.
+ * The latest time at which the member can first have been reported as draining. If this edge listed the member as in service until the report
+ * arrived, and held a lease on it, it was in contact with a majority of cores within the last lease term, so the report is no older than that
+ * term. Otherwise the report may be of any age, and the member must be treated as fully drained. An agent that has just started lists no
+ * members until it has reached a core.
  */
 function drainingSinceOf(before: View, entry: MemberRecord, now: Instant): Instant {
   const since = before.drainingSince.get(entry.member);
   if (since !== undefined) return since;
+  const wasInService = before.members.get(entry.member)?.draining === false;
   const leader = before.leaders.get(entry.service);
-  return leader?.primary === entry.member && leader.leaseEnd > now ? now : never;
+  return wasInService && leader?.primary === entry.member && leader.leaseEnd > now ? now : never;
 }
 
 /**
--- a/packages/simulator/pooled-mutations.mjs
+++ b/packages/simulator/pooled-mutations.mjs
@@ -367,6 +367,13 @@
     from: 'entry.draining && reportedAt > previous.inServiceSince',
     to: 'entry.draining',
   },
+  {
+    name: 'draining-counted-anew-for-a-new-agent',
+    story: 'whose agent is started anew',
+    file: 'pooler/build/view.js',
+    from: 'wasInService && ',
+    to: '',
+  },
   {
     name: 'members-never-return',
     story: 'is read again soon after',
@@ -845,9 +852,16 @@
     name: 'old-news-of-draining-is-new',
     story: 'An edge that starts while a primary drains',
     file: 'pooler/build/view.js',
-    from: 'leader?.primary === entry.member && leader.leaseEnd > now ? now : never',
+    from: 'wasInService && leader?.primary === entry.member && leader.leaseEnd > now ? now : never',
     to: 'now',
   },
+  {
+    name: 'news-of-draining-fresh-without-a-lease',
+    story: 'hears late of a draining primary',
+    file: 'pooler/build/view.js',
+    from: '&& leader.leaseEnd > now ? now : never',
+    to: '? now : never',
+  },
   {
     name: 'blank-core-that-is-called-stays-blank',
     story: 'has no seed that still runs',
--- a/packages/simulator/src/pooled-fleet.ts
+++ b/packages/simulator/src/pooled-fleet.ts
@@ -186,12 +186,17 @@
     slot.running = undefined;
   }
 
-  async function startEdge(slot: PooledEdge): Promise<void> {
-    const { feed, outward, clients: address } = edgeAddresses(slot);
-    slot.life += 1;
+  async function startAgent(slot: PooledEdge): Promise<void> {
+    const { feed } = edgeAddresses(slot);
     readSettings(slot);
     slot.agentProcess = world.spawn(`${slot.name}/agent`, slot.machine);
     slot.agent = await leaseAgent.start(slot.agentProcess.runtime, { node: slot.name, area: slot.area, feed, seeds: () => slot.seeds });
+  }
+
+  async function startEdge(slot: PooledEdge): Promise<void> {
+    const { feed, outward, clients: address } = edgeAddresses(slot);
+    slot.life += 1;
+    await startAgent(slot);
     slot.proxyProcess = world.spawn(`${slot.name}/proxy`, slot.machine);
     slot.proxy = await pooler.start(
       slot.proxyProcess.runtime,
@@ -203,6 +208,11 @@
     );
   }
 
+  async function restartAgent(slot: PooledEdge): Promise<void> {
+    if (slot.agentProcess !== undefined) world.kill(slot.agentProcess);
+    await startAgent(slot);
+  }
+
   function killEdge(slot: PooledEdge): void {
     for (const process of [slot.agentProcess, slot.proxyProcess]) if (process !== undefined) world.kill(process);
     slot.agent = undefined;
@@ -454,6 +464,7 @@
     },
     readSettings,
     startEdge,
+    restartAgent,
     killEdge,
     drainEdge,
     startMember,
--- a/packages/simulator/src/pooled-model.ts
+++ b/packages/simulator/src/pooled-model.ts
@@ -134,6 +134,8 @@
   nameSeeds: (seeds: readonly string[]) => void;
   readSettings: (slot: PooledCore | PooledEdge) => void;
   startEdge: (slot: PooledEdge) => Promise<void>;
+  /** Kills the agent of an edge and starts another one beside its proxy. */
+  restartAgent: (slot: PooledEdge) => Promise<void>;
   killEdge: (slot: PooledEdge) => void;
   /** SIGTERM to both of its processes; right once both have ended. */
   drainEdge: (slot: PooledEdge) => Promise<void>;
