Simulator: split the checks of the pooled mode by concern, and count cores in use in one place

The records that checks look at, the checks of configurations, and those of planned work (draining members, planned ends) are modules of their own now, with doc comments and functions that begin with a verb; a field that nothing read is gone. The cores in use were counted by two equal functions of the seeded outages.

--- a/packages/simulator/src/core-outage-faults.ts
+++ b/packages/simulator/src/core-outage-faults.ts
@@ -35,16 +35,17 @@
 const slowRoundMilliseconds = 100;
 const frozenPerRoundMilliseconds = 80;
 
-function inUse({ fleet, retired }: OutageFleet): readonly CoreMachine[] {
+/** The machines that belong to the fleet; those that were replaced stay away. @internal */
+export function coresInUse({ fleet, retired }: OutageFleet): readonly CoreMachine[] {
   return fleet.machines.filter((machine) => !retired.has(machine));
 }
 
 function anyCore(outage: OutageFleet): CoreMachine {
-  return pick(outage.fleet, inUse(outage));
+  return pick(outage.fleet, coresInUse(outage));
 }
 
 function othersThan(outage: OutageFleet, machine: CoreMachine): readonly CoreMachine[] {
-  return inUse(outage).filter((other) => other !== machine);
+  return coresInUse(outage).filter((other) => other !== machine);
 }
 
 function downMilliseconds({ fleet }: OutageFleet): number {
@@ -311,7 +312,7 @@
 /** Ends all cores at once, whatever the tolerance says. */
 function endAll(end: (outage: OutageFleet) => End): OutageFault['strike'] {
   return function strike(outage, back) {
-    const machines = inUse(outage);
+    const machines = coresInUse(outage);
     let down = machines.length;
     for (const machine of machines) {
       if (machine.process?.alive() === true) end(outage)(machine);
--- a/packages/simulator/src/core-outages.ts
+++ b/packages/simulator/src/core-outages.ts
@@ -4,7 +4,7 @@
  */
 import * as Either from 'fp-ts/lib/Either.js';
 import * as Option from 'fp-ts/lib/Option.js';
-import { coreOutageFaults, type OutageFault, type OutageFleet } from './core-outage-faults.js';
+import { coreOutageFaults, coresInUse, type OutageFault, type OutageFleet } from './core-outage-faults.js';
 import { coreFleet, type CoreMachine } from './core-fleet.js';
 import { between, pick } from './draws.js';
 import type { Violation } from './fleet-checks/check-records.js';
@@ -43,10 +43,6 @@
 /** What each write of the configuration takes, as large ones do on a busy core. */
 const writeMilliseconds = [0, 0, 20, 50];
 
-function coresInUse({ fleet, retired }: OutageFleet): readonly CoreMachine[] {
-  return fleet.machines.filter((machine) => !retired.has(machine));
-}
-
 /** Cores in use that are not open in the newest set, and the reason. */
 function unlevelCores(outage: OutageFleet): readonly string[] {
   const { fleet } = outage;
--- a/packages/simulator/src/pooled-checks.ts
+++ b/packages/simulator/src/pooled-checks.ts
@@ -1,68 +1,20 @@
 /** What must hold of a run of the pooled mode, reckoned from what members ran and senders were told alone (design 10.5). */
 import * as Option from 'fp-ts/lib/Option.js';
-import { type DutyCall, type SessionAsk, type SessionCommit, type SessionRun, type SessionTry } from '@stallstall/fakes';
-import type { PooledFleet, PooledVersion } from './pooled-model.js';
+import type { DutyCall, SessionCommit } from '@stallstall/fakes';
 import type { Violation } from './fleet-checks/check-records.js';
-import { initialWallTime } from './world.js';
+import { conditionOf, isCalm, quietMilliseconds, readRecords, type JudgedFleet, type JudgedRecords } from './pooled-check-records.js';
+import { checkConfiguration } from './pooled-configuration-checks.js';
+import { checkDraining, checkPlannedEnds } from './pooled-planned-checks.js';
 
-/** A span in which something is not in touch: an edge by its name, or `core`, `platform`, `member`. */
-export type Trouble = Readonly<{ who: string; from: number; to: number }>;
-export type EdgeLife = Readonly<{ edge: string; life: number; from: number }>;
-export type EdgeEnd = Readonly<{ edge: string; from: number; to: number }>;
-/** A member's process whose draining was acknowledged. `endedAt`: infinite while it has not ended, as far as is known. */
-export type DrainNote = Readonly<{ member: string; acknowledgedAt: number; endedAt: number }>;
+export type { DrainNote, EdgeEnd, EdgeLife, JudgedFleet, Trouble } from './pooled-check-records.js';
 
 const promises = new Set(['saturated', 'aborted', 'lagging', 'read-only', 'wrong-member', 'overloaded']);
-const settleMilliseconds = 3_000;
-const quietMilliseconds = 4_000;
-const revertMilliseconds = 250;
-const drainMilliseconds = 7_000;
 const turnMilliseconds = 3_000;
 const windowMilliseconds = 5_000;
 const usageShare = 0.05;
-/** What crosses on the wire while the other side closes has not been read. */
-const crossingMilliseconds = 5;
-
-/** What is judged of a fleet, in memory or of real processes. */
-export type JudgedFleet = Pick<
-  PooledFleet,
-  'ledger' | 'runs' | 'versions' | 'platformStore' | 'edges' | 'services' | 'firstSheet' | 'primaryOf'
->;
-
-type Read = Readonly<{
-  fleet: JudgedFleet;
-  /** The time of day at moment 0. */
-  wallOffset: number;
-  asks: ReadonlyMap<string, Readonly<{ ask: SessionAsk; of: SessionTry }>>;
-  byTry: ReadonlyMap<string, readonly SessionRun[]>;
-  troubles: readonly Trouble[];
-}>;
-
-function read(fleet: JudgedFleet, troubles: readonly Trouble[], wallOffset: number = initialWallTime): Read {
-  const asks = new Map<string, { ask: SessionAsk; of: SessionTry }>();
-  for (const of of fleet.ledger.tries) for (const ask of of.asks) asks.set(ask.identifier, { ask, of });
-  const byTry = new Map<string, SessionRun[]>();
-  for (const run of fleet.runs) {
-    const known = asks.get(run.identifier);
-    if (known === undefined) continue;
-    const runs = byTry.get(known.of.name);
-    if (runs === undefined) byTry.set(known.of.name, [run]);
-    else runs.push(run);
-  }
-  return { fleet, wallOffset, asks, byTry, troubles };
-}
-
-function isCalm(troubles: readonly Trouble[], who: readonly string[], from: number, to: number): boolean {
-  return !troubles.some((trouble) => (who.includes(trouble.who) || trouble.who === 'all') && trouble.from <= to && trouble.to >= from);
-}
-
-function conditionOf(ask: SessionAsk): string {
-  if (Option.isNone(ask.ending)) return 'none';
-  return ask.ending.value.kind === 'done' ? 'done' : ask.ending.value.condition;
-}
 
 /** A success carries the member's stamp for that statement, and its rows. */
-function stamps({ fleet }: Read): readonly Violation[] {
+function stamps({ fleet }: JudgedRecords): readonly Violation[] {
   const byStamp = new Map(fleet.runs.map((run) => [run.stamp, run] as const));
   return fleet.ledger.tries.flatMap((of) =>
     of.asks.flatMap((ask): readonly Violation[] => {
@@ -79,7 +31,7 @@
 }
 
 /** What members ran was asked as it ran, within its own transaction, under its sender's values, on one connection. */
-function statements({ fleet, asks, byTry }: Read): readonly Violation[] {
+function statements({ fleet, asks, byTry }: JudgedRecords): readonly Violation[] {
   const found: Violation[] = [];
   const owners = new Map<number, string>();
   for (const run of fleet.runs) {
@@ -113,7 +65,7 @@
 }
 
 /** Senders ask nothing malformed and prepare what they execute: neither is ever said of a single statement or a beginning. */
-function wellAsked({ fleet }: Read): readonly Violation[] {
+function wellAsked({ fleet }: JudgedRecords): readonly Violation[] {
   return fleet.ledger.tries.flatMap((of) => {
     const reported = [...of.asks.map(conditionOf), ...(Option.isSome(of.begun) ? [of.begun.value] : [])];
     const strange = reported.filter(
@@ -134,7 +86,7 @@
   return kept;
 }
 
-function writes({ fleet }: Read): readonly Violation[] {
+function writes({ fleet }: JudgedRecords): readonly Violation[] {
   const found: Violation[] = [];
   const kept = keptOf(fleet);
   for (const of of fleet.ledger.tries) {
@@ -195,7 +147,7 @@
   };
 }
 
-function stale({ fleet, asks }: Read): Readonly<{ found: readonly Violation[]; judged: number }> {
+function stale({ fleet, asks }: JudgedRecords): Readonly<{ found: readonly Violation[]; judged: number }> {
   const found: Violation[] = [];
   let judged = 0;
   for (const service of fleet.services) {
@@ -231,7 +183,7 @@
 }
 
 /** Where a replica must hold a commit before it is acknowledged, the leader of the end holds it. */
-function lost({ fleet }: Read): readonly Violation[] {
+function lost({ fleet }: JudgedRecords): readonly Violation[] {
   const byStamp = new Map(fleet.runs.map((run) => [run.stamp, run] as const));
   return fleet.services.flatMap((service) => {
     if (fleet.firstSheet().services.find((one) => one.service === service)?.synchronousReplicas === 0) return [];
@@ -251,144 +203,6 @@
 
 // -- Configuration: which versions allow what came of a statement or an opening.
 
-type Effect = Readonly<{ at: number; endedAt: number; edge: string; what: string; allowedBy: readonly PooledVersion[]; known: boolean }>;
-
-function tenantOf(version: PooledVersion, key: string): string | undefined {
-  return version.sheet.tenants.find((tenant) => tenant.keys.includes(key))?.tenant;
-}
-
-function serviceOf(version: PooledVersion, database: string): string | undefined {
-  return version.sheet.databases.find((one) => one.database === database)?.service;
-}
-
-/** Versions sent by then that allow this outcome: one that came later cannot have been obeyed. */
-function allowing(
-  versions: readonly PooledVersion[],
-  { database, who, endedAt }: Readonly<{ database: string; who: string; endedAt: number }>,
-  outcome: string,
-): readonly PooledVersion[] {
-  return versions.filter((version) => {
-    if (version.sentAt > endedAt) return false;
-    const exists = serviceOf(version, database) !== undefined;
-    if (outcome === 'no-database') return !exists;
-    if (outcome === 'denied') return exists && tenantOf(version, who) === undefined;
-    return exists && tenantOf(version, who) !== undefined;
-  });
-}
-
-function effects({ fleet, byTry, asks }: Read): readonly Effect[] {
-  const versions = fleet.versions.filter((sent) => !sent.refused).sort((left, right) => left.version - right.version);
-  const found: Effect[] = [];
-  for (const opening of fleet.ledger.openings) {
-    if (!['open', 'denied', 'no-database'].includes(opening.outcome)) continue;
-    found.push({
-      at: opening.at,
-      endedAt: opening.endedAt,
-      edge: opening.edge,
-      what: `opening ${opening.database} as ${opening.who}: ${opening.outcome}`,
-      allowedBy: allowing(versions, opening, opening.outcome),
-      known: true,
-    });
-  }
-  for (const of of fleet.ledger.tries) {
-    for (const run of (byTry.get(of.name) ?? []).filter((one) => one.first)) {
-      const allowedBy = versions.filter(
-        (version) =>
-          version.sentAt <= run.at && serviceOf(version, of.database) === run.service && tenantOf(version, of.who) === run.tenant,
-      );
-      found.push({
-        at: of.startedAt,
-        endedAt: run.at,
-        edge: of.edge,
-        what: `${run.identifier} (${of.database} as ${of.who}) on ${run.member}`,
-        allowedBy,
-        known: true,
-      });
-    }
-    // A route binds from the next transaction on, a key at once: later statements of a transaction are judged by their key alone.
-    for (const run of (byTry.get(of.name) ?? []).filter((one) => !one.first)) {
-      const ask = asks.get(run.identifier)?.ask;
-      if (ask === undefined || run.kind === 'rollback') continue;
-      found.push({
-        at: ask.sentAt,
-        endedAt: run.at,
-        edge: of.edge,
-        what: `${run.identifier} within a transaction (${of.database} as ${of.who}) on ${run.member}`,
-        allowedBy: versions.filter(
-          (version) =>
-            version.sentAt <= run.at && serviceOf(version, of.database) !== undefined && tenantOf(version, of.who) === run.tenant,
-        ),
-        known: true,
-      });
-    }
-    const outcome = Option.isSome(of.begun) ? of.begun.value : of.asks[0] === undefined ? '' : conditionOf(of.asks[0]);
-    if (outcome === 'denied' || outcome === 'no-database') {
-      const endedAt = of.asks[0]?.endedAt ?? of.startedAt;
-      found.push({
-        at: of.startedAt,
-        endedAt,
-        edge: of.edge,
-        what: `${of.name}: ${outcome}`,
-        allowedBy: allowing(versions, { database: of.database, who: of.who, endedAt }, outcome),
-        known: true,
-      });
-    }
-  }
-  return found.sort((left, right) => left.endedAt - right.endedAt);
-}
-
-function configuration(all: Read, lives: readonly EdgeLife[]): Readonly<{ found: readonly Violation[]; judged: number }> {
-  const found: Violation[] = [];
-  const highest = new Map<string, Readonly<{ version: number; at: number }>>();
-  let judged = 0;
-  for (const effect of effects(all)) {
-    if (effect.allowedBy.length === 0) {
-      found.push({ check: 'route', detail: `${effect.what} is allowed by no version ever sent` });
-      continue;
-    }
-    const newest = Math.max(...effect.allowedBy.map((version) => version.version));
-    const oldest = Math.min(...effect.allowedBy.map((version) => version.version));
-    // The bound holds for whoever has been in touch, and long enough after the last event.
-    const due = Math.max(
-      0,
-      ...all.fleet.versions.filter((version) => version.acknowledgedAt <= effect.at - settleMilliseconds).map((version) => version.version),
-    );
-    if (isCalm(all.troubles, [effect.edge, 'core'], effect.at - settleMilliseconds - quietMilliseconds, effect.endedAt)) {
-      judged += 1;
-      if (newest < due)
-        found.push({
-          check: 'configuration',
-          detail: `${effect.what} at ${Math.round(effect.at)} is allowed up to version ${newest} only, ${due} was due`,
-        });
-    }
-    const life = lives.filter((one) => one.edge === effect.edge && one.from <= effect.at).at(-1);
-    const key = `${effect.edge}/${life?.life ?? 0}`;
-    const before = highest.get(key);
-    if (before !== undefined && newest < before.version && effect.at > before.at + revertMilliseconds)
-      found.push({ check: 'configuration', detail: `${effect.what}: ${key} went back to ${newest} after ${before.version}` });
-    if (before === undefined || oldest > before.version) highest.set(key, { version: oldest, at: effect.endedAt });
-  }
-  return { found, judged };
-}
-
-function draining({ fleet, asks, troubles }: Read, notes: readonly DrainNote[]): Readonly<{ found: readonly Violation[]; judged: number }> {
-  const late = fleet.runs.flatMap((run): readonly Violation[] => {
-    const note = notes.find(({ member, acknowledgedAt, endedAt }) => {
-      return member === run.member && run.at > acknowledgedAt + drainMilliseconds && run.at < endedAt;
-    });
-    const known = asks.get(run.identifier);
-    if (!run.first || note === undefined || known === undefined) return [];
-    if (!isCalm(troubles, [known.of.edge, 'core'], known.of.startedAt - quietMilliseconds, run.at)) return [];
-    return [
-      {
-        check: 'draining',
-        detail: `${run.member} began ${run.identifier} ${Math.round(run.at - note.acknowledgedAt)} ms after it said that it drains`,
-      },
-    ];
-  });
-  return { found: late, judged: notes.length };
-}
-
 /** One holder under one turn; within the span none acts again after another has. */
 function duties(calls: readonly DutyCall[]): readonly Violation[] {
   const found: Violation[] = [];
@@ -416,7 +230,7 @@
 
 /** Each window is told once, with what members began in it. */
 function usage(
-  { fleet, wallOffset, byTry, troubles }: Read,
+  { fleet, wallOffset, byTry, troubles }: JudgedRecords,
   from: number,
   to: number,
 ): Readonly<{ found: readonly Violation[]; judged: number }> {
@@ -462,29 +276,6 @@
   return { found, judged };
 }
 
-/** What an edge had read when its planned end came, and later, it replies to. */
-function plannedEnds({ fleet, troubles }: Read, ends: readonly EdgeEnd[]): Readonly<{ found: readonly Violation[]; judged: number }> {
-  const found: Violation[] = [];
-  let judged = 0;
-  for (const end of ends) {
-    if (!isCalm(troubles, [end.edge, 'core', 'member', 'platform'], end.from - quietMilliseconds, end.to)) continue;
-    for (const of of fleet.ledger.tries) {
-      if (of.edge !== end.edge || of.left || of.startedAt > end.to) continue;
-      const last = of.asks.at(-1);
-      const sentAt = last?.sentAt ?? of.startedAt;
-      if (sentAt < end.from - quietMilliseconds || (last?.endedAt ?? Number.POSITIVE_INFINITY) < end.from) continue;
-      judged += 1;
-      if (Option.isNone(of.cutAt) || of.cutAt.value - sentAt < crossingMilliseconds || of.cutAt.value > end.to + crossingMilliseconds)
-        continue;
-      found.push({
-        check: 'planned-end',
-        detail: `${last?.identifier ?? of.name} was cut off by ${end.edge}, which ended as planned, ${Math.round(of.cutAt.value - sentAt)} ms after it was sent and ${Math.round(of.cutAt.value - end.from)} ms after the end began`,
-      });
-    }
-  }
-  return { found, judged };
-}
-
 function served(fleet: JudgedFleet, from: number, to: number): Readonly<{ asked: number; served: number }> {
   const tries = fleet.ledger.tries.filter((of) => of.startedAt >= from && of.startedAt < to && !of.left);
   return {
@@ -494,17 +285,17 @@
 }
 
 export const pooledChecks = {
-  read,
+  read: readRecords,
   stamps,
   statements,
   wellAsked,
   writes,
   stale,
   lost,
-  configuration,
-  draining,
+  configuration: checkConfiguration,
+  draining: checkDraining,
   duties,
   usage,
-  plannedEnds,
+  plannedEnds: checkPlannedEnds,
   served,
 } as const;
